--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,35 @@
+//! Names, identifiers, time, settings and the configuration's data model.
+//!
+//! Every other crate of the workspace builds on this one. It performs no
+//! input or output apart from reading the settings file.
+//!
+//! - [`clock`] holds the one time type of the project, in milliseconds.
+//! - [`names`] and [`ids`] hold the names and identifiers that cross layers.
+//! - [`catalog`] holds services, versions, customers and moves, and how a
+//!   configuration change alters them.
+//! - [`settings`] holds the settings of one process and their checks.
+
+mod catalog;
+mod clock;
+mod ids;
+mod key_hash;
+mod names;
+mod settings;
+mod settings_check;
+mod units;
+
+pub use catalog::{
+    CatalogError, CatalogState, ChangeRecord, ConfigurationChange, CustomerEntry, MoveEntry,
+    MoveState, NewsEvent, NewsItem, RouteEntry, ServiceEntry, ServiceKind, ServiceState,
+    UpstreamEntry, VersionEntry,
+};
+pub use clock::{ClockTime, MonotonicClock};
+pub use ids::{AttemptNumber, GenerationId, IncarnationId, RevisionNumber};
+pub use key_hash::KeyHash;
+pub use names::{CustomerName, ServiceName, UpstreamName, VersionName, VmName, ZoneName};
+pub use settings::{
+    CallSettings, LimitSettings, ListenSettings, LossDetection, NodeSettings, PlatformSettings,
+    ResumeSettings,
+};
+pub use settings_check::SettingsError;
+pub use units::DurationText;
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! skylarkshed-peer.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! skylarkshed-platform.
--- /dev/null
+++ b/crates/stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! skylarkshed-stand-ins.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! skylarkshed.
+fn main() {}
