--- /dev/null
+++ b/crates/bench/src/caller.rs
@@ -0,0 +1,285 @@
+//! Callers: what they send and what they keep of the answers.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use volo_http::body::{Body, BodyConversion};
+use volo_http::client::sse::SseExt;
+use volo_http::client::Client;
+
+/// A generation to ask for.
+#[derive(Clone, Debug)]
+pub struct GenerationQuery {
+    /// The service.
+    pub service: String,
+    /// The customer's bearer key.
+    pub key: String,
+    /// The prompt.
+    pub prompt: String,
+    /// The number of tokens.
+    pub max_tokens: u32,
+}
+
+/// What came back of a generation.
+#[derive(Clone, Debug, Default)]
+pub struct AnswerTrace {
+    /// The HTTP status; 0 if there was none.
+    pub status: u16,
+    /// The tokens.
+    pub tokens: Vec<String>,
+    /// When each token came, after the request was sent.
+    pub times: Vec<Duration>,
+    /// The last event's identifier.
+    pub cursor: Option<String>,
+    /// The number of tokens that the end named.
+    pub total: Option<u32>,
+    /// The problem document of a refusal or a failed answer.
+    pub problem: Option<Value>,
+    /// Why the stream broke.
+    pub broken: Option<String>,
+    /// Whether every index followed on the one before.
+    pub in_order: bool,
+}
+
+impl AnswerTrace {
+    /// Tells whether the answer came to its end.
+    pub fn is_finished(&self) -> bool {
+        self.total.is_some()
+    }
+
+    /// Returns the longest time between two tokens.
+    pub fn longest_gap(&self) -> Duration {
+        let gaps = self
+            .times
+            .windows(2)
+            .map(|pair| pair[1].saturating_sub(pair[0]));
+        gaps.max().unwrap_or_default()
+    }
+
+    /// Adds the rest of the answer, as another VM gave it.
+    pub fn append(&mut self, rest: AnswerTrace) {
+        self.tokens.extend(rest.tokens);
+        self.cursor = rest.cursor.or(self.cursor.take());
+        self.total = rest.total;
+        self.problem = rest.problem;
+        self.broken = rest.broken;
+        self.in_order &= rest.in_order;
+    }
+}
+
+#[derive(Deserialize)]
+struct TokenData {
+    index: usize,
+    token: String,
+}
+
+#[derive(Deserialize)]
+struct EndData {
+    tokens: u32,
+}
+
+/// Asks for generations.
+#[derive(Clone, Default)]
+pub struct GenerationCaller {
+    client: Client,
+}
+
+impl GenerationCaller {
+    /// Asks a VM for a generation and reads it to its end.
+    pub async fn ask(&self, vm: SocketAddr, query: &GenerationQuery) -> AnswerTrace {
+        self.ask_with(vm, query, None, None, |_| {}).await
+    }
+
+    /// Asks a VM for the rest of an answer; `with_text` sends back what was received.
+    pub async fn resume(
+        &self,
+        vm: SocketAddr,
+        query: &GenerationQuery,
+        trace: &AnswerTrace,
+        with_text: bool,
+    ) -> AnswerTrace {
+        let received = with_text.then_some(trace.tokens.as_slice());
+        self.ask_with(vm, query, trace.cursor.as_deref(), received, |_| {})
+            .await
+    }
+
+    /// Asks a VM; `on_token` is told how many tokens have come after each.
+    pub async fn ask_with(
+        &self,
+        vm: SocketAddr,
+        query: &GenerationQuery,
+        cursor: Option<&str>,
+        received: Option<&[String]>,
+        mut on_token: impl FnMut(usize) + Send,
+    ) -> AnswerTrace {
+        let mut body = json!({"prompt": query.prompt, "max_tokens": query.max_tokens});
+        if let Some(received) = received {
+            body["received"] = json!(received);
+        }
+        let uri = format!("http://{vm}/v1/services/{}/generations", query.service);
+        let mut request = self.client.post(uri).json(&body);
+        request = request.header("authorization", format!("Bearer {}", query.key));
+        if let Some(cursor) = cursor {
+            request = request.header("last-event-id", cursor);
+        }
+        let start = Instant::now();
+        let mut trace = AnswerTrace {
+            in_order: true,
+            ..AnswerTrace::default()
+        };
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => {
+                trace.broken = Some(error.to_string());
+                return trace;
+            }
+        };
+        trace.status = response.status().as_u16();
+        if trace.status != 200 {
+            let bytes = response.into_bytes().await.unwrap_or_default();
+            trace.problem = serde_json::from_slice(&bytes).ok();
+            return trace;
+        }
+        let mut events = match response.into_sse() {
+            Ok(events) => events,
+            Err(error) => {
+                trace.broken = Some(error.to_string());
+                return trace;
+            }
+        };
+        let mut next = None;
+        loop {
+            let event = match events.read().await {
+                Ok(Some(event)) => event,
+                Ok(None) => {
+                    trace.broken = Some("the stream ended too early".to_owned());
+                    return trace;
+                }
+                Err(error) => {
+                    trace.broken = Some(error.to_string());
+                    return trace;
+                }
+            };
+            let data = event.data().unwrap_or_default();
+            match event.event() {
+                "end" => {
+                    trace.total = serde_json::from_str::<EndData>(data)
+                        .ok()
+                        .map(|end| end.tokens);
+                    return trace;
+                }
+                "error" => {
+                    trace.problem = serde_json::from_str(data).ok();
+                    return trace;
+                }
+                _ => {}
+            }
+            let Ok(token) = serde_json::from_str::<TokenData>(data) else {
+                continue;
+            };
+            trace.in_order &= next.is_none_or(|next| next == token.index);
+            next = Some(token.index + 1);
+            trace.cursor = event.id().map(str::to_owned).or(trace.cursor);
+            trace.tokens.push(token.token);
+            trace.times.push(start.elapsed());
+            on_token(trace.tokens.len());
+        }
+    }
+}
+
+/// What came back of a quick call.
+#[derive(Clone, Debug, Default)]
+pub struct CallTrace {
+    /// The HTTP status; 0 if there was none.
+    pub status: u16,
+    /// The body as JSON.
+    pub body: Value,
+    /// Seconds after which to come back.
+    pub retry_after: Option<u64>,
+    /// How long the call took.
+    pub time: Duration,
+}
+
+impl CallTrace {
+    /// Tells whether the call was answered.
+    pub fn is_answered(&self) -> bool {
+        self.status == 200
+    }
+
+    /// Returns the outcome that a refusal tells.
+    pub fn outcome(&self) -> &str {
+        self.body["outcome"].as_str().unwrap_or_default()
+    }
+
+    /// Returns the reason that a refusal tells.
+    pub fn reason(&self) -> &str {
+        self.body["reason"].as_str().unwrap_or_default()
+    }
+}
+
+/// Sends quick calls.
+#[derive(Clone, Default)]
+pub struct QuickCaller {
+    client: Client,
+}
+
+impl QuickCaller {
+    /// Sends a call.
+    pub async fn call(
+        &self,
+        vm: SocketAddr,
+        key: &str,
+        path: &str,
+        idempotency_key: Option<&str>,
+        body: impl Into<Bytes>,
+    ) -> CallTrace {
+        let uri = format!("http://{vm}/v1/services/{path}");
+        let mut request = self.client.post(uri);
+        request = request.header("authorization", format!("Bearer {key}"));
+        if let Some(idempotency_key) = idempotency_key {
+            request = request.header("idempotency-key", idempotency_key.to_owned());
+        }
+        let start = Instant::now();
+        let body = Body::from(body.into());
+        let Ok(response) = request.body(body).send().await else {
+            return CallTrace {
+                time: start.elapsed(),
+                ..CallTrace::default()
+            };
+        };
+        let status = response.status().as_u16();
+        let wait = response
+            .headers()
+            .get("retry-after")
+            .and_then(|value| value.to_str().ok());
+        let retry_after = wait.and_then(|text| text.parse().ok());
+        let bytes = response.into_bytes().await.unwrap_or_default();
+        let body = serde_json::from_slice(&bytes).unwrap_or_default();
+        CallTrace {
+            status,
+            body,
+            retry_after,
+            time: start.elapsed(),
+        }
+    }
+
+    /// Mints idempotency keys at a VM.
+    pub async fn mint(
+        &self,
+        vm: SocketAddr,
+        key: &str,
+        service: &str,
+        count: usize,
+    ) -> Vec<String> {
+        let body = json!({ "count": count }).to_string();
+        let trace = self
+            .call(vm, key, &format!("{service}/keys"), None, body)
+            .await;
+        let keys = trace.body["keys"].as_array().cloned().unwrap_or_default();
+        keys.iter()
+            .filter_map(|key| key.as_str().map(str::to_owned))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/experiments/mod.rs
@@ -0,0 +1,40 @@
+//! Experiments by name, each on real processes and bounded in time.
+
+mod demo;
+
+use crate::fleet::FleetError;
+use crate::report::Report;
+use futures::future::BoxFuture;
+
+/// An experiment.
+pub struct Experiment {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Runs it with a seed.
+    pub run: fn(u64) -> BoxFuture<'static, Result<Report, FleetError>>,
+}
+
+/// All experiments.
+pub const EXPERIMENTS: &[Experiment] = &[Experiment {
+    name: "demo",
+    about: "One generation over a killed engine, and one booking",
+    run: |seed| Box::pin(demo::run(seed)),
+}];
+
+/// Finds an experiment by its name.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_bench::find_experiment;
+///
+/// assert!(find_experiment("demo").is_some());
+/// assert!(find_experiment("unheard-of").is_none());
+/// ```
+pub fn find_experiment(name: &str) -> Option<&'static Experiment> {
+    EXPERIMENTS
+        .iter()
+        .find(|experiment| experiment.name == name)
+}
--- /dev/null
+++ b/crates/bench/src/fleet/control.rs
@@ -0,0 +1,49 @@
+//! Requests to the fakes' control services.
+
+use super::process::FleetError;
+use serde::{de::DeserializeOwned, Serialize};
+use std::net::SocketAddr;
+use volo_http::body::BodyConversion;
+use volo_http::client::Client;
+
+/// Sends a JSON request and reads the JSON reply.
+pub(crate) async fn post<Q: Serialize, R: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    request: &Q,
+) -> Result<R, FleetError> {
+    let uri = format!("http://{address}{path}");
+    let failed = |error: String| FleetError::Request(format!("{path} at {address}: {error}"));
+    let response = client.post(uri).json(request).send().await;
+    let response = response.map_err(|error| failed(error.to_string()))?;
+    if !response.status().is_success() {
+        return Err(failed(response.status().to_string()));
+    }
+    let bytes = response
+        .into_bytes()
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    serde_json::from_slice(&bytes).map_err(|error| failed(error.to_string()))
+}
+
+/// Reads a page as text with its status.
+pub(crate) async fn get(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(u16, String), FleetError> {
+    let uri = format!("http://{address}{path}");
+    let failed = |error: String| FleetError::Request(format!("{path} at {address}: {error}"));
+    let response = client
+        .get(uri)
+        .send()
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    let status = response.status().as_u16();
+    let text = response
+        .into_string()
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    Ok((status, text))
+}
--- /dev/null
+++ b/crates/bench/src/fleet/mod.rs
@@ -0,0 +1,10 @@
+//! A system of real processes on loopback.
+
+mod builder;
+mod control;
+mod process;
+mod running;
+
+pub use builder::FleetBuilder;
+pub use process::{FleetError, ProcessHandle};
+pub use running::{Fleet, VmHandle};
--- /dev/null
+++ b/crates/bench/src/fleet/running.rs
@@ -0,0 +1,454 @@
+//! A fleet that runs: configuration, faults and questions.
+
+use super::builder::FleetBuilder;
+use super::control;
+use super::process::{FleetError, ProcessHandle};
+use serde_json::Value;
+use skylarkshed_operator::connect;
+use skylarkshed_operator::schema::{
+    DescribeRequest, OperatorClient, PutCustomerRequest, PutServiceRequest, PutVersionRequest,
+    Route, ServiceKind, Upstream,
+};
+use skylarkshed_platform::wire::{ListedVm, VmKind, VmState};
+use skylarkshed_stand_ins::{
+    ApplicationFaults, CallCounts, EngineFaults, PlatformFaults, PlatformSwitch, ProxyFaults,
+};
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+use volo_http::client::Client;
+
+const READY_WAIT: Duration = Duration::from_secs(20);
+const ASK_PAUSE: Duration = Duration::from_millis(20);
+
+/// An entry VM's process.
+pub struct VmHandle {
+    /// The VM's name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its process.
+    pub process: ProcessHandle,
+    /// Its address for callers.
+    pub callers: SocketAddr,
+    /// Its address for operators.
+    pub operators: SocketAddr,
+    /// Its address for peers, through its proxy if it has one.
+    pub peers: SocketAddr,
+    /// The IP address that its messages to peers come from.
+    pub ip: IpAddr,
+    /// The proxy between it and the platform.
+    pub platform_proxy: Option<ProcessHandle>,
+    /// The proxy before its address for peers.
+    pub peer_proxy: Option<ProcessHandle>,
+}
+
+/// An upstream's process.
+pub struct UpstreamHandle {
+    /// The upstream's name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its process.
+    pub process: ProcessHandle,
+    /// Its own address.
+    pub address: SocketAddr,
+    /// The proxy before it.
+    pub proxy: Option<ProcessHandle>,
+}
+
+impl UpstreamHandle {
+    /// Returns the address that VMs are told.
+    pub fn told_address(&self) -> SocketAddr {
+        self.proxy
+            .as_ref()
+            .map_or(self.address, |proxy| proxy.address("proxy"))
+    }
+}
+
+/// A fleet of processes; all end when it is dropped.
+pub struct Fleet {
+    pub(crate) client: Client,
+    pub(crate) platform: ProcessHandle,
+    /// The entry VMs.
+    pub vms: Vec<VmHandle>,
+    /// The engines.
+    pub engines: Vec<UpstreamHandle>,
+    /// The applications.
+    pub applications: Vec<UpstreamHandle>,
+    pub(crate) folder: PathBuf,
+    pub(crate) builder: FleetBuilder,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // The folder holds settings only.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// The service with model engines.
+    pub const MODEL: &'static str = "ledger-llm";
+    /// The service with plain applications.
+    pub const PLAIN: &'static str = "stores-app";
+    /// The key of the customer that may call both.
+    pub const KEY: &'static str = "depot-key";
+
+    /// Returns the platform's address.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.address("address")
+    }
+
+    /// Returns an operators' client of a VM.
+    pub fn operator(&self, vm: usize) -> OperatorClient {
+        connect(self.vms[vm].operators)
+    }
+
+    /// Creates the two services, their first versions and a customer, through the first VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a change is refused or does not reach every VM.
+    pub async fn configure(&self) -> Result<(), FleetError> {
+        let operator = self.operator(0);
+        let route = |name: &'static str, idempotent: bool| Route {
+            name: name.into(),
+            idempotent,
+        };
+        let services = [
+            (Fleet::MODEL, ServiceKind::SERVICE_KIND_MODEL, vec![]),
+            (
+                Fleet::PLAIN,
+                ServiceKind::SERVICE_KIND_PLAIN,
+                vec![route("lookup", true), route("book", false)],
+            ),
+        ];
+        for (name, kind, routes) in services {
+            let request = PutServiceRequest {
+                change_id: format!("service-{name}").into(),
+                name: name.into(),
+                kind,
+                routes,
+            };
+            operator.put_service(request).await.map_err(refused)?;
+        }
+        self.put_version(Fleet::MODEL, "v1", &self.engines).await?;
+        self.put_version(Fleet::PLAIN, "v1", &self.applications)
+            .await?;
+        self.put_customer("depot", Fleet::KEY, 1, 0, 0).await?;
+        let revision = self.revision(0).await?;
+        self.wait_revision(revision).await
+    }
+
+    /// Creates a version from upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the change is refused.
+    pub async fn put_version(
+        &self,
+        service: &str,
+        version: &str,
+        upstreams: &[UpstreamHandle],
+    ) -> Result<(), FleetError> {
+        let upstreams = upstreams.iter().map(|upstream| Upstream {
+            name: upstream.name.clone().into(),
+            address: upstream.told_address().to_string().into(),
+            zone: upstream.zone.clone().into(),
+            checks_fencing: true,
+        });
+        let request = PutVersionRequest {
+            change_id: format!("version-{service}-{version}").into(),
+            service: service.to_owned().into(),
+            name: version.to_owned().into(),
+            upstreams: upstreams.collect(),
+            ..PutVersionRequest::default()
+        };
+        self.operator(0)
+            .put_version(request)
+            .await
+            .map_err(refused)?;
+        Ok(())
+    }
+
+    /// Creates a customer that may call both services.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the change is refused.
+    pub async fn put_customer(
+        &self,
+        name: &str,
+        key: &str,
+        weight: u32,
+        requests_per_s: u32,
+        concurrency: u32,
+    ) -> Result<(), FleetError> {
+        let request = PutCustomerRequest {
+            change_id: format!("customer-{name}").into(),
+            name: name.to_owned().into(),
+            keys: vec![key.to_owned().into()],
+            services: vec![Fleet::MODEL.into(), Fleet::PLAIN.into()],
+            weight,
+            requests_per_s,
+            concurrency,
+        };
+        self.operator(0)
+            .put_customer(request)
+            .await
+            .map_err(refused)?;
+        Ok(())
+    }
+
+    /// Starts further engines that run a version.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be started.
+    pub async fn start_engines(
+        &self,
+        version: &str,
+        count: usize,
+    ) -> Result<Vec<UpstreamHandle>, FleetError> {
+        let mut engines = Vec::new();
+        for number in 0..count {
+            let zone = self.vms[number % self.vms.len()].zone.clone();
+            let name = format!("engine-{version}-{number}");
+            engines.push(self.builder.start_engine(&name, &zone, version).await?);
+        }
+        Ok(engines)
+    }
+
+    /// Returns the revision that a VM holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM can't be asked.
+    pub async fn revision(&self, vm: usize) -> Result<u64, FleetError> {
+        let reply = self.operator(vm).describe(DescribeRequest::default()).await;
+        Ok(reply.map_err(refused)?.into_inner().revision)
+    }
+
+    /// Waits until every VM holds a revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_revision(&self, revision: u64) -> Result<(), FleetError> {
+        let end = Instant::now() + READY_WAIT;
+        for vm in 0..self.vms.len() {
+            while self.revision(vm).await.unwrap_or(0) < revision {
+                check_time(end, &format!("revision {revision} at vm-{vm}"))?;
+                tokio::time::sleep(ASK_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_ready(&self) -> Result<(), FleetError> {
+        for vm in &self.vms {
+            self.wait_vm_ready(vm).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_vm_ready(&self, vm: &VmHandle) -> Result<(), FleetError> {
+        let end = Instant::now() + READY_WAIT;
+        while self.readiness(vm).await != Some(200) {
+            check_time(end, &format!("readiness of {}", vm.name))?;
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until every VM knows all others.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes too long.
+    pub async fn wait_members(&self, others: usize) -> Result<(), FleetError> {
+        let end = Instant::now() + READY_WAIT;
+        for vm in &self.vms {
+            while self.metric(vm, "members_present").await? < others as f64 {
+                check_time(end, &format!("{others} members at {}", vm.name))?;
+                tokio::time::sleep(ASK_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the status of a VM's readiness page, or none if it can't be asked.
+    pub async fn readiness(&self, vm: &VmHandle) -> Option<u16> {
+        let page = control::get(&self.client, vm.callers, "/readyz").await;
+        page.ok().map(|(status, _)| status)
+    }
+
+    /// Returns the sum of a metric's series at a VM whose text holds `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM can't be asked.
+    pub async fn metric(&self, vm: &VmHandle, name: &str) -> Result<f64, FleetError> {
+        let (_, text) = control::get(&self.client, vm.callers, "/metrics").await?;
+        let lines = text
+            .lines()
+            .filter(|line| !line.starts_with('#') && line.contains(name));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        Ok(values.sum())
+    }
+
+    /// Publishes the platform's list with the VMs and upstreams of now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform can't be asked.
+    pub async fn publish_listing(&self) -> Result<(), FleetError> {
+        self.publish_leaving(&[]).await
+    }
+
+    /// Publishes the platform's list with some upstreams leaving.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform can't be asked.
+    pub async fn publish_leaving(&self, leaving: &[&str]) -> Result<(), FleetError> {
+        let entries = self.vms.iter().map(|vm| ListedVm {
+            name: vm.name.as_str().into(),
+            kind: VmKind::Entry,
+            zone: vm.zone.as_str().into(),
+            address: vm.peers,
+            state: VmState::Live,
+        });
+        let upstreams = self
+            .engines
+            .iter()
+            .chain(&self.applications)
+            .map(|upstream| ListedVm {
+                name: upstream.name.as_str().into(),
+                kind: VmKind::Upstream,
+                zone: upstream.zone.as_str().into(),
+                address: upstream.told_address(),
+                state: match leaving.contains(&upstream.name.as_str()) {
+                    true => VmState::Leaving,
+                    false => VmState::Live,
+                },
+            });
+        let vms = Some(entries.chain(upstreams).collect());
+        self.switch_platform(PlatformSwitch { faults: None, vms })
+            .await
+    }
+
+    /// Sets what goes wrong in the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the platform can't be asked.
+    pub async fn fault_platform(&self, faults: PlatformFaults) -> Result<(), FleetError> {
+        self.switch_platform(PlatformSwitch {
+            faults: Some(faults),
+            vms: None,
+        })
+        .await
+    }
+
+    /// Sets what goes wrong in an engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the engine can't be asked.
+    pub async fn fault_engine(
+        &self,
+        engine: &UpstreamHandle,
+        faults: &EngineFaults,
+    ) -> Result<(), FleetError> {
+        control::post(&self.client, engine.address, "/control", faults).await
+    }
+
+    /// Sets what goes wrong in an application.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the application can't be asked.
+    pub async fn fault_application(
+        &self,
+        application: &UpstreamHandle,
+        faults: &ApplicationFaults,
+    ) -> Result<(), FleetError> {
+        control::post(&self.client, application.address, "/control", faults).await
+    }
+
+    /// Sets what goes wrong in a proxy.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no proxy or it can't be asked.
+    pub async fn fault_proxy(
+        &self,
+        proxy: Option<&ProcessHandle>,
+        faults: &ProxyFaults,
+    ) -> Result<(), FleetError> {
+        let proxy = proxy.ok_or_else(|| FleetError::Request("there is no proxy".to_owned()))?;
+        control::post(&self.client, proxy.address("address"), "/control", faults).await
+    }
+
+    /// Returns how often each call ran, over all applications.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an application that runs can't be asked.
+    pub async fn call_counts(&self) -> Result<CallCounts, FleetError> {
+        let mut sum = CallCounts::new();
+        for application in &self.applications {
+            let (_, text) = control::get(&self.client, application.address, "/counts").await?;
+            let counts: CallCounts = serde_json::from_str(&text)
+                .map_err(|error| FleetError::Request(error.to_string()))?;
+            for (key, count) in counts {
+                *sum.entry(key).or_default() += count;
+            }
+        }
+        Ok(sum)
+    }
+
+    /// Returns the tokens that all engines that run have computed.
+    pub async fn computed_tokens(&self) -> u64 {
+        let mut sum = 0;
+        for place in 0..self.engines.len() {
+            sum += self.computed_by(place).await;
+        }
+        sum
+    }
+
+    /// Returns the tokens that one engine has computed; 0 if it does not answer.
+    pub async fn computed_by(&self, engine: usize) -> u64 {
+        let address = self.engines[engine].address;
+        let count = control::post::<Value, u64>(&self.client, address, "/computed", &Value::Null);
+        let count = tokio::time::timeout(Duration::from_secs(1), count).await;
+        count.ok().and_then(Result::ok).unwrap_or(0)
+    }
+
+    async fn switch_platform(&self, switch: PlatformSwitch) -> Result<(), FleetError> {
+        control::post(&self.client, self.platform_address(), "/control", &switch).await
+    }
+}
+
+fn check_time(end: Instant, what: &str) -> Result<(), FleetError> {
+    match Instant::now() < end {
+        true => Ok(()),
+        false => Err(FleetError::Timeout(what.to_owned())),
+    }
+}
+
+fn refused(status: volo_grpc::Status) -> FleetError {
+    FleetError::Request(status.to_string())
+}
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -233,6 +233,12 @@
 }
 
 impl ServiceState {
+    /// Tells whether a version was taken back and gets no work any more.
+    pub fn is_withdrawn(&self, version: &VersionName) -> bool {
+        let latest = self.latest_move.as_ref();
+        latest.is_some_and(|entry| entry.state == MoveState::Reversed && entry.to == *version)
+    }
+
     /// Returns the versions that take traffic, each with its share in parts of a million.
     pub fn shares(&self) -> Vec<(&Arc<VersionEntry>, u32)> {
         let running = self
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod ids;
 mod key_hash;
 mod names;
+mod sent;
 mod settings;
 mod settings_check;
 mod units;
@@ -27,6 +28,7 @@
 pub use ids::{AttemptNumber, GenerationId, IncarnationId, RevisionNumber};
 pub use key_hash::KeyHash;
 pub use names::{CustomerName, ServiceName, UpstreamName, VersionName, VmName, ZoneName};
+pub use sent::{SentCall, UnsentCall};
 pub use settings::{
     CallSettings, LimitSettings, ListenSettings, LossDetection, NodeSettings, PlatformSettings,
     ResumeSettings,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -63,6 +63,9 @@
     pub operators: SocketAddr,
     /// Other VMs, over TCP and UDP on the same port number.
     pub peers: SocketAddr,
+    /// The address told to other VMs, if it is not the one listened on.
+    #[serde(default)]
+    pub advertise_peers: Option<SocketAddr>,
 }
 
 /// Where the platform's table, object store and VM list are.
@@ -115,6 +118,8 @@
     pub patience: ClockTime,
     /// Tokens of extra work allowed per hundred delivered tokens.
     pub race_percent: u32,
+    /// The most tokens of extra work that can be saved up.
+    pub race_reserve: u32,
 }
 
 /// How quick calls are sent.
@@ -130,6 +135,8 @@
     /// How long claims wait to be written together.
     #[serde_as(as = "DurationText")]
     pub claim_window: ClockTime,
+    /// The most minted keys that are kept.
+    pub minted_keys: usize,
 }
 
 /// Limits on requests and bodies.
@@ -151,6 +158,9 @@
     /// The longest wait for a free place.
     #[serde_as(as = "DurationText")]
     pub queue_time: ClockTime,
+    /// How long a leaving process takes new work after it fails readiness.
+    #[serde_as(as = "DurationText")]
+    pub drain_grace: ClockTime,
 }
 
 impl Default for ResumeSettings {
@@ -162,6 +172,7 @@
             longest_silence: ClockTime::from_millis(2_000),
             patience: ClockTime::from_millis(3_000),
             race_percent: 5,
+            race_reserve: 100_000,
         }
     }
 }
@@ -172,6 +183,7 @@
             timeout: ClockTime::from_millis(5_000),
             retry_percent: 10,
             claim_window: ClockTime::from_millis(2),
+            minted_keys: 100_000,
         }
     }
 }
@@ -185,6 +197,7 @@
             generation_tokens: 32_768,
             in_progress: 2_000,
             queue_time: ClockTime::from_millis(500),
+            drain_grace: ClockTime::from_millis(1_000),
         }
     }
 }
--- a/crates/core/src/settings_check.rs
+++ b/crates/core/src/settings_check.rs
@@ -5,6 +5,7 @@
 use std::fs;
 use std::io;
 use std::path::Path;
+use std::sync::Arc;
 use thiserror::Error;
 
 const PEER_KEY_DIGITS: usize = 64;
@@ -32,7 +33,7 @@
         message: String,
         /// The whole text.
         #[source_code]
-        text: NamedSource<String>,
+        text: Arc<NamedSource<String>>,
         /// The place in the text.
         #[label("here")]
         place: SourceSpan,
@@ -123,7 +124,7 @@
         file: file.to_owned(),
         line,
         message,
-        text: NamedSource::new(file, text.to_owned()),
+        text: Arc::new(NamedSource::new(file, text.to_owned())),
         place: SourceSpan::from(offset.min(text.len())),
     }
 }
--- /dev/null
+++ b/crates/node/src/configuration.rs
@@ -0,0 +1,317 @@
+//! The configuration in force here, and how changes are made and learnt.
+//!
+//! A change is the row after the last one in the platform's table; whoever
+//! writes it first has the revision. A VM never goes down a revision.
+
+use crate::counters;
+use arc_swap::ArcSwap;
+use skylarkshed_core::{CatalogError, CatalogState, ChangeRecord, ConfigurationChange};
+use skylarkshed_core::{ClockTime, RevisionNumber};
+use skylarkshed_platform::wire::{RowCondition, RowWrite, ScanRequest, Transaction};
+use skylarkshed_platform::{PlatformError, TableStore};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use thiserror::Error;
+
+const CHANGE_PREFIX: &str = "config/change/";
+const CHANGE_ID_PREFIX: &str = "config/id/";
+const KEPT_CHANGES: usize = 4_096;
+const SCAN_ROWS: usize = 256;
+const MOST_TRIES: usize = 8;
+const TRY_PAUSE: ClockTime = ClockTime::from_millis(50);
+
+/// Why a change was not made.
+#[derive(Debug, Error)]
+pub(crate) enum ChangeError {
+    /// The change contradicts what stands.
+    #[error("{0}")]
+    Invalid(#[from] CatalogError),
+    /// Another operator changed the same thing first.
+    #[error("revision {0} changed the same thing first; look at it and send the change again")]
+    Conflict(RevisionNumber),
+    /// The identifier was used for another change.
+    #[error("the change identifier was used for another change, revision {0}")]
+    ReusedId(RevisionNumber),
+    /// The platform gave no clear answer.
+    #[error("the platform gave no clear answer ({0}); send the same change identifier again")]
+    Platform(PlatformError),
+    /// A row can't be read.
+    #[error("a row of the configuration can't be read: {0}")]
+    BadRow(String),
+}
+
+/// The changes and their sum.
+pub(crate) struct ConfigurationStore {
+    state: ArcSwap<CatalogState>,
+    /// The last changes, oldest first; also serialises writers.
+    changes: Mutex<VecDeque<ChangeRecord>>,
+}
+
+impl ConfigurationStore {
+    pub(crate) fn new() -> Self {
+        ConfigurationStore {
+            state: ArcSwap::default(),
+            changes: Mutex::default(),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn current(&self) -> Arc<CatalogState> {
+        self.state.load_full()
+    }
+
+    /// Applies changes in order; passes over those in force already.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first change that does not follow on the one before.
+    pub(crate) fn apply(&self, records: &[ChangeRecord]) -> Result<RevisionNumber, CatalogError> {
+        let mut changes = self.changes.lock().expect("not poisoned");
+        let mut state = self.state.load_full();
+        let mut result = Ok(());
+        for record in records {
+            if record.revision <= state.revision {
+                continue;
+            }
+            match state.apply(record) {
+                Ok(next) => state = Arc::new(next),
+                Err(error) => {
+                    result = Err(error);
+                    break;
+                }
+            }
+            changes.push_back(record.clone());
+        }
+        while changes.len() > KEPT_CHANGES {
+            changes.pop_front();
+        }
+        let revision = state.revision;
+        self.state.store(state);
+        counters::set_revision(revision.0);
+        result.map(|()| revision)
+    }
+
+    /// Takes a whole configuration if it is newer.
+    pub(crate) fn take_snapshot(&self, snapshot: CatalogState) {
+        let mut changes = self.changes.lock().expect("not poisoned");
+        if snapshot.revision <= self.state.load().revision {
+            return;
+        }
+        changes.clear();
+        counters::set_revision(snapshot.revision.0);
+        self.state.store(Arc::new(snapshot));
+    }
+
+    /// Returns the changes after a revision, or none if they reach back too far.
+    pub(crate) fn changes_after(&self, revision: RevisionNumber) -> Option<Vec<ChangeRecord>> {
+        let changes = self.changes.lock().expect("not poisoned");
+        if revision >= self.state.load().revision {
+            return Some(Vec::new());
+        }
+        let first = changes.front()?.revision;
+        if first > revision.next() {
+            return None;
+        }
+        Some(
+            changes
+                .iter()
+                .filter(|record| record.revision > revision)
+                .cloned()
+                .collect(),
+        )
+    }
+
+    /// Reads all new changes from the platform's table.
+    pub(crate) async fn pull<T: TableStore>(&self, table: &T) -> Result<(), ChangeError> {
+        loop {
+            let after = change_key(self.current().revision);
+            let request = ScanRequest {
+                prefix: CHANGE_PREFIX.to_owned(),
+                after,
+                limit: SCAN_ROWS,
+            };
+            let rows = table.scan(&request).await.map_err(ChangeError::Platform)?;
+            let count = rows.len();
+            let records: Result<Vec<ChangeRecord>, _> = rows
+                .iter()
+                .map(|row| serde_json::from_str(&row.value))
+                .collect();
+            let records = records.map_err(|error| ChangeError::BadRow(error.to_string()))?;
+            self.apply(&records)?;
+            if count < SCAN_ROWS {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Makes a change; making it again with the same identifier does nothing.
+    pub(crate) async fn change<T: TableStore>(
+        &self,
+        table: &T,
+        change_id: &str,
+        change: ConfigurationChange,
+    ) -> Result<RevisionNumber, ChangeError> {
+        let start = self.current().revision;
+        let mut last_error = PlatformError::Unavailable("no try was made".to_owned());
+        for _ in 0..MOST_TRIES {
+            match self.try_change(table, change_id, &change, start).await {
+                Ok(Some(revision)) => return Ok(revision),
+                Ok(None) => {}
+                Err(ChangeError::Platform(error)) => {
+                    last_error = error;
+                    tokio::time::sleep(TRY_PAUSE.to_duration()).await;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Err(ChangeError::Platform(last_error))
+    }
+
+    /// Tries once; returns none if another change took the revision.
+    async fn try_change<T: TableStore>(
+        &self,
+        table: &T,
+        change_id: &str,
+        change: &ConfigurationChange,
+        start: RevisionNumber,
+    ) -> Result<Option<RevisionNumber>, ChangeError> {
+        if let Some(revision) = self.find_change(table, change_id, change).await? {
+            return Ok(Some(revision));
+        }
+        let current = self.current();
+        self.check_conflict(change, start)?;
+        let revision = current.revision.next();
+        let record = ChangeRecord {
+            revision,
+            change_id: change_id.to_owned(),
+            change: change.clone(),
+        };
+        current.apply(&record)?;
+        let reply = table.transact(&change_transaction(&record)).await;
+        let reply = reply.map_err(ChangeError::Platform)?;
+        if reply.committed {
+            self.apply(&[record])?;
+            return Ok(Some(revision));
+        }
+        self.pull(table).await?;
+        Ok(None)
+    }
+
+    /// Finds a change that was made with this identifier.
+    async fn find_change<T: TableStore>(
+        &self,
+        table: &T,
+        change_id: &str,
+        change: &ConfigurationChange,
+    ) -> Result<Option<RevisionNumber>, ChangeError> {
+        let row = table
+            .read(&change_id_key(change_id))
+            .await
+            .map_err(ChangeError::Platform)?;
+        let Some(row) = row else { return Ok(None) };
+        let revision = row.value.parse().map(RevisionNumber);
+        let revision = revision.map_err(|_| ChangeError::BadRow(row.key))?;
+        self.pull(table).await?;
+        let row = table
+            .read(&change_key(revision))
+            .await
+            .map_err(ChangeError::Platform)?;
+        let row = row.ok_or_else(|| ChangeError::BadRow(change_key(revision)))?;
+        let record: ChangeRecord = serde_json::from_str(&row.value)
+            .map_err(|error| ChangeError::BadRow(error.to_string()))?;
+        match is_same_request(&record.change, change) {
+            true => Ok(Some(revision)),
+            false => Err(ChangeError::ReusedId(revision)),
+        }
+    }
+
+    /// Refuses a change of something that was changed since `start`.
+    fn check_conflict(
+        &self,
+        change: &ConfigurationChange,
+        start: RevisionNumber,
+    ) -> Result<(), ChangeError> {
+        let since = self.changes_after(start).unwrap_or_default();
+        let clash = since
+            .iter()
+            .find(|record| subject(&record.change) == subject(change));
+        match clash {
+            Some(record) => Err(ChangeError::Conflict(record.revision)),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Compares what operators asked for; the time of asking may differ.
+fn is_same_request(made: &ConfigurationChange, asked: &ConfigurationChange) -> bool {
+    match (made, asked) {
+        (
+            ConfigurationChange::StartMove {
+                service: left,
+                to: left_to,
+                ..
+            },
+            ConfigurationChange::StartMove {
+                service: right,
+                to: right_to,
+                ..
+            },
+        ) => left == right && left_to == right_to,
+        (
+            ConfigurationChange::ReverseMove { service: left, .. },
+            ConfigurationChange::ReverseMove { service: right, .. },
+        ) => left == right,
+        _ => made == asked,
+    }
+}
+
+/// What a change is about; two changes of one subject conflict.
+fn subject(change: &ConfigurationChange) -> (&'static str, &str, &str) {
+    match change {
+        ConfigurationChange::PutService(entry) => ("service", entry.name.as_str(), ""),
+        ConfigurationChange::PutVersion { service, version } => {
+            ("version", service.as_str(), version.name.as_str())
+        }
+        ConfigurationChange::PutCustomer(entry) => ("customer", entry.name.as_str(), ""),
+        ConfigurationChange::StartMove { service, .. }
+        | ConfigurationChange::StepMove { service, .. }
+        | ConfigurationChange::FinishMove { service, .. }
+        | ConfigurationChange::ReverseMove { service, .. } => ("move", service.as_str(), ""),
+    }
+}
+
+fn change_transaction(record: &ChangeRecord) -> Transaction {
+    let change_key = change_key(record.revision);
+    let id_key = change_id_key(&record.change_id);
+    let value = serde_json::to_string(record).expect("a change is plain data");
+    Transaction {
+        conditions: vec![
+            RowCondition {
+                key: change_key.clone(),
+                version: 0,
+            },
+            RowCondition {
+                key: id_key.clone(),
+                version: 0,
+            },
+        ],
+        writes: vec![
+            RowWrite {
+                key: change_key,
+                value: Some(value),
+            },
+            RowWrite {
+                key: id_key,
+                value: Some(record.revision.to_string()),
+            },
+        ],
+    }
+}
+
+fn change_key(revision: RevisionNumber) -> String {
+    format!("{CHANGE_PREFIX}{:012}", revision.0)
+}
+
+fn change_id_key(change_id: &str) -> String {
+    format!("{CHANGE_ID_PREFIX}{change_id}")
+}
--- /dev/null
+++ b/crates/node/src/drain.rs
@@ -0,0 +1,25 @@
+//! Ends a process without cutting off a request.
+
+use crate::membership_task::send_leave;
+use crate::minting;
+use crate::shared::NodeShared;
+use skylarkshed_core::ClockTime;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+const CHECK_PERIOD: ClockTime = ClockTime::from_millis(50);
+
+/// Fails readiness, then refuses new work, then waits for the last answer.
+pub(crate) async fn drain(shared: Arc<NodeShared>, socket: Arc<UdpSocket>) {
+    log::info!("the process leaves: readiness fails");
+    shared.draining.store(true, Ordering::Relaxed);
+    tokio::time::sleep(shared.settings.limits.drain_grace.to_duration()).await;
+    shared.refusing.store(true, Ordering::Relaxed);
+    while shared.places.in_progress() > 0 {
+        tokio::time::sleep(CHECK_PERIOD.to_duration()).await;
+    }
+    minting::settle(&shared).await;
+    send_leave(&shared, &socket).await;
+    log::info!("the process leaves: all answers are given");
+}
--- /dev/null
+++ b/crates/node/src/front/calls.rs
@@ -0,0 +1,87 @@
+//! Quick calls.
+
+use super::request::{admit, AdmittedRequest};
+use super::PathValues;
+use crate::answers;
+use crate::call_path::{run_call, QuickCall};
+use crate::counters;
+use crate::refusal::{Refusal, RefusalReason};
+use crate::shared::NodeShared;
+use http::HeaderMap;
+use skylarkshed_core::ServiceKind;
+use std::sync::Arc;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+const KEY_HEADER: &str = "idempotency-key";
+const MOST_KEY_BYTES: usize = 256;
+
+/// Answers a quick call.
+pub(crate) async fn answer(
+    shared: Arc<NodeShared>,
+    values: PathValues,
+    request: Request,
+) -> Response {
+    let [service, route] = <[String; 2]>::try_from(values).unwrap_or_default();
+    match admit(&shared, &service, request).await {
+        Ok(admitted) => run(shared, admitted, route).await,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+async fn run(shared: Arc<NodeShared>, admitted: AdmittedRequest, route: String) -> Response {
+    let AdmittedRequest {
+        customer,
+        service,
+        headers,
+        body,
+        place,
+        unsent,
+    } = admitted;
+    let catalog = shared.configuration.current();
+    let kind = catalog.services.get(&service).map(|state| state.entry.kind);
+    if kind != Some(ServiceKind::Plain) {
+        let refusal = Refusal::not_run(unsent, RefusalReason::BadRequest);
+        return refusal
+            .detail("the service has model engines; ask for generations")
+            .into_response();
+    }
+    let key = match read_key(&headers) {
+        Ok(key) => key,
+        Err(detail) => {
+            let refusal = Refusal::not_run(unsent, RefusalReason::BadHeader);
+            return refusal.detail(detail).into_response();
+        }
+    };
+    let call = QuickCall {
+        customer: customer.name.clone(),
+        service,
+        route,
+        key,
+        body,
+    };
+    // The call goes on when its caller has gone, so that its answer can be kept.
+    let task = tokio::spawn(async move {
+        let result = run_call(&shared, call, unsent).await;
+        drop(place);
+        result
+    });
+    let result = task
+        .await
+        .unwrap_or_else(|_| Err(Refusal::unknown(RefusalReason::AnswerLost)));
+    counters::count_finished("call");
+    answers::to_response(result)
+}
+
+fn read_key(headers: &HeaderMap) -> Result<Option<String>, &'static str> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| "the idempotency key has bytes that can't be read")?;
+    if text.is_empty() || text.len() > MOST_KEY_BYTES {
+        return Err("an idempotency key has from 1 to 256 bytes");
+    }
+    Ok(Some(text.to_owned()))
+}
--- /dev/null
+++ b/crates/node/src/front/request.rs
@@ -0,0 +1,116 @@
+//! What all callers' requests have in common: checks, limits and places.
+
+use crate::auth;
+use crate::places::{PlaceGuard, PlaceRefusal};
+use crate::refusal::{Refusal, RefusalReason};
+use crate::shared::NodeShared;
+use bytes::Bytes;
+use http::HeaderMap;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use skylarkshed_core::{CatalogState, ClockTime, CustomerEntry, ServiceName, UnsentCall};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use volo_http::request::Request;
+
+const RETRY_DRAINING: ClockTime = ClockTime::from_millis(1_000);
+const RETRY_NOT_READY: ClockTime = ClockTime::from_millis(1_000);
+
+/// A request that passed all checks and has a place.
+pub(crate) struct AdmittedRequest {
+    pub(crate) customer: Arc<CustomerEntry>,
+    pub(crate) service: ServiceName,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) place: PlaceGuard,
+    pub(crate) unsent: UnsentCall,
+}
+
+/// Checks a request, reads its body and waits for a place.
+pub(crate) async fn admit(
+    shared: &NodeShared,
+    service: &str,
+    request: Request,
+) -> Result<AdmittedRequest, Refusal> {
+    let unsent = UnsentCall::for_new_request();
+    let catalog = shared.configuration.current();
+    let customer = match check(shared, &catalog, service, request.headers()) {
+        Ok(customer) => customer,
+        Err((reason, wait)) => return Err(refuse(unsent, reason, wait)),
+    };
+    let (parts, body) = request.into_parts();
+    let limits = &shared.settings.limits;
+    let reading = Limited::new(body, limits.body_bytes).collect();
+    let body = match tokio::time::timeout(limits.body_time.to_duration(), reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(Refusal::not_run(unsent, RefusalReason::BodyTooLong))
+        }
+        Ok(Err(_)) => return Err(Refusal::not_run(unsent, RefusalReason::BadRequest)),
+        Err(_) => return Err(Refusal::not_run(unsent, RefusalReason::BodyTooSlow)),
+    };
+    let place = match shared.places.take(&customer).await {
+        Ok(place) => place,
+        Err(refusal) => {
+            let (reason, wait) = place_reason(refusal);
+            return Err(refuse(unsent, reason, Some(wait)));
+        }
+    };
+    // The process may have begun to leave while the request waited.
+    if shared.refusing.load(Ordering::Relaxed) {
+        return Err(refuse(
+            unsent,
+            RefusalReason::Draining,
+            Some(RETRY_DRAINING),
+        ));
+    }
+    let service = ServiceName::from(service);
+    Ok(AdmittedRequest {
+        customer,
+        service,
+        headers: parts.headers,
+        body,
+        place,
+        unsent,
+    })
+}
+
+fn refuse(unsent: UnsentCall, reason: RefusalReason, wait: Option<ClockTime>) -> Refusal {
+    let refusal = Refusal::not_run(unsent, reason);
+    match wait {
+        Some(wait) => refusal.retry_after(wait),
+        None => refusal,
+    }
+}
+
+fn check(
+    shared: &NodeShared,
+    catalog: &CatalogState,
+    service: &str,
+    headers: &HeaderMap,
+) -> Result<Arc<CustomerEntry>, (RefusalReason, Option<ClockTime>)> {
+    if shared.refusing.load(Ordering::Relaxed) {
+        return Err((RefusalReason::Draining, Some(RETRY_DRAINING)));
+    }
+    if !shared.ready.load(Ordering::Relaxed) {
+        return Err((RefusalReason::NotReady, Some(RETRY_NOT_READY)));
+    }
+    if headers.len() > shared.settings.limits.headers {
+        return Err((RefusalReason::TooManyHeaders, None));
+    }
+    let customer = auth::find_customer(catalog, headers).map_err(|reason| (reason, None))?;
+    let service = ServiceName::from(service);
+    if !catalog.services.contains_key(&service) {
+        return Err((RefusalReason::UnknownService, None));
+    }
+    auth::check_allowed(&customer, &service).map_err(|reason| (reason, None))?;
+    Ok(customer)
+}
+
+fn place_reason(refusal: PlaceRefusal) -> (RefusalReason, ClockTime) {
+    match refusal {
+        PlaceRefusal::RateLimit(wait) => (RefusalReason::RateLimit, wait),
+        PlaceRefusal::Concurrency(wait) => (RefusalReason::CustomerConcurrency, wait),
+        PlaceRefusal::TooLong(wait) => (RefusalReason::QueueTooLong, wait),
+        PlaceRefusal::Timeout(wait) => (RefusalReason::QueueTimeout, wait),
+    }
+}
--- /dev/null
+++ b/crates/node/src/generation_task.rs
@@ -0,0 +1,546 @@
+//! Runs one generation: feeds its state machine and does what it says.
+
+use crate::counters;
+use crate::registry::{InFlightGuard, UpstreamRecord};
+use crate::shared::NodeShared;
+use faststr::FastStr;
+use skylarkshed_core::{
+    AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, UpstreamName, VersionEntry,
+    VersionName,
+};
+use skylarkshed_policy::{
+    AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
+    GenerationInput, GenerationMachine, GenerationPlan, HeldAttempt, NoUpstreamReason,
+    NoticeReason, StartReason,
+};
+use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest, ResumeRequest};
+use skylarkshed_upstream::{EngineClient, EngineError, EngineEvent};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+const CANCEL_WAIT: ClockTime = ClockTime::from_millis(2_000);
+const CONNECT_WAIT: ClockTime = ClockTime::from_millis(1_000);
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub(crate) struct GenerationOrder {
+    pub(crate) customer: CustomerName,
+    pub(crate) service: ServiceName,
+    pub(crate) prompt: FastStr,
+    pub(crate) max_tokens: u32,
+    pub(crate) priority: u32,
+}
+
+/// What a caller is told.
+#[derive(Clone, Debug)]
+pub(crate) enum CallerEvent {
+    /// A token, and where it came from.
+    Token {
+        index: u32,
+        token: FastStr,
+        version: VersionName,
+        upstream: UpstreamName,
+        attempt: AttemptNumber,
+    },
+    /// The answer is whole.
+    End { total: u32 },
+    /// The answer can't be finished.
+    Failed { reason: FailReason },
+}
+
+struct AttemptHandle {
+    guard: InFlightGuard,
+    version: VersionName,
+    task: AbortHandle,
+}
+
+/// One generation under way.
+pub(crate) struct GenerationTask {
+    shared: Arc<NodeShared>,
+    order: GenerationOrder,
+    generation: GenerationId,
+    machine: GenerationMachine,
+    attempts: HashMap<AttemptNumber, AttemptHandle>,
+    inputs: mpsc::UnboundedSender<GenerationInput>,
+    caller: mpsc::UnboundedSender<CallerEvent>,
+    prefix: u64,
+    ended: bool,
+}
+
+/// Starts a generation; its events come through the channel.
+pub(crate) fn start_generation(
+    shared: Arc<NodeShared>,
+    order: GenerationOrder,
+    plan: GenerationPlan,
+) -> mpsc::UnboundedReceiver<CallerEvent> {
+    let (caller, events) = mpsc::unbounded_channel();
+    let (inputs, received) = mpsc::unbounded_channel();
+    let generation = plan.generation;
+    let settings = shared.settings.resume.clone();
+    let (machine, actions) = GenerationMachine::start(plan, settings, shared.clock.now());
+    let task = GenerationTask {
+        prefix: prefix_hash(&order.prompt),
+        shared,
+        order,
+        generation,
+        machine,
+        attempts: HashMap::new(),
+        inputs,
+        caller,
+        ended: false,
+    };
+    tokio::spawn(task.run(received, actions));
+    events
+}
+
+impl GenerationTask {
+    async fn run(
+        mut self,
+        mut inputs: mpsc::UnboundedReceiver<GenerationInput>,
+        actions: Vec<GenerationAction>,
+    ) {
+        self.perform(actions);
+        while !self.ended {
+            let environment = TaskEnvironment {
+                shared: &self.shared,
+                attempts: &self.attempts,
+            };
+            let due = self.machine.next_tick(&environment);
+            let wait = due.since(self.shared.clock.now()).as_millis().min(60_000);
+            let input = tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => input,
+                    None => break,
+                },
+                () = tokio::time::sleep(ClockTime::from_millis(wait).to_duration()) => {
+                    GenerationInput::Tick
+                }
+                // The engine keeps the generation for a while; the caller may come back.
+                () = self.caller.closed() => break,
+            };
+            self.handle(input);
+        }
+        self.attempts
+            .values()
+            .for_each(|attempt| attempt.task.abort());
+    }
+
+    fn handle(&mut self, input: GenerationInput) {
+        let now = self.shared.clock.now();
+        let ended = match &input {
+            GenerationInput::Failed { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        let environment = TaskEnvironment {
+            shared: &self.shared,
+            attempts: &self.attempts,
+        };
+        let actions = self.machine.handle(input, now, &environment);
+        if let Some(attempt) = ended {
+            self.attempts.remove(&attempt);
+        }
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<GenerationAction>) {
+        for action in actions {
+            match action {
+                GenerationAction::Start {
+                    attempt,
+                    reason,
+                    held,
+                    avoid,
+                } => {
+                    self.start_attempt(attempt, reason, held, &avoid);
+                }
+                GenerationAction::Cancel { attempt } => self.cancel(attempt),
+                GenerationAction::Deliver {
+                    attempt,
+                    index,
+                    token,
+                } => {
+                    self.deliver(attempt, index, token);
+                }
+                GenerationAction::Finish { total } => {
+                    counters::count_finished("generation");
+                    self.tell(CallerEvent::End { total });
+                    self.ended = true;
+                }
+                GenerationAction::Fail { reason } => {
+                    self.tell(CallerEvent::Failed { reason });
+                    self.ended = true;
+                }
+                GenerationAction::Notice { reason, upstream } => self.notice(reason, &upstream),
+            }
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        attempt: AttemptNumber,
+        reason: StartReason,
+        held: Option<HeldAttempt>,
+        avoid: &[UpstreamName],
+    ) {
+        if let Some(reason) = start_reason(reason) {
+            counters::count_retry(reason);
+        }
+        let target = match &held {
+            Some(held) => self.held_target(held),
+            None => self.choose_target(avoid),
+        };
+        let (record, version) = match target {
+            Ok(target) => target,
+            Err(reason) => return self.handle(GenerationInput::NoUpstream { attempt, reason }),
+        };
+        log::info!(
+            generation = self.generation.to_string().as_str(),
+            attempt = attempt.0,
+            customer = self.order.customer.as_str(),
+            service = self.order.service.as_str(),
+            upstream = record.entry.name.as_str(),
+            reason = format!("{reason:?}").as_str();
+            "an attempt starts"
+        );
+        let upstream = record.entry.name.clone();
+        let runner = self.runner(attempt, &record, &version, held);
+        let task = tokio::spawn(runner.run()).abort_handle();
+        let name = version.name.clone();
+        let guard = InFlightGuard::new(record);
+        self.attempts.insert(
+            attempt,
+            AttemptHandle {
+                guard,
+                version: name.clone(),
+                task,
+            },
+        );
+        self.handle(GenerationInput::Sent {
+            attempt,
+            upstream,
+            version: name,
+        });
+    }
+
+    fn runner(
+        &self,
+        attempt: AttemptNumber,
+        record: &Arc<UpstreamRecord>,
+        version: &VersionEntry,
+        held: Option<HeldAttempt>,
+    ) -> AttemptRunner {
+        let tokens = self.machine.ledger().tokens();
+        let request = GenerateRequest {
+            generation: self.generation,
+            attempt,
+            version: version.name.to_string(),
+            adapter: version.adapter.clone(),
+            prompt: self.order.prompt.to_string(),
+            emitted: tokens.iter().map(FastStr::to_string).collect(),
+            max_tokens: self.order.max_tokens,
+            priority: self.order.priority,
+        };
+        AttemptRunner {
+            shared: self.shared.clone(),
+            record: record.clone(),
+            request,
+            held: held.map(|held| held.attempt),
+            prefill_tokens: count_words(&self.order.prompt) + tokens.len() as u32,
+            inputs: self.inputs.clone(),
+        }
+    }
+
+    /// Picks an engine; once the answer has begun, one of its version.
+    fn choose_target(
+        &self,
+        avoid: &[UpstreamName],
+    ) -> Result<(Arc<UpstreamRecord>, Arc<VersionEntry>), NoUpstreamReason> {
+        let catalog = self.shared.configuration.current();
+        let service = catalog.services.get(&self.order.service);
+        let service = service.ok_or(NoUpstreamReason::VersionGone)?;
+        let stopped = self.shared.stopped.load();
+        let is_stopped = |version: &VersionName| {
+            stopped.contains(&(self.order.service.clone(), version.clone()))
+        };
+        let version = match self.machine.version() {
+            Some(name) => {
+                let version = service
+                    .versions
+                    .get(name)
+                    .ok_or(NoUpstreamReason::VersionGone)?;
+                if is_stopped(name) || service.is_withdrawn(name) {
+                    return Err(NoUpstreamReason::VersionWithdrawn);
+                }
+                version
+            }
+            None => {
+                let shares = service.shares().into_iter();
+                let usable = shares.filter(|(v, s)| *s > 0 && !is_stopped(&v.name));
+                let usable: Vec<_> = usable.collect();
+                let version = crate::call_path::pick_share(&usable, rand::random());
+                version.ok_or(NoUpstreamReason::NoneFree)?
+            }
+        };
+        let zone = &self.shared.settings.zone;
+        let record = self
+            .shared
+            .registry
+            .choose(version, self.prefix, zone, avoid);
+        Ok((record.ok_or(NoUpstreamReason::NoneFree)?, version.clone()))
+    }
+
+    /// Finds the engine that may still hold the generation.
+    fn held_target(
+        &self,
+        held: &HeldAttempt,
+    ) -> Result<(Arc<UpstreamRecord>, Arc<VersionEntry>), NoUpstreamReason> {
+        let catalog = self.shared.configuration.current();
+        let service = catalog.services.get(&self.order.service);
+        let service = service.ok_or(NoUpstreamReason::VersionGone)?;
+        let name = self
+            .machine
+            .version()
+            .ok_or(NoUpstreamReason::VersionGone)?;
+        let version = service
+            .versions
+            .get(name)
+            .ok_or(NoUpstreamReason::VersionGone)?;
+        let entry = version
+            .upstreams
+            .iter()
+            .find(|entry| entry.name == held.upstream);
+        let entry = entry.ok_or(NoUpstreamReason::VersionGone)?;
+        Ok((self.shared.registry.record(entry), version.clone()))
+    }
+
+    fn cancel(&mut self, attempt: AttemptNumber) {
+        let Some(handle) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        handle.task.abort();
+        let (shared, generation) = (self.shared.clone(), self.generation);
+        let address = handle.guard.record.entry.address;
+        tokio::spawn(async move {
+            let request = CancelRequest {
+                generation,
+                attempt,
+            };
+            let cancel = shared.engine.cancel(address, &request);
+            // An engine that does not hear it drops the generation by itself.
+            let _ = tokio::time::timeout(CANCEL_WAIT.to_duration(), cancel).await;
+        });
+    }
+
+    fn deliver(&mut self, attempt: AttemptNumber, index: u32, token: FastStr) {
+        let Some(handle) = self.attempts.get(&attempt) else {
+            return;
+        };
+        let version = handle.version.clone();
+        let upstream = handle.guard.record.entry.name.clone();
+        self.shared.race_budget.earn(1);
+        self.tell(CallerEvent::Token {
+            index,
+            token,
+            version,
+            upstream,
+            attempt,
+        });
+    }
+
+    fn tell(&self, event: CallerEvent) {
+        // The loop ends by itself when the caller has gone.
+        let _ = self.caller.send(event);
+    }
+
+    fn notice(&self, reason: NoticeReason, upstream: &UpstreamName) {
+        counters::count_notice(notice_text(reason));
+        if reason != NoticeReason::SilentAttempt {
+            return;
+        }
+        let now = self.shared.clock.now();
+        let handles = self.attempts.values().map(|attempt| &attempt.guard.record);
+        handles
+            .filter(|record| record.entry.name == *upstream)
+            .for_each(|record| {
+                record.note_failure(now);
+            });
+    }
+}
+
+/// Reads one attempt's stream.
+struct AttemptRunner {
+    shared: Arc<NodeShared>,
+    record: Arc<UpstreamRecord>,
+    request: GenerateRequest,
+    held: Option<AttemptNumber>,
+    prefill_tokens: u32,
+    inputs: mpsc::UnboundedSender<GenerationInput>,
+}
+
+impl AttemptRunner {
+    async fn run(self) {
+        let failure = match self.open().await {
+            Ok(stream) => match self.read(stream).await {
+                Some(error) => error,
+                None => return,
+            },
+            Err(error) => error,
+        };
+        let is_held_gone = self.held.is_some() && matches!(failure, EngineError::Refused(_));
+        if !is_held_gone {
+            self.record.note_failure(self.shared.clock.now());
+        }
+        let failure = match failure {
+            EngineError::Unreachable => AttemptFailure::Unreachable,
+            EngineError::Refused(_) if is_held_gone => AttemptFailure::HeldGone,
+            EngineError::Refused(_) => AttemptFailure::Refused,
+            EngineError::Broken(_) => AttemptFailure::Broken,
+            EngineError::Malformed(_) => AttemptFailure::Malformed,
+        };
+        let attempt = self.request.attempt;
+        // The generation may have ended.
+        let _ = self
+            .inputs
+            .send(GenerationInput::Failed { attempt, failure });
+    }
+
+    async fn open(&self) -> Result<<crate::seams::Engine as EngineClient>::Stream, EngineError> {
+        let address = self.record.entry.address;
+        let Some(held_attempt) = self.held else {
+            return self.shared.engine.generate(address, &self.request).await;
+        };
+        let request = ResumeRequest {
+            generation: self.request.generation,
+            held_attempt,
+            attempt: self.request.attempt,
+            version: self.request.version.clone(),
+            from_index: self.request.emitted.len() as u32,
+        };
+        let resume = self.shared.engine.resume(address, &request);
+        let resumed = tokio::time::timeout(CONNECT_WAIT.to_duration(), resume).await;
+        resumed.unwrap_or(Err(EngineError::Unreachable))
+    }
+
+    /// Reads until the end; returns the error of a stream that broke.
+    async fn read(
+        &self,
+        mut stream: <crate::seams::Engine as EngineClient>::Stream,
+    ) -> Option<EngineError> {
+        let mut phase = AttemptPhase::Prefill;
+        let mut last = self.shared.clock.now();
+        loop {
+            let event = crate::seams::Engine::next_event(&mut stream).await;
+            let message = match event {
+                EngineEvent::Message(message) => message,
+                EngineEvent::Closed(error) => return Some(error),
+            };
+            let now = self.shared.clock.now();
+            if message.leaving {
+                crate::watch_task::note_leaving(&self.shared, &self.record, now, "stream");
+            }
+            let is_end = message.token.is_none();
+            if !is_end {
+                let gap = now.since(last);
+                self.record.note_token(phase, gap, self.prefill_tokens, now);
+                phase = AttemptPhase::Decoding;
+                last = now;
+            }
+            let (generation, echoed) = (message.generation, message.attempt);
+            let (attempt, index) = (self.request.attempt, message.index);
+            let input = match message.token {
+                Some(token) => {
+                    let token = FastStr::new(token);
+                    GenerationInput::Token {
+                        attempt,
+                        generation,
+                        echoed,
+                        index,
+                        token,
+                    }
+                }
+                None => GenerationInput::End {
+                    attempt,
+                    generation,
+                    echoed,
+                    total: index,
+                },
+            };
+            if self.inputs.send(input).is_err() || is_end {
+                return None;
+            }
+        }
+    }
+}
+
+/// What the state machine asks of this VM.
+struct TaskEnvironment<'a> {
+    shared: &'a NodeShared,
+    attempts: &'a HashMap<AttemptNumber, AttemptHandle>,
+}
+
+impl GenerationEnvironment for TaskEnvironment<'_> {
+    fn silence_limit(
+        &self,
+        upstream: &UpstreamName,
+        phase: AttemptPhase,
+        prefill_tokens: u32,
+    ) -> ClockTime {
+        let settings = &self.shared.settings.resume;
+        let mut records = self.attempts.values().map(|attempt| &attempt.guard.record);
+        let record = records.find(|record| record.entry.name == *upstream);
+        record.map_or(settings.longest_silence, |record| {
+            record.silence_limit(settings, phase, prefill_tokens)
+        })
+    }
+
+    fn try_race(&self, cost: u32) -> bool {
+        self.shared.race_budget.try_spend(u64::from(cost))
+    }
+}
+
+/// Counts the tokens of a prompt, for the cost of computing it again.
+pub(crate) fn count_words(prompt: &str) -> u32 {
+    prompt.split_whitespace().count() as u32
+}
+
+/// Hashes the start of a prompt; requests with the same start share a cache.
+fn prefix_hash(prompt: &str) -> u64 {
+    const PREFIX_BYTES: usize = 512;
+    let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
+    let hash = blake3::hash(start);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Returns the reason under which a further attempt is counted.
+fn start_reason(reason: StartReason) -> Option<&'static str> {
+    match reason {
+        StartReason::First => None,
+        StartReason::Held => Some("held_by_engine"),
+        StartReason::Failed(AttemptFailure::Unreachable) => Some("engine_unreachable"),
+        StartReason::Failed(AttemptFailure::Refused) => Some("engine_refused"),
+        StartReason::Failed(AttemptFailure::Broken) => Some("stream_broken"),
+        StartReason::Failed(AttemptFailure::Malformed) => Some("message_malformed"),
+        StartReason::Failed(AttemptFailure::HeldGone) => Some("held_gone"),
+        StartReason::Silent => Some("engine_silent"),
+        StartReason::WrongToken => Some("wrong_token"),
+        StartReason::ShortAnswer => Some("short_answer"),
+        StartReason::Race => Some("race"),
+        StartReason::NoneFree => Some("none_free"),
+    }
+}
+
+fn notice_text(reason: NoticeReason) -> &'static str {
+    match reason {
+        NoticeReason::CrossedMessage => "crossed_message",
+        NoticeReason::StaleMessage => "stale_message",
+        NoticeReason::RepeatedToken => "repeated_token",
+        NoticeReason::ConflictingToken => "conflicting_token",
+        NoticeReason::MissingToken => "missing_token",
+        NoticeReason::RaceDenied => "race_denied",
+        NoticeReason::SilentAttempt => "silent_attempt",
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,34 @@
-//! skylarkshed-node.
+//! The daemon of one VM: joins the decisions with the network.
+//!
+//! [`run_node`] serves until the process is told to end. Inside,
+//!
+//! - `front` answers callers, `operators` answers operators;
+//! - `generation_task` and `call_path` carry requests to upstreams;
+//! - `configuration` and `membership_task` keep step with the other VMs;
+//! - `registry` knows the upstreams.
+
+mod answers;
+mod auth;
+mod call_path;
+mod claim_writer;
+mod claims;
+mod configuration;
+mod counters;
+mod cursor;
+mod drain;
+mod front;
+mod generation_task;
+mod membership_task;
+mod minting;
+mod operators;
+mod peer_service;
+mod places;
+mod refusal;
+mod registry;
+mod run;
+mod seams;
+mod shared;
+mod sync_task;
+mod watch_task;
+
+pub use run::{run_node, NodeError};
--- /dev/null
+++ b/crates/node/src/membership_task.rs
@@ -0,0 +1,106 @@
+//! Runs the membership protocol over UDP.
+
+use crate::counters;
+use crate::shared::NodeShared;
+use skylarkshed_core::ClockTime;
+use skylarkshed_peer::{decode_gossip, encode_gossip, PeerError, DATAGRAM_LIMIT};
+use skylarkshed_policy::{GossipKind, GossipMessage, MembershipAction};
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+
+const TICK: ClockTime = ClockTime::from_millis(50);
+
+/// Sends and receives datagrams for ever.
+pub(crate) async fn run_membership(shared: Arc<NodeShared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    let mut ticks = tokio::time::interval(TICK.to_duration());
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let actions = tokio::select! {
+            _ = ticks.tick() => {
+                let mut membership = shared.membership.lock().expect("not poisoned");
+                membership.on_tick(shared.clock.now())
+            }
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((count, _)) => receive(&shared, &buffer[..count]),
+                Err(_) => Vec::new(),
+            },
+        };
+        perform(&shared, &socket, actions).await;
+    }
+}
+
+/// Tells the other VMs that this one leaves.
+pub(crate) async fn send_leave(shared: &Arc<NodeShared>, socket: &UdpSocket) {
+    let actions = shared.membership.lock().expect("not poisoned").leave();
+    perform(shared, socket, actions).await;
+}
+
+fn receive(shared: &Arc<NodeShared>, datagram: &[u8]) -> Vec<MembershipAction> {
+    match decode_gossip(&shared.peer_key, datagram) {
+        Ok(message) => {
+            let now = shared.clock.now();
+            shared
+                .membership
+                .lock()
+                .expect("not poisoned")
+                .on_message(message, now)
+        }
+        Err(error) => {
+            counters::count_peer_drop(drop_reason(&error));
+            Vec::new()
+        }
+    }
+}
+
+/// Returns the reason under which a dropped message is counted.
+pub(crate) fn drop_reason(error: &PeerError) -> &'static str {
+    match error {
+        PeerError::WrongCode => "wrong_code",
+        PeerError::Malformed(_) => "malformed",
+        PeerError::BadValue(_) => "bad_value",
+        _ => "connection",
+    }
+}
+
+async fn perform(shared: &Arc<NodeShared>, socket: &UdpSocket, actions: Vec<MembershipAction>) {
+    for action in actions {
+        match action {
+            MembershipAction::Send { to, message } => {
+                let datagram = encode_gossip(&shared.peer_key, &message);
+                counters::count_peer_bytes(kind_of(&message), datagram.len());
+                // A lost datagram is what the protocol is made for.
+                let _ = socket.send_to(&datagram, to).await;
+            }
+            MembershipAction::Changed(record) => {
+                log::info!(
+                    vm = record.name.as_str(),
+                    state = format!("{:?}", record.state).to_lowercase().as_str(),
+                    incarnation = record.incarnation.to_string().as_str();
+                    "a VM changed"
+                );
+                note_size(shared);
+            }
+            MembershipAction::Leaving(notice) => {
+                if let Some(record) = shared.registry.find(&notice) {
+                    record.note_leaving(shared.clock.now());
+                }
+            }
+            MembershipAction::Behind { .. } => shared.behind.notify_one(),
+        }
+    }
+}
+
+fn note_size(shared: &Arc<NodeShared>) {
+    let membership = shared.membership.lock().expect("not poisoned");
+    counters::set_members(membership.present().count());
+    shared.places.set_vms(membership.expected_size());
+}
+
+fn kind_of(message: &GossipMessage) -> &'static str {
+    match message.kind {
+        GossipKind::Ping => "ping",
+        GossipKind::Ack { .. } => "ack",
+        GossipKind::PingRequest { .. } => "ping_request",
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,273 @@
+//! The operators' remote procedure calls.
+
+use crate::configuration::ChangeError;
+use crate::shared::NodeShared;
+use crate::sync_task::push_changes;
+use skylarkshed_core::{
+    CatalogState, ClockTime, ConfigurationChange, CustomerEntry, KeyHash, NewsEvent, NewsItem,
+    RevisionNumber, RouteEntry, ServiceEntry, ServiceKind, UpstreamEntry, VersionEntry,
+};
+use skylarkshed_operator::schema::{
+    ChangeReply, DescribeReply, DescribeRequest, News, Operator, PutCustomerRequest,
+    PutServiceRequest, PutVersionRequest, ReverseMoveRequest, StartMoveRequest, Upstream,
+    VmRevision, WatchReply, WatchRequest,
+};
+use std::sync::Arc;
+use volo_grpc::{Code, Request, Response, Status};
+
+const MOST_NAME_BYTES: usize = 64;
+const MOST_WATCH: ClockTime = ClockTime::from_millis(30_000);
+const WATCH_STEP: ClockTime = ClockTime::from_millis(50);
+const WHOLE_SHARE_PPM: u32 = 1_000_000;
+const FIRST_SHARE_PPM: u32 = 50_000;
+const MOST_MOVE: ClockTime = ClockTime::from_millis(30 * 24 * 3_600_000);
+
+/// Answers operators.
+#[derive(Clone)]
+pub(crate) struct OperatorService {
+    pub(crate) shared: Arc<NodeShared>,
+}
+
+impl Operator for OperatorService {
+    async fn put_service(
+        &self,
+        request: Request<PutServiceRequest>,
+    ) -> Result<Response<ChangeReply>, Status> {
+        let request = request.into_inner();
+        check_name("name", &request.name).map_err(invalid)?;
+        let kind = match request.kind.inner() {
+            0 => ServiceKind::Model,
+            1 => ServiceKind::Plain,
+            other => return Err(invalid(format!("there is no service kind {other}"))),
+        };
+        let routes = request.routes.iter().map(|route| RouteEntry {
+            name: route.name.to_string(),
+            idempotent: route.idempotent,
+        });
+        let entry = ServiceEntry {
+            name: request.name.as_str().into(),
+            kind,
+            routes: routes.collect(),
+        };
+        for route in &entry.routes {
+            check_name("route", &route.name).map_err(invalid)?;
+        }
+        self.change(&request.change_id, ConfigurationChange::PutService(entry))
+            .await
+    }
+
+    async fn put_version(
+        &self,
+        request: Request<PutVersionRequest>,
+    ) -> Result<Response<ChangeReply>, Status> {
+        let request = request.into_inner();
+        check_name("name", &request.name).map_err(invalid)?;
+        let upstreams: Result<Vec<_>, String> = request.upstreams.iter().map(to_entry).collect();
+        let version = VersionEntry {
+            name: request.name.as_str().into(),
+            adapter: request.adapter.to_string(),
+            upstreams: upstreams.map_err(invalid)?,
+        };
+        let service = request.service.as_str().into();
+        let change = ConfigurationChange::PutVersion { service, version };
+        self.change(&request.change_id, change).await
+    }
+
+    async fn put_customer(
+        &self,
+        request: Request<PutCustomerRequest>,
+    ) -> Result<Response<ChangeReply>, Status> {
+        let request = request.into_inner();
+        check_name("name", &request.name).map_err(invalid)?;
+        if request.keys.iter().any(|key| key.is_empty()) {
+            return Err(invalid("a key must not be empty".to_owned()));
+        }
+        let entry = CustomerEntry {
+            name: request.name.as_str().into(),
+            keys: request.keys.iter().map(|key| KeyHash::of(key)).collect(),
+            services: request
+                .services
+                .iter()
+                .map(|name| name.as_str().into())
+                .collect(),
+            weight: request.weight.max(1),
+            requests_per_s: request.requests_per_s,
+            concurrency: request.concurrency,
+        };
+        self.change(&request.change_id, ConfigurationChange::PutCustomer(entry))
+            .await
+    }
+
+    async fn start_move(
+        &self,
+        request: Request<StartMoveRequest>,
+    ) -> Result<Response<ChangeReply>, Status> {
+        let request = request.into_inner();
+        let within = ClockTime::from_millis(request.within_ms);
+        if within == ClockTime::ZERO || within > MOST_MOVE {
+            return Err(invalid("`within_ms` must be from 1 to 30 days".to_owned()));
+        }
+        let started = ClockTime::wall();
+        let change = ConfigurationChange::StartMove {
+            service: request.service.as_str().into(),
+            to: request.to_version.as_str().into(),
+            share_ppm: FIRST_SHARE_PPM.min(WHOLE_SHARE_PPM),
+            started,
+            deadline: started + within,
+        };
+        self.change(&request.change_id, change).await
+    }
+
+    async fn reverse_move(
+        &self,
+        request: Request<ReverseMoveRequest>,
+    ) -> Result<Response<ChangeReply>, Status> {
+        let request = request.into_inner();
+        let change = ConfigurationChange::ReverseMove {
+            service: request.service.as_str().into(),
+            of: None,
+            reason: "an operator asked for it".to_owned(),
+        };
+        self.change(&request.change_id, change).await
+    }
+
+    async fn describe(
+        &self,
+        _request: Request<DescribeRequest>,
+    ) -> Result<Response<DescribeReply>, Status> {
+        let current = self.shared.configuration.current();
+        let configuration = describe(&current);
+        let vms = self.revisions(current.revision);
+        let revision = current.revision.0;
+        Ok(Response::new(DescribeReply {
+            revision,
+            configuration: configuration.into(),
+            vms,
+        }))
+    }
+
+    async fn watch(&self, request: Request<WatchRequest>) -> Result<Response<WatchReply>, Status> {
+        let request = request.into_inner();
+        let after = RevisionNumber(request.after);
+        let wait = ClockTime::from_millis(request.wait_ms).min(MOST_WATCH);
+        let end = self.shared.clock.now() + wait;
+        loop {
+            let current = self.shared.configuration.current();
+            let news: Vec<News> = current
+                .news
+                .iter()
+                .filter(|item| item.position > after)
+                .map(to_news)
+                .collect();
+            if !news.is_empty() || self.shared.clock.now() >= end {
+                return Ok(Response::new(WatchReply { news }));
+            }
+            tokio::time::sleep(WATCH_STEP.to_duration()).await;
+        }
+    }
+}
+
+impl OperatorService {
+    async fn change(
+        &self,
+        change_id: &str,
+        change: ConfigurationChange,
+    ) -> Result<Response<ChangeReply>, Status> {
+        check_name("change_id", change_id).map_err(invalid)?;
+        let before = self.shared.configuration.current().revision;
+        let made = self
+            .shared
+            .configuration
+            .change(&self.shared.platform, change_id, change)
+            .await;
+        let revision = made.map_err(|error| to_status(&error))?;
+        let current = self.shared.configuration.current().revision;
+        self.shared
+            .membership
+            .lock()
+            .expect("not poisoned")
+            .set_revision(current);
+        push_changes(&self.shared, before);
+        Ok(Response::new(ChangeReply {
+            revision: revision.0,
+        }))
+    }
+
+    fn revisions(&self, own: RevisionNumber) -> Vec<VmRevision> {
+        let membership = self.shared.membership.lock().expect("not poisoned");
+        let own_record = (membership.own(), own);
+        let records = std::iter::once(own_record).chain(membership.present());
+        let vms = records.map(|(record, revision)| VmRevision {
+            vm: record.name.to_string().into(),
+            zone: record.zone.to_string().into(),
+            revision: revision.0,
+        });
+        vms.collect()
+    }
+}
+
+fn describe(current: &CatalogState) -> String {
+    let mut value = serde_json::to_value(current).expect("the configuration is plain data");
+    if let Some(customers) = value["customers"].as_object_mut() {
+        for customer in customers.values_mut() {
+            customer["keys"] = serde_json::Value::from("hidden");
+        }
+    }
+    value.to_string()
+}
+
+fn to_entry(upstream: &Upstream) -> Result<Arc<UpstreamEntry>, String> {
+    check_name("upstream", &upstream.name)?;
+    check_name("zone", &upstream.zone)?;
+    let address = upstream.address.parse();
+    let address =
+        address.map_err(|_| format!("`{}` is no IP address with a port", upstream.address))?;
+    Ok(Arc::new(UpstreamEntry {
+        name: upstream.name.as_str().into(),
+        address,
+        zone: upstream.zone.as_str().into(),
+        checks_fencing: upstream.checks_fencing,
+    }))
+}
+
+fn to_news(item: &NewsItem) -> News {
+    let event = match item.event {
+        NewsEvent::Started => "started",
+        NewsEvent::Stepped => "stepped",
+        NewsEvent::Finished => "finished",
+        NewsEvent::Reversed => "reversed",
+    };
+    News {
+        position: item.position.0,
+        service: item.service.to_string().into(),
+        to_version: item.to.to_string().into(),
+        event: event.into(),
+        detail: item.detail.clone().into(),
+    }
+}
+
+fn check_name(field: &str, name: &str) -> Result<(), String> {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    let is_named = !name.is_empty() && name.len() <= MOST_NAME_BYTES;
+    if is_named && name.chars().all(is_allowed) {
+        return Ok(());
+    }
+    Err(format!(
+        "`{field}` takes 1 to 64 letters, digits, dots, dashes or underscores"
+    ))
+}
+
+fn invalid(message: String) -> Status {
+    Status::new(Code::InvalidArgument, message)
+}
+
+fn to_status(error: &ChangeError) -> Status {
+    let code = match error {
+        ChangeError::Invalid(_) => Code::FailedPrecondition,
+        ChangeError::Conflict(_) => Code::Aborted,
+        ChangeError::ReusedId(_) => Code::AlreadyExists,
+        ChangeError::Platform(_) => Code::Unavailable,
+        ChangeError::BadRow(_) => Code::DataLoss,
+    };
+    Status::new(code, error.to_string())
+}
--- /dev/null
+++ b/crates/peer/src/codec.rs
@@ -0,0 +1,150 @@
+//! Sealing, opening and framing of messages.
+
+use crate::wire::{PeerFrame, SealedMessage};
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use std::io;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// The largest frame, in bytes.
+pub const FRAME_LIMIT: usize = 4 << 20;
+/// The largest datagram, in bytes.
+pub const DATAGRAM_LIMIT: usize = 1_400;
+
+const CODE_BYTES: usize = 16;
+
+/// Why a message was not accepted.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// The connection broke.
+    #[error("the connection to the VM broke: {0}")]
+    Broken(#[from] io::Error),
+    /// The message can't be decoded.
+    #[error("the message is malformed: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// The authentication code is wrong.
+    #[error("the message's authentication code is wrong")]
+    WrongCode,
+    /// A name or an address in the message can't be read.
+    #[error("the message holds a bad value in `{0}`")]
+    BadValue(&'static str),
+    /// No connection could be made; nothing was sent.
+    #[error("the VM can't be reached")]
+    Unreachable,
+    /// The reply did not come in time.
+    #[error("the VM's reply did not come in time")]
+    Timeout,
+    /// The key is not 64 hexadecimal digits.
+    #[error("the peers' key must have 64 hexadecimal digits")]
+    BadKey,
+}
+
+/// The key that all VMs share.
+#[derive(Clone)]
+pub struct PeerKey([u8; 32]);
+
+impl PeerKey {
+    /// Reads a key of 64 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`PeerError::BadKey`] on any other text.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_peer::PeerKey;
+    ///
+    /// assert!(PeerKey::parse(&"0f".repeat(32)).is_ok());
+    /// assert!(PeerKey::parse("short").is_err());
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, PeerError> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| PeerError::BadKey)?;
+        Ok(PeerKey(*hash.as_bytes()))
+    }
+
+    /// Returns the authentication code of a text.
+    pub fn code(&self, text: &[u8]) -> [u8; CODE_BYTES] {
+        let hash = blake3::keyed_hash(&self.0, text);
+        let mut code = [0; CODE_BYTES];
+        code.copy_from_slice(&hash.as_bytes()[..CODE_BYTES]);
+        code
+    }
+
+    /// Tells in constant time whether a code belongs to a text.
+    pub fn verify(&self, text: &[u8], code: &[u8]) -> bool {
+        use subtle::ConstantTimeEq;
+        self.code(text).as_slice().ct_eq(code).into()
+    }
+
+    /// Seals an encoded message.
+    pub(crate) fn seal(&self, body: Vec<u8>) -> Vec<u8> {
+        let code = self.code(&body).to_vec();
+        SealedMessage { code, body }.encode_to_vec()
+    }
+
+    /// Opens a sealed message.
+    pub(crate) fn open(&self, sealed: &[u8]) -> Result<Vec<u8>, PeerError> {
+        let sealed = SealedMessage::decode(sealed)?;
+        match self.verify(&sealed.body, &sealed.code) {
+            true => Ok(sealed.body),
+            false => Err(PeerError::WrongCode),
+        }
+    }
+}
+
+/// Turns a byte stream into frames and back.
+pub struct PeerCodec {
+    key: PeerKey,
+    frames: LengthDelimitedCodec,
+}
+
+impl PeerCodec {
+    /// Makes a codec for one connection.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use skylarkshed_peer::wire::{PeerBody, PeerFrame};
+    /// use skylarkshed_peer::{PeerCodec, PeerKey};
+    /// use tokio_util::codec::{Decoder, Encoder};
+    ///
+    /// let mut codec = PeerCodec::new(PeerKey::parse(&"0f".repeat(32)).unwrap());
+    /// let frame = PeerFrame { request: 1, body: Some(PeerBody::Pull(7)) };
+    /// let mut bytes = BytesMut::new();
+    /// codec.encode(frame.clone(), &mut bytes).unwrap();
+    /// assert_eq!(codec.decode(&mut bytes).unwrap(), Some(frame));
+    /// ```
+    pub fn new(key: PeerKey) -> Self {
+        let frames = LengthDelimitedCodec::builder()
+            .max_frame_length(FRAME_LIMIT)
+            .new_codec();
+        PeerCodec { key, frames }
+    }
+}
+
+impl Decoder for PeerCodec {
+    type Item = PeerFrame;
+    type Error = PeerError;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<PeerFrame>, PeerError> {
+        match self.frames.decode(source)? {
+            None => Ok(None),
+            Some(sealed) => {
+                let body = self.key.open(&sealed)?;
+                Ok(Some(PeerFrame::decode(body.as_slice())?))
+            }
+        }
+    }
+}
+
+impl Encoder<PeerFrame> for PeerCodec {
+    type Error = PeerError;
+
+    fn encode(&mut self, frame: PeerFrame, target: &mut BytesMut) -> Result<(), PeerError> {
+        let sealed = self.key.seal(frame.encode_to_vec());
+        Ok(self.frames.encode(Bytes::from(sealed), target)?)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,167 @@
+//! The messages between VMs.
+//!
+//! Field numbers are never used for something else.
+
+use prost::{Message, Oneof};
+
+/// A message with its authentication code.
+#[derive(Clone, PartialEq, Message)]
+pub struct SealedMessage {
+    /// The code over `body`.
+    #[prost(bytes = "vec", tag = "1")]
+    pub code: Vec<u8>,
+    /// The encoded message.
+    #[prost(bytes = "vec", tag = "2")]
+    pub body: Vec<u8>,
+}
+
+/// A request or reply over TCP.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerFrame {
+    /// Names the request; its reply repeats it.
+    #[prost(uint64, tag = "1")]
+    pub request: u64,
+    /// What the frame carries.
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7")]
+    pub body: Option<PeerBody>,
+}
+
+/// What a frame carries.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PeerBody {
+    /// New changes of the configuration.
+    #[prost(message, tag = "2")]
+    Push(ChangeBatch),
+    /// Asks for changes after a revision.
+    #[prost(uint64, tag = "3")]
+    Pull(u64),
+    /// Changes of the configuration.
+    #[prost(message, tag = "4")]
+    Changes(ChangeBatch),
+    /// A call for the VM that minted its key.
+    #[prost(message, tag = "5")]
+    Forward(ForwardedCall),
+    /// What became of a forwarded call.
+    #[prost(message, tag = "6")]
+    Outcome(ForwardedOutcome),
+    /// The request was done; there is nothing to say.
+    #[prost(bool, tag = "7")]
+    Done(bool),
+}
+
+/// Changes of the configuration, in order.
+#[derive(Clone, PartialEq, Message)]
+pub struct ChangeBatch {
+    /// The changes as JSON.
+    #[prost(string, repeated, tag = "1")]
+    pub records: Vec<String>,
+    /// The sender's revision.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The whole configuration as JSON, where the changes reach back too far.
+    #[prost(string, tag = "3")]
+    pub snapshot: String,
+}
+
+/// A call for the VM that minted its key.
+#[derive(Clone, PartialEq, Message)]
+pub struct ForwardedCall {
+    /// The run of the process that minted the key.
+    #[prost(uint64, tag = "1")]
+    pub incarnation: u64,
+    /// The key's serial number.
+    #[prost(uint64, tag = "2")]
+    pub serial: u64,
+    /// The customer.
+    #[prost(string, tag = "3")]
+    pub customer: String,
+    /// The service.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// The route.
+    #[prost(string, tag = "5")]
+    pub route: String,
+    /// The request's body.
+    #[prost(bytes = "vec", tag = "6")]
+    pub body: Vec<u8>,
+}
+
+/// What became of a forwarded call.
+#[derive(Clone, PartialEq, Message)]
+pub struct ForwardedOutcome {
+    /// The HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// The body.
+    #[prost(bytes = "vec", tag = "2")]
+    pub body: Vec<u8>,
+    /// The reason of a refusal; empty for an answer.
+    #[prost(string, tag = "3")]
+    pub refusal: String,
+    /// Whether the call did not run.
+    #[prost(bool, tag = "4")]
+    pub not_run: bool,
+    /// Milliseconds after which to come back.
+    #[prost(uint64, tag = "5")]
+    pub retry_after_ms: u64,
+}
+
+/// What is known of one VM.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberWire {
+    /// The VM's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Its address for peers.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// The run of its process.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
+    /// Its contradictions.
+    #[prost(uint32, tag = "5")]
+    pub counter: u32,
+    /// Its state: 0 alive, 1 suspect, 2 dead, 3 left.
+    #[prost(uint32, tag = "6")]
+    pub state: u32,
+}
+
+/// Word that an upstream is about to leave.
+#[derive(Clone, PartialEq, Message)]
+pub struct NoticeWire {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its address.
+    #[prost(string, tag = "2")]
+    pub address: String,
+}
+
+/// A datagram between two VMs.
+#[derive(Clone, PartialEq, Message)]
+pub struct GossipWire {
+    /// What it is for: 0 ping, 1 acknowledgement, 2 request for a ping.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// The VM that an acknowledgement or a request is about.
+    #[prost(string, tag = "2")]
+    pub subject: String,
+    /// Names the probe.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// The sender.
+    #[prost(message, optional, tag = "4")]
+    pub sender: Option<MemberWire>,
+    /// Other VMs.
+    #[prost(message, repeated, tag = "5")]
+    pub updates: Vec<MemberWire>,
+    /// The sender's revision.
+    #[prost(uint64, tag = "6")]
+    pub revision: u64,
+    /// Upstreams that are about to leave.
+    #[prost(message, repeated, tag = "7")]
+    pub notices: Vec<NoticeWire>,
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,125 @@
+//! The platform over HTTP.
+
+use crate::traits::{ObjectStore, PlatformError, TableStore, VmDirectory};
+use crate::wire::{
+    ObjectGet, ObjectPut, ObjectReply, ReadReply, ReadRequest, ScanReply, ScanRequest, TableRow,
+    Transaction, TransactionReply, VmListing,
+};
+use http::StatusCode;
+use serde::{de::DeserializeOwned, Serialize};
+use skylarkshed_core::ClockTime;
+use std::net::SocketAddr;
+use volo_http::body::BodyConversion;
+use volo_http::client::Client;
+use volo_http::error::client::ErrorKind;
+
+/// The platform's HTTP service.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    client: Client,
+    address: SocketAddr,
+    timeout: ClockTime,
+}
+
+impl HttpPlatform {
+    /// Makes a client; no connection is opened yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_platform::HttpPlatform;
+    ///
+    /// let address = "127.0.0.1:7000".parse().unwrap();
+    /// let _platform = HttpPlatform::new(address, ClockTime::from_millis(500));
+    /// ```
+    pub fn new(address: SocketAddr, timeout: ClockTime) -> Self {
+        HttpPlatform {
+            client: Client::default(),
+            address,
+            timeout,
+        }
+    }
+
+    async fn ask<Q, R>(&self, path: &str, request: &Q) -> Result<R, PlatformError>
+    where
+        Q: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let exchange = self.exchange(path, request);
+        let limit = self.timeout.to_duration();
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(PlatformError::ReplyLost(format!("{path}: timeout"))),
+        }
+    }
+
+    async fn exchange<Q, R>(&self, path: &str, request: &Q) -> Result<R, PlatformError>
+    where
+        Q: Serialize + Sync,
+        R: DeserializeOwned,
+    {
+        let uri = format!("http://{}{path}", self.address);
+        let sent = self.client.post(uri).json(request).send().await;
+        let response = sent.map_err(|error| match error.kind() {
+            ErrorKind::Connect | ErrorKind::Builder => PlatformError::Unavailable(path.to_owned()),
+            _ => PlatformError::ReplyLost(format!("{path}: {error}")),
+        })?;
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(PlatformError::Unavailable(path.to_owned()));
+        }
+        if !response.status().is_success() {
+            return Err(PlatformError::Malformed(format!(
+                "{path}: {}",
+                response.status()
+            )));
+        }
+        let bytes = response.into_bytes().await;
+        let bytes = bytes.map_err(|error| PlatformError::ReplyLost(format!("{path}: {error}")))?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| PlatformError::Malformed(format!("{path}: {error}")))
+    }
+}
+
+impl TableStore for HttpPlatform {
+    async fn transact(&self, transaction: &Transaction) -> Result<TransactionReply, PlatformError> {
+        self.ask("/table/transact", transaction).await
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
+        let request = ReadRequest {
+            key: key.to_owned(),
+        };
+        let reply: ReadReply = self.ask("/table/read", &request).await?;
+        Ok(reply.row)
+    }
+
+    async fn scan(&self, request: &ScanRequest) -> Result<Vec<TableRow>, PlatformError> {
+        let reply: ScanReply = self.ask("/table/scan", request).await?;
+        Ok(reply.rows)
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    async fn put(&self, key: &str, content: &str) -> Result<(), PlatformError> {
+        let request = ObjectPut {
+            key: key.to_owned(),
+            content: content.to_owned(),
+        };
+        self.ask("/objects/put", &request).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<String>, PlatformError> {
+        let request = ObjectGet {
+            key: key.to_owned(),
+        };
+        let reply: ObjectReply = self.ask("/objects/get", &request).await?;
+        Ok(reply.content)
+    }
+}
+
+impl VmDirectory for HttpPlatform {
+    async fn list(&self) -> Result<VmListing, PlatformError> {
+        self.ask("/vms", &()).await
+    }
+}
--- /dev/null
+++ b/crates/policy/src/generation.rs
@@ -0,0 +1,520 @@
+//! Carries one answer over any number of attempts.
+
+use crate::generation_types::{
+    AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
+    GenerationInput, GenerationPlan, NoUpstreamReason, NoticeReason, StartReason,
+};
+use crate::ledger::{LedgerVerdict, TokenLedger};
+use skylarkshed_core::{
+    AttemptNumber, ClockTime, GenerationId, LossDetection, ResumeSettings, UpstreamName,
+    VersionName,
+};
+
+const MOST_ATTEMPTS_WITHOUT_TOKEN: u32 = 12;
+const MOST_LIVE_ATTEMPTS: usize = 2;
+/// Attempts without a token after which silence limits double, so that an
+/// underestimated prefill ends at last.
+const ATTEMPTS_AT_FIRST_LIMIT: u32 = 4;
+const MOST_DOUBLINGS: u32 = 4;
+const RETRY_PAUSE: ClockTime = ClockTime::from_millis(100);
+
+#[derive(Clone, Debug)]
+struct LiveAttempt {
+    number: AttemptNumber,
+    upstream: UpstreamName,
+    version: Option<VersionName>,
+    phase: AttemptPhase,
+    last_heard: ClockTime,
+    suspected: bool,
+}
+
+/// The state of one answer.
+///
+/// Feed it with [`GenerationMachine::handle`] and do what it returns; call it
+/// with a tick at [`GenerationMachine::next_tick`]. After a finish or a
+/// failure it returns nothing more.
+#[derive(Clone, Debug)]
+pub struct GenerationMachine {
+    plan: GenerationPlan,
+    settings: ResumeSettings,
+    ledger: TokenLedger,
+    live: Vec<LiveAttempt>,
+    next_attempt: AttemptNumber,
+    attempts_without_token: u32,
+    waiting_since: Option<ClockTime>,
+    retry_at: Option<ClockTime>,
+    avoid: Vec<UpstreamName>,
+    ended: bool,
+}
+
+impl GenerationMachine {
+    /// Starts an answer; the actions start its first attempt.
+    pub fn start(
+        plan: GenerationPlan,
+        settings: ResumeSettings,
+        now: ClockTime,
+    ) -> (Self, Vec<GenerationAction>) {
+        let ledger = TokenLedger::with_tokens(plan.received.clone());
+        let mut machine = GenerationMachine {
+            next_attempt: plan.first_attempt,
+            plan,
+            settings,
+            ledger,
+            live: Vec::new(),
+            attempts_without_token: 0,
+            waiting_since: None,
+            retry_at: None,
+            avoid: Vec::new(),
+            ended: false,
+        };
+        let mut actions = Vec::new();
+        let reason = match machine.plan.held {
+            Some(_) => StartReason::Held,
+            None => StartReason::First,
+        };
+        machine.start_attempt(reason, now, &mut actions);
+        (machine, actions)
+    }
+
+    /// Takes what happened and returns what is to be done.
+    pub fn handle<E: GenerationEnvironment>(
+        &mut self,
+        input: GenerationInput,
+        now: ClockTime,
+        environment: &E,
+    ) -> Vec<GenerationAction> {
+        let mut actions = Vec::new();
+        if self.ended {
+            return actions;
+        }
+        match input {
+            GenerationInput::Sent {
+                attempt,
+                upstream,
+                version,
+            } => {
+                self.note_sent(attempt, upstream, version, now);
+            }
+            GenerationInput::NoUpstream { attempt, reason } => {
+                self.on_no_upstream(attempt, reason, now, &mut actions);
+            }
+            GenerationInput::Token {
+                attempt,
+                generation,
+                echoed,
+                index,
+                token,
+            } => {
+                if self.is_expected(attempt, generation, echoed, &mut actions) {
+                    self.on_token(attempt, index, &token, now, &mut actions);
+                }
+            }
+            GenerationInput::End {
+                attempt,
+                generation,
+                echoed,
+                total,
+            } => {
+                if self.is_expected(attempt, generation, echoed, &mut actions) {
+                    self.on_end(attempt, total, now, &mut actions);
+                }
+            }
+            GenerationInput::Failed { attempt, failure } => {
+                self.on_failed(attempt, failure, now, &mut actions);
+            }
+            GenerationInput::Tick => self.on_tick(now, environment, &mut actions),
+        }
+        actions
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_tick<E: GenerationEnvironment>(&self, environment: &E) -> ClockTime {
+        let silences = self.live.iter().map(|live| match live.suspected {
+            true => live.last_heard + self.longest_silence(live, environment),
+            false => live.last_heard + self.silence_limit(live, environment),
+        });
+        silences
+            .chain(self.retry_at)
+            .min()
+            .unwrap_or(ClockTime::NEVER)
+    }
+
+    /// Returns the tokens that stand.
+    pub fn ledger(&self) -> &TokenLedger {
+        &self.ledger
+    }
+
+    /// Returns the version that the answer has to come from, once it has begun.
+    pub fn version(&self) -> Option<&VersionName> {
+        self.plan.version.as_ref()
+    }
+
+    /// Returns the attempts under way.
+    pub fn live_attempts(&self) -> impl Iterator<Item = AttemptNumber> + '_ {
+        self.live.iter().map(|live| live.number)
+    }
+
+    fn start_attempt(
+        &mut self,
+        reason: StartReason,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        if self.attempts_without_token >= MOST_ATTEMPTS_WITHOUT_TOKEN {
+            return self.fail(FailReason::TooManyAttempts, actions);
+        }
+        self.attempts_without_token += 1;
+        self.retry_at = None;
+        let attempt = self.next_attempt;
+        self.next_attempt = attempt.next();
+        self.live.push(LiveAttempt {
+            number: attempt,
+            upstream: UpstreamName::default(),
+            version: None,
+            phase: AttemptPhase::Prefill,
+            last_heard: now,
+            suspected: false,
+        });
+        let held = self.plan.held.take();
+        let avoid = self.avoid.clone();
+        actions.push(GenerationAction::Start {
+            attempt,
+            reason,
+            held,
+            avoid,
+        });
+    }
+
+    fn note_sent(
+        &mut self,
+        attempt: AttemptNumber,
+        upstream: UpstreamName,
+        version: VersionName,
+        now: ClockTime,
+    ) {
+        self.waiting_since = None;
+        if let Some(live) = self.find(attempt) {
+            live.upstream = upstream;
+            live.version = Some(version);
+            live.last_heard = now;
+        }
+    }
+
+    fn on_no_upstream(
+        &mut self,
+        attempt: AttemptNumber,
+        reason: NoUpstreamReason,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        self.live.retain(|live| live.number != attempt);
+        match reason {
+            NoUpstreamReason::VersionWithdrawn => self.fail(FailReason::VersionWithdrawn, actions),
+            NoUpstreamReason::VersionGone => self.fail(FailReason::VersionGone, actions),
+            NoUpstreamReason::NoneFree if self.live.is_empty() => self.wait(now, actions),
+            NoUpstreamReason::NoneFree => {}
+        }
+    }
+
+    /// Waits for an upstream that can take the answer over.
+    fn wait(&mut self, now: ClockTime, actions: &mut Vec<GenerationAction>) {
+        let since = *self.waiting_since.get_or_insert(now);
+        if now.since(since) >= self.settings.patience {
+            return self.fail(FailReason::NoEngine, actions);
+        }
+        // An upstream that failed once is better than none.
+        self.avoid.clear();
+        self.attempts_without_token = self.attempts_without_token.saturating_sub(1);
+        self.retry_at = Some(now + RETRY_PAUSE);
+    }
+
+    fn is_expected(
+        &mut self,
+        attempt: AttemptNumber,
+        generation: GenerationId,
+        echoed: AttemptNumber,
+        actions: &mut Vec<GenerationAction>,
+    ) -> bool {
+        let Some(live) = self.live.iter().find(|live| live.number == attempt) else {
+            let upstream = UpstreamName::default();
+            actions.push(GenerationAction::Notice {
+                reason: NoticeReason::StaleMessage,
+                upstream,
+            });
+            return false;
+        };
+        if generation == self.plan.generation && echoed == attempt {
+            return true;
+        }
+        let upstream = live.upstream.clone();
+        actions.push(GenerationAction::Notice {
+            reason: NoticeReason::CrossedMessage,
+            upstream,
+        });
+        false
+    }
+
+    fn on_token(
+        &mut self,
+        attempt: AttemptNumber,
+        index: u32,
+        token: &str,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        match self.ledger.offer(attempt, index, token) {
+            LedgerVerdict::Accepted => {
+                self.on_accepted(attempt, now, actions);
+                if index >= self.plan.deliver_from {
+                    let token = self.ledger.tokens()[index as usize].clone();
+                    actions.push(GenerationAction::Deliver {
+                        attempt,
+                        index,
+                        token,
+                    });
+                }
+            }
+            LedgerVerdict::Repeated => {
+                self.notice(attempt, NoticeReason::RepeatedToken, actions);
+            }
+            LedgerVerdict::Stale => self.notice(attempt, NoticeReason::StaleMessage, actions),
+            LedgerVerdict::Conflict => {
+                self.notice(attempt, NoticeReason::ConflictingToken, actions);
+                self.replace(attempt, StartReason::WrongToken, now, actions);
+            }
+            LedgerVerdict::Gap => {
+                self.notice(attempt, NoticeReason::MissingToken, actions);
+                self.replace(attempt, StartReason::WrongToken, now, actions);
+            }
+        }
+    }
+
+    fn on_accepted(
+        &mut self,
+        attempt: AttemptNumber,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        self.attempts_without_token = 0;
+        let losers = self.live.iter().filter(|live| live.number != attempt);
+        let losers = losers.map(|live| GenerationAction::Cancel {
+            attempt: live.number,
+        });
+        actions.extend(losers);
+        self.live.retain(|live| live.number == attempt);
+        let Some(live) = self.find(attempt) else {
+            return;
+        };
+        live.phase = AttemptPhase::Decoding;
+        live.last_heard = now;
+        live.suspected = false;
+        let version = live.version.clone();
+        if self.plan.version.is_none() {
+            self.plan.version = version;
+        }
+    }
+
+    fn on_end(
+        &mut self,
+        attempt: AttemptNumber,
+        total: u32,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let is_current = self
+            .ledger
+            .current()
+            .is_none_or(|current| current == attempt);
+        if is_current && total == self.ledger.next_index() {
+            self.ended = true;
+            let others = self.live.iter().filter(|live| live.number != attempt);
+            let others = others.map(|live| GenerationAction::Cancel {
+                attempt: live.number,
+            });
+            actions.extend(others);
+            actions.push(GenerationAction::Finish { total });
+            return;
+        }
+        self.replace(attempt, StartReason::ShortAnswer, now, actions);
+    }
+
+    fn on_failed(
+        &mut self,
+        attempt: AttemptNumber,
+        failure: AttemptFailure,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let is_held_lost = self.ledger.next_index() < self.plan.deliver_from;
+        if is_held_lost && self.live.iter().any(|live| live.number == attempt) {
+            return self.fail(FailReason::HeldGone, actions);
+        }
+        self.drop_attempt(attempt, StartReason::Failed(failure), now, actions);
+    }
+
+    /// Cancels an attempt and goes on with another.
+    fn replace(
+        &mut self,
+        attempt: AttemptNumber,
+        reason: StartReason,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        actions.push(GenerationAction::Cancel { attempt });
+        if self.ledger.next_index() < self.plan.deliver_from {
+            return self.fail(FailReason::HeldGone, actions);
+        }
+        self.drop_attempt(attempt, reason, now, actions);
+    }
+
+    /// Forgets an attempt; if none is left, starts another.
+    fn drop_attempt(
+        &mut self,
+        attempt: AttemptNumber,
+        reason: StartReason,
+        now: ClockTime,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let Some(place) = self.live.iter().position(|live| live.number == attempt) else {
+            return;
+        };
+        let live = self.live.remove(place);
+        if !self.avoid.contains(&live.upstream) {
+            self.avoid.push(live.upstream);
+        }
+        if self.ledger.current() == Some(attempt) {
+            self.ledger.release();
+        }
+        if self.live.is_empty() {
+            self.start_attempt(reason, now, actions);
+        }
+    }
+
+    fn on_tick<E: GenerationEnvironment>(
+        &mut self,
+        now: ClockTime,
+        environment: &E,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        if self.retry_at.is_some_and(|due| now >= due) {
+            return self.start_attempt(StartReason::NoneFree, now, actions);
+        }
+        let silent: Vec<AttemptNumber> = self.silent_attempts(now, environment);
+        for attempt in silent {
+            self.on_silence(attempt, now, environment, actions);
+        }
+    }
+
+    fn silent_attempts<E: GenerationEnvironment>(
+        &self,
+        now: ClockTime,
+        environment: &E,
+    ) -> Vec<AttemptNumber> {
+        let silent = self
+            .live
+            .iter()
+            .filter(|live| now.since(live.last_heard) >= self.silence_limit(live, environment));
+        silent.map(|live| live.number).collect()
+    }
+
+    fn on_silence<E: GenerationEnvironment>(
+        &mut self,
+        attempt: AttemptNumber,
+        now: ClockTime,
+        environment: &E,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let Some(live) = self.live.iter().find(|live| live.number == attempt) else {
+            return;
+        };
+        let longest = self.longest_silence(live, environment);
+        let is_race = self.settings.detection == LossDetection::Race;
+        let Some(live) = self.find(attempt) else {
+            return;
+        };
+        let is_overdue = now.since(live.last_heard) >= longest;
+        let is_new = !live.suspected;
+        live.suspected = true;
+        if is_new {
+            self.notice(attempt, NoticeReason::SilentAttempt, actions);
+        }
+        if is_overdue || !is_race {
+            return self.replace(attempt, StartReason::Silent, now, actions);
+        }
+        if is_new && self.live.len() < MOST_LIVE_ATTEMPTS {
+            self.race(attempt, now, environment, actions);
+        }
+    }
+
+    /// Starts a second attempt beside a silent one, if the budget allows it.
+    fn race<E: GenerationEnvironment>(
+        &mut self,
+        attempt: AttemptNumber,
+        now: ClockTime,
+        environment: &E,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        if self.ledger.next_index() < self.plan.deliver_from {
+            return;
+        }
+        if !environment.try_race(self.plan.prompt_tokens + self.ledger.next_index()) {
+            return self.notice(attempt, NoticeReason::RaceDenied, actions);
+        }
+        if let Some(live) = self.live.iter().find(|live| live.number == attempt) {
+            self.avoid.push(live.upstream.clone());
+        }
+        self.ledger.release();
+        self.start_attempt(StartReason::Race, now, actions);
+    }
+
+    fn silence_limit<E: GenerationEnvironment>(
+        &self,
+        live: &LiveAttempt,
+        environment: &E,
+    ) -> ClockTime {
+        if self.settings.detection == LossDetection::FixedTimeout {
+            return self.settings.fixed_timeout;
+        }
+        let prefill_tokens = self.plan.prompt_tokens + self.ledger.next_index();
+        let limit = environment.silence_limit(&live.upstream, live.phase, prefill_tokens);
+        let doublings = self
+            .attempts_without_token
+            .saturating_sub(ATTEMPTS_AT_FIRST_LIMIT);
+        ClockTime::from_millis(limit.as_millis() << doublings.min(MOST_DOUBLINGS))
+    }
+
+    /// A prefill may take longer than any silence between tokens.
+    fn longest_silence<E: GenerationEnvironment>(
+        &self,
+        live: &LiveAttempt,
+        environment: &E,
+    ) -> ClockTime {
+        self.settings
+            .longest_silence
+            .max(self.silence_limit(live, environment))
+    }
+
+    fn notice(
+        &self,
+        attempt: AttemptNumber,
+        reason: NoticeReason,
+        actions: &mut Vec<GenerationAction>,
+    ) {
+        let live = self.live.iter().find(|live| live.number == attempt);
+        let upstream = live.map(|live| live.upstream.clone()).unwrap_or_default();
+        actions.push(GenerationAction::Notice { reason, upstream });
+    }
+
+    fn fail(&mut self, reason: FailReason, actions: &mut Vec<GenerationAction>) {
+        self.ended = true;
+        let live = self.live.drain(..);
+        actions.extend(live.map(|live| GenerationAction::Cancel {
+            attempt: live.number,
+        }));
+        actions.push(GenerationAction::Fail { reason });
+    }
+
+    fn find(&mut self, attempt: AttemptNumber) -> Option<&mut LiveAttempt> {
+        self.live.iter_mut().find(|live| live.number == attempt)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,49 @@
-//! skylarkshed-policy.
+//! The decisions, as state machines without input, output or clock.
+//!
+//! Each takes events and a time and returns actions; the daemon, the fuzzer
+//! and the experiments run the same code.
+//!
+//! - [`GenerationMachine`] carries one answer over any number of attempts,
+//!   with [`TokenLedger`] as the only way to the caller.
+//! - [`GapEstimator`] judges an engine's silence against its own gaps.
+//! - [`choose_upstream`] picks the upstream of an attempt.
+//! - [`WorkBudget`] bounds races and retries.
+//! - [`AdmissionQueue`] shares a VM's places between customers, and
+//!   [`ConcurrencyLimit`] bounds the calls to one upstream.
+//! - [`ClaimMachine`] keeps a call that may not be repeated from running twice,
+//!   and [`MintedKeys`] does so without the platform.
+//! - [`MembershipTable`] tells which VMs are there.
+
+mod admission;
+mod budget;
+mod claim;
+mod concurrency;
+mod gaps;
+mod generation;
+mod generation_types;
+mod ledger;
+mod membership;
+mod membership_types;
+mod minted;
+mod rate;
+mod routing;
+
+pub use admission::{AdmissionQueue, AdmissionRefusal, AdmissionVerdict, TicketNumber};
+pub use budget::WorkBudget;
+pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
+pub use concurrency::ConcurrencyLimit;
+pub use gaps::{GapEstimator, SilenceBounds};
+pub use generation::GenerationMachine;
+pub use generation_types::{
+    AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
+    GenerationInput, GenerationPlan, HeldAttempt, NoUpstreamReason, NoticeReason, StartReason,
+};
+pub use ledger::{LedgerVerdict, TokenLedger};
+pub use membership::MembershipTable;
+pub use membership_types::{
+    GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState, MembershipAction,
+    MembershipTimes,
+};
+pub use minted::{MintedKeys, MintedState, MintedVerdict};
+pub use rate::RateLimit;
+pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,517 @@
+//! Tells which VMs are there, from probes and gossip.
+//!
+//! The protocol is SWIM (Das, Gupta and Motivala, 2002) with incarnations and
+//! suspicion. As in Lifeguard (Dadgar, Phillips and Currey, 2018) a suspect VM
+//! is told at once; several VMs then probe it, so that a lossy network evicts
+//! no living VM.
+
+use crate::membership_types::{
+    GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState, MembershipAction,
+    MembershipTimes,
+};
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::SeedableRng;
+use skylarkshed_core::{ClockTime, RevisionNumber, VmName, ZoneName};
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+/// Each record is sent this often, times the binary logarithm of the members.
+const SENDS_PER_DOUBLING: u32 = 4;
+const NOTICE_SENDS: u32 = 24;
+const NOTICES_PER_MESSAGE: usize = 8;
+/// One probe in this many goes to a VM that is thought dead.
+const DEAD_PROBE_EVERY: u64 = 4;
+
+#[derive(Clone, Debug)]
+struct MemberEntry {
+    record: MemberRecord,
+    sends_left: u32,
+    suspect_until: ClockTime,
+    revision: RevisionNumber,
+    heard: ClockTime,
+}
+
+#[derive(Clone, Debug)]
+struct PendingProbe {
+    target: VmName,
+    asked_others: bool,
+    due: ClockTime,
+}
+
+#[derive(Clone, Debug)]
+struct RelayedProbe {
+    asker: SocketAddr,
+    sequence: u64,
+    expires: ClockTime,
+}
+
+/// The members as one VM sees them.
+#[derive(Clone, Debug)]
+pub struct MembershipTable {
+    own: MemberRecord,
+    times: MembershipTimes,
+    members: BTreeMap<VmName, MemberEntry>,
+    listed: BTreeMap<VmName, (ZoneName, SocketAddr)>,
+    seeds: Vec<SocketAddr>,
+    round: Vec<VmName>,
+    probes: HashMap<u64, PendingProbe>,
+    relays: HashMap<u64, RelayedProbe>,
+    notices: Vec<(LeavingNotice, u32)>,
+    revision: RevisionNumber,
+    next_probe: ClockTime,
+    next_sequence: u64,
+    rng: SmallRng,
+}
+
+impl MembershipTable {
+    /// Makes a table that knows only its own VM and addresses to start from.
+    pub fn new(
+        own: MemberRecord,
+        seeds: Vec<SocketAddr>,
+        times: MembershipTimes,
+        seed: u64,
+    ) -> Self {
+        MembershipTable {
+            own,
+            times,
+            members: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            seeds,
+            round: Vec::new(),
+            probes: HashMap::new(),
+            relays: HashMap::new(),
+            notices: Vec::new(),
+            revision: RevisionNumber(0),
+            next_probe: ClockTime::ZERO,
+            next_sequence: 1,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns this VM's own record.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Returns the records of all other VMs that have been heard of.
+    pub fn members(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.members.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the VMs that are alive or suspect, with the revision each holds.
+    pub fn present(&self) -> impl Iterator<Item = (&MemberRecord, RevisionNumber)> {
+        let entries = self
+            .members
+            .values()
+            .filter(|entry| is_present(&entry.record));
+        entries.map(|entry| (&entry.record, entry.revision))
+    }
+
+    /// Returns how many VMs there should be, this one included.
+    pub fn expected_size(&self) -> usize {
+        let present = self.present().count();
+        let listed = self
+            .listed
+            .keys()
+            .filter(|name| **name != self.own.name)
+            .count();
+        1 + present.max(listed)
+    }
+
+    /// Notes the revision that this VM holds.
+    pub fn set_revision(&mut self, revision: RevisionNumber) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes the platform's list of entry VMs.
+    pub fn set_listing(&mut self, listing: Vec<(VmName, ZoneName, SocketAddr)>) {
+        let vms = listing
+            .into_iter()
+            .map(|(name, zone, address)| (name, (zone, address)));
+        self.listed = vms.collect();
+    }
+
+    /// Spreads the word that an upstream is about to leave.
+    pub fn tell_leaving(&mut self, notice: LeavingNotice) {
+        if self.notices.iter().all(|(known, _)| *known != notice) {
+            self.notices.push((notice, NOTICE_SENDS));
+        }
+    }
+
+    /// Tells all present VMs that this one leaves.
+    pub fn leave(&mut self) -> Vec<MembershipAction> {
+        self.own.state = MemberState::Left;
+        let addresses: Vec<SocketAddr> = self.present().map(|(record, _)| record.address).collect();
+        let sends = addresses.into_iter().map(|to| {
+            let message = self.message(GossipKind::Ping, 0, None);
+            MembershipAction::Send { to, message }
+        });
+        sends.collect()
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: ClockTime) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        self.end_probes(now, &mut actions);
+        self.end_suspicions(now, &mut actions);
+        self.relays.retain(|_, relay| relay.expires > now);
+        if now >= self.next_probe {
+            self.next_probe = now + self.times.period;
+            self.probe_next(now, &mut actions);
+            self.probe_suspects(&mut actions);
+        }
+        actions
+    }
+
+    /// Takes a message.
+    pub fn on_message(&mut self, message: GossipMessage, now: ClockTime) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        let sender = message.sender.clone();
+        if sender.name == self.own.name {
+            return actions;
+        }
+        self.learn(sender.clone(), now, &mut actions);
+        self.note_heard(&sender, message.revision, now, &mut actions);
+        for record in message.updates {
+            self.learn(record, now, &mut actions);
+        }
+        for notice in message.notices {
+            if self.notices.iter().all(|(known, _)| *known != notice) {
+                self.notices.push((notice.clone(), NOTICE_SENDS));
+                actions.push(MembershipAction::Leaving(notice));
+            }
+        }
+        match message.kind {
+            GossipKind::Ping if sender.state == MemberState::Left => {}
+            GossipKind::Ping => {
+                let kind = GossipKind::Ack {
+                    subject: self.own.name.clone(),
+                };
+                let reply = self.message(kind, message.sequence, Some(&sender.name));
+                actions.push(MembershipAction::Send {
+                    to: sender.address,
+                    message: reply,
+                });
+            }
+            GossipKind::Ack { subject } => self.on_ack(&subject, message.sequence, &mut actions),
+            GossipKind::PingRequest { target } => {
+                self.relay_probe(&target, sender.address, message.sequence, now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    fn note_heard(
+        &mut self,
+        sender: &MemberRecord,
+        revision: RevisionNumber,
+        now: ClockTime,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        if let Some(entry) = self.members.get_mut(&sender.name) {
+            entry.heard = now;
+            entry.revision = entry.revision.max(revision);
+        }
+        if revision > self.revision {
+            actions.push(MembershipAction::Behind {
+                from: sender.address,
+                revision,
+            });
+        }
+    }
+
+    fn learn(&mut self, record: MemberRecord, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        if record.name == self.own.name {
+            return self.contradict(&record);
+        }
+        let known = self.members.get(&record.name);
+        if known.is_some_and(|entry| !record.replaces(&entry.record)) {
+            return;
+        }
+        let is_change = known.is_none_or(|entry| {
+            entry.record.state != record.state || entry.record.incarnation != record.incarnation
+        });
+        let same_run = known.filter(|entry| entry.record.incarnation == record.incarnation);
+        let entry = MemberEntry {
+            sends_left: self.sends(),
+            suspect_until: now + self.times.suspicion,
+            revision: same_run.map_or(RevisionNumber(0), |entry| entry.revision),
+            heard: same_run.map_or(ClockTime::ZERO, |entry| entry.heard),
+            record: record.clone(),
+        };
+        self.members.insert(record.name.clone(), entry);
+        if is_change {
+            actions.push(MembershipAction::Changed(record));
+        }
+    }
+
+    /// Contradicts a record that says this VM is not there.
+    fn contradict(&mut self, record: &MemberRecord) {
+        let is_own_run = record.incarnation == self.own.incarnation;
+        if is_own_run && record.state != MemberState::Alive && record.counter >= self.own.counter {
+            self.own.counter = record.counter + 1;
+        }
+    }
+
+    fn on_ack(&mut self, subject: &VmName, sequence: u64, actions: &mut Vec<MembershipAction>) {
+        self.probes.remove(&sequence);
+        if let Some(relay) = self.relays.remove(&sequence) {
+            let kind = GossipKind::Ack {
+                subject: subject.clone(),
+            };
+            let message = self.message(kind, relay.sequence, Some(subject));
+            actions.push(MembershipAction::Send {
+                to: relay.asker,
+                message,
+            });
+        }
+    }
+
+    fn relay_probe(
+        &mut self,
+        target: &VmName,
+        asker: SocketAddr,
+        asked: u64,
+        now: ClockTime,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(to) = self.members.get(target).map(|entry| entry.record.address) else {
+            return;
+        };
+        let sequence = self.take_sequence();
+        let expires = now + self.times.indirect_wait;
+        self.relays.insert(
+            sequence,
+            RelayedProbe {
+                asker,
+                sequence: asked,
+                expires,
+            },
+        );
+        let message = self.message(GossipKind::Ping, sequence, Some(target));
+        actions.push(MembershipAction::Send { to, message });
+    }
+
+    fn end_probes(&mut self, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        let due = self.probes.iter().filter(|(_, probe)| probe.due <= now);
+        let mut due: Vec<u64> = due.map(|(&sequence, _)| sequence).collect();
+        due.sort_unstable();
+        for sequence in due {
+            let Some(mut probe) = self.probes.remove(&sequence) else {
+                continue;
+            };
+            if probe.asked_others {
+                self.suspect(&probe.target, now, actions);
+                continue;
+            }
+            probe.asked_others = true;
+            probe.due = now + self.times.indirect_wait;
+            self.ask_others(&probe.target, sequence, actions);
+            self.probes.insert(sequence, probe);
+        }
+    }
+
+    fn ask_others(&mut self, target: &VmName, sequence: u64, actions: &mut Vec<MembershipAction>) {
+        let alive = self
+            .members
+            .values()
+            .map(|entry| &entry.record)
+            .filter(|record| record.state == MemberState::Alive && record.name != *target);
+        let addresses: Vec<SocketAddr> = alive.map(|record| record.address).collect();
+        let count = self.times.indirect_probes;
+        let chosen: Vec<SocketAddr> = addresses
+            .choose_multiple(&mut self.rng, count)
+            .copied()
+            .collect();
+        for to in chosen {
+            let kind = GossipKind::PingRequest {
+                target: target.clone(),
+            };
+            let message = self.message(kind, sequence, Some(target));
+            actions.push(MembershipAction::Send { to, message });
+        }
+    }
+
+    fn suspect(&mut self, target: &VmName, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        let Some(entry) = self.members.get(target) else {
+            return;
+        };
+        if entry.record.state != MemberState::Alive {
+            return;
+        }
+        let record = MemberRecord {
+            state: MemberState::Suspect,
+            ..entry.record.clone()
+        };
+        self.learn(record, now, actions);
+        self.probe(target, None, actions);
+    }
+
+    fn end_suspicions(&mut self, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        let overdue = self.members.values().filter(|entry| {
+            entry.record.state == MemberState::Suspect && entry.suspect_until <= now
+        });
+        let records: Vec<MemberRecord> = overdue.map(|entry| entry.record.clone()).collect();
+        for record in records {
+            self.learn(
+                MemberRecord {
+                    state: MemberState::Dead,
+                    ..record
+                },
+                now,
+                actions,
+            );
+        }
+    }
+
+    /// Probes the next VM of the round; now and then one that is not there.
+    fn probe_next(&mut self, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        if self.next_sequence.is_multiple_of(DEAD_PROBE_EVERY) || self.members.is_empty() {
+            self.probe_absent(actions);
+        }
+        if self.round.is_empty() {
+            let present = self.present().map(|(record, _)| record.name.clone());
+            self.round = present.collect();
+            self.round.shuffle(&mut self.rng);
+        }
+        if let Some(target) = self.round.pop() {
+            self.probe(&target, Some(now), actions);
+        }
+    }
+
+    fn probe_absent(&mut self, actions: &mut Vec<MembershipAction>) {
+        let is_absent = |name: &VmName| {
+            *name != self.own.name
+                && self
+                    .members
+                    .get(name)
+                    .is_none_or(|entry| !is_present(&entry.record))
+        };
+        let listed = self.listed.iter().filter(|(name, _)| is_absent(name));
+        let mut addresses: Vec<SocketAddr> = listed.map(|(_, (_, address))| *address).collect();
+        let dead = self
+            .members
+            .values()
+            .filter(|entry| entry.record.state == MemberState::Dead);
+        addresses.extend(dead.map(|entry| entry.record.address));
+        if addresses.is_empty() && self.members.is_empty() {
+            addresses.clone_from(&self.seeds);
+        }
+        if let Some(&to) = addresses.choose(&mut self.rng) {
+            let sequence = self.take_sequence();
+            let message = self.message(GossipKind::Ping, sequence, None);
+            actions.push(MembershipAction::Send { to, message });
+        } else {
+            self.take_sequence();
+        }
+    }
+
+    fn probe(
+        &mut self,
+        target: &VmName,
+        now: Option<ClockTime>,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let Some(to) = self.members.get(target).map(|entry| entry.record.address) else {
+            return;
+        };
+        let sequence = self.take_sequence();
+        if let Some(now) = now {
+            let due = now + self.times.direct_wait;
+            let probe = PendingProbe {
+                target: target.clone(),
+                asked_others: false,
+                due,
+            };
+            self.probes.insert(sequence, probe);
+        }
+        let message = self.message(GossipKind::Ping, sequence, Some(target));
+        actions.push(MembershipAction::Send { to, message });
+    }
+
+    /// Probes each suspect VM that this VM is one of the confirmers of.
+    fn probe_suspects(&mut self, actions: &mut Vec<MembershipAction>) {
+        let suspects = self
+            .members
+            .values()
+            .filter(|e| e.record.state == MemberState::Suspect);
+        let suspects: Vec<VmName> = suspects.map(|entry| entry.record.name.clone()).collect();
+        for target in suspects {
+            if self.is_confirmer(&target) {
+                self.probe(&target, None, actions);
+            }
+        }
+    }
+
+    fn is_confirmer(&self, target: &VmName) -> bool {
+        let rank = |name: &VmName| {
+            let mut hasher = DefaultHasher::new();
+            (name, target).hash(&mut hasher);
+            hasher.finish()
+        };
+        let own_rank = rank(&self.own.name);
+        let others = self.present().filter(|(record, _)| record.name != *target);
+        others
+            .filter(|(record, _)| rank(&record.name) > own_rank)
+            .count()
+            < self.times.confirmers
+    }
+
+    /// Makes a message with the records that most need spreading.
+    ///
+    /// What is known of `about` is always included, so that it can contradict.
+    fn message(
+        &mut self,
+        kind: GossipKind,
+        sequence: u64,
+        about: Option<&VmName>,
+    ) -> GossipMessage {
+        let mut updates: Vec<MemberRecord> = Vec::new();
+        let known = about.and_then(|name| self.members.get(name));
+        updates.extend(known.map(|entry| entry.record.clone()));
+        let mut fresh: Vec<&mut MemberEntry> = self
+            .members
+            .values_mut()
+            .filter(|entry| entry.sends_left > 0)
+            .collect();
+        fresh.sort_by_key(|entry| std::cmp::Reverse(entry.sends_left));
+        for entry in fresh.into_iter().take(self.times.updates) {
+            entry.sends_left -= 1;
+            if about != Some(&entry.record.name) {
+                updates.push(entry.record.clone());
+            }
+        }
+        let mut notices = Vec::new();
+        let unsent = self.notices.iter_mut().filter(|(_, left)| *left > 0);
+        for (notice, left) in unsent.take(NOTICES_PER_MESSAGE) {
+            *left -= 1;
+            notices.push(notice.clone());
+        }
+        let sender = self.own.clone();
+        GossipMessage {
+            kind,
+            sequence,
+            sender,
+            updates,
+            revision: self.revision,
+            notices,
+        }
+    }
+
+    fn sends(&self) -> u32 {
+        let members = self.members.len() as u32 + 2;
+        SENDS_PER_DOUBLING * (u32::BITS - members.leading_zeros())
+    }
+
+    fn take_sequence(&mut self) -> u64 {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        sequence
+    }
+}
+
+fn is_present(record: &MemberRecord) -> bool {
+    matches!(record.state, MemberState::Alive | MemberState::Suspect)
+}
--- /dev/null
+++ b/crates/policy/src/routing.rs
@@ -0,0 +1,110 @@
+//! Picks the upstream of an attempt.
+//!
+//! Requests with the same prefix go to the same few engines, whose caches
+//! hold it, unless these carry more than their share: rendezvous hashing
+//! (Thaler and Ravishankar, 1998) with bounded loads (Mirrokni, Thorup and
+//! Zadimoghaddam, 2016).
+
+use skylarkshed_core::{UpstreamName, ZoneName};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The most load of an upstream, over the mean, in hundredths.
+const LOAD_FACTOR: u64 = 125;
+
+/// Whether an upstream is to get new work.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum UpstreamHealth {
+    /// It works.
+    Healthy,
+    /// It failed or fell silent a short time ago.
+    Suspect,
+    /// It is about to leave and gets no new work.
+    Leaving,
+}
+
+/// What a VM knows of an upstream.
+#[derive(Clone, Debug)]
+pub struct UpstreamView<'a> {
+    /// The upstream's name.
+    pub name: &'a UpstreamName,
+    /// Its availability zone.
+    pub zone: &'a ZoneName,
+    /// Its requests in progress, as far as known.
+    pub load: u64,
+    /// Whether it is to get new work.
+    pub health: UpstreamHealth,
+}
+
+/// What is asked of the upstream.
+#[derive(Clone, Debug)]
+pub struct RouteQuery<'a> {
+    /// A hash of the request's prefix.
+    pub prefix: u64,
+    /// The availability zone of the VM.
+    pub zone: &'a ZoneName,
+    /// Upstreams that are not to be used.
+    pub avoid: &'a [UpstreamName],
+}
+
+/// Returns the place of the upstream to use, or none if none can take work.
+///
+/// A leaving upstream is never returned. A suspect one is returned only if no
+/// healthy one is left.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::{UpstreamName, ZoneName};
+/// use skylarkshed_policy::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
+///
+/// let (name, zone) = (UpstreamName::from("engine-1"), ZoneName::from("chag"));
+/// let view = UpstreamView { name: &name, zone: &zone, load: 0, health: UpstreamHealth::Healthy };
+/// let query = RouteQuery { prefix: 7, zone: &zone, avoid: &[] };
+/// assert_eq!(choose_upstream(&query, &[view.clone()]), Some(0));
+/// let leaving = UpstreamView { health: UpstreamHealth::Leaving, ..view };
+/// assert_eq!(choose_upstream(&query, &[leaving]), None);
+/// ```
+pub fn choose_upstream(query: &RouteQuery<'_>, views: &[UpstreamView<'_>]) -> Option<usize> {
+    let usable = |health: UpstreamHealth| {
+        let places = (0..views.len()).filter(move |&place| {
+            views[place].health == health && !query.avoid.contains(views[place].name)
+        });
+        places.collect::<Vec<usize>>()
+    };
+    let healthy = usable(UpstreamHealth::Healthy);
+    let places = match healthy.is_empty() {
+        true => usable(UpstreamHealth::Suspect),
+        false => healthy,
+    };
+    let limit = load_limit(&places, views);
+    let is_local = |&&place: &&usize| views[place].zone == query.zone;
+    let local: Vec<usize> = places.iter().filter(is_local).copied().collect();
+    best_below(&local, limit, query, views).or_else(|| best_below(&places, limit, query, views))
+}
+
+/// Returns the most load an upstream may have to take one request more.
+fn load_limit(places: &[usize], views: &[UpstreamView<'_>]) -> u64 {
+    let total: u64 = places.iter().map(|&place| views[place].load).sum();
+    let count = places.len().max(1) as u64;
+    ((total + 1) * LOAD_FACTOR).div_ceil(count * 100)
+}
+
+fn best_below(
+    places: &[usize],
+    limit: u64,
+    query: &RouteQuery<'_>,
+    views: &[UpstreamView<'_>],
+) -> Option<usize> {
+    let below = places.iter().filter(|&&place| views[place].load < limit);
+    below
+        .max_by_key(|&&place| rank(query.prefix, views[place].name))
+        .copied()
+}
+
+/// The rendezvous rank of an upstream for a prefix.
+fn rank(prefix: u64, name: &UpstreamName) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    prefix.hash(&mut hasher);
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,21 @@
-//! skylarkshed-stand-ins.
+//! Small fakes of the outside systems: platform, engine, application and a
+//! proxy that injects faults.
+//!
+//! They run as processes of `skylarkshed-stand-ins` and are not shipped. Each
+//! prints one JSON line with its address when it listens, and takes its fault
+//! switches at `/control`.
+
+mod application;
+mod engine;
+mod engine_batch;
+mod platform;
+mod proxy;
+mod reply;
+mod token_oracle;
+
+pub use application::{run_application, ApplicationFaults, CallCounts};
+pub use engine::run_engine;
+pub use engine_batch::{EngineFaults, EngineSpeed};
+pub use platform::{run_platform, PlatformFaults, PlatformSwitch};
+pub use proxy::{run_proxy, ProxyFaults};
+pub use token_oracle::{check_answer, AnswerFault, TokenOracle};
--- /dev/null
+++ b/crates/upstream/src/http_application.rs
@@ -0,0 +1,52 @@
+//! Plain applications over HTTP.
+
+use crate::application::{ApplicationAnswer, ApplicationClient, CallFailure, PlainCall};
+use crate::wire::{CALL_ID_HEADER, CALL_KEY_HEADER};
+use skylarkshed_core::UnsentCall;
+use std::net::SocketAddr;
+use volo_http::body::{Body, BodyConversion};
+use volo_http::client::Client;
+use volo_http::error::client::ErrorKind;
+
+/// The client of all applications.
+#[derive(Clone, Default)]
+pub struct HttpApplication {
+    client: Client,
+}
+
+impl ApplicationClient for HttpApplication {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        call: &PlainCall,
+        unsent: UnsentCall,
+    ) -> Result<ApplicationAnswer, CallFailure> {
+        let uri = format!("http://{address}/calls/{}", call.route);
+        let mut request = self.client.post(uri).header(CALL_ID_HEADER, &call.call_id);
+        if let Some(key) = &call.key {
+            request = request.header(CALL_KEY_HEADER, key);
+        }
+        let response = match request.body(Body::from(call.body.clone())).send().await {
+            Ok(response) => response,
+            Err(error) if matches!(error.kind(), ErrorKind::Connect) => {
+                return Err(CallFailure::NotSent(unsent));
+            }
+            Err(error) => {
+                return Err(CallFailure::AnswerLost(
+                    unsent.mark_sent(),
+                    error.to_string(),
+                ))
+            }
+        };
+        let sent = unsent.mark_sent();
+        let echoed = response.headers().get(CALL_ID_HEADER);
+        if echoed.and_then(|value| value.to_str().ok()) != Some(call.call_id.as_str()) {
+            return Err(CallFailure::WrongAnswer(sent));
+        }
+        let status = response.status().as_u16();
+        match response.into_bytes().await {
+            Ok(body) => Ok(ApplicationAnswer { status, body }),
+            Err(error) => Err(CallFailure::AnswerLost(sent, error.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/http_engine.rs
@@ -0,0 +1,129 @@
+//! Model engines over HTTP, with tokens as an event stream.
+
+use crate::engine::{EngineClient, EngineError, EngineEvent};
+use crate::wire::{
+    CancelRequest, EngineOrder, GenerateRequest, LoadReport, OrderState, ResumeRequest,
+};
+use serde::{de::DeserializeOwned, Serialize};
+use std::net::SocketAddr;
+use volo_http::body::{Body, BodyConversion};
+use volo_http::client::sse::{SseExt, SseReader};
+use volo_http::client::Client;
+use volo_http::error::client::{ClientError, ErrorKind};
+use volo_http::response::Response;
+
+/// The client of all engines.
+#[derive(Clone, Default)]
+pub struct HttpEngine {
+    client: Client,
+}
+
+/// The event stream of one attempt.
+pub struct EngineStream {
+    reader: SseReader<Body>,
+}
+
+impl HttpEngine {
+    async fn post<Q: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        request: &Q,
+    ) -> Result<Response<Body>, EngineError> {
+        let uri = format!("http://{address}{path}");
+        let response = self
+            .client
+            .post(uri)
+            .json(request)
+            .send()
+            .await
+            .map_err(turn)?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        Err(EngineError::Refused(response.status().as_u16()))
+    }
+
+    async fn stream<Q: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        request: &Q,
+    ) -> Result<EngineStream, EngineError> {
+        let response = self.post(address, path, request).await?;
+        let reader = response.into_sse();
+        let reader = reader.map_err(|error| EngineError::Malformed(error.to_string()))?;
+        Ok(EngineStream { reader })
+    }
+
+    async fn ask<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        request: &Q,
+    ) -> Result<R, EngineError> {
+        let response = self.post(address, path, request).await?;
+        let bytes = response.into_bytes().await;
+        let bytes = bytes.map_err(|error| EngineError::Broken(error.to_string()))?;
+        serde_json::from_slice(&bytes).map_err(|error| EngineError::Malformed(error.to_string()))
+    }
+}
+
+impl EngineClient for HttpEngine {
+    type Stream = EngineStream;
+
+    async fn generate(
+        &self,
+        address: SocketAddr,
+        request: &GenerateRequest,
+    ) -> Result<EngineStream, EngineError> {
+        self.stream(address, "/v1/generate", request).await
+    }
+
+    async fn resume(
+        &self,
+        address: SocketAddr,
+        request: &ResumeRequest,
+    ) -> Result<EngineStream, EngineError> {
+        self.stream(address, "/v1/resume", request).await
+    }
+
+    async fn next_event(stream: &mut EngineStream) -> EngineEvent {
+        let event = match stream.reader.read().await {
+            Ok(Some(event)) => event,
+            Ok(None) => return EngineEvent::Closed(EngineError::Broken("end of stream".into())),
+            Err(error) => return EngineEvent::Closed(EngineError::Broken(error.to_string())),
+        };
+        match serde_json::from_str(event.data.as_deref().unwrap_or_default()) {
+            Ok(message) => EngineEvent::Message(message),
+            Err(error) => EngineEvent::Closed(EngineError::Malformed(error.to_string())),
+        }
+    }
+
+    async fn cancel(
+        &self,
+        address: SocketAddr,
+        request: &CancelRequest,
+    ) -> Result<(), EngineError> {
+        self.ask(address, "/v1/cancel", request).await
+    }
+
+    async fn load(&self, address: SocketAddr) -> Result<LoadReport, EngineError> {
+        self.ask(address, "/v1/load", &()).await
+    }
+
+    async fn order(
+        &self,
+        address: SocketAddr,
+        order: &EngineOrder,
+    ) -> Result<OrderState, EngineError> {
+        self.ask(address, "/v1/orders", order).await
+    }
+}
+
+fn turn(error: ClientError) -> EngineError {
+    match error.kind() {
+        ErrorKind::Connect => EngineError::Unreachable,
+        _ => EngineError::Broken(error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,40 @@
+//! `check`: checks a settings file.
+
+use crate::exit::CommandResult;
+use clap::{value_parser, Arg, ArgMatches, Command};
+use skylarkshed_core::{NodeSettings, SettingsError};
+use std::path::PathBuf;
+
+/// Builds the command line of `check`.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("check")
+        .about("Checks a settings file")
+        .arg(settings_arg())
+}
+
+/// Checks the file and prints the settings with all defaults.
+pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    let mut settings = read_settings(matches)?;
+    settings.peer_key = "hidden".to_owned();
+    let text = serde_json::to_string_pretty(&settings).expect("settings are plain data");
+    println!("{text}");
+    Ok(())
+}
+
+/// Builds the argument that names the settings file.
+pub(crate) fn settings_arg() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .help("The settings file, in JSON")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+/// Reads the settings file.
+pub(crate) fn read_settings(matches: &ArgMatches) -> Result<NodeSettings, SettingsError> {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires it");
+    NodeSettings::read(path)
+}
--- /dev/null
+++ b/src/cmd/customer.rs
@@ -0,0 +1,65 @@
+//! `customer`: creates a customer or replaces its limits and keys.
+
+use super::operator::{change_id, print_change, required, run, text, texts, with_change_args};
+use crate::exit::CommandResult;
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use skylarkshed_operator::schema::PutCustomerRequest;
+
+/// Builds the command line of `customer`.
+pub(crate) fn make_subcommand() -> Command {
+    let many = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .action(ArgAction::Append)
+    };
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .value_parser(value_parser!(u32))
+            .default_value(default)
+    };
+    let command = Command::new("customer")
+        .about("Creates a customer or replaces its limits and keys")
+        .arg(required("name", "The customer's name"))
+        .arg(many("key", "A bearer key; only its hash is kept"))
+        .arg(many("service", "A service that the customer may call"))
+        .arg(number(
+            "weight",
+            "1",
+            "The weight of its share under overload",
+        ))
+        .arg(number(
+            "requests-per-s",
+            "0",
+            "Requests a second over all VMs; 0 for no limit",
+        ))
+        .arg(number(
+            "concurrency",
+            "0",
+            "Requests at one time over all VMs; 0 for no limit",
+        ));
+    with_change_args(command)
+}
+
+/// Sends the change.
+pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    let number = |name: &str| *matches.get_one::<u32>(name).expect("has a default");
+    let request = PutCustomerRequest {
+        change_id: change_id(matches).into(),
+        name: text(matches, "name").into(),
+        keys: texts(matches, "key").into_iter().map(Into::into).collect(),
+        services: texts(matches, "service")
+            .into_iter()
+            .map(Into::into)
+            .collect(),
+        weight: number("weight"),
+        requests_per_s: number("requests-per-s"),
+        concurrency: number("concurrency"),
+    };
+    let reply = run(matches, |client| async move {
+        client.put_customer(request).await
+    })?;
+    print_change(matches, &reply)
+}
--- /dev/null
+++ b/src/cmd/describe.rs
@@ -0,0 +1,61 @@
+//! `describe`: prints the configuration and which VMs hold which revision.
+
+use super::operator::{print, run, with_operator_args};
+use crate::exit::CommandResult;
+use clap::{ArgMatches, Command};
+use serde::Serialize;
+use skylarkshed_operator::schema::{DescribeReply, DescribeRequest};
+
+#[derive(Serialize)]
+struct VmLine {
+    vm: String,
+    zone: String,
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct Description {
+    revision: u64,
+    vms: Vec<VmLine>,
+    configuration: serde_json::Value,
+}
+
+/// Builds the command line of `describe`.
+pub(crate) fn make_subcommand() -> Command {
+    let command = Command::new("describe").about("Prints the configuration and the VMs' revisions");
+    with_operator_args(command)
+}
+
+/// Asks one VM and prints what it knows.
+pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    let request = DescribeRequest::default();
+    let reply = run(
+        matches,
+        |client| async move { client.describe(request).await },
+    )?;
+    let description = to_description(reply);
+    print(matches, &description, || to_text(&description));
+    Ok(())
+}
+
+fn to_description(reply: DescribeReply) -> Description {
+    let vms = reply.vms.into_iter().map(|vm| VmLine {
+        vm: vm.vm.to_string(),
+        zone: vm.zone.to_string(),
+        revision: vm.revision,
+    });
+    Description {
+        revision: reply.revision,
+        vms: vms.collect(),
+        configuration: serde_json::from_str(&reply.configuration).unwrap_or_default(),
+    }
+}
+
+fn to_text(description: &Description) -> String {
+    let mut lines = vec![format!("revision {}", description.revision)];
+    let vms = description.vms.iter();
+    lines.extend(vms.map(|vm| format!("{} in {}: revision {}", vm.vm, vm.zone, vm.revision)));
+    let whole = serde_json::to_string_pretty(&description.configuration);
+    lines.push(whole.unwrap_or_default());
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,11 @@
+//! The subcommands, a file each.
+
+pub(crate) mod check;
+pub(crate) mod customer;
+pub(crate) mod describe;
+mod operator;
+pub(crate) mod serve;
+pub(crate) mod service;
+pub(crate) mod traffic_move;
+pub(crate) mod version;
+pub(crate) mod watch;
--- /dev/null
+++ b/src/cmd/service.rs
@@ -0,0 +1,51 @@
+//! `service`: creates a service or replaces its settings.
+
+use super::operator::{change_id, print_change, required, run, text, texts, with_change_args};
+use crate::exit::CommandResult;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use skylarkshed_operator::schema::{PutServiceRequest, Route, ServiceKind};
+
+/// Builds the command line of `service`.
+pub(crate) fn make_subcommand() -> Command {
+    let kind = required("kind", "What its upstreams are").value_parser(["model", "plain"]);
+    let route = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("ROUTE")
+            .help(help)
+            .action(ArgAction::Append)
+    };
+    let command = Command::new("service")
+        .about("Creates a service or replaces its settings")
+        .arg(required("name", "The service's name"))
+        .arg(kind)
+        .arg(route("repeatable", "A route whose calls may be repeated"))
+        .arg(route("once", "A route whose calls run at most once"));
+    with_change_args(command)
+}
+
+/// Sends the change.
+pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    let kind = match text(matches, "kind").as_str() {
+        "plain" => ServiceKind::SERVICE_KIND_PLAIN,
+        _ => ServiceKind::SERVICE_KIND_MODEL,
+    };
+    let routes = |name: &str, idempotent: bool| {
+        texts(matches, name).into_iter().map(move |name| Route {
+            name: name.into(),
+            idempotent,
+        })
+    };
+    let request = PutServiceRequest {
+        change_id: change_id(matches).into(),
+        name: text(matches, "name").into(),
+        kind,
+        routes: routes("repeatable", true)
+            .chain(routes("once", false))
+            .collect(),
+    };
+    let reply = run(matches, |client| async move {
+        client.put_service(request).await
+    })?;
+    print_change(matches, &reply)
+}
--- /dev/null
+++ b/src/cmd/version.rs
@@ -0,0 +1,68 @@
+//! `version`: creates a version of a service.
+
+use super::operator::{change_id, print_change, required, run, text, texts, with_change_args};
+use crate::exit::CommandResult;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use skylarkshed_operator::schema::{PutVersionRequest, Upstream};
+
+/// Builds the command line of `version`.
+pub(crate) fn make_subcommand() -> Command {
+    let upstream = Arg::new("upstream")
+        .long("upstream")
+        .value_name("NAME,ADDRESS,ZONE")
+        .help("An upstream of the version; may be given more than once")
+        .action(ArgAction::Append)
+        .required(true);
+    let ignores = Arg::new("ignores-fencing")
+        .long("ignores-fencing")
+        .help("The upstreams take orders with an old fencing number")
+        .action(ArgAction::SetTrue);
+    let command = Command::new("version")
+        .about("Creates a version of a service, with its upstreams")
+        .arg(required("service", "The service's name"))
+        .arg(required("name", "The version's name"))
+        .arg(
+            Arg::new("adapter")
+                .long("adapter")
+                .help("The adapter that its engines load"),
+        )
+        .arg(upstream)
+        .arg(ignores);
+    with_change_args(command)
+}
+
+/// Sends the change.
+pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    let checks_fencing = !matches.get_flag("ignores-fencing");
+    let upstreams = texts(matches, "upstream");
+    let upstreams = upstreams
+        .iter()
+        .map(|text| parse_upstream(text, checks_fencing));
+    let adapter = matches
+        .get_one::<String>("adapter")
+        .cloned()
+        .unwrap_or_default();
+    let request = PutVersionRequest {
+        change_id: change_id(matches).into(),
+        service: text(matches, "service").into(),
+        name: text(matches, "name").into(),
+        adapter: adapter.into(),
+        upstreams: upstreams.collect(),
+    };
+    let reply = run(matches, |client| async move {
+        client.put_version(request).await
+    })?;
+    print_change(matches, &reply)
+}
+
+/// Splits `NAME,ADDRESS,ZONE`; the VM checks the parts.
+fn parse_upstream(text: &str, checks_fencing: bool) -> Upstream {
+    let mut parts = text.splitn(3, ',').map(str::to_owned);
+    let mut part = || parts.next().unwrap_or_default().into();
+    Upstream {
+        name: part(),
+        address: part(),
+        zone: part(),
+        checks_fencing,
+    }
+}
--- /dev/null
+++ b/src/exit.rs
@@ -0,0 +1,52 @@
+//! Errors of the program and the exit codes that tell them.
+
+use miette::{Diagnostic, Report};
+use skylarkshed_core::SettingsError;
+use skylarkshed_node::NodeError;
+use std::process::ExitCode;
+use thiserror::Error;
+use volo_grpc::Status;
+
+const EXIT_SETTINGS: u8 = 2;
+const EXIT_REFUSED: u8 = 3;
+
+/// Why a command failed.
+#[derive(Debug, Error, Diagnostic)]
+pub(crate) enum CommandError {
+    /// The settings were not accepted.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] SettingsError),
+    /// The process could not serve.
+    #[error("the process could not serve")]
+    Node(#[source] NodeError),
+    /// The runtime or the logger could not be started.
+    #[error("the process could not be started: {0}")]
+    Start(String),
+    /// The VM refused an operator's command.
+    #[error("the VM refused ({:?}): {}", .0.code(), .0.message())]
+    Refused(Box<Status>),
+}
+
+/// The result of a command.
+pub(crate) type CommandResult = Result<(), CommandError>;
+
+impl From<Status> for CommandError {
+    fn from(status: Status) -> Self {
+        CommandError::Refused(Box::new(status))
+    }
+}
+
+/// Prints an error and returns the exit code.
+pub(crate) fn report(result: CommandResult) -> ExitCode {
+    let Err(error) = result else {
+        return ExitCode::SUCCESS;
+    };
+    let code = match &error {
+        CommandError::Settings(_) => ExitCode::from(EXIT_SETTINGS),
+        CommandError::Refused(_) => ExitCode::from(EXIT_REFUSED),
+        CommandError::Node(_) | CommandError::Start(_) => ExitCode::FAILURE,
+    };
+    eprintln!("{:?}", Report::new(error));
+    code
+}
--- /dev/null
+++ b/tests/testsuite/src/fixture.rs
@@ -0,0 +1,51 @@
+//! What many tests start with.
+
+use skylarkshed_bench::{AnswerTrace, Fleet, GenerationQuery};
+use skylarkshed_stand_ins::check_answer;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// The path of the bookings.
+pub const SERVICE_CALLS: &str = "stores-app/calls/book";
+
+/// Makes a query with a prompt of its own.
+pub fn query(name: &str, max_tokens: u32) -> GenerationQuery {
+    GenerationQuery {
+        service: Fleet::MODEL.to_owned(),
+        key: Fleet::KEY.to_owned(),
+        prompt: format!("write the reconciliation of {name}"),
+        max_tokens,
+    }
+}
+
+/// Checks that an answer is the whole one of a version.
+///
+/// # Panics
+///
+/// Panics with the first fault.
+pub fn check_whole(version: &str, query: &GenerationQuery, trace: &AnswerTrace) {
+    let wanted = query.max_tokens as usize;
+    let checked = check_answer(version, &query.prompt, &trace.tokens, wanted);
+    assert_eq!(
+        checked,
+        Ok(()),
+        "problem {:?}, broken {:?}",
+        trace.problem,
+        trace.broken
+    );
+    assert!(trace.in_order, "an index was repeated or missing");
+    assert_eq!(
+        trace.total,
+        Some(query.max_tokens),
+        "the end names the number of tokens"
+    );
+}
+
+/// Waits until this many tokens have come; tells whether they did.
+pub async fn wait_for_tokens(progress: &mut UnboundedReceiver<usize>, count: usize) -> bool {
+    while let Some(seen) = progress.recv().await {
+        if seen >= count {
+            return true;
+        }
+    }
+    false
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,8 +1,10 @@
 //! Builds the programs and runs the main job.
 
+use crate::run::{cargo, run};
 use clap::Command;
 use std::error::Error;
-use std::process;
+
+const PACKAGES: [&str; 3] = ["skylarkshed", "skylarkshed-stand-ins", "skylarkshed-bench"];
 
 /// Builds the command line of `demo`.
 pub(crate) fn make_subcommand() -> Command {
@@ -11,20 +13,11 @@
 
 /// Builds the programs, then runs the load tool's `demo` experiment.
 pub(crate) fn execute() -> Result<(), Box<dyn Error>> {
-    let packages = ["skylarkshed", "skylarkshed-stand-ins", "skylarkshed-bench"];
-    let mut build = process::Command::new(env!("CARGO"));
+    let mut build = cargo();
     build.args(["build", "--release", "--locked"]);
-    for package in packages {
+    for package in PACKAGES {
         build.args(["--package", package]);
     }
     run(&mut build)?;
-    run(process::Command::new("target/release/skylarkshed-bench").arg("demo"))
-}
-
-fn run(command: &mut process::Command) -> Result<(), Box<dyn Error>> {
-    let status = command.status()?;
-    if status.success() {
-        return Ok(());
-    }
-    Err(format!("{command:?} ended with {status}").into())
+    run(std::process::Command::new("target/release/skylarkshed-bench").arg("demo"))
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,9 @@
-//! Developer tasks: `cargo xtask generate` and `cargo xtask demo`.
+//! Developer tasks: `cargo xtask demo`, `cargo xtask test` and `cargo xtask generate`.
 
 mod demo;
 mod generate;
+mod run;
+mod test;
 
 use clap::Command;
 use std::process::ExitCode;
@@ -10,11 +12,13 @@
     let matches = Command::new("xtask")
         .about("Developer tasks of skylarkshed")
         .subcommand_required(true)
-        .subcommand(generate::make_subcommand())
         .subcommand(demo::make_subcommand())
+        .subcommand(generate::make_subcommand())
+        .subcommand(test::make_subcommand())
         .get_matches();
     let result = match matches.subcommand_name() {
         Some("generate") => generate::execute(),
+        Some("test") => test::execute(),
         _ => demo::execute(),
     };
     match result {
