--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -126,6 +126,7 @@
         incarnation,
         counter: 0,
         state: MemberState::Alive,
+        suspected: ClockTime::ZERO,
     };
     let times = MembershipTimes::default();
     let membership = MembershipTable::new(own, settings.seeds.clone(), times, incarnation.0);
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -3,7 +3,7 @@
 use crate::codec::{PeerError, PeerKey};
 use crate::wire::{GossipWire, MemberWire, NoticeWire};
 use prost::Message;
-use skylarkshed_core::{IncarnationId, RevisionNumber};
+use skylarkshed_core::{ClockTime, IncarnationId, RevisionNumber};
 use skylarkshed_policy::{GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState};
 
 const PING: u32 = 0;
@@ -15,7 +15,7 @@
 /// # Examples
 ///
 /// ```
-/// use skylarkshed_core::{IncarnationId, RevisionNumber};
+/// use skylarkshed_core::{ClockTime, IncarnationId, RevisionNumber};
 /// use skylarkshed_peer::{decode_gossip, encode_gossip, PeerKey};
 /// use skylarkshed_policy::{GossipKind, GossipMessage, MemberRecord, MemberState};
 ///
@@ -26,6 +26,7 @@
 ///     incarnation: IncarnationId(1),
 ///     counter: 0,
 ///     state: MemberState::Alive,
+///     suspected: ClockTime::ZERO,
 /// };
 /// let message = GossipMessage {
 ///     kind: GossipKind::Ping,
@@ -101,6 +102,7 @@
         incarnation: record.incarnation.0,
         counter: record.counter,
         state: record.state as u32,
+        suspected_ms: record.suspected.as_millis(),
     }
 }
 
@@ -122,6 +124,7 @@
         incarnation: IncarnationId(wire.incarnation),
         counter: wire.counter,
         state,
+        suspected: ClockTime::from_millis(wire.suspected_ms),
     })
 }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -127,6 +127,9 @@
     /// Its state: 0 alive, 1 suspect, 2 dead, 3 left.
     #[prost(uint32, tag = "6")]
     pub state: u32,
+    /// Milliseconds that it had been suspect.
+    #[prost(uint64, tag = "7")]
+    pub suspected_ms: u64,
 }
 
 /// Word that an upstream is about to leave.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -33,6 +33,20 @@
     heard: ClockTime,
 }
 
+impl MemberEntry {
+    /// Returns the record with the age of its suspicion.
+    fn to_send(&self, now: ClockTime, suspicion: ClockTime) -> MemberRecord {
+        let suspected = match self.record.state {
+            MemberState::Suspect => suspicion.since(self.suspect_until.since(now)),
+            _ => ClockTime::ZERO,
+        };
+        MemberRecord {
+            suspected,
+            ..self.record.clone()
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PendingProbe {
     target: VmName,
@@ -56,10 +70,12 @@
     listed: BTreeMap<VmName, (ZoneName, SocketAddr)>,
     seeds: Vec<SocketAddr>,
     round: Vec<VmName>,
+    ring_turn: bool,
     probes: HashMap<u64, PendingProbe>,
     relays: HashMap<u64, RelayedProbe>,
     notices: Vec<(LeavingNotice, u32)>,
     revision: RevisionNumber,
+    now: ClockTime,
     next_probe: ClockTime,
     next_sequence: u64,
     rng: SmallRng,
@@ -80,10 +96,12 @@
             listed: BTreeMap::new(),
             seeds,
             round: Vec::new(),
+            ring_turn: false,
             probes: HashMap::new(),
             relays: HashMap::new(),
             notices: Vec::new(),
             revision: RevisionNumber(0),
+            now: ClockTime::ZERO,
             next_probe: ClockTime::ZERO,
             next_sequence: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -154,6 +172,7 @@
     /// Does what is due.
     pub fn on_tick(&mut self, now: ClockTime) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
+        self.now = now;
         self.end_probes(now, &mut actions);
         self.end_suspicions(now, &mut actions);
         self.relays.retain(|_, relay| relay.expires > now);
@@ -168,6 +187,7 @@
     /// Takes a message.
     pub fn on_message(&mut self, message: GossipMessage, now: ClockTime) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
+        self.now = self.now.max(now);
         let sender = message.sender.clone();
         if sender.name == self.own.name {
             return actions;
@@ -236,7 +256,8 @@
         let same_run = known.filter(|entry| entry.record.incarnation == record.incarnation);
         let entry = MemberEntry {
             sends_left: self.sends(),
-            suspect_until: now + self.times.suspicion,
+            // All VMs end a suspicion at about the time its first VM does.
+            suspect_until: now + self.times.suspicion.since(record.suspected),
             revision: same_run.map_or(RevisionNumber(0), |entry| entry.revision),
             heard: same_run.map_or(ClockTime::ZERO, |entry| entry.heard),
             record: record.clone(),
@@ -371,6 +392,10 @@
         if self.next_sequence.is_multiple_of(DEAD_PROBE_EVERY) || self.members.is_empty() {
             self.probe_absent(actions);
         }
+        self.ring_turn = !self.ring_turn;
+        if self.ring_turn {
+            return self.probe_successor(now, actions);
+        }
         if self.round.is_empty() {
             let present = self.present().map(|(record, _)| record.name.clone());
             self.round = present.collect();
@@ -381,6 +406,19 @@
         }
     }
 
+    /// Probes the next present VM of the ring.
+    ///
+    /// Random probes alone leave a dead VM without a probe for several periods
+    /// now and then; the ring bounds that time.
+    fn probe_successor(&mut self, now: ClockTime, actions: &mut Vec<MembershipAction>) {
+        let own = ring_place(&self.own.name);
+        let present = self.present().map(|(record, _)| &record.name);
+        let successor = present.min_by_key(|name| ring_place(name).wrapping_sub(own));
+        if let Some(target) = successor.cloned() {
+            self.probe(&target, Some(now), actions);
+        }
+    }
+
     fn probe_absent(&mut self, actions: &mut Vec<MembershipAction>) {
         let is_absent = |name: &VmName| {
             *name != self.own.name
@@ -469,8 +507,9 @@
         about: Option<&VmName>,
     ) -> GossipMessage {
         let mut updates: Vec<MemberRecord> = Vec::new();
+        let (now, suspicion) = (self.now, self.times.suspicion);
         let known = about.and_then(|name| self.members.get(name));
-        updates.extend(known.map(|entry| entry.record.clone()));
+        updates.extend(known.map(|entry| entry.to_send(now, suspicion)));
         let mut fresh: Vec<&mut MemberEntry> = self
             .members
             .values_mut()
@@ -480,7 +519,7 @@
         for entry in fresh.into_iter().take(self.times.updates) {
             entry.sends_left -= 1;
             if about != Some(&entry.record.name) {
-                updates.push(entry.record.clone());
+                updates.push(entry.to_send(now, suspicion));
             }
         }
         let mut notices = Vec::new();
@@ -515,3 +554,10 @@
 fn is_present(record: &MemberRecord) -> bool {
     matches!(record.state, MemberState::Alive | MemberState::Suspect)
 }
+
+/// The place of a VM in the ring; VMs of one rack are spread over it.
+fn ring_place(name: &VmName) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/policy/src/membership_types.rs
+++ b/crates/policy/src/membership_types.rs
@@ -31,6 +31,8 @@
     pub counter: u32,
     /// Whether it is there.
     pub state: MemberState,
+    /// How long it had been suspect when the record was sent.
+    pub suspected: ClockTime,
 }
 
 impl MemberRecord {
@@ -39,7 +41,7 @@
     /// # Examples
     ///
     /// ```
-    /// use skylarkshed_core::IncarnationId;
+    /// use skylarkshed_core::{ClockTime, IncarnationId};
     /// use skylarkshed_policy::{MemberRecord, MemberState};
     ///
     /// let alive = MemberRecord {
@@ -49,6 +51,7 @@
     ///     incarnation: IncarnationId(1),
     ///     counter: 0,
     ///     state: MemberState::Alive,
+    ///     suspected: ClockTime::ZERO,
     /// };
     /// let suspect = MemberRecord { state: MemberState::Suspect, ..alive.clone() };
     /// let contradicted = MemberRecord { counter: 1, ..alive.clone() };
