Prove the request path under failure with real processes

Forwarded minted calls reached the application without their key. A minted key of another customer was taken as that customer's own key; it is now refused as not_run. Ruled out: telling unsent calls by the error's kind alone.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -113,6 +113,19 @@
         cursor: Option<&str>,
         received: Option<&[String]>,
         mut on_token: impl FnMut(usize) + Send,
+    ) -> AnswerTrace {
+        self.ask_with_tokens(vm, query, cursor, received, |count, _| on_token(count))
+            .await
+    }
+
+    /// Asks a VM; `on_token` is told the number of tokens and each token.
+    pub async fn ask_with_tokens(
+        &self,
+        vm: SocketAddr,
+        query: &GenerationQuery,
+        cursor: Option<&str>,
+        received: Option<&[String]>,
+        mut on_token: impl FnMut(usize, &str) + Send,
     ) -> AnswerTrace {
         let mut body = json!({"prompt": query.prompt, "max_tokens": query.max_tokens});
         if let Some(received) = received {
@@ -182,9 +195,9 @@
             trace.in_order &= next.is_none_or(|next| next == token.index);
             next = Some(token.index + 1);
             trace.cursor = event.id().map(str::to_owned).or(trace.cursor);
-            trace.tokens.push(token.token);
             trace.times.push(start.elapsed());
-            on_token(trace.tokens.len());
+            on_token(trace.tokens.len() + 1, &token.token);
+            trace.tokens.push(token.token);
         }
     }
 }
--- a/crates/node/src/call_path.rs
+++ b/crates/node/src/call_path.rs
@@ -69,8 +69,11 @@
     let Some(key) = call.key.clone() else {
         return send_once(shared, &call, unsent).await;
     };
-    if let Some(minted) = minting::read_key(shared, &call.customer, &call.service, &key) {
-        return minting::call(shared, minted, call, unsent).await;
+    if minting::is_minted_form(&key) {
+        return match minting::read_key(shared, &call.customer, &call.service, &key) {
+            Some(minted) => minting::call(shared, minted, call, unsent).await,
+            None => Err(Refusal::not_run(unsent, RefusalReason::KeyNotMinted)),
+        };
     }
     let row = claims::claim_key(&call.customer, &call.service, &key);
     let outcome = claims::claim(shared, row, call.request_hash()).await;
--- a/crates/node/src/minting.rs
+++ b/crates/node/src/minting.rs
@@ -43,7 +43,12 @@
         .collect()
 }
 
-/// Reads a minted key; none if the text is none of ours.
+/// Tells whether a text has the form of a minted key.
+pub(crate) fn is_minted_form(text: &str) -> bool {
+    text.split(SEPARATOR).next() == Some(PREFIX) && text.contains(SEPARATOR)
+}
+
+/// Reads a minted key; none if it was not minted for this customer and service.
 pub(crate) fn read_key(
     shared: &NodeShared,
     customer: &CustomerName,
@@ -56,7 +61,7 @@
     };
     let signed = format!("{PREFIX}~{vm}~{incarnation}~{serial}");
     let expected = code_text(shared, customer, service, &signed);
-    // Both codes are public hashes of the same length; a guess tells nothing.
+    // Hashes are compared in constant time.
     if blake3::hash(expected.as_bytes()) != blake3::hash(code.as_bytes()) {
         return None;
     }
@@ -218,6 +223,7 @@
         service: call.service.to_string(),
         route: call.route.clone(),
         body: call.body.to_vec(),
+        key: call.key.clone().unwrap_or_default(),
     };
     let wait = shared.settings.calls.timeout + RETRY;
     shared
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -43,7 +43,7 @@
             customer: forwarded.customer.as_str().into(),
             service: forwarded.service.as_str().into(),
             route: forwarded.route,
-            key: None,
+            key: Some(forwarded.key),
             body: Bytes::from(forwarded.body),
         };
         let unsent = UnsentCall::for_new_request();
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -84,6 +84,9 @@
     /// The request's body.
     #[prost(bytes = "vec", tag = "6")]
     pub body: Vec<u8>,
+    /// The key's text, as the upstream is told it.
+    #[prost(string, tag = "7")]
+    pub key: String,
 }
 
 /// What became of a forwarded call.
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,10 +8,10 @@
 use http::StatusCode;
 use serde::{de::DeserializeOwned, Serialize};
 use skylarkshed_core::ClockTime;
+use skylarkshed_http_client::{is_unsent, make_client};
 use std::net::SocketAddr;
 use volo_http::body::BodyConversion;
 use volo_http::client::Client;
-use volo_http::error::client::ErrorKind;
 
 /// The platform's HTTP service.
 #[derive(Clone)]
@@ -30,12 +30,14 @@
     /// use skylarkshed_core::ClockTime;
     /// use skylarkshed_platform::HttpPlatform;
     ///
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let address = "127.0.0.1:7000".parse().unwrap();
     /// let _platform = HttpPlatform::new(address, ClockTime::from_millis(500));
+    /// # });
     /// ```
     pub fn new(address: SocketAddr, timeout: ClockTime) -> Self {
         HttpPlatform {
-            client: Client::default(),
+            client: make_client(),
             address,
             timeout,
         }
@@ -61,9 +63,9 @@
     {
         let uri = format!("http://{}{path}", self.address);
         let sent = self.client.post(uri).json(request).send().await;
-        let response = sent.map_err(|error| match error.kind() {
-            ErrorKind::Connect | ErrorKind::Builder => PlatformError::Unavailable(path.to_owned()),
-            _ => PlatformError::ReplyLost(format!("{path}: {error}")),
+        let response = sent.map_err(|error| match is_unsent(&error) {
+            true => PlatformError::Unavailable(path.to_owned()),
+            false => PlatformError::ReplyLost(format!("{path}: {error}")),
         })?;
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(PlatformError::Unavailable(path.to_owned()));
--- a/crates/upstream/src/http_application.rs
+++ b/crates/upstream/src/http_application.rs
@@ -3,17 +3,25 @@
 use crate::application::{ApplicationAnswer, ApplicationClient, CallFailure, PlainCall};
 use crate::wire::{CALL_ID_HEADER, CALL_KEY_HEADER};
 use skylarkshed_core::UnsentCall;
+use skylarkshed_http_client::{is_unsent, make_client};
 use std::net::SocketAddr;
 use volo_http::body::{Body, BodyConversion};
 use volo_http::client::Client;
-use volo_http::error::client::ErrorKind;
 
 /// The client of all applications.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct HttpApplication {
     client: Client,
 }
 
+impl Default for HttpApplication {
+    fn default() -> Self {
+        HttpApplication {
+            client: make_client(),
+        }
+    }
+}
+
 impl ApplicationClient for HttpApplication {
     async fn call(
         &self,
@@ -28,7 +36,7 @@
         }
         let response = match request.body(Body::from(call.body.clone())).send().await {
             Ok(response) => response,
-            Err(error) if matches!(error.kind(), ErrorKind::Connect) => {
+            Err(error) if is_unsent(&error) => {
                 return Err(CallFailure::NotSent(unsent));
             }
             Err(error) => {
--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -5,19 +5,28 @@
     CancelRequest, EngineOrder, GenerateRequest, LoadReport, OrderState, ResumeRequest,
 };
 use serde::{de::DeserializeOwned, Serialize};
+use skylarkshed_http_client::{is_unsent, make_client};
 use std::net::SocketAddr;
 use volo_http::body::{Body, BodyConversion};
 use volo_http::client::sse::{SseExt, SseReader};
 use volo_http::client::Client;
-use volo_http::error::client::{ClientError, ErrorKind};
+use volo_http::error::client::ClientError;
 use volo_http::response::Response;
 
 /// The client of all engines.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct HttpEngine {
     client: Client,
 }
 
+impl Default for HttpEngine {
+    fn default() -> Self {
+        HttpEngine {
+            client: make_client(),
+        }
+    }
+}
+
 /// The event stream of one attempt.
 pub struct EngineStream {
     reader: SseReader<Body>,
@@ -122,8 +131,8 @@
 }
 
 fn turn(error: ClientError) -> EngineError {
-    match error.kind() {
-        ErrorKind::Connect => EngineError::Unreachable,
-        _ => EngineError::Broken(error.to_string()),
+    match is_unsent(&error) {
+        true => EngineError::Unreachable,
+        false => EngineError::Broken(error.to_string()),
     }
 }
--- /dev/null
+++ b/tests/testsuite/tests/suite/leaving.rs
@@ -0,0 +1,151 @@
+//! Leaving upstreams get no new work, and leaving VMs cut off no request.
+
+use rstest::rstest;
+use skylarkshed_bench::{Fleet, FleetBuilder, GenerationCaller, QuickCaller};
+use skylarkshed_stand_ins::EngineFaults;
+use skylarkshed_testsuite::{check_whole, query, wait_for_tokens, SERVICE_CALLS};
+use std::time::Duration;
+use tokio::sync::mpsc::unbounded_channel;
+
+/// A leaving upstream gets no new work after this time.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug)]
+enum LeavingSource {
+    Engine,
+    List,
+}
+
+#[rstest]
+#[case::engine_first(LeavingSource::Engine)]
+#[case::list_first(LeavingSource::List)]
+#[tokio::test]
+async fn leaving_engine_gets_no_new_work(#[case] source: LeavingSource) {
+    let fleet = FleetBuilder::new()
+        .engines_per_zone(2)
+        .start()
+        .await
+        .unwrap();
+    fleet.configure().await.unwrap();
+    fleet.wait_members(2).await.unwrap();
+    let caller = GenerationCaller::default();
+    let leaving = 0;
+    let name = fleet.engines[leaving].name.as_str();
+    match source {
+        // The list still says that the engine lives.
+        LeavingSource::Engine => {
+            let faults = EngineFaults {
+                leaving: true,
+                ..EngineFaults::default()
+            };
+            fleet
+                .fault_engine(&fleet.engines[leaving], &faults)
+                .await
+                .unwrap();
+        }
+        LeavingSource::List => fleet.publish_leaving(&[name]).await.unwrap(),
+    }
+    tokio::time::sleep(LEAVING_BOUND).await;
+    let before = fleet.computed_by(leaving).await;
+    for number in 0..60 {
+        let query = query(&format!("{source:?} {number}"), 2);
+        let vm = fleet.vms[number % 3].callers;
+        check_whole("v1", &query, &caller.ask(vm, &query).await);
+    }
+    assert_eq!(
+        fleet.computed_by(leaving).await,
+        before,
+        "no VM sends it anything"
+    );
+    for vm in &fleet.vms {
+        let refused = fleet.metric(vm, "engine_refused").await.unwrap();
+        assert_eq!(refused, 0.0, "{} did not even try", vm.name);
+    }
+}
+
+#[tokio::test]
+async fn shutdown_lets_long_answers_end_and_refuses_new_work() {
+    let mut fleet = FleetBuilder::new()
+        .engines_per_zone(2)
+        .start()
+        .await
+        .unwrap();
+    fleet.configure().await.unwrap();
+    let query = query("over a shutdown", 300);
+    let (sender, mut progress) = unbounded_channel();
+    let asked = {
+        let (vm, query) = (fleet.vms[0].callers, query.clone());
+        tokio::spawn(async move {
+            let told = move |count| {
+                let _ = sender.send(count);
+            };
+            GenerationCaller::default()
+                .ask_with(vm, &query, None, None, told)
+                .await
+        })
+    };
+    assert!(wait_for_tokens(&mut progress, 30).await);
+    fleet.vms[0].process.terminate();
+    while fleet.readiness(&fleet.vms[0]).await == Some(200) {
+        tokio::task::yield_now().await;
+    }
+    let caller = QuickCaller::default();
+    let vm = fleet.vms[0].callers;
+    let refused = loop {
+        let trace = caller
+            .call(vm, Fleet::KEY, SERVICE_CALLS, None, "while leaving")
+            .await;
+        if !trace.is_answered() {
+            break trace;
+        }
+    };
+    assert_eq!(
+        (refused.reason(), refused.outcome()),
+        ("draining", "not_run")
+    );
+    assert!(refused.retry_after.is_some());
+    check_whole("v1", &query, &asked.await.unwrap());
+    let ended = fleet.vms[0].process.wait(Duration::from_secs(40)).await;
+    assert_eq!(ended, Some(true), "the process ends by itself");
+}
+
+#[tokio::test]
+async fn minted_keys_of_a_vm_that_left_stay_good_for_one_run() {
+    let mut fleet = FleetBuilder::new().start().await.unwrap();
+    fleet.configure().await.unwrap();
+    fleet.wait_members(2).await.unwrap();
+    let caller = QuickCaller::default();
+    let first = fleet.vms[0].callers;
+    let keys = caller.mint(first, Fleet::KEY, Fleet::PLAIN, 2).await;
+    let spent = caller
+        .call(first, Fleet::KEY, SERVICE_CALLS, Some(&keys[0]), "spent")
+        .await;
+    assert!(spent.is_answered());
+    fleet.vms[0].process.terminate();
+    assert_eq!(
+        fleet.vms[0].process.wait(Duration::from_secs(40)).await,
+        Some(true)
+    );
+    let second = fleet.vms[1].callers;
+    let again = caller
+        .call(second, Fleet::KEY, SERVICE_CALLS, Some(&keys[0]), "spent")
+        .await;
+    assert_eq!(again.body, spent.body, "the stored answer outlasts its VM");
+    for vm in &fleet.vms[1..] {
+        let unspent = caller
+            .call(
+                vm.callers,
+                Fleet::KEY,
+                SERVICE_CALLS,
+                Some(&keys[1]),
+                "unspent",
+            )
+            .await;
+        assert!(
+            unspent.is_answered() || unspent.outcome() == "unknown",
+            "{unspent:?}"
+        );
+    }
+    let counts = fleet.call_counts().await.unwrap();
+    assert_eq!((counts[&keys[0]], counts[&keys[1]]), (1, 1));
+}
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -1,4 +1,8 @@
 //! Integration tests: real processes, a module per feature.
 
+mod at_most_once;
 mod command_line;
+mod leaving;
+mod own_answer;
 mod requests;
+mod tokens;
--- /dev/null
+++ b/tests/testsuite/tests/suite/own_answer.rs
@@ -0,0 +1,122 @@
+//! Every caller gets the whole answer to its own request.
+
+use skylarkshed_bench::{Fleet, FleetBuilder, GenerationCaller, QuickCaller};
+use skylarkshed_stand_ins::ApplicationFaults;
+use skylarkshed_testsuite::{check_whole, query, wait_for_tokens, SERVICE_CALLS};
+use tokio::sync::mpsc::unbounded_channel;
+
+const LOOKUP: &str = "stores-app/calls/lookup";
+
+#[tokio::test]
+async fn caller_whose_vm_dies_goes_on_at_another_with_its_cursor() {
+    let fleet = FleetBuilder::new()
+        .engines_per_zone(2)
+        .start()
+        .await
+        .unwrap();
+    fleet.configure().await.unwrap();
+    let query = query("the vm dies", 200);
+    let caller = GenerationCaller::default();
+    let (sender, mut progress) = unbounded_channel();
+    let asked = {
+        let (vm, query, caller) = (fleet.vms[0].callers, query.clone(), caller.clone());
+        tokio::spawn(async move {
+            let told = move |count| {
+                let _ = sender.send(count);
+            };
+            caller.ask_with(vm, &query, None, None, told).await
+        })
+    };
+    assert!(wait_for_tokens(&mut progress, 60).await);
+    fleet.vms[0].process.kill();
+    let mut trace = asked.await.unwrap();
+    assert!(!trace.is_finished());
+    let rest = caller
+        .resume(fleet.vms[1].callers, &query, &trace, false)
+        .await;
+    trace.append(rest);
+    check_whole("v1", &query, &trace);
+}
+
+#[tokio::test]
+async fn cursor_of_another_request_is_refused() {
+    let fleet = FleetBuilder::new().zones(1).start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let caller = GenerationCaller::default();
+    let vm = fleet.vms[0].callers;
+    let trace = caller.ask(vm, &query("one request", 5)).await;
+    let stolen = caller
+        .resume(vm, &query("another request", 5), &trace, false)
+        .await;
+    assert_eq!(stolen.status, 400);
+    assert_eq!(stolen.problem.unwrap()["reason"], "bad_header");
+}
+
+#[tokio::test]
+async fn crossed_answers_reach_no_caller() {
+    let fleet = FleetBuilder::new()
+        .zones(1)
+        .applications_per_zone(2)
+        .start()
+        .await
+        .unwrap();
+    fleet.configure().await.unwrap();
+    let caller = QuickCaller::default();
+    let vm = fleet.vms[0].callers;
+    let crossed = ApplicationFaults {
+        crossed: 1,
+        ..ApplicationFaults::default()
+    };
+    fleet
+        .fault_application(&fleet.applications[0], &crossed)
+        .await
+        .unwrap();
+    fleet
+        .fault_application(&fleet.applications[1], &crossed)
+        .await
+        .unwrap();
+    let booking = caller
+        .call(vm, Fleet::KEY, SERVICE_CALLS, None, "booked once")
+        .await;
+    assert_eq!(
+        (booking.reason(), booking.outcome()),
+        ("wrong_answer", "unknown")
+    );
+    let lookup = caller.call(vm, Fleet::KEY, LOOKUP, None, "bin seven").await;
+    assert!(lookup.is_answered(), "{lookup:?}");
+    assert_eq!(lookup.body["echo"], "bin seven");
+    assert_eq!(fleet.call_counts().await.unwrap()["booked once"], 1);
+}
+
+#[tokio::test]
+async fn many_callers_on_reused_connections_get_their_own_answers() {
+    let fleet = FleetBuilder::new().start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let slow = ApplicationFaults {
+        delay_ms: 30,
+        ..ApplicationFaults::default()
+    };
+    fleet
+        .fault_application(&fleet.applications[0], &slow)
+        .await
+        .unwrap();
+    let caller = QuickCaller::default();
+    let generations = GenerationCaller::default();
+    let calls = (0..60).map(|number| {
+        let (caller, generations, vm) = (caller.clone(), generations.clone(), number % 3);
+        let vm = fleet.vms[vm].callers;
+        tokio::spawn(async move {
+            let body = format!("bin {number}");
+            let trace = caller
+                .call(vm, Fleet::KEY, LOOKUP, None, body.clone())
+                .await;
+            assert_eq!(trace.body["echo"], body);
+            let query = query(&body, 20);
+            let answer = generations.ask(vm, &query).await;
+            check_whole("v1", &query, &answer);
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.unwrap();
+    }
+}
