--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -4,6 +4,7 @@
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use volo_http::body::{Body, BodyConversion};
 use volo_http::client::sse::SseExt;
@@ -31,6 +32,8 @@
     pub tokens: Vec<String>,
     /// When each token came, after the request was sent.
     pub times: Vec<Duration>,
+    /// The upstream that each token came from, as its cursor tells.
+    pub sources: Vec<Arc<str>>,
     /// The last event's identifier.
     pub cursor: Option<String>,
     /// The number of tokens that the end named.
@@ -194,6 +197,9 @@
             };
             trace.in_order &= next.is_none_or(|next| next == token.index);
             next = Some(token.index + 1);
+            trace
+                .sources
+                .push(source_of(event.id(), trace.sources.last()));
             trace.cursor = event.id().map(str::to_owned).or(trace.cursor);
             trace.times.push(start.elapsed());
             on_token(trace.tokens.len() + 1, &token.token);
@@ -202,6 +208,18 @@
     }
 }
 
+/// Returns the upstream that a cursor names; shares the text of the one before.
+fn source_of(cursor: Option<&str>, last: Option<&Arc<str>>) -> Arc<str> {
+    const UPSTREAM_FIELD: usize = 2;
+    let name = cursor
+        .and_then(|text| text.split('~').nth(UPSTREAM_FIELD))
+        .unwrap_or_default();
+    match last {
+        Some(last) if **last == *name => last.clone(),
+        _ => Arc::from(name),
+    }
+}
+
 /// What came back of a quick call.
 #[derive(Clone, Debug, Default)]
 pub struct CallTrace {
--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! Experiments by name, each on real processes and bounded in time.
 
 mod demo;
+mod resume;
 
 use crate::fleet::FleetError;
 use crate::report::Report;
@@ -17,11 +18,18 @@
 }
 
 /// All experiments.
-pub const EXPERIMENTS: &[Experiment] = &[Experiment {
-    name: "demo",
-    about: "One generation over a killed engine, and one booking",
-    run: |seed| Box::pin(demo::run(seed)),
-}];
+pub const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "demo",
+        about: "One generation over a killed engine, and one booking",
+        run: |seed| Box::pin(demo::run(seed)),
+    },
+    Experiment {
+        name: "resume",
+        about: "Resume latency and extra work of three ways to notice a lost engine",
+        run: |seed| Box::pin(resume::run(seed)),
+    },
+];
 
 /// Finds an experiment by its name.
 ///
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod experiments;
 mod fleet;
+mod load;
 mod report;
 
 pub use caller::{AnswerTrace, CallTrace, GenerationCaller, GenerationQuery, QuickCaller};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,12 +12,15 @@
 //!   [`ConcurrencyLimit`] bounds the calls to one upstream.
 //! - [`ClaimMachine`] keeps a call that may not be repeated from running twice,
 //!   and [`MintedKeys`] does so without the platform.
+//! - [`judge_version`] and [`decide_move`] carry traffic to a new version or
+//!   back.
 //! - [`MembershipTable`] tells which VMs are there.
 
 mod admission;
 mod budget;
 mod claim;
 mod concurrency;
+mod evidence;
 mod gaps;
 mod generation;
 mod generation_types;
@@ -25,6 +28,7 @@
 mod membership;
 mod membership_types;
 mod minted;
+mod move_plan;
 mod rate;
 mod routing;
 
@@ -32,6 +36,7 @@
 pub use budget::WorkBudget;
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
 pub use concurrency::ConcurrencyLimit;
+pub use evidence::{judge_version, EvidenceVerdict, RouteCounts, VersionCounts};
 pub use gaps::{GapEstimator, SilenceBounds};
 pub use generation::GenerationMachine;
 pub use generation_types::{
@@ -45,5 +50,6 @@
     MembershipTimes,
 };
 pub use minted::{MintedKeys, MintedState, MintedVerdict};
+pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
 pub use rate::RateLimit;
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
