Carry moves between versions; prove configuration and moves under failure

Change: every VM keeps evidence per move, stops the move on its own evidence and tells the others; one VM per service sums all evidence and commits steps; a reversal is tried again until the platform takes it. Ruled out: a step by a VM's own decision; every step is a committed row, so two carriers do no harm.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -1,6 +1,9 @@
 //! Experiments by name, each on real processes and bounded in time.
 
+mod capacity;
 mod demo;
+mod outage;
+mod overload;
 mod resume;
 
 use crate::fleet::FleetError;
@@ -29,6 +32,21 @@
         about: "Resume latency and extra work of three ways to notice a lost engine",
         run: |seed| Box::pin(resume::run(seed)),
     },
+    Experiment {
+        name: "overload",
+        about: "Goodput at three times the capacity, and a small customer beside a large one",
+        run: |seed| Box::pin(overload::run(seed)),
+    },
+    Experiment {
+        name: "outage",
+        about: "Bookings through a minute without the platform, with and without minted keys",
+        run: |seed| Box::pin(outage::run(seed)),
+    },
+    Experiment {
+        name: "capacity",
+        about: "What control costs by VMs, replicas and customers, and what tokens cost",
+        run: |seed| Box::pin(capacity::run(seed)),
+    },
 ];
 
 /// Finds an experiment by its name.
--- a/crates/bench/src/fleet/builder.rs
+++ b/crates/bench/src/fleet/builder.rs
@@ -205,6 +205,15 @@
     ///
     /// Fails if a process can't be started.
     pub async fn start_vm(&self, number: usize) -> Result<VmHandle, FleetError> {
+        self.start_vm_with(number, json!({})).await
+    }
+
+    /// Starts a VM with settings of its own besides those of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process can't be started.
+    pub async fn start_vm_with(&self, number: usize, own: Value) -> Result<VmHandle, FleetError> {
         let zone_count = self.builder.zones.len();
         let zone = self.builder.zones[number % zone_count].clone();
         let name = format!("vm-{number}");
@@ -238,6 +247,7 @@
             settings["listen"]["advertise_peers"] = json!(proxy.address("proxy"));
         }
         merge(&mut settings, self.builder.settings.clone());
+        merge(&mut settings, own);
         let path = self
             .folder
             .join(format!("{name}-{}.json", ClockTime::wall().as_millis()));
--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -7,4 +7,4 @@
 
 pub use builder::FleetBuilder;
 pub use process::{FleetError, ProcessHandle};
-pub use running::{Fleet, VmHandle};
+pub use running::{Fleet, UpstreamHandle, VmHandle};
--- a/crates/bench/src/fleet/running.rs
+++ b/crates/bench/src/fleet/running.rs
@@ -431,7 +431,12 @@
 
     /// Returns the tokens that one engine has computed; 0 if it does not answer.
     pub async fn computed_by(&self, engine: usize) -> u64 {
-        let address = self.engines[engine].address;
+        self.computed_at(&self.engines[engine]).await
+    }
+
+    /// Returns the tokens that an engine has computed; 0 if it does not answer.
+    pub async fn computed_at(&self, engine: &UpstreamHandle) -> u64 {
+        let address = engine.address;
         let count = control::post::<Value, u64>(&self.client, address, "/computed", &Value::Null);
         let count = tokio::time::timeout(Duration::from_secs(1), count).await;
         count.ok().and_then(Result::ok).unwrap_or(0)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use caller::{AnswerTrace, CallTrace, GenerationCaller, GenerationQuery, QuickCaller};
 pub use experiments::{find_experiment, Experiment, EXPERIMENTS};
-pub use fleet::{Fleet, FleetBuilder, FleetError, ProcessHandle, VmHandle};
+pub use fleet::{Fleet, FleetBuilder, FleetError, ProcessHandle, UpstreamHandle, VmHandle};
 pub use report::{Report, ReportRow};
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -27,8 +27,6 @@
 pub(crate) struct LoadedAnswer {
     pub(crate) query: GenerationQuery,
     pub(crate) trace: AnswerTrace,
-    /// When it was sent.
-    pub(crate) sent: Instant,
 }
 
 impl LoadedAnswer {
@@ -71,9 +69,8 @@
             let query = self.query(&mut rng, seed, number);
             let (vm, caller) = (vms[number % vms.len()], caller.clone());
             answers.push(tokio::spawn(async move {
-                let sent = Instant::now();
                 let trace = caller.ask(vm, &query).await;
-                LoadedAnswer { query, trace, sent }
+                LoadedAnswer { query, trace }
             }));
         }
         let mut loaded = Vec::with_capacity(answers.len());
--- a/crates/node/src/call_path.rs
+++ b/crates/node/src/call_path.rs
@@ -10,12 +10,14 @@
 use bytes::Bytes;
 use skylarkshed_core::{
     ClockTime, CustomerName, GenerationId, ServiceName, UnsentCall, UpstreamName, VersionEntry,
+    VersionName,
 };
 use skylarkshed_upstream::{ApplicationAnswer, ApplicationClient, CallFailure, PlainCall};
 use std::sync::Arc;
 
 const RETRY: ClockTime = ClockTime::from_millis(500);
 const MOST_SENDS: usize = 3;
+const FIRST_SERVER_ERROR: u16 = 500;
 
 /// A quick call as its caller asked for it.
 #[derive(Clone, Debug)]
@@ -47,6 +49,12 @@
     }
 }
 
+/// Where a call is sent.
+struct CallTarget {
+    record: Arc<UpstreamRecord>,
+    version: VersionName,
+}
+
 /// Why one sending got no answer.
 enum SendFailure {
     /// Nothing was sent; the proof is given back.
@@ -88,17 +96,17 @@
 ) -> CallResult {
     let mut avoid = Vec::new();
     for _ in 0..MOST_SENDS {
-        let record = match choose(shared, call, &avoid) {
-            Ok(record) => record,
+        let target = match choose(shared, call, &avoid) {
+            Ok(target) => target,
             Err(reason) => return Err(Refusal::not_run(unsent, reason).retry_after(RETRY)),
         };
-        match send(shared, &record, call, unsent).await {
+        match send(shared, &target, call, unsent).await {
             Ok(answer) => return Ok(answer),
             Err(SendFailure::NotSent(proof)) => unsent = proof,
             Err(SendFailure::Lost(reason)) => return Err(Refusal::unknown(reason)),
         }
         counters::count_retry("call_not_sent");
-        avoid.push(record.entry.name.clone());
+        avoid.push(target.record.entry.name.clone());
     }
     Err(Refusal::not_run(unsent, RefusalReason::UpstreamUnreachable).retry_after(RETRY))
 }
@@ -114,13 +122,13 @@
     let mut avoid = Vec::new();
     let mut reason = RefusalReason::UpstreamUnreachable;
     for _ in 0..MOST_SENDS {
-        let record = match choose(shared, call, &avoid) {
-            Ok(record) => record,
+        let target = match choose(shared, call, &avoid) {
+            Ok(target) => target,
             Err(choice) => return Err(refuse(proof, choice)),
         };
         // A repetition needs no proof of its own: running twice does no harm.
         let unsent = proof.take().unwrap_or_else(UnsentCall::for_new_request);
-        match send(shared, &record, call, unsent).await {
+        match send(shared, &target, call, unsent).await {
             Ok(answer) => return Ok(answer),
             Err(SendFailure::NotSent(unsent)) if reason == RefusalReason::UpstreamUnreachable => {
                 proof = Some(unsent);
@@ -128,7 +136,7 @@
             Err(SendFailure::NotSent(_)) => {}
             Err(SendFailure::Lost(lost)) => reason = lost,
         }
-        avoid.push(record.entry.name.clone());
+        avoid.push(target.record.entry.name.clone());
         if !shared.retry_budget.try_spend(1) {
             counters::count_retry("denied_by_budget");
             break;
@@ -148,10 +156,11 @@
 
 async fn send(
     shared: &Arc<NodeShared>,
-    record: &Arc<UpstreamRecord>,
+    target: &CallTarget,
     call: &QuickCall,
     unsent: UnsentCall,
 ) -> Result<ApplicationAnswer, SendFailure> {
+    let record = &target.record;
     if !record.try_start_call() {
         return Err(SendFailure::NotSent(unsent));
     }
@@ -170,6 +179,18 @@
         .filter(|result| result.is_ok())
         .map(|_| now.since(started));
     record.finish_call(latency, now);
+    let is_good = matches!(&result, Ok(Ok(answer)) if answer.status < FIRST_SERVER_ERROR);
+    let time = latency.filter(|_| is_good);
+    let catalog = shared.configuration.current();
+    let (service, version) = (&call.service, &target.version);
+    shared.evidence.record(
+        &catalog,
+        service,
+        version,
+        &call.route,
+        &call.customer,
+        time,
+    );
     match result {
         Ok(Ok(answer)) => {
             record.note_success();
@@ -196,25 +217,23 @@
     shared: &NodeShared,
     call: &QuickCall,
     avoid: &[UpstreamName],
-) -> Result<Arc<UpstreamRecord>, RefusalReason> {
+) -> Result<CallTarget, RefusalReason> {
     let catalog = shared.configuration.current();
     let service = catalog
         .services
         .get(&call.service)
         .ok_or(RefusalReason::UnknownService)?;
-    let stopped = shared.stopped.load();
-    let shares = service.shares();
-    let usable = shares.into_iter().filter(|(version, share_ppm)| {
-        let key = (call.service.clone(), version.name.clone());
-        *share_ppm > 0 && !stopped.contains(&key)
-    });
-    let usable: Vec<(&Arc<VersionEntry>, u32)> = usable.collect();
-    let version = pick_share(&usable, rand::random()).ok_or(RefusalReason::NoUpstream)?;
+    let shares = shared.usable_shares(service);
+    let version = pick_share(&shares, rand::random()).ok_or(RefusalReason::NoUpstream)?;
     let prefix = rand::random();
     let record = shared
         .registry
         .choose(version, prefix, &shared.settings.zone, avoid);
-    record.ok_or(RefusalReason::NoUpstream)
+    let record = record.ok_or(RefusalReason::NoUpstream)?;
+    Ok(CallTarget {
+        record,
+        version: version.name.clone(),
+    })
 }
 
 /// Picks one of several versions by their shares.
--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generation_task.rs
@@ -1,6 +1,8 @@
 //! Runs one generation: feeds its state machine and does what it says.
 
+use crate::attempt_runner::{AttemptRunner, ROUTE_WHOLE};
 use crate::counters;
+use crate::reason_texts::{notice_text, start_reason};
 use crate::registry::{InFlightGuard, UpstreamRecord};
 use crate::shared::NodeShared;
 use faststr::FastStr;
@@ -9,19 +11,17 @@
     VersionName,
 };
 use skylarkshed_policy::{
-    AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
-    GenerationInput, GenerationMachine, GenerationPlan, HeldAttempt, NoUpstreamReason,
-    NoticeReason, StartReason,
+    AttemptPhase, FailReason, GenerationAction, GenerationEnvironment, GenerationInput,
+    GenerationMachine, GenerationPlan, HeldAttempt, NoUpstreamReason, NoticeReason, StartReason,
 };
-use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest, ResumeRequest};
-use skylarkshed_upstream::{EngineClient, EngineError, EngineEvent};
+use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest};
+use skylarkshed_upstream::EngineClient;
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 const CANCEL_WAIT: ClockTime = ClockTime::from_millis(2_000);
-const CONNECT_WAIT: ClockTime = ClockTime::from_millis(1_000);
 
 /// What a caller asks for.
 #[derive(Clone, Debug)]
@@ -248,6 +248,9 @@
             request,
             held: held.map(|held| held.attempt),
             prefill_tokens: count_words(&self.order.prompt) + tokens.len() as u32,
+            customer: self.order.customer.clone(),
+            service: self.order.service.clone(),
+            version: version.name.clone(),
             inputs: self.inputs.clone(),
         }
     }
@@ -260,26 +263,17 @@
         let catalog = self.shared.configuration.current();
         let service = catalog.services.get(&self.order.service);
         let service = service.ok_or(NoUpstreamReason::VersionGone)?;
-        let stopped = self.shared.stopped.load();
-        let is_stopped = |version: &VersionName| {
-            stopped.contains(&(self.order.service.clone(), version.clone()))
-        };
+        let shares = self.shared.usable_shares(service);
         let version = match self.machine.version() {
-            Some(name) => {
-                let version = service
-                    .versions
-                    .get(name)
-                    .ok_or(NoUpstreamReason::VersionGone)?;
-                if is_stopped(name) || service.is_withdrawn(name) {
-                    return Err(NoUpstreamReason::VersionWithdrawn);
-                }
-                version
+            Some(name) if self.shared.is_withdrawn(service, name) => {
+                return Err(NoUpstreamReason::VersionWithdrawn);
             }
+            Some(name) => service
+                .versions
+                .get(name)
+                .ok_or(NoUpstreamReason::VersionGone)?,
             None => {
-                let shares = service.shares().into_iter();
-                let usable = shares.filter(|(v, s)| *s > 0 && !is_stopped(&v.name));
-                let usable: Vec<_> = usable.collect();
-                let version = crate::call_path::pick_share(&usable, rand::random());
+                let version = crate::call_path::pick_share(&shares, rand::random());
                 version.ok_or(NoUpstreamReason::NoneFree)?
             }
         };
@@ -356,122 +350,29 @@
 
     fn notice(&self, reason: NoticeReason, upstream: &UpstreamName) {
         counters::count_notice(notice_text(reason));
-        if reason != NoticeReason::SilentAttempt {
-            return;
-        }
-        let now = self.shared.clock.now();
-        let handles = self.attempts.values().map(|attempt| &attempt.guard.record);
-        handles
-            .filter(|record| record.entry.name == *upstream)
-            .for_each(|record| {
-                record.note_failure(now);
-            });
-    }
-}
-
-/// Reads one attempt's stream.
-struct AttemptRunner {
-    shared: Arc<NodeShared>,
-    record: Arc<UpstreamRecord>,
-    request: GenerateRequest,
-    held: Option<AttemptNumber>,
-    prefill_tokens: u32,
-    inputs: mpsc::UnboundedSender<GenerationInput>,
-}
-
-impl AttemptRunner {
-    async fn run(self) {
-        let failure = match self.open().await {
-            Ok(stream) => match self.read(stream).await {
-                Some(error) => error,
-                None => return,
-            },
-            Err(error) => error,
-        };
-        let is_held_gone = self.held.is_some() && matches!(failure, EngineError::Refused(_));
-        if !is_held_gone {
-            self.record.note_failure(self.shared.clock.now());
-        }
-        let failure = match failure {
-            EngineError::Unreachable => AttemptFailure::Unreachable,
-            EngineError::Refused(_) if is_held_gone => AttemptFailure::HeldGone,
-            EngineError::Refused(_) => AttemptFailure::Refused,
-            EngineError::Broken(_) => AttemptFailure::Broken,
-            EngineError::Malformed(_) => AttemptFailure::Malformed,
-        };
-        let attempt = self.request.attempt;
-        // The generation may have ended.
-        let _ = self
-            .inputs
-            .send(GenerationInput::Failed { attempt, failure });
-    }
-
-    async fn open(&self) -> Result<<crate::seams::Engine as EngineClient>::Stream, EngineError> {
-        let address = self.record.entry.address;
-        let Some(held_attempt) = self.held else {
-            return self.shared.engine.generate(address, &self.request).await;
-        };
-        let request = ResumeRequest {
-            generation: self.request.generation,
-            held_attempt,
-            attempt: self.request.attempt,
-            version: self.request.version.clone(),
-            from_index: self.request.emitted.len() as u32,
-        };
-        let resume = self.shared.engine.resume(address, &request);
-        let resumed = tokio::time::timeout(CONNECT_WAIT.to_duration(), resume).await;
-        resumed.unwrap_or(Err(EngineError::Unreachable))
-    }
-
-    /// Reads until the end; returns the error of a stream that broke.
-    async fn read(
-        &self,
-        mut stream: <crate::seams::Engine as EngineClient>::Stream,
-    ) -> Option<EngineError> {
-        let mut phase = AttemptPhase::Prefill;
-        let mut last = self.shared.clock.now();
-        loop {
-            let event = crate::seams::Engine::next_event(&mut stream).await;
-            let message = match event {
-                EngineEvent::Message(message) => message,
-                EngineEvent::Closed(error) => return Some(error),
-            };
-            let now = self.shared.clock.now();
-            if message.leaving {
-                crate::watch_task::note_leaving(&self.shared, &self.record, now, "stream");
+        let mut attempts = self.attempts.values();
+        let attempt = attempts.find(|attempt| attempt.guard.record.entry.name == *upstream);
+        let Some(attempt) = attempt else { return };
+        match reason {
+            NoticeReason::SilentAttempt => {
+                attempt.guard.record.note_failure(self.shared.clock.now());
+                self.record_failure(&attempt.version);
             }
-            let is_end = message.token.is_none();
-            if !is_end {
-                let gap = now.since(last);
-                self.record.note_token(phase, gap, self.prefill_tokens, now);
-                phase = AttemptPhase::Decoding;
-                last = now;
-            }
-            let (generation, echoed) = (message.generation, message.attempt);
-            let (attempt, index) = (self.request.attempt, message.index);
-            let input = match message.token {
-                Some(token) => {
-                    let token = FastStr::new(token);
-                    GenerationInput::Token {
-                        attempt,
-                        generation,
-                        echoed,
-                        index,
-                        token,
-                    }
-                }
-                None => GenerationInput::End {
-                    attempt,
-                    generation,
-                    echoed,
-                    total: index,
-                },
-            };
-            if self.inputs.send(input).is_err() || is_end {
-                return None;
+            NoticeReason::ConflictingToken | NoticeReason::MissingToken => {
+                self.record_failure(&attempt.version);
             }
+            _ => {}
         }
     }
+
+    fn record_failure(&self, version: &VersionName) {
+        let catalog = self.shared.configuration.current();
+        let GenerationOrder {
+            customer, service, ..
+        } = &self.order;
+        let evidence = &self.shared.evidence;
+        evidence.record(&catalog, service, version, ROUTE_WHOLE, customer, None);
+    }
 }
 
 /// What the state machine asks of this VM.
@@ -514,33 +415,3 @@
     bytes.copy_from_slice(&hash.as_bytes()[..8]);
     u64::from_le_bytes(bytes)
 }
-
-/// Returns the reason under which a further attempt is counted.
-fn start_reason(reason: StartReason) -> Option<&'static str> {
-    match reason {
-        StartReason::First => None,
-        StartReason::Held => Some("held_by_engine"),
-        StartReason::Failed(AttemptFailure::Unreachable) => Some("engine_unreachable"),
-        StartReason::Failed(AttemptFailure::Refused) => Some("engine_refused"),
-        StartReason::Failed(AttemptFailure::Broken) => Some("stream_broken"),
-        StartReason::Failed(AttemptFailure::Malformed) => Some("message_malformed"),
-        StartReason::Failed(AttemptFailure::HeldGone) => Some("held_gone"),
-        StartReason::Silent => Some("engine_silent"),
-        StartReason::WrongToken => Some("wrong_token"),
-        StartReason::ShortAnswer => Some("short_answer"),
-        StartReason::Race => Some("race"),
-        StartReason::NoneFree => Some("none_free"),
-    }
-}
-
-fn notice_text(reason: NoticeReason) -> &'static str {
-    match reason {
-        NoticeReason::CrossedMessage => "crossed_message",
-        NoticeReason::StaleMessage => "stale_message",
-        NoticeReason::RepeatedToken => "repeated_token",
-        NoticeReason::ConflictingToken => "conflicting_token",
-        NoticeReason::MissingToken => "missing_token",
-        NoticeReason::RaceDenied => "race_denied",
-        NoticeReason::SilentAttempt => "silent_attempt",
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,9 +5,11 @@
 //! - `front` answers callers, `operators` answers operators;
 //! - `generation_task` and `call_path` carry requests to upstreams;
 //! - `configuration` and `membership_task` keep step with the other VMs;
+//! - `move_task` carries traffic between versions, on `evidence_book`;
 //! - `registry` knows the upstreams.
 
 mod answers;
+mod attempt_runner;
 mod auth;
 mod call_path;
 mod claim_writer;
@@ -16,13 +18,16 @@
 mod counters;
 mod cursor;
 mod drain;
+mod evidence_book;
 mod front;
 mod generation_task;
 mod membership_task;
 mod minting;
+mod move_task;
 mod operators;
 mod peer_service;
 mod places;
+mod reason_texts;
 mod refusal;
 mod registry;
 mod run;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::ChangeError;
 use crate::shared::NodeShared;
-use crate::sync_task::push_changes;
+use crate::sync_task::commit;
 use skylarkshed_core::{
     CatalogState, ClockTime, ConfigurationChange, CustomerEntry, KeyHash, NewsEvent, NewsItem,
     RevisionNumber, RouteEntry, ServiceEntry, ServiceKind, UpstreamEntry, VersionEntry,
@@ -12,14 +12,13 @@
     PutServiceRequest, PutVersionRequest, ReverseMoveRequest, StartMoveRequest, Upstream,
     VmRevision, WatchReply, WatchRequest,
 };
+use skylarkshed_policy::first_share_ppm;
 use std::sync::Arc;
 use volo_grpc::{Code, Request, Response, Status};
 
 const MOST_NAME_BYTES: usize = 64;
 const MOST_WATCH: ClockTime = ClockTime::from_millis(30_000);
 const WATCH_STEP: ClockTime = ClockTime::from_millis(50);
-const WHOLE_SHARE_PPM: u32 = 1_000_000;
-const FIRST_SHARE_PPM: u32 = 50_000;
 const MOST_MOVE: ClockTime = ClockTime::from_millis(30 * 24 * 3_600_000);
 
 /// Answers operators.
@@ -111,7 +110,7 @@
         let change = ConfigurationChange::StartMove {
             service: request.service.as_str().into(),
             to: request.to_version.as_str().into(),
-            share_ppm: FIRST_SHARE_PPM.min(WHOLE_SHARE_PPM),
+            share_ppm: self.first_share(&request.service),
             started,
             deadline: started + within,
         };
@@ -174,25 +173,21 @@
         change: ConfigurationChange,
     ) -> Result<Response<ChangeReply>, Status> {
         check_name("change_id", change_id).map_err(invalid)?;
-        let before = self.shared.configuration.current().revision;
-        let made = self
-            .shared
-            .configuration
-            .change(&self.shared.platform, change_id, change)
-            .await;
-        let revision = made.map_err(|error| to_status(&error))?;
-        let current = self.shared.configuration.current().revision;
-        self.shared
-            .membership
-            .lock()
-            .expect("not poisoned")
-            .set_revision(current);
-        push_changes(&self.shared, before);
+        let revision = commit(&self.shared, change_id, change).await;
+        let revision = revision.map_err(|error| to_status(&error))?;
         Ok(Response::new(ChangeReply {
             revision: revision.0,
         }))
     }
 
+    /// Returns the first share of a move, from the replicas that serve now.
+    fn first_share(&self, service: &str) -> u32 {
+        let catalog = self.shared.configuration.current();
+        let state = catalog.services.get(service);
+        let serving = state.and_then(|state| state.versions.get(state.serving.as_ref()?));
+        first_share_ppm(serving.map_or(1, |version| version.upstreams.len()))
+    }
+
     fn revisions(&self, own: RevisionNumber) -> Vec<VmRevision> {
         let membership = self.shared.membership.lock().expect("not poisoned");
         let own_record = (membership.own(), own);
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -2,13 +2,14 @@
 
 use crate::answers;
 use crate::call_path::QuickCall;
+use crate::evidence_book::MoveKey;
 use crate::minting;
 use crate::refusal::{Refusal, RefusalReason};
 use crate::shared::NodeShared;
 use crate::sync_task::{make_batch, take_batch};
 use bytes::Bytes;
 use skylarkshed_core::{RevisionNumber, UnsentCall};
-use skylarkshed_peer::wire::{ForwardedCall, ForwardedOutcome, PeerBody};
+use skylarkshed_peer::wire::{ForwardedCall, ForwardedOutcome, MoveName, PeerBody};
 use skylarkshed_peer::PeerHandler;
 use std::sync::Arc;
 
@@ -26,13 +27,25 @@
                 PeerBody::Changes(make_batch(&self.shared, RevisionNumber(after)))
             }
             PeerBody::Forward(call) => PeerBody::Outcome(self.spend(call).await),
-            PeerBody::Changes(_) | PeerBody::Outcome(_) | PeerBody::Done(_) => {
-                PeerBody::Done(false)
+            PeerBody::AskEvidence(name) => {
+                PeerBody::Evidence(self.shared.evidence.to_text(&move_key(&name)))
             }
+            PeerBody::StopMove(name) => {
+                let (service, revision) = move_key(&name);
+                PeerBody::Done(self.shared.stop_move(&service, revision))
+            }
+            PeerBody::Changes(_)
+            | PeerBody::Outcome(_)
+            | PeerBody::Done(_)
+            | PeerBody::Evidence(_) => PeerBody::Done(false),
         }
     }
 }
 
+fn move_key(name: &MoveName) -> MoveKey {
+    (name.service.as_str().into(), RevisionNumber(name.revision))
+}
+
 impl PeerService {
     async fn spend(&self, forwarded: ForwardedCall) -> ForwardedOutcome {
         if forwarded.incarnation != self.shared.incarnation.0 {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,8 +4,10 @@
 use crate::configuration::ConfigurationStore;
 use crate::counters;
 use crate::drain::drain;
+use crate::evidence_book::EvidenceBook;
 use crate::front::make_router;
 use crate::membership_task::{drop_reason, run_membership};
+use crate::move_task::run_moves;
 use crate::operators::OperatorService;
 use crate::peer_service::PeerService;
 use crate::places::PlaceKeeper;
@@ -81,6 +83,7 @@
     announce(&addresses);
     tokio::spawn(run_sync(shared.clone()));
     tokio::spawn(run_watch(shared.clone()));
+    tokio::spawn(run_moves(shared.clone()));
     tokio::spawn(run_membership(shared.clone(), listeners.datagrams.clone()));
     let peer_service = PeerService {
         shared: shared.clone(),
@@ -150,6 +153,7 @@
         claim_serial: AtomicU64::new(1),
         minted: Mutex::new(MintedKeys::new(settings.calls.minted_keys)),
         stopped: ArcSwap::default(),
+        evidence: EvidenceBook::default(),
         ready: AtomicBool::new(false),
         draining: AtomicBool::new(false),
         refusing: AtomicBool::new(false),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -2,21 +2,25 @@
 
 use crate::claim_writer::ClaimWriter;
 use crate::configuration::ConfigurationStore;
+use crate::evidence_book::EvidenceBook;
 use crate::places::PlaceKeeper;
 use crate::registry::UpstreamRegistry;
 use crate::seams::{Application, Engine, Platform};
 use arc_swap::ArcSwap;
-use skylarkshed_core::{IncarnationId, MonotonicClock, NodeSettings, ServiceName, VersionName};
+use skylarkshed_core::{
+    IncarnationId, MonotonicClock, MoveEntry, MoveState, NodeSettings, RevisionNumber, ServiceName,
+    ServiceState, VersionEntry, VersionName,
+};
 use skylarkshed_peer::{PeerClient, PeerKey};
 use skylarkshed_policy::{MembershipTable, MintedKeys, WorkBudget};
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use tokio::sync::Notify;
 
-/// A version that gets no new work from this VM.
-pub(crate) type StoppedVersion = (ServiceName, VersionName);
+/// A move whose new version gets no new work from this VM.
+pub(crate) type StoppedMove = (ServiceName, RevisionNumber);
 
 /// What all tasks of a process share.
 pub(crate) struct NodeShared {
@@ -37,7 +41,8 @@
     pub(crate) claims: ClaimWriter,
     pub(crate) claim_serial: AtomicU64,
     pub(crate) minted: Mutex<MintedKeys>,
-    pub(crate) stopped: ArcSwap<HashSet<StoppedVersion>>,
+    pub(crate) stopped: ArcSwap<HashSet<StoppedMove>>,
+    pub(crate) evidence: EvidenceBook,
     pub(crate) ready: AtomicBool,
     pub(crate) draining: AtomicBool,
     pub(crate) refusing: AtomicBool,
@@ -51,6 +56,50 @@
         settings.listen.advertise_peers.unwrap_or(listening)
     }
 
+    /// Returns the versions that take new work, each with its share.
+    pub(crate) fn usable_shares<'a>(
+        &self,
+        service: &'a ServiceState,
+    ) -> Vec<(&'a Arc<VersionEntry>, u32)> {
+        let mut shares = service.shares();
+        shares.retain(|(version, share)| *share > 0 && !self.is_stopped(service, &version.name));
+        shares
+    }
+
+    /// Tells whether a version gets no work any more, not even begun answers.
+    pub(crate) fn is_withdrawn(&self, service: &ServiceState, version: &VersionName) -> bool {
+        service.is_withdrawn(version) || self.is_stopped(service, version)
+    }
+
+    /// Tells whether this VM has stopped a move.
+    pub(crate) fn is_move_stopped(&self, service: &ServiceName, entry: &MoveEntry) -> bool {
+        self.stopped
+            .load()
+            .contains(&(service.clone(), entry.revision))
+    }
+
+    /// Stops a move on this VM; tells whether that is news.
+    pub(crate) fn stop_move(&self, service: &ServiceName, revision: RevisionNumber) -> bool {
+        let stopped = (service.clone(), revision);
+        if self.stopped.load().contains(&stopped) {
+            return false;
+        }
+        self.stopped.rcu(|known| {
+            let mut known = HashSet::clone(known);
+            known.insert(stopped.clone());
+            known
+        });
+        true
+    }
+
+    fn is_stopped(&self, service: &ServiceState, version: &VersionName) -> bool {
+        let running = service
+            .latest_move
+            .as_ref()
+            .filter(|entry| entry.state == MoveState::Running && entry.to == *version);
+        running.is_some_and(|entry| self.is_move_stopped(&service.entry.name, entry))
+    }
+
     /// Returns the addresses of all other VMs that are there.
     pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
         let membership = self.membership.lock().expect("not poisoned");
--- a/crates/node/src/sync_task.rs
+++ b/crates/node/src/sync_task.rs
@@ -1,8 +1,11 @@
 //! Keeps this VM's configuration in step with the platform and the peers.
 
+use crate::configuration::ChangeError;
 use crate::counters;
 use crate::shared::NodeShared;
-use skylarkshed_core::{CatalogState, ChangeRecord, ClockTime, RevisionNumber};
+use skylarkshed_core::{
+    CatalogState, ChangeRecord, ClockTime, ConfigurationChange, RevisionNumber,
+};
 use skylarkshed_peer::wire::{ChangeBatch, PeerBody};
 use skylarkshed_platform::wire::{VmKind, VmState};
 use skylarkshed_platform::VmDirectory;
@@ -121,8 +124,30 @@
     }
 }
 
+/// Makes a change and tells it to all other VMs.
+pub(crate) async fn commit(
+    shared: &Arc<NodeShared>,
+    change_id: &str,
+    change: ConfigurationChange,
+) -> Result<RevisionNumber, ChangeError> {
+    let before = shared.configuration.current().revision;
+    let made = shared
+        .configuration
+        .change(&shared.platform, change_id, change)
+        .await;
+    note_revision(shared);
+    push_changes(shared, before);
+    made
+}
+
+fn note_revision(shared: &NodeShared) {
+    let revision = shared.configuration.current().revision;
+    let mut membership = shared.membership.lock().expect("not poisoned");
+    membership.set_revision(revision);
+}
+
 /// Pushes the changes after a revision to all other VMs.
-pub(crate) fn push_changes(shared: &Arc<NodeShared>, after: RevisionNumber) {
+fn push_changes(shared: &Arc<NodeShared>, after: RevisionNumber) {
     let batch = make_batch(shared, after);
     for address in shared.peer_addresses() {
         let (shared, batch) = (shared.clone(), batch.clone());
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -22,7 +22,7 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
     /// What the frame carries.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<PeerBody>,
 }
 
@@ -47,6 +47,26 @@
     /// The request was done; there is nothing to say.
     #[prost(bool, tag = "7")]
     Done(bool),
+    /// Asks for the evidence of a move.
+    #[prost(message, tag = "8")]
+    AskEvidence(MoveName),
+    /// The evidence of a move, as JSON.
+    #[prost(string, tag = "9")]
+    Evidence(String),
+    /// Evidence speaks against a move's new version.
+    #[prost(message, tag = "10")]
+    StopMove(MoveName),
+}
+
+/// Names a move.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveName {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The revision that started it.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
 }
 
 /// Changes of the configuration, in order.
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -2,7 +2,9 @@
 
 mod at_most_once;
 mod command_line;
+mod configuration;
 mod leaving;
+mod moves;
 mod own_answer;
 mod requests;
 mod tokens;
