--- /dev/null
+++ b/crates/peer/tests/decoders.rs
@@ -0,0 +1,105 @@
+//! Whatever bytes come, the decoders refuse them without harm.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use skylarkshed_core::{ClockTime, IncarnationId, RevisionNumber};
+use skylarkshed_peer::wire::{PeerBody, PeerFrame};
+use skylarkshed_peer::{
+    decode_gossip, encode_gossip, PeerCodec, PeerError, PeerKey, DATAGRAM_LIMIT, FRAME_LIMIT,
+};
+use skylarkshed_policy::{GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState};
+use tokio_util::codec::{Decoder, Encoder};
+
+fn fuzz_config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn key() -> PeerKey {
+    PeerKey::parse(&"0f".repeat(32)).unwrap()
+}
+
+fn message(sequence: u64, updates: usize) -> GossipMessage {
+    let record = |number: usize| MemberRecord {
+        name: format!("vm-{number}").as_str().into(),
+        zone: "arima".into(),
+        address: "127.0.0.1:7300".parse().unwrap(),
+        incarnation: IncarnationId(1_796_000_000_000),
+        counter: 1,
+        state: MemberState::Suspect,
+        suspected: ClockTime::from_millis(300),
+    };
+    GossipMessage {
+        kind: GossipKind::Ack {
+            subject: "vm-3".into(),
+        },
+        sequence,
+        sender: record(0),
+        updates: (1..=updates).map(record).collect(),
+        revision: RevisionNumber(4),
+        notices: vec![LeavingNotice {
+            upstream: "engine-1".into(),
+            address: "127.0.0.1:7400".parse().unwrap(),
+        }],
+    }
+}
+
+proptest! {
+    #![proptest_config(fuzz_config())]
+
+    #[test]
+    fn random_datagrams_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        prop_assert!(decode_gossip(&key(), &bytes).is_err());
+    }
+
+    #[test]
+    fn messages_come_back_as_they_were(sequence in any::<u64>(), updates in 0..7_usize) {
+        let message = message(sequence, updates);
+        let bytes = encode_gossip(&key(), &message);
+        prop_assert!(bytes.len() <= DATAGRAM_LIMIT, "{} bytes", bytes.len());
+        prop_assert_eq!(decode_gossip(&key(), &bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn changed_datagrams_are_refused(place in any::<prop::sample::Index>(), bit in 0..8_u32) {
+        let mut bytes = encode_gossip(&key(), &message(7, 3));
+        let place = place.index(bytes.len());
+        bytes[place] ^= 1 << bit;
+        prop_assert!(decode_gossip(&key(), &bytes).is_err());
+    }
+
+    #[test]
+    fn random_streams_are_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let mut codec = PeerCodec::new(key());
+        let mut source = BytesMut::from(bytes.as_slice());
+        // Either more bytes are needed or the frame is refused.
+        while let Ok(Some(_)) = codec.decode(&mut source) {
+            prop_assert!(false, "a random frame was taken");
+        }
+    }
+}
+
+#[test]
+fn datagram_with_another_key_is_refused() {
+    let other = PeerKey::parse(&"0e".repeat(32)).unwrap();
+    let bytes = encode_gossip(&other, &message(1, 0));
+    assert!(matches!(
+        decode_gossip(&key(), &bytes),
+        Err(PeerError::WrongCode)
+    ));
+}
+
+#[test]
+fn frame_above_the_limit_is_refused() {
+    let mut codec = PeerCodec::new(key());
+    let body = Some(PeerBody::Evidence("x".repeat(FRAME_LIMIT + 1)));
+    assert!(codec
+        .encode(PeerFrame { request: 1, body }, &mut BytesMut::new())
+        .is_err());
+    let mut announced = BytesMut::from(&((FRAME_LIMIT + 1) as u32).to_be_bytes()[..]);
+    assert!(codec.decode(&mut announced).is_err());
+}
--- /dev/null
+++ b/tests/testsuite/tests/suite/documents.rs
@@ -0,0 +1,79 @@
+//! The pages say what the program does.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+fn page(name: &str) -> String {
+    let top = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    std::fs::read_to_string(top.join(name)).unwrap()
+}
+
+fn program() -> PathBuf {
+    let own = std::env::current_exe().unwrap();
+    own.ancestors().nth(2).unwrap().join("skylarkshed")
+}
+
+#[test]
+fn example_settings_are_accepted() {
+    let text = page("docs/SETTINGS.md");
+    let start = text.find("```json\n").unwrap() + "```json\n".len();
+    let length = text[start..].find("```").unwrap();
+    let path = std::env::temp_dir().join(format!("skylarkshed-page-{}.json", std::process::id()));
+    std::fs::write(&path, &text[start..start + length]).unwrap();
+    let output = Command::new(program())
+        .arg("check")
+        .arg("--settings")
+        .arg(&path)
+        .output();
+    std::fs::remove_file(path).unwrap();
+    let output = output.unwrap();
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    // Every key that `check` prints is explained.
+    let printed: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    for (key, value) in printed.as_object().unwrap() {
+        let keys = value
+            .as_object()
+            .map(|group| group.keys().cloned().collect::<Vec<_>>());
+        for key in keys.unwrap_or_else(|| vec![key.clone()]) {
+            assert!(
+                text.matches(key.as_str()).count() >= 2,
+                "`{key}` is not explained"
+            );
+        }
+    }
+}
+
+#[test]
+fn every_refusal_reason_is_explained() {
+    let text = page("docs/OPERATORS.md");
+    let source = page("crates/node/src/refusal.rs");
+    let reasons = source.lines().filter_map(|line| {
+        let (_, rest) = line.trim().split_once(" => \"")?;
+        Some(rest.split_once('"')?.0)
+    });
+    let reasons: Vec<&str> = reasons.collect();
+    assert!(reasons.len() > 20, "the reasons are found");
+    for reason in reasons {
+        assert!(
+            text.contains(&format!("`{reason}`")),
+            "`{reason}` is not explained"
+        );
+    }
+}
+
+#[test]
+fn every_retry_and_notice_reason_is_explained() {
+    let text = page("docs/OPERATORS.md");
+    let source = page("crates/node/src/reason_texts.rs");
+    let reasons = source.split('"').skip(1).step_by(2);
+    for reason in reasons {
+        assert!(
+            text.contains(&format!("`{reason}`")),
+            "`{reason}` is not explained"
+        );
+    }
+}
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod command_line;
 mod configuration;
+mod documents;
 mod leaving;
 mod moves;
 mod own_answer;
--- a/tests/testsuite/tests/suite/requests.rs
+++ b/tests/testsuite/tests/suite/requests.rs
@@ -125,3 +125,48 @@
     };
     fleet.operator(0).put_customer(request).await.unwrap();
 }
+
+/// Sends bytes over a connection of its own and returns what comes back.
+async fn send_raw(vm: std::net::SocketAddr, request: &str) -> String {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(vm).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let count = stream.read(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer[..count]).into_owned()
+}
+
+#[tokio::test]
+async fn slow_sender_is_cut_off() {
+    let settings = serde_json::json!({"limits": {"body_time": "300ms"}});
+    let fleet = FleetBuilder::new()
+        .zones(1)
+        .settings(settings)
+        .start()
+        .await
+        .unwrap();
+    fleet.configure().await.unwrap();
+    let request = "POST /v1/services/stores-app/calls/book HTTP/1.1\r\nhost: vm\r\n\
+        authorization: Bearer depot-key\r\ncontent-length: 100\r\n\r\nonly a part";
+    let answer = send_raw(fleet.vms[0].callers, request).await;
+    assert!(
+        answer.contains("body_too_slow") && answer.contains("not_run"),
+        "{answer}"
+    );
+}
+
+#[tokio::test]
+async fn too_many_headers_are_refused() {
+    let fleet = FleetBuilder::new().zones(1).start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let headers: String = (0..70).map(|number| format!("x-{number}: 1\r\n")).collect();
+    let request = format!(
+        "POST /v1/services/stores-app/calls/book HTTP/1.1\r\nhost: vm\r\n\
+         authorization: Bearer depot-key\r\n{headers}content-length: 0\r\n\r\n"
+    );
+    let answer = send_raw(fleet.vms[0].callers, &request).await;
+    assert!(
+        answer.contains("too_many_headers") && answer.contains("not_run"),
+        "{answer}"
+    );
+}
