--- a/tests/testsuite/tests/suite/leaving.rs
+++ b/tests/testsuite/tests/suite/leaving.rs
@@ -109,6 +109,35 @@
     assert_eq!(ended, Some(true), "the process ends by itself");
 }
 
+/// The HTTP library by itself waits about 30 s for answers under way.
+#[tokio::test]
+async fn shutdown_waits_for_an_answer_of_more_than_half_a_minute() {
+    let builder = FleetBuilder::new()
+        .zones(1)
+        .engine_args(&["--step-us", "400000"]);
+    let settings = serde_json::json!({"resume": {"shortest_silence": "1s"}});
+    let mut fleet = builder.settings(settings).start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let query = query("a long one over a shutdown", 90);
+    let (sender, mut progress) = unbounded_channel();
+    let asked = {
+        let (vm, query) = (fleet.vms[0].callers, query.clone());
+        tokio::spawn(async move {
+            let told = move |count| {
+                let _ = sender.send(count);
+            };
+            GenerationCaller::default()
+                .ask_with(vm, &query, None, None, told)
+                .await
+        })
+    };
+    assert!(wait_for_tokens(&mut progress, 2).await);
+    fleet.vms[0].process.terminate();
+    check_whole("v1", &query, &asked.await.unwrap());
+    let ended = fleet.vms[0].process.wait(Duration::from_secs(40)).await;
+    assert_eq!(ended, Some(true), "the process ends by itself");
+}
+
 #[tokio::test]
 async fn minted_keys_of_a_vm_that_left_stay_good_for_one_run() {
     let mut fleet = FleetBuilder::new().start().await.unwrap();
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -8,4 +8,5 @@
 mod moves;
 mod own_answer;
 mod requests;
+mod schedules;
 mod tokens;
