Divide customers' limits by the VMs listed from the start

Cause: the number of VMs was noted only when a member changed, so a VM that had never heard of a peer gave out the whole of a customer's rate. Ruled out: the rate limit itself, whose bucket holds one second's worth. Figures: two tests with processes: with all three VMs cut off from their peers a limit of 6 a second gives out at most 6 plus the time's share; 6 places over three VMs admit exactly 6 and refuse the rest at once. Conclusion: limits hold while VMs are cut off.

--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/membership_task.rs
@@ -91,7 +91,8 @@
     }
 }
 
-fn note_size(shared: &Arc<NodeShared>) {
+/// Divides the customers' limits over the VMs that there should be.
+pub(crate) fn note_size(shared: &Arc<NodeShared>) {
     let membership = shared.membership.lock().expect("not poisoned");
     counters::set_members(membership.present().count());
     shared.places.set_vms(membership.expected_size());
--- a/crates/node/src/sync_task.rs
+++ b/crates/node/src/sync_task.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::ChangeError;
 use crate::counters;
+use crate::membership_task::note_size;
 use crate::shared::NodeShared;
 use skylarkshed_core::{
     CatalogState, ChangeRecord, ClockTime, ConfigurationChange, RevisionNumber,
@@ -179,6 +180,7 @@
         .lock()
         .expect("not poisoned")
         .set_listing(entries.collect());
+    note_size(shared);
     let leaving = listing
         .vms
         .iter()
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod documents;
 mod leaving;
+mod limits;
 mod moves;
 mod own_answer;
 mod requests;
