--- a/crates/bench/src/fleet/mod.rs
+++ b/crates/bench/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod builder;
 mod control;
+mod faults;
 mod process;
 mod running;
 
--- a/crates/bench/src/fleet/running.rs
+++ b/crates/bench/src/fleet/running.rs
@@ -9,10 +9,7 @@
     DescribeRequest, OperatorClient, PutCustomerRequest, PutServiceRequest, PutVersionRequest,
     Route, ServiceKind, Upstream,
 };
-use skylarkshed_platform::wire::{ListedVm, VmKind, VmState};
-use skylarkshed_stand_ins::{
-    ApplicationFaults, CallCounts, EngineFaults, PlatformFaults, PlatformSwitch, ProxyFaults,
-};
+use skylarkshed_stand_ins::CallCounts;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
@@ -308,100 +305,6 @@
         Ok(values.sum())
     }
 
-    /// Publishes the platform's list with the VMs and upstreams of now.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform can't be asked.
-    pub async fn publish_listing(&self) -> Result<(), FleetError> {
-        self.publish_leaving(&[]).await
-    }
-
-    /// Publishes the platform's list with some upstreams leaving.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform can't be asked.
-    pub async fn publish_leaving(&self, leaving: &[&str]) -> Result<(), FleetError> {
-        let entries = self.vms.iter().map(|vm| ListedVm {
-            name: vm.name.as_str().into(),
-            kind: VmKind::Entry,
-            zone: vm.zone.as_str().into(),
-            address: vm.peers,
-            state: VmState::Live,
-        });
-        let upstreams = self
-            .engines
-            .iter()
-            .chain(&self.applications)
-            .map(|upstream| ListedVm {
-                name: upstream.name.as_str().into(),
-                kind: VmKind::Upstream,
-                zone: upstream.zone.as_str().into(),
-                address: upstream.told_address(),
-                state: match leaving.contains(&upstream.name.as_str()) {
-                    true => VmState::Leaving,
-                    false => VmState::Live,
-                },
-            });
-        let vms = Some(entries.chain(upstreams).collect());
-        self.switch_platform(PlatformSwitch { faults: None, vms })
-            .await
-    }
-
-    /// Sets what goes wrong in the platform.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the platform can't be asked.
-    pub async fn fault_platform(&self, faults: PlatformFaults) -> Result<(), FleetError> {
-        self.switch_platform(PlatformSwitch {
-            faults: Some(faults),
-            vms: None,
-        })
-        .await
-    }
-
-    /// Sets what goes wrong in an engine.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the engine can't be asked.
-    pub async fn fault_engine(
-        &self,
-        engine: &UpstreamHandle,
-        faults: &EngineFaults,
-    ) -> Result<(), FleetError> {
-        control::post(&self.client, engine.address, "/control", faults).await
-    }
-
-    /// Sets what goes wrong in an application.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the application can't be asked.
-    pub async fn fault_application(
-        &self,
-        application: &UpstreamHandle,
-        faults: &ApplicationFaults,
-    ) -> Result<(), FleetError> {
-        control::post(&self.client, application.address, "/control", faults).await
-    }
-
-    /// Sets what goes wrong in a proxy.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is no proxy or it can't be asked.
-    pub async fn fault_proxy(
-        &self,
-        proxy: Option<&ProcessHandle>,
-        faults: &ProxyFaults,
-    ) -> Result<(), FleetError> {
-        let proxy = proxy.ok_or_else(|| FleetError::Request("there is no proxy".to_owned()))?;
-        control::post(&self.client, proxy.address("address"), "/control", faults).await
-    }
-
     /// Returns how often each call ran, over all applications.
     ///
     /// # Errors
@@ -441,10 +344,6 @@
         let count = tokio::time::timeout(Duration::from_secs(1), count).await;
         count.ok().and_then(Result::ok).unwrap_or(0)
     }
-
-    async fn switch_platform(&self, switch: PlatformSwitch) -> Result<(), FleetError> {
-        control::post(&self.client, self.platform_address(), "/control", &switch).await
-    }
 }
 
 fn check_time(end: Instant, what: &str) -> Result<(), FleetError> {
--- a/crates/node/src/sync_task.rs
+++ b/crates/node/src/sync_task.rs
@@ -65,14 +65,9 @@
             pull_from_peers(shared).await
         }
     };
-    let revision = shared.configuration.current().revision;
-    shared
-        .membership
-        .lock()
-        .expect("not poisoned")
-        .set_revision(revision);
+    note_revision(shared);
     if is_known && !shared.ready.swap(true, Ordering::Relaxed) {
-        log::info!(revision = revision.0; "ready");
+        log::info!(revision = shared.configuration.current().revision.0; "ready");
     }
 }
 
@@ -118,12 +113,7 @@
         .collect();
     let Ok(records) = records else { return false };
     let applied = shared.configuration.apply(&records);
-    let revision = shared.configuration.current().revision;
-    shared
-        .membership
-        .lock()
-        .expect("not poisoned")
-        .set_revision(revision);
+    note_revision(shared);
     if applied.is_err() {
         shared.behind.notify_one();
     }
--- a/crates/policy/src/generation.rs
+++ b/crates/policy/src/generation.rs
@@ -1,21 +1,17 @@
 //! Carries one answer over any number of attempts.
 
+mod silence;
+
 use crate::generation_types::{
     AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
     GenerationInput, GenerationPlan, NoUpstreamReason, NoticeReason, StartReason,
 };
 use crate::ledger::{LedgerVerdict, TokenLedger};
 use skylarkshed_core::{
-    AttemptNumber, ClockTime, GenerationId, LossDetection, ResumeSettings, UpstreamName,
-    VersionName,
+    AttemptNumber, ClockTime, GenerationId, ResumeSettings, UpstreamName, VersionName,
 };
 
 const MOST_ATTEMPTS_WITHOUT_TOKEN: u32 = 12;
-const MOST_LIVE_ATTEMPTS: usize = 2;
-/// Attempts without a token after which silence limits double, so that an
-/// underestimated prefill ends at last.
-const ATTEMPTS_AT_FIRST_LIMIT: u32 = 4;
-const MOST_DOUBLINGS: u32 = 4;
 const RETRY_PAUSE: ClockTime = ClockTime::from_millis(100);
 
 #[derive(Clone, Debug)]
@@ -390,135 +386,6 @@
         }
     }
 
-    fn on_tick<E: GenerationEnvironment>(
-        &mut self,
-        now: ClockTime,
-        environment: &E,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        if self.retry_at.is_some_and(|due| now >= due) {
-            return self.start_attempt(StartReason::NoneFree, now, actions);
-        }
-        let silent: Vec<AttemptNumber> = self.silent_attempts(now, environment);
-        for attempt in silent {
-            self.on_silence(attempt, now, environment, actions);
-        }
-    }
-
-    fn silent_attempts<E: GenerationEnvironment>(
-        &self,
-        now: ClockTime,
-        environment: &E,
-    ) -> Vec<AttemptNumber> {
-        let silent = self
-            .live
-            .iter()
-            .filter(|live| now.since(live.last_heard) >= self.silence_limit(live, environment));
-        silent.map(|live| live.number).collect()
-    }
-
-    fn on_silence<E: GenerationEnvironment>(
-        &mut self,
-        attempt: AttemptNumber,
-        now: ClockTime,
-        environment: &E,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        let Some(live) = self.live.iter().find(|live| live.number == attempt) else {
-            return;
-        };
-        let longest = self.longest_silence(live, environment);
-        let is_race = self.settings.detection == LossDetection::Race;
-        let Some(live) = self.find(attempt) else {
-            return;
-        };
-        let is_overdue = now.since(live.last_heard) >= longest;
-        let is_new = !live.suspected;
-        live.suspected = true;
-        if is_new {
-            self.notice(attempt, NoticeReason::SilentAttempt, actions);
-        }
-        if is_overdue || !is_race {
-            return self.replace(attempt, StartReason::Silent, now, actions);
-        }
-        if !is_new {
-            return;
-        }
-        let is_challenger = self
-            .live
-            .first()
-            .is_some_and(|first| first.number != attempt);
-        if is_challenger {
-            self.change_challenger(attempt, now, environment, actions);
-        } else if self.live.len() < MOST_LIVE_ATTEMPTS {
-            self.race(attempt, now, environment, actions);
-        }
-    }
-
-    /// Replaces a second attempt that is silent as well, if the budget allows it.
-    fn change_challenger<E: GenerationEnvironment>(
-        &mut self,
-        attempt: AttemptNumber,
-        now: ClockTime,
-        environment: &E,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        if !environment.try_race(self.plan.prompt_tokens + self.ledger.next_index()) {
-            return self.notice(attempt, NoticeReason::RaceDenied, actions);
-        }
-        actions.push(GenerationAction::Cancel { attempt });
-        self.drop_attempt(attempt, StartReason::Race, now, actions);
-        self.start_attempt(StartReason::Race, now, actions);
-    }
-
-    /// Starts a second attempt beside a silent one, if the budget allows it.
-    fn race<E: GenerationEnvironment>(
-        &mut self,
-        attempt: AttemptNumber,
-        now: ClockTime,
-        environment: &E,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        if self.ledger.next_index() < self.plan.deliver_from {
-            return;
-        }
-        if !environment.try_race(self.plan.prompt_tokens + self.ledger.next_index()) {
-            return self.notice(attempt, NoticeReason::RaceDenied, actions);
-        }
-        if let Some(live) = self.live.iter().find(|live| live.number == attempt) {
-            self.avoid.push(live.upstream.clone());
-        }
-        self.ledger.release();
-        self.start_attempt(StartReason::Race, now, actions);
-    }
-
-    fn silence_limit<E: GenerationEnvironment>(
-        &self,
-        live: &LiveAttempt,
-        environment: &E,
-    ) -> ClockTime {
-        if self.settings.detection == LossDetection::FixedTimeout {
-            return self.settings.fixed_timeout;
-        }
-        let prefill_tokens = self.plan.prompt_tokens + self.ledger.next_index();
-        let limit = environment.silence_limit(&live.upstream, live.phase, prefill_tokens);
-        let doublings = self
-            .attempts_without_token
-            .saturating_sub(ATTEMPTS_AT_FIRST_LIMIT);
-        ClockTime::from_millis(limit.as_millis() << doublings.min(MOST_DOUBLINGS))
-    }
-
-    /// A prefill may take longer than any silence between tokens.
-    fn longest_silence<E: GenerationEnvironment>(
-        &self,
-        live: &LiveAttempt,
-        environment: &E,
-    ) -> ClockTime {
-        self.settings
-            .longest_silence
-            .max(self.silence_limit(live, environment))
-    }
-
     fn notice(
         &self,
         attempt: AttemptNumber,
--- a/tests/testsuite/src/fixture.rs
+++ b/tests/testsuite/src/fixture.rs
@@ -45,7 +45,7 @@
 }
 
 /// Waits until this many tokens have come; tells whether they did in time.
-pub async fn wait_for_tokens(progress: &mut UnboundedReceiver<usize>, count: usize) -> bool {
+pub(crate) async fn wait_for_tokens(progress: &mut UnboundedReceiver<usize>, count: usize) -> bool {
     let reached = async {
         while let Some(seen) = progress.recv().await {
             if seen >= count {
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -1,5 +1,7 @@
 //! Fixtures of the integration tests, which run real processes.
 
 mod fixture;
+mod running_answer;
 
-pub use fixture::{check_whole, query, wait_for_tokens, SERVICE_CALLS};
+pub use fixture::{check_whole, query, SERVICE_CALLS};
+pub use running_answer::RunningAnswer;
--- a/tests/testsuite/tests/suite/leaving.rs
+++ b/tests/testsuite/tests/suite/leaving.rs
@@ -3,9 +3,8 @@
 use rstest::rstest;
 use skylarkshed_bench::{Fleet, FleetBuilder, GenerationCaller, QuickCaller};
 use skylarkshed_stand_ins::EngineFaults;
-use skylarkshed_testsuite::{check_whole, query, wait_for_tokens, SERVICE_CALLS};
+use skylarkshed_testsuite::{check_whole, query, RunningAnswer, SERVICE_CALLS};
 use std::time::Duration;
-use tokio::sync::mpsc::unbounded_channel;
 
 /// A leaving upstream gets no new work after this time.
 const LEAVING_BOUND: Duration = Duration::from_secs(3);
@@ -72,19 +71,8 @@
         .unwrap();
     fleet.configure().await.unwrap();
     let query = query("over a shutdown", 300);
-    let (sender, mut progress) = unbounded_channel();
-    let asked = {
-        let (vm, query) = (fleet.vms[0].callers, query.clone());
-        tokio::spawn(async move {
-            let told = move |count| {
-                let _ = sender.send(count);
-            };
-            GenerationCaller::default()
-                .ask_with(vm, &query, None, None, told)
-                .await
-        })
-    };
-    assert!(wait_for_tokens(&mut progress, 30).await);
+    let mut answer = RunningAnswer::start(&fleet, 0, &query);
+    answer.reach(30).await;
     fleet.vms[0].process.terminate();
     while fleet.readiness(&fleet.vms[0]).await == Some(200) {
         tokio::task::yield_now().await;
@@ -104,7 +92,7 @@
         ("draining", "not_run")
     );
     assert!(refused.retry_after.is_some());
-    check_whole("v1", &query, &asked.await.unwrap());
+    check_whole("v1", &query, &answer.end().await);
     let ended = fleet.vms[0].process.wait(Duration::from_secs(40)).await;
     assert_eq!(ended, Some(true), "the process ends by itself");
 }
@@ -119,21 +107,10 @@
     let mut fleet = builder.settings(settings).start().await.unwrap();
     fleet.configure().await.unwrap();
     let query = query("a long one over a shutdown", 90);
-    let (sender, mut progress) = unbounded_channel();
-    let asked = {
-        let (vm, query) = (fleet.vms[0].callers, query.clone());
-        tokio::spawn(async move {
-            let told = move |count| {
-                let _ = sender.send(count);
-            };
-            GenerationCaller::default()
-                .ask_with(vm, &query, None, None, told)
-                .await
-        })
-    };
-    assert!(wait_for_tokens(&mut progress, 2).await);
+    let mut answer = RunningAnswer::start(&fleet, 0, &query);
+    answer.reach(2).await;
     fleet.vms[0].process.terminate();
-    check_whole("v1", &query, &asked.await.unwrap());
+    check_whole("v1", &query, &answer.end().await);
     let ended = fleet.vms[0].process.wait(Duration::from_secs(40)).await;
     assert_eq!(ended, Some(true), "the process ends by itself");
 }
--- a/tests/testsuite/tests/suite/own_answer.rs
+++ b/tests/testsuite/tests/suite/own_answer.rs
@@ -2,8 +2,7 @@
 
 use skylarkshed_bench::{Fleet, FleetBuilder, GenerationCaller, QuickCaller};
 use skylarkshed_stand_ins::ApplicationFaults;
-use skylarkshed_testsuite::{check_whole, query, wait_for_tokens, SERVICE_CALLS};
-use tokio::sync::mpsc::unbounded_channel;
+use skylarkshed_testsuite::{check_whole, query, RunningAnswer, SERVICE_CALLS};
 
 const LOOKUP: &str = "stores-app/calls/lookup";
 
@@ -17,19 +16,10 @@
     fleet.configure().await.unwrap();
     let query = query("the vm dies", 200);
     let caller = GenerationCaller::default();
-    let (sender, mut progress) = unbounded_channel();
-    let asked = {
-        let (vm, query, caller) = (fleet.vms[0].callers, query.clone(), caller.clone());
-        tokio::spawn(async move {
-            let told = move |count| {
-                let _ = sender.send(count);
-            };
-            caller.ask_with(vm, &query, None, None, told).await
-        })
-    };
-    assert!(wait_for_tokens(&mut progress, 60).await);
+    let mut answer = RunningAnswer::start(&fleet, 0, &query);
+    answer.reach(60).await;
     fleet.vms[0].process.kill();
-    let mut trace = asked.await.unwrap();
+    let mut trace = answer.end().await;
     assert!(!trace.is_finished());
     let rest = caller
         .resume(fleet.vms[1].callers, &query, &trace, false)
--- a/tests/testsuite/tests/suite/tokens.rs
+++ b/tests/testsuite/tests/suite/tokens.rs
@@ -3,48 +3,13 @@
 use rstest::rstest;
 use skylarkshed_bench::{AnswerTrace, Fleet, FleetBuilder, GenerationCaller, GenerationQuery};
 use skylarkshed_stand_ins::{EngineFaults, ProxyFaults};
-use skylarkshed_testsuite::{check_whole, query, wait_for_tokens};
+use skylarkshed_testsuite::{check_whole, query, RunningAnswer};
 use std::time::Duration;
-use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
-use tokio::task::JoinHandle;
+use tokio::sync::mpsc::unbounded_channel;
 
 /// Output has to go on within this time of a loss.
 const RESUME_BOUND: Duration = Duration::from_secs(4);
 
-/// An answer under way.
-struct RunningAnswer {
-    task: JoinHandle<AnswerTrace>,
-    progress: UnboundedReceiver<usize>,
-}
-
-impl RunningAnswer {
-    fn start(fleet: &Fleet, vm: usize, query: &GenerationQuery) -> Self {
-        let (sender, progress) = unbounded_channel();
-        let (vm, query) = (fleet.vms[vm].callers, query.clone());
-        let task = tokio::spawn(async move {
-            let told = move |count| {
-                let _ = sender.send(count);
-            };
-            GenerationCaller::default()
-                .ask_with(vm, &query, None, None, told)
-                .await
-        });
-        RunningAnswer { task, progress }
-    }
-
-    async fn reach(&mut self, count: usize) {
-        assert!(
-            wait_for_tokens(&mut self.progress, count).await,
-            "the answer reaches {count}"
-        );
-    }
-
-    async fn end(self) -> AnswerTrace {
-        let ended = tokio::time::timeout(Duration::from_secs(60), self.task).await;
-        ended.expect("the answer ends in time").unwrap()
-    }
-}
-
 /// Starts a fleet with six engines, and an answer on it.
 async fn start(
     builder: FleetBuilder,
