Tell no key as not_run that this VM may have sent before

Cause: a caller told unknown for a key, asking again at the same VM with the platform out, was told not_run, because the claim could not be made; it might then have booked anew under another key. Before: key_that_may_have_run_is_not_told_as_not_run_in_an_outage fails with left (claim_unavailable, not_run), right (key_in_use, unknown). After: it and the 14 other tests of keys pass in 7 s. Conclusion: a VM answers for the keys it sent itself; callers keep to a key once told unknown.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -56,6 +56,9 @@
                     version,
                 });
             }
+            ClaimAction::RefuseNotRun if shared.sent_keys.contains(&key) => {
+                return ClaimOutcome::InUse;
+            }
             ClaimAction::RefuseNotRun => return ClaimOutcome::NotRun,
             ClaimAction::RefuseUnknown => return ClaimOutcome::InUse,
             ClaimAction::RefuseMismatch => return ClaimOutcome::Mismatch,
@@ -66,8 +69,14 @@
 }
 
 impl GrantedClaim {
+    /// Notes that the call is about to be sent.
+    pub(crate) fn note_sent(&self, shared: &NodeShared) {
+        shared.sent_keys.note(&self.key);
+    }
+
     /// Gives the key back after a call of which nothing was sent.
     pub(crate) fn release(self, shared: &Arc<NodeShared>) {
+        shared.sent_keys.forget(&self.key);
         self.finish(shared, ClaimState::Released);
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 mod registry;
 mod run;
 mod seams;
+mod sent_keys;
 mod shared;
 mod sync_task;
 mod watch_task;
--- a/crates/node/src/minting.rs
+++ b/crates/node/src/minting.rs
@@ -193,6 +193,7 @@
         }
         ClaimOutcome::Mismatch => return Err(Refusal::unknown(RefusalReason::KeyMismatch)),
     };
+    claim.note_sent(shared);
     let result = call_path::send_once(shared, &call, unsent).await;
     match &result {
         Ok(answer) => claim.answer(shared, answers::to_stored(answer)),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -13,6 +13,7 @@
 use crate::places::PlaceKeeper;
 use crate::registry::UpstreamRegistry;
 use crate::seams::{Application, Engine, Platform};
+use crate::sent_keys::SentKeys;
 use crate::shared::NodeShared;
 use crate::sync_task::run_sync;
 use crate::watch_task::run_watch;
@@ -151,6 +152,7 @@
         race_budget: WorkBudget::new(resume.race_percent, resume.race_reserve),
         retry_budget: WorkBudget::new(settings.calls.retry_percent, RETRY_RESERVE),
         claim_serial: AtomicU64::new(1),
+        sent_keys: SentKeys::default(),
         minted: Mutex::new(MintedKeys::new(settings.calls.minted_keys)),
         stopped: ArcSwap::default(),
         evidence: EvidenceBook::default(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::places::PlaceKeeper;
 use crate::registry::UpstreamRegistry;
 use crate::seams::{Application, Engine, Platform};
+use crate::sent_keys::SentKeys;
 use arc_swap::ArcSwap;
 use skylarkshed_core::{
     IncarnationId, MonotonicClock, MoveEntry, MoveState, NodeSettings, RevisionNumber, ServiceName,
@@ -40,6 +41,7 @@
     pub(crate) retry_budget: WorkBudget,
     pub(crate) claims: ClaimWriter,
     pub(crate) claim_serial: AtomicU64,
+    pub(crate) sent_keys: SentKeys,
     pub(crate) minted: Mutex<MintedKeys>,
     pub(crate) stopped: ArcSwap<HashSet<StoppedMove>>,
     pub(crate) evidence: EvidenceBook,
--- a/tests/testsuite/tests/suite/at_most_once.rs
+++ b/tests/testsuite/tests/suite/at_most_once.rs
@@ -290,3 +290,37 @@
     );
     assert_eq!(runs(&fleet, &keys[0]).await, 1);
 }
+
+#[tokio::test]
+async fn key_that_may_have_run_is_not_told_as_not_run_in_an_outage() {
+    let fleet = fleet(FleetBuilder::new().zones(1)).await;
+    let crossed = ApplicationFaults {
+        crossed: 1,
+        ..ApplicationFaults::default()
+    };
+    fleet
+        .fault_application(&fleet.applications[0], &crossed)
+        .await
+        .unwrap();
+    let first = book(&fleet, 0, "key").await;
+    assert_eq!(
+        (first.reason(), first.outcome()),
+        ("wrong_answer", "unknown")
+    );
+    let out = PlatformFaults {
+        out: true,
+        ..PlatformFaults::default()
+    };
+    fleet.fault_platform(out).await.unwrap();
+    let second = book(&fleet, 0, "key").await;
+    assert_eq!(
+        (second.reason(), second.outcome()),
+        ("key_in_use", "unknown")
+    );
+    let other = book(&fleet, 0, "other key").await;
+    assert_eq!(
+        (other.reason(), other.outcome()),
+        ("claim_unavailable", "not_run")
+    );
+    assert_eq!(runs(&fleet, "key").await, 1);
+}
