--- a/tests/testsuite/tests/suite/configuration.rs
+++ b/tests/testsuite/tests/suite/configuration.rs
@@ -1,11 +1,12 @@
 //! Accepted configuration is in force everywhere and never reverts.
 
 use serde_json::json;
-use skylarkshed_bench::{Fleet, FleetBuilder};
+use skylarkshed_bench::{Fleet, FleetBuilder, GenerationCaller, QuickCaller};
 use skylarkshed_operator::schema::{
     ChangeReply, DescribeRequest, OperatorClient, PutCustomerRequest,
 };
 use skylarkshed_stand_ins::{PlatformFaults, ProxyFaults};
+use skylarkshed_testsuite::{check_whole, query, SERVICE_CALLS};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -280,3 +281,62 @@
             .unwrap();
     }
 }
+
+#[tokio::test]
+async fn vm_cut_off_from_peers_and_platform_serves_and_catches_up() {
+    let builder = FleetBuilder::new().proxy_platform().proxy_peers();
+    let fleet = builder.start().await.unwrap();
+    fleet.configure().await.unwrap();
+    fleet.wait_members(2).await.unwrap();
+    let cut = 2;
+    let reset = ProxyFaults {
+        reset: true,
+        ..ProxyFaults::default()
+    };
+    fleet
+        .fault_proxy(fleet.vms[cut].platform_proxy.as_ref(), &reset)
+        .await
+        .unwrap();
+    cut_from_peers(&fleet, cut).await;
+    let before = fleet.revision(cut).await.unwrap();
+    let made = put(&fleet.operator(0), "change-1", "van", 1).await.unwrap();
+    let vm = fleet.vms[cut].callers;
+    let query = query("while cut off", 30);
+    check_whole(
+        "v1",
+        &query,
+        &GenerationCaller::default().ask(vm, &query).await,
+    );
+    let caller = QuickCaller::default();
+    let keys = caller.mint(vm, Fleet::KEY, Fleet::PLAIN, 1).await;
+    let minted = caller
+        .call(vm, Fleet::KEY, SERVICE_CALLS, Some(&keys[0]), "one meter")
+        .await;
+    assert!(minted.is_answered(), "{minted:?}");
+    let own = caller
+        .call(vm, Fleet::KEY, SERVICE_CALLS, Some("own"), "one meter")
+        .await;
+    assert_eq!(
+        (own.reason(), own.outcome()),
+        ("claim_unavailable", "not_run")
+    );
+    assert_eq!(
+        fleet.revision(cut).await.unwrap(),
+        before,
+        "it holds what it had"
+    );
+    let healed = ProxyFaults::default();
+    fleet
+        .fault_proxy(fleet.vms[cut].platform_proxy.as_ref(), &healed)
+        .await
+        .unwrap();
+    for vm in &fleet.vms {
+        fleet
+            .fault_proxy(vm.peer_proxy.as_ref(), &healed)
+            .await
+            .unwrap();
+    }
+    let start = Instant::now();
+    fleet.wait_revision(made.revision).await.unwrap();
+    assert!(start.elapsed() < FORCE_BOUND, "took {:?}", start.elapsed());
+}
