Let the engine stand-in send a token late and tell its cache's events

Cause: its switch for a late token did nothing, and it told no cache events. Ruled out: taking the late token as a repeat; it leaves a gap first.

--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -7,8 +7,8 @@
 use http::StatusCode;
 use skylarkshed_core::{AttemptNumber, GenerationId};
 use skylarkshed_upstream::wire::{
-    CancelRequest, EngineOrder, GenerateRequest, LoadReport, OrderState, ResumeRequest,
-    StreamMessage,
+    CacheEventsRequest, CancelRequest, EngineOrder, GenerateRequest, LoadReport, OrderState,
+    ResumeRequest, StreamMessage,
 };
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -63,6 +63,7 @@
         .route("/v1/cancel", operation(&state, cancel))
         .route("/v1/load", operation(&state, load))
         .route("/v1/orders", operation(&state, order))
+        .route("/v1/cache-events", operation(&state, cache_events))
         .route("/computed", operation(&state, computed))
         .route("/control", operation(&state, control));
     reply::serve(address, router).await
@@ -175,7 +176,29 @@
         for (offset, token) in tokens.iter().enumerate() {
             self.push_faulty(&batch.faults, &mut messages, next + offset, token);
         }
-        Some(((tokens.len(), messages), sequence.target()))
+        let count = self.hold_late(batch.faults.late_at, &mut messages, tokens.len());
+        Some(((count, messages), sequence.target()))
+    }
+
+    /// Sends the late token after the one that follows it; returns the tokens taken.
+    fn hold_late(
+        &self,
+        late_at: Option<u32>,
+        messages: &mut Vec<StreamMessage>,
+        count: usize,
+    ) -> usize {
+        let place = messages
+            .iter()
+            .position(|message| Some(message.index) == late_at);
+        match place {
+            Some(place) if place + 1 < messages.len() => messages.swap(place, place + 1),
+            Some(place) => {
+                messages.truncate(place);
+                return count - 1;
+            }
+            None => {}
+        }
+        count
     }
 
     fn push_faulty(
@@ -231,6 +254,12 @@
     Ok(reply::json(&reported.1))
 }
 
+fn cache_events(state: &SharedState, body: &[u8]) -> Answer {
+    let request: CacheEventsRequest = reply::parse(body)?;
+    let batch = state.batch.lock().expect("not poisoned");
+    Ok(reply::json(&batch.cache_events(request.after)))
+}
+
 fn order(state: &SharedState, body: &[u8]) -> Answer {
     let order: EngineOrder = reply::parse(body)?;
     let mut current = state.orders.lock().expect("not poisoned");
--- a/crates/stand-ins/src/engine_batch.rs
+++ b/crates/stand-ins/src/engine_batch.rs
@@ -3,13 +3,17 @@
 use crate::token_oracle::TokenOracle;
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::{AttemptNumber, GenerationId};
-use skylarkshed_upstream::wire::{GenerateRequest, LoadReport};
+use skylarkshed_upstream::wire::{CacheEvent, GenerateRequest, LoadReport};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 const CACHE_BLOCK_TOKENS: usize = 16;
+const KEPT_CACHE_EVENTS: usize = 4_096;
+const CACHE_EVENT_LAG: Duration = Duration::from_millis(500);
+/// One event in so many is never told.
+const CACHE_EVENTS_PER_GAP: u64 = 10;
 
 /// How fast the fake engine is.
 #[derive(Clone, Debug)]
@@ -50,7 +54,7 @@
     pub differ: bool,
     /// Echoes another generation's identifier from this place on.
     pub crossed_at: Option<u32>,
-    /// Sends this many tokens late, after the following one.
+    /// Sends the token at this place late, after the following one.
     pub late_at: Option<u32>,
     /// Reports that it is about to leave.
     pub leaving: bool,
@@ -126,6 +130,16 @@
         self.order.retain(|other| other != id);
     }
 
+    /// Returns the cache's events after a number, late and with gaps.
+    pub(crate) fn cache_events(&self, after: u64) -> Vec<CacheEvent> {
+        let events = self.cache.events.iter().filter(|(made, event)| {
+            let is_told = made.elapsed() >= CACHE_EVENT_LAG;
+            let is_missing = event.sequence % CACHE_EVENTS_PER_GAP == 0;
+            event.sequence > after && is_told && !is_missing
+        });
+        events.map(|(_, event)| event.clone()).collect()
+    }
+
     pub(crate) fn load(&self) -> LoadReport {
         let active = self.sequences.values().filter(|s| !s.is_done()).count();
         let running = active.min(self.speed.batch);
@@ -208,6 +222,8 @@
 struct PrefixCache {
     blocks: VecDeque<blake3::Hash>,
     limit: usize,
+    events: VecDeque<(Instant, CacheEvent)>,
+    next_event: u64,
 }
 
 impl PrefixCache {
@@ -215,6 +231,8 @@
         PrefixCache {
             blocks: VecDeque::new(),
             limit,
+            events: VecDeque::new(),
+            next_event: 1,
         }
     }
 
@@ -235,13 +253,33 @@
                 cached += CACHE_BLOCK_TOKENS;
             } else {
                 self.blocks.push_back(hash);
+                self.tell(&hash, true);
             }
         }
         while self.blocks.len() > self.limit {
-            self.blocks.pop_front();
+            if let Some(hash) = self.blocks.pop_front() {
+                self.tell(&hash, false);
+            }
         }
         cached.min(whole)
     }
+
+    fn tell(&mut self, hash: &blake3::Hash, cached: bool) {
+        let sequence = self.next_event;
+        self.next_event += 1;
+        let block = hash.to_hex()[..16].to_owned();
+        self.events.push_back((
+            Instant::now(),
+            CacheEvent {
+                sequence,
+                block,
+                cached,
+            },
+        ));
+        if self.events.len() > KEPT_CACHE_EVENTS {
+            self.events.pop_front();
+        }
+    }
 }
 
 /// Steps the batch for ever.
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -82,6 +82,24 @@
     pub version: String,
 }
 
+/// Asks for changes of an engine's prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEventsRequest {
+    /// Only events after this number.
+    pub after: u64,
+}
+
+/// A change of an engine's prefix cache; events come late, and some never.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// The event's number; a gap means that events are missing.
+    pub sequence: u64,
+    /// The block's hash, over it and all blocks before it.
+    pub block: String,
+    /// Whether the block is cached now, or no more.
+    pub cached: bool,
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
--- a/tests/testsuite/tests/suite/tokens.rs
+++ b/tests/testsuite/tests/suite/tokens.rs
@@ -87,6 +87,7 @@
 #[case::conflicting(
     EngineFaults { repeat_at: Some(60), differ: true, ..EngineFaults::default() })]
 #[case::skipped(EngineFaults { skip_at: Some(60), ..EngineFaults::default() })]
+#[case::late(EngineFaults { late_at: Some(60), ..EngineFaults::default() })]
 #[case::crossed(EngineFaults { crossed_at: Some(60), ..EngineFaults::default() })]
 #[tokio::test]
 async fn faulty_tokens_reach_no_caller(#[case] faults: EngineFaults) {
