--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generation_task.rs
@@ -66,6 +66,7 @@
     inputs: mpsc::UnboundedSender<GenerationInput>,
     caller: mpsc::UnboundedSender<CallerEvent>,
     prefix: u64,
+    prompt_tokens: u32,
     ended: bool,
 }
 
@@ -77,11 +78,12 @@
 ) -> mpsc::UnboundedReceiver<CallerEvent> {
     let (caller, events) = mpsc::unbounded_channel();
     let (inputs, received) = mpsc::unbounded_channel();
-    let generation = plan.generation;
+    let (generation, prompt_tokens) = (plan.generation, plan.prompt_tokens);
     let settings = shared.settings.resume.clone();
     let (machine, actions) = GenerationMachine::start(plan, settings, shared.clock.now());
     let task = GenerationTask {
         prefix: prefix_hash(&order.prompt),
+        prompt_tokens,
         shared,
         order,
         generation,
@@ -247,7 +249,7 @@
             record: record.clone(),
             request,
             held: held.map(|held| held.attempt),
-            prefill_tokens: count_words(&self.order.prompt) + tokens.len() as u32,
+            prefill_tokens: self.prompt_tokens + tokens.len() as u32,
             customer: self.order.customer.clone(),
             service: self.order.service.clone(),
             version: version.name.clone(),
@@ -263,7 +265,6 @@
         let catalog = self.shared.configuration.current();
         let service = catalog.services.get(&self.order.service);
         let service = service.ok_or(NoUpstreamReason::VersionGone)?;
-        let shares = self.shared.usable_shares(service);
         let version = match self.machine.version() {
             Some(name) if self.shared.is_withdrawn(service, name) => {
                 return Err(NoUpstreamReason::VersionWithdrawn);
@@ -273,6 +274,7 @@
                 .get(name)
                 .ok_or(NoUpstreamReason::VersionGone)?,
             None => {
+                let shares = self.shared.usable_shares(service);
                 let version = crate::call_path::pick_share(&shares, rand::random());
                 version.ok_or(NoUpstreamReason::NoneFree)?
             }
--- a/crates/node/src/move_task.rs
+++ b/crates/node/src/move_task.rs
@@ -9,16 +9,20 @@
 use crate::shared::NodeShared;
 use crate::sync_task::commit;
 use futures::future::join_all;
-use skylarkshed_core::{ClockTime, ConfigurationChange, MoveEntry, MoveState, ServiceName, VmName};
+use skylarkshed_core::{ClockTime, ConfigurationChange, MoveEntry, MoveState, ServiceName};
 use skylarkshed_peer::wire::{MoveName, PeerBody};
-use skylarkshed_policy::{decide_move, judge_version, EvidenceVerdict, MoveDecision};
+use skylarkshed_policy::{
+    decide_move, is_among_first, judge_version, EvidenceVerdict, MoveDecision,
+};
 use std::collections::HashMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 const PERIOD: ClockTime = ClockTime::from_millis(250);
 const PEER_WAIT: ClockTime = ClockTime::from_millis(500);
 
+/// So many VMs carry a service's moves.
+const CARRIERS: usize = 1;
+
 /// The requests that a new version had served at its last step.
 struct StepMark {
     share_ppm: u32,
@@ -192,17 +196,9 @@
 }
 
 fn is_carrier(shared: &NodeShared, service: &ServiceName) -> bool {
-    let rank = |vm: &VmName| {
-        let mut hasher = DefaultHasher::new();
-        (vm, service).hash(&mut hasher);
-        hasher.finish()
-    };
-    let own_rank = rank(&shared.settings.name);
     let membership = shared.membership.lock().expect("not poisoned");
-    let is_first = membership
-        .present()
-        .all(|(record, _)| rank(&record.name) < own_rank);
-    is_first
+    let others = membership.present().map(|(record, _)| &record.name);
+    is_among_first(&shared.settings.name, others, service, CARRIERS)
 }
 
 fn reason_text(verdict: &EvidenceVerdict) -> String {
--- a/crates/node/src/sync_task.rs
+++ b/crates/node/src/sync_task.rs
@@ -5,16 +5,18 @@
 use crate::membership_task::note_size;
 use crate::shared::NodeShared;
 use skylarkshed_core::{
-    CatalogState, ChangeRecord, ClockTime, ConfigurationChange, RevisionNumber, VmName,
+    CatalogState, ChangeRecord, ClockTime, ConfigurationChange, RevisionNumber,
 };
 use skylarkshed_peer::wire::{ChangeBatch, PeerBody};
 use skylarkshed_platform::wire::{VmKind, VmState};
 use skylarkshed_platform::VmDirectory;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use skylarkshed_policy::is_among_first;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+/// So many VMs of a zone read the platform often.
+const POLLERS: usize = 1;
 /// Other VMs of a zone read the platform so many times less often.
 const SLOW_POLL_FACTOR: u64 = 5;
 const PEER_WAIT: ClockTime = ClockTime::from_millis(1_000);
@@ -41,14 +43,9 @@
     let membership = shared.membership.lock().expect("not poisoned");
     let neighbours = membership
         .present()
-        .filter(|(record, _)| record.zone == own.zone);
-    let rank = |vm: &VmName| {
-        let mut hasher = DefaultHasher::new();
-        (vm, &own.zone).hash(&mut hasher);
-        hasher.finish()
-    };
-    let own_rank = rank(&own.name);
-    let is_poller = neighbours.fold(true, |is, (record, _)| is && rank(&record.name) < own_rank);
+        .filter(|(record, _)| record.zone == own.zone)
+        .map(|(record, _)| &record.name);
+    let is_poller = is_among_first(&own.name, neighbours, &own.zone, POLLERS);
     let factor = if is_poller { 1 } else { SLOW_POLL_FACTOR };
     ClockTime::from_millis(own.platform.poll.as_millis() * factor)
 }
--- a/crates/node/src/watch_task.rs
+++ b/crates/node/src/watch_task.rs
@@ -3,9 +3,8 @@
 use crate::registry::UpstreamRecord;
 use crate::shared::NodeShared;
 use skylarkshed_core::{ClockTime, ServiceKind, UpstreamEntry, VmName};
-use skylarkshed_policy::LeavingNotice;
+use skylarkshed_policy::{is_among_first, LeavingNotice};
 use skylarkshed_upstream::EngineClient;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 const WATCH_PERIOD: ClockTime = ClockTime::from_millis(500);
@@ -83,11 +82,5 @@
 }
 
 fn is_watcher(own: &VmName, neighbours: &[VmName], entry: &UpstreamEntry) -> bool {
-    let rank = |vm: &VmName| {
-        let mut hasher = DefaultHasher::new();
-        (vm, &entry.name).hash(&mut hasher);
-        hasher.finish()
-    };
-    let own_rank = rank(own);
-    neighbours.iter().filter(|vm| rank(vm) > own_rank).count() < WATCHERS
+    is_among_first(own, neighbours.iter(), &entry.name, WATCHERS)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod minted;
 mod move_plan;
 mod rate;
+mod rendezvous;
 mod routing;
 
 pub use admission::{AdmissionQueue, AdmissionRefusal, AdmissionVerdict, TicketNumber};
@@ -52,4 +53,5 @@
 pub use minted::{MintedKeys, MintedState, MintedVerdict};
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
 pub use rate::RateLimit;
+pub use rendezvous::is_among_first;
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
--- a/crates/policy/src/membership/probing.rs
+++ b/crates/policy/src/membership/probing.rs
@@ -2,9 +2,9 @@
 
 use super::{is_present, MembershipTable, PendingProbe, RelayedProbe};
 use crate::membership_types::{GossipKind, MemberRecord, MemberState, MembershipAction};
+use crate::rendezvous::{hash_rank, is_among_first};
 use rand::seq::{IndexedRandom, SliceRandom};
 use skylarkshed_core::{ClockTime, VmName};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 /// One probe in this many goes to a VM that is thought dead.
@@ -205,23 +205,13 @@
     }
 
     fn is_confirmer(&self, target: &VmName) -> bool {
-        let rank = |name: &VmName| {
-            let mut hasher = DefaultHasher::new();
-            (name, target).hash(&mut hasher);
-            hasher.finish()
-        };
-        let own_rank = rank(&self.own.name);
-        let others = self.present().filter(|(record, _)| record.name != *target);
-        others
-            .filter(|(record, _)| rank(&record.name) > own_rank)
-            .count()
-            < self.times.confirmers
+        let others = self.present().map(|(record, _)| &record.name);
+        let others = others.filter(|name| *name != target);
+        is_among_first(&self.own.name, others, target, self.times.confirmers)
     }
 }
 
 /// The place of a VM in the ring; VMs of one rack are spread over it.
 fn ring_place(name: &VmName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.hash(&mut hasher);
-    hasher.finish()
+    hash_rank(name)
 }
--- /dev/null
+++ b/crates/policy/src/rendezvous.rs
@@ -0,0 +1,38 @@
+//! Rendezvous hashing (Thaler and Ravishankar, 1998): every VM finds by itself
+//! which of several candidates a subject belongs to.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Returns the rank of a value; for one subject the highest candidate goes first.
+pub(crate) fn hash_rank(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Tells whether `own` is among the first `count` candidates for a subject.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::is_among_first;
+///
+/// let candidates = ["vm-1", "vm-2", "vm-3"];
+/// let is_first = |own: &&&str| {
+///     let others = candidates.iter().filter(|other| *other != *own);
+///     is_among_first(*own, others, &"engine-1", 1)
+/// };
+/// assert_eq!(candidates.iter().filter(is_first).count(), 1);
+/// ```
+pub fn is_among_first<'a, C: Hash + 'a, S: Hash>(
+    own: &C,
+    others: impl Iterator<Item = &'a C>,
+    subject: &S,
+    count: usize,
+) -> bool {
+    let own_rank = hash_rank((own, subject));
+    others
+        .filter(|other| hash_rank((*other, subject)) > own_rank)
+        .count()
+        < count
+}
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -5,9 +5,9 @@
 //! (Thaler and Ravishankar, 1998) with bounded loads (Mirrokni, Thorup and
 //! Zadimoghaddam, 2016).
 
+use crate::rendezvous::hash_rank;
 use skylarkshed_core::{UpstreamName, ZoneName};
 use std::cmp::Reverse;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The most load of an upstream, over the mean, in hundredths.
 const LOAD_FACTOR: u64 = 125;
@@ -127,8 +127,5 @@
 
 /// The rendezvous rank of an upstream for a prefix.
 fn rank(prefix: u64, name: &UpstreamName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    prefix.hash(&mut hasher);
-    name.hash(&mut hasher);
-    hasher.finish()
+    hash_rank((prefix, name))
 }
