--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,5 +1,6 @@
 //! Time in milliseconds.
 
+use nix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::ops::Add;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -102,3 +103,41 @@
         ClockTime::from(self.start.elapsed())
     }
 }
+
+/// A clock that goes on while the machine is suspended.
+///
+/// The age of what a VM knows is measured on it: a suspended VM wakes up with
+/// knowledge that is older than its monotonic clock says.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspendClock {
+    start: Duration,
+}
+
+impl SuspendClock {
+    /// Starts a clock at zero.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::SuspendClock;
+    ///
+    /// let clock = SuspendClock::start();
+    /// assert!(clock.now() <= clock.now());
+    /// ```
+    pub fn start() -> Self {
+        SuspendClock {
+            start: since_boot(),
+        }
+    }
+
+    /// Returns the milliseconds since the clock started, suspension included.
+    pub fn now(&self) -> ClockTime {
+        ClockTime::from(since_boot().saturating_sub(self.start))
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    time.map(Duration::from)
+        .expect("every Linux kernel has this clock")
+}
--- a/crates/core/src/key_hash.rs
+++ b/crates/core/src/key_hash.rs
@@ -2,6 +2,7 @@
 
 use serde_with::{DeserializeFromStr, SerializeDisplay};
 use std::fmt;
+use std::hash::{Hash, Hasher};
 use std::str::FromStr;
 use subtle::ConstantTimeEq;
 
@@ -36,6 +37,12 @@
 
 impl Eq for KeyHash {}
 
+impl Hash for KeyHash {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl fmt::Debug for KeyHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("KeyHash(..)")
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`names`] and [`ids`] hold the names and identifiers that cross layers.
 //! - [`catalog`] holds services, versions, customers and moves, and how a
 //!   configuration change alters them.
+//! - [`traffic`] holds the routes, customers' keys and upstreams of plain HTTP
+//!   traffic.
 //! - [`settings`] holds the settings of one process and their checks.
 
 mod catalog;
@@ -17,6 +19,7 @@
 mod sent;
 mod settings;
 mod settings_check;
+mod traffic;
 mod units;
 
 pub use catalog::{
@@ -24,7 +27,7 @@
     MoveState, NewsEvent, NewsItem, RouteEntry, ServiceEntry, ServiceKind, ServiceState,
     UpstreamEntry, VersionEntry,
 };
-pub use clock::{ClockTime, MonotonicClock};
+pub use clock::{ClockTime, MonotonicClock, SuspendClock};
 pub use ids::{AttemptNumber, GenerationId, IncarnationId, RevisionNumber};
 pub use key_hash::KeyHash;
 pub use names::{CustomerName, ServiceName, UpstreamName, VersionName, VmName, ZoneName};
@@ -34,4 +37,8 @@
     ResumeSettings,
 };
 pub use settings_check::SettingsError;
+pub use traffic::{
+    CallerLimits, CustomerKeys, EngineTraits, RequestKind, RolloutOrder, RouteRule, RoutingConfig,
+    ServiceRule, ServiceShare, UpstreamRecord,
+};
 pub use units::DurationText;
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,212 @@
+//! Carries a quick call to an upstream, and to another if it may be repeated.
+
+use crate::answer::{AnswerBody, CallerAnswer};
+use crate::counters;
+use crate::exchange::{send, CallerRequest, LiveAnswer, SendFailure};
+use crate::process::GatewayState;
+use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunEvidence};
+use crate::seams::WireDialect;
+use crate::upstreams::{UpstreamQuery, UpstreamState};
+use bytes::Bytes;
+use http::{response, Response};
+use skylarkshed_core::{ClockTime, UpstreamName};
+use std::sync::Arc;
+
+/// A repeatable call is sent elsewhere after this part of its objective, in
+/// hundredths, so that the second try still ends in time.
+const FIRST_TRY_PERCENT: u64 = 55;
+/// Upstreams that may refuse a connection before the caller is told so.
+const MOST_UNSENT: usize = 4;
+/// When a caller is to come back after a refusal: a few calls' time, in which
+/// places become free.
+const RETRY_PAUSE: ClockTime = ClockTime::from_millis(40);
+
+/// What a try brought.
+enum TryOutcome {
+    /// An answer for the caller.
+    Answer(response::Parts, Bytes),
+    /// The upstream's own failure, which another may do better.
+    UpstreamError(response::Parts, Bytes),
+    /// Nothing was sent.
+    Unsent,
+    /// The upstream says that it did not run the call.
+    NotRun,
+    /// The call may have run.
+    Lost(FailureReason),
+}
+
+impl TryOutcome {
+    const fn label(&self) -> &'static str {
+        match self {
+            TryOutcome::Answer(..) => "answer",
+            TryOutcome::UpstreamError(..) => "upstream_error",
+            TryOutcome::Unsent => "unsent",
+            TryOutcome::NotRun => "not_run",
+            TryOutcome::Lost(reason) => reason.label(),
+        }
+    }
+}
+
+/// The tries of one call.
+struct CallTries<'a> {
+    state: &'a GatewayState,
+    request: &'a CallerRequest,
+    evidence: RunEvidence,
+    tried: Vec<UpstreamName>,
+    sends: u32,
+    unsent: usize,
+    /// What the caller is told if no further try is made.
+    fallback: Option<CallerAnswer>,
+}
+
+/// Carries a call and returns the answer for its caller.
+pub(crate) async fn serve_call<D: WireDialect>(
+    state: &GatewayState,
+    request: &CallerRequest,
+) -> CallerAnswer {
+    state.budget(&request.service).earn(1);
+    let mut tries = CallTries {
+        state,
+        request,
+        evidence: RunEvidence::default(),
+        tried: Vec::new(),
+        sends: 0,
+        unsent: 0,
+        fallback: None,
+    };
+    loop {
+        let Some(upstream) = tries.next_upstream() else {
+            return tries.give_up(NotRunReason::NoUpstream);
+        };
+        let outcome = tries.try_upstream::<D>(&upstream).await;
+        tries.log(&upstream, &outcome);
+        if let Some(answer) = tries.settle(outcome) {
+            return answer;
+        }
+    }
+}
+
+impl CallTries<'_> {
+    fn next_upstream(&self) -> Option<Arc<UpstreamState>> {
+        self.state.upstreams.choose(&UpstreamQuery {
+            service: &self.request.service,
+            zone: &self.state.settings.zone,
+            avoid: &self.tried,
+            avoid_zones: &[],
+        })
+    }
+
+    async fn try_upstream<D: WireDialect>(&mut self, upstream: &UpstreamState) -> TryOutcome {
+        self.tried.push(upstream.name().clone());
+        let limit = self.try_limit();
+        let deadline = &self.request.deadline;
+        let order = self.request.order(upstream);
+        let exchange = async {
+            let mut answer = send::<D>(self.state, self.request, upstream, &order).await?;
+            let body = answer.collect().await?;
+            Ok((answer, body))
+        };
+        match deadline.bound(limit, exchange).await {
+            Some(Ok((answer, body))) => judge(upstream, answer, body),
+            Some(Err(SendFailure::Unsent)) => TryOutcome::Unsent,
+            Some(Err(SendFailure::Broken)) => TryOutcome::Lost(FailureReason::UpstreamBroke),
+            None => {
+                upstream.suspect(self.state.clock.now());
+                TryOutcome::Lost(FailureReason::Timeout)
+            }
+        }
+    }
+
+    /// Returns how long a try may take.
+    fn try_limit(&self) -> ClockTime {
+        let route = &self.request.route;
+        if !route.kind.is_repeatable() || self.sends + 1 >= route.attempts {
+            return ClockTime::NEVER;
+        }
+        ClockTime::from_millis(route.objective.as_millis() * FIRST_TRY_PERCENT / 100)
+    }
+
+    /// Takes a try's outcome; returns the answer unless another try is made.
+    fn settle(&mut self, outcome: TryOutcome) -> Option<CallerAnswer> {
+        let label = outcome.label();
+        let is_repeatable = self.request.route.kind.is_repeatable();
+        match outcome {
+            TryOutcome::Answer(parts, body) => return Some(to_answer(parts, body)),
+            TryOutcome::UpstreamError(parts, body) => {
+                self.sends += 1;
+                self.evidence.note_may_have_run();
+                self.fallback = Some(to_answer(parts, body));
+            }
+            TryOutcome::Lost(reason) => {
+                self.sends += 1;
+                self.evidence.note_may_have_run();
+                self.fallback = Some(fail(reason));
+            }
+            TryOutcome::NotRun => {
+                self.sends += 1;
+                self.fallback = None;
+            }
+            TryOutcome::Unsent => {
+                self.unsent += 1;
+                self.fallback = None;
+            }
+        }
+        let may_go_on = is_repeatable || !self.evidence.may_have_run();
+        let has_tries = self.sends < self.request.route.attempts && self.unsent < MOST_UNSENT;
+        if !may_go_on || !has_tries || self.request.deadline.is_over() {
+            return Some(self.give_up(NotRunReason::UpstreamsBusy));
+        }
+        if self.sends > 0 && !self.state.budget(&self.request.service).try_spend(1) {
+            return Some(self.give_up(NotRunReason::RetryBudget));
+        }
+        counters::count_retry(label);
+        None
+    }
+
+    /// Ends the call without a success.
+    fn give_up(&mut self, reason: NotRunReason) -> CallerAnswer {
+        if let Some(answer) = self.fallback.take() {
+            return answer;
+        }
+        match self.evidence.proof() {
+            Some(proof) => refuse(proof, reason, RETRY_PAUSE),
+            None => fail(FailureReason::UpstreamBroke),
+        }
+    }
+
+    fn log(&self, upstream: &UpstreamState, outcome: &TryOutcome) {
+        log::debug!(
+            request = self.request.id(),
+            upstream:% = upstream.name(),
+            outcome = outcome.label(),
+            after_ms = self.request.deadline.passed().as_millis();
+            "try ended"
+        );
+    }
+}
+
+/// Judges a whole response.
+fn judge(upstream: &UpstreamState, answer: LiveAnswer, body: Bytes) -> TryOutcome {
+    if answer.head.is_not_run || answer.head.is_misdirected {
+        return TryOutcome::NotRun;
+    }
+    if answer.is_success() {
+        upstream.trust();
+        return TryOutcome::Answer(answer.parts, body);
+    }
+    let status = answer.parts.status;
+    // A failure without a signature is not the upstream's, and a success
+    // without one is not to be handed on.
+    if !answer.head.is_signed || status.is_success() {
+        counters::count_bad_answer("unsigned");
+        return TryOutcome::Lost(FailureReason::BadAnswer);
+    }
+    match status.is_server_error() {
+        true => TryOutcome::UpstreamError(answer.parts, body),
+        false => TryOutcome::Answer(answer.parts, body),
+    }
+}
+
+fn to_answer(parts: response::Parts, body: Bytes) -> CallerAnswer {
+    Response::from_parts(parts, AnswerBody::whole(body))
+}
--- /dev/null
+++ b/crates/gateway/src/counters.rs
@@ -0,0 +1,56 @@
+//! The names of all counters, gauges and histograms.
+
+use metrics::{counter, gauge, histogram};
+use skylarkshed_core::ClockTime;
+
+/// Counts a refusal or failure by its reason.
+pub(crate) fn count_refusal(reason: &'static str) {
+    counter!("gateway_refusals_total", "reason" => reason).increment(1);
+}
+
+/// Counts a send beyond the first by its reason.
+pub(crate) fn count_retry(reason: &'static str) {
+    counter!("gateway_retries_total", "reason" => reason).increment(1);
+}
+
+/// Counts an upstream's answer that was thrown away.
+pub(crate) fn count_bad_answer(reason: &'static str) {
+    counter!("gateway_bad_answers_total", "reason" => reason).increment(1);
+}
+
+/// Counts an ended request by its kind and outcome, with its duration.
+pub(crate) fn count_request(kind: &'static str, outcome: &'static str, lasted: ClockTime) {
+    counter!("gateway_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
+    histogram!("gateway_request_ms", "kind" => kind).record(lasted.as_millis() as f64);
+}
+
+/// Counts a call to the store by its source and outcome.
+pub(crate) fn count_store(source: &'static str, outcome: &'static str) {
+    counter!("gateway_store_calls_total", "source" => source, "outcome" => outcome).increment(1);
+}
+
+/// Counts log lines that were left out.
+pub(crate) fn count_dropped_line() {
+    counter!("gateway_log_lines_dropped_total").increment(1);
+}
+
+/// Tells the version of the configuration in force.
+pub(crate) fn set_config_version(version: u64) {
+    gauge!("gateway_config_version").set(version as f64);
+}
+
+/// Tells how old the newest proof of the configuration is.
+pub(crate) fn set_config_age(age: ClockTime) {
+    gauge!("gateway_config_age_ms").set(age.as_millis() as f64);
+}
+
+/// Tells how many upstreams may get work.
+pub(crate) fn set_upstreams(present: usize, leaving: usize) {
+    gauge!("gateway_upstreams", "state" => "present").set(present as f64);
+    gauge!("gateway_upstreams", "state" => "leaving").set(leaving as f64);
+}
+
+/// Tells how many callers are connected.
+pub(crate) fn set_connections(connections: usize) {
+    gauge!("gateway_connections").set(connections as f64);
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,39 @@
+//! The daemon of one VM that routes plain HTTP to upstreams.
+//!
+//! [`run_gateway`] serves until the process is told to end. Inside,
+//!
+//! - `caller` holds callers' connections, `front` decides what becomes of a
+//!   request;
+//! - `call` carries quick calls and `stream` answers of many events;
+//! - `store_watch` keeps the configuration and the upstreams up to date;
+//! - `upstreams` knows the upstreams and what this VM sent them.
+//!
+//! How requests, upstreams and the store speak is left to the [`WireDialect`]
+//! and the [`RoutingStore`] of the platform it runs on.
+
+mod answer;
+mod call;
+mod caller;
+mod control;
+mod counters;
+mod deadline;
+mod exchange;
+mod front;
+mod log_writer;
+mod process;
+mod refusal;
+mod run;
+mod seams;
+mod service_pages;
+mod settings;
+mod store_watch;
+mod stream;
+mod upstreams;
+
+pub use log_writer::{start_logging, LogError};
+pub use run::{run_gateway, GatewayError};
+pub use seams::{
+    AnswerHead, CallerHead, ControlNews, HeadError, MemoryCopy, NewsReading, NewsSource,
+    RolloutState, RolloutStatus, RoutingStore, SendOrder, StoreError, UpstreamNews, WireDialect,
+};
+pub use settings::{GatewayListen, GatewaySettings, GatewayTimes};
--- /dev/null
+++ b/crates/gateway/src/seams.rs
@@ -0,0 +1,245 @@
+//! The seams between the gateway and the platform that it runs on.
+
+use bytes::Bytes;
+use faststr::FastStr;
+use http::{request, response};
+use skylarkshed_core::{
+    ClockTime, CustomerName, KeyHash, RolloutOrder, RoutingConfig, ServiceName, UpstreamName,
+    UpstreamRecord, VersionName,
+};
+use skylarkshed_http_link::LinkRequest;
+use std::future::Future;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// What the head of a caller's request says.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallerHead {
+    /// Names the request; each try of a caller has its own.
+    pub request: FastStr,
+    /// How long the caller will wait.
+    pub time_left: Option<ClockTime>,
+    /// The host, in lower case and without a port.
+    pub host: FastStr,
+    /// The hash of the caller's key.
+    pub key: Option<KeyHash>,
+    /// The last event that the caller holds of an answer that broke off.
+    pub resume_after: Option<u64>,
+    /// The tokens of the prompt; zero if unknown.
+    pub prompt_tokens: u64,
+}
+
+/// Why a request's head can't be used.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum HeadError {
+    /// It has no name.
+    #[error("the request has no usable identifier")]
+    NoIdentifier,
+    /// It has no host or more than one.
+    #[error("the request names no host or several")]
+    BadHost,
+    /// A header that may stand once stands twice or can't be read.
+    #[error("a header of the request is repeated or malformed")]
+    BadHeader,
+}
+
+/// Memory of a running answer that stands at an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MemoryCopy {
+    /// The upstream that holds it.
+    pub holder: UpstreamName,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// How a request is sent to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct SendOrder<'a> {
+    /// The request's name.
+    pub request: &'a str,
+    /// The upstream.
+    pub upstream: &'a UpstreamRecord,
+    /// The customer, if the route needs a key.
+    pub customer: Option<&'a CustomerName>,
+    /// How long the answer is waited for.
+    pub time_left: ClockTime,
+    /// The last event that stands, if the answer goes on.
+    pub resume_after: Option<u64>,
+    /// The copy to go on from.
+    pub copy_from: Option<&'a MemoryCopy>,
+    /// Where the answer's memory is to be copied while it runs.
+    pub copy_to: Option<SocketAddr>,
+    /// How urgent the request is, if it differs from the usual; 0 goes first.
+    pub urgency: Option<u8>,
+}
+
+/// What the head of an upstream's response says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// The request that it answers.
+    pub request: Option<FastStr>,
+    /// Whether the upstream signed it.
+    pub is_signed: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub is_not_run: bool,
+    /// Whether another upstream than the expected one has the address.
+    pub is_misdirected: bool,
+    /// Whether the upstream is about to close the connection.
+    pub closes: bool,
+}
+
+/// Translates heads between callers, the gateway and upstreams.
+pub trait WireDialect: Send + Sync + 'static {
+    /// The path of the readiness check.
+    const READINESS_PATH: &'static str;
+
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the head lacks what every request has, or has it twice.
+    fn read_request(parts: &request::Parts) -> Result<CallerHead, HeadError>;
+
+    /// Writes a caller's request for an upstream.
+    fn write_request(parts: &request::Parts, body: Bytes, order: &SendOrder<'_>) -> LinkRequest;
+
+    /// Reads the head of an upstream's response.
+    fn read_answer(parts: &response::Parts) -> AnswerHead;
+}
+
+/// Why the store did not answer.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// It can't be reached, or the connection broke off.
+    #[error("the store can't be reached: {0}")]
+    Unreachable(String),
+    /// It did not answer in time.
+    #[error("the store did not answer within {} ms", .0.as_millis())]
+    Timeout(ClockTime),
+    /// It refused the call; nothing was done.
+    #[error("the store refused the call with status {0}")]
+    Refused(u16),
+    /// The changes asked for are not kept any more.
+    #[error("the store's history does not reach back")]
+    HistoryLost,
+    /// The row changed meanwhile.
+    #[error("the row has changed")]
+    Conflict,
+    /// The answer can't be read.
+    #[error("the store's answer can't be read: {0}")]
+    Unreadable(String),
+}
+
+impl StoreError {
+    /// Returns the error as a label of logs and metrics.
+    pub const fn label(&self) -> &'static str {
+        match self {
+            StoreError::Unreachable(_) => "unreachable",
+            StoreError::Timeout(_) => "timeout",
+            StoreError::Refused(_) => "refused",
+            StoreError::HistoryLost => "history_lost",
+            StoreError::Conflict => "conflict",
+            StoreError::Unreadable(_) => "unreadable",
+        }
+    }
+}
+
+/// News from the operators.
+#[derive(Clone, Debug)]
+pub enum ControlNews {
+    /// The configuration.
+    Config(Box<RoutingConfig>),
+    /// An order to move a service to another version.
+    Rollout(RolloutOrder),
+    /// The order for a service is withdrawn.
+    RolloutGone(ServiceName),
+    /// A row that can't be read; what it said before holds on.
+    Unreadable {
+        /// The row.
+        row: String,
+        /// What is wrong with it.
+        problem: String,
+    },
+    /// A row of no concern to the gateway.
+    Ignored,
+}
+
+/// News of upstreams.
+#[derive(Clone, Debug)]
+pub enum UpstreamNews {
+    /// An upstream is there.
+    Present(UpstreamRecord),
+    /// An upstream's entry was removed.
+    Gone(UpstreamName),
+    /// An entry that names no upstream to use.
+    Unreadable {
+        /// The upstream.
+        name: UpstreamName,
+        /// What is wrong with the entry.
+        problem: String,
+    },
+}
+
+/// An answer of the store.
+#[derive(Clone, Debug)]
+pub struct NewsReading<N> {
+    /// The news, oldest first.
+    pub news: Vec<N>,
+    /// The store's revision as of this answer.
+    pub revision: u64,
+}
+
+/// A table of the store that can be read and watched.
+pub trait NewsSource: Send + 'static {
+    /// What its rows say.
+    type News: Send;
+
+    /// Names the source in logs and metrics.
+    const NAME: &'static str;
+
+    /// Reads the whole table.
+    fn read(&mut self) -> impl Future<Output = Result<NewsReading<Self::News>, StoreError>> + Send;
+
+    /// Waits for changes after a revision, at most for `wait`.
+    fn watch(
+        &mut self,
+        after: u64,
+        wait: ClockTime,
+    ) -> impl Future<Output = Result<NewsReading<Self::News>, StoreError>> + Send;
+}
+
+/// How far a rollout has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RolloutState {
+    /// Traffic is being moved.
+    Running,
+    /// The new version has all traffic.
+    Done,
+    /// The old version has all traffic again.
+    RolledBack,
+}
+
+/// A rollout's state as it stands in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that was to take the traffic.
+    pub to: VersionName,
+    /// How far it has come.
+    pub state: RolloutState,
+}
+
+/// The tables of the store that the gateway uses.
+pub trait RoutingStore: Clone + Send + Sync + 'static {
+    /// The operators' orders.
+    type Control: NewsSource<News = ControlNews>;
+    /// The upstreams' entries.
+    type Upstreams: NewsSource<News = UpstreamNews>;
+
+    /// Returns the source of the operators' orders.
+    fn control(&self) -> Self::Control;
+
+    /// Returns the source of the upstreams' entries.
+    fn upstreams(&self) -> Self::Upstreams;
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,45 @@
+//! The settings of one gateway process.
+
+use skylarkshed_core::{ClockTime, VmName, ZoneName};
+use std::net::SocketAddr;
+
+/// The addresses that a gateway listens on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's readiness checks.
+    pub readiness: SocketAddr,
+    /// For the metrics.
+    pub metrics: SocketAddr,
+}
+
+/// The times that a gateway's promises depend on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct GatewayTimes {
+    /// A key that was taken away works for this long at most.
+    pub revocation: ClockTime,
+    /// From a termination signal to the kill.
+    pub grace: ClockTime,
+    /// How long entries that lapsed while the store was away may take to come back.
+    pub lapse: ClockTime,
+}
+
+/// The settings of one gateway process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GatewaySettings {
+    /// The VM's name.
+    pub name: VmName,
+    /// The VM's availability zone.
+    pub zone: ZoneName,
+    /// Where it listens.
+    pub listen: GatewayListen,
+    /// The times of its promises.
+    pub times: GatewayTimes,
+    /// File descriptors that the process may use.
+    pub descriptors: usize,
+    /// The share of requests that may be sent a second time, in hundredths.
+    pub retry_percent: u32,
+    /// Repeated requests in a short time that all VMs together may send beyond the share.
+    pub retry_reserve: u32,
+}
--- /dev/null
+++ b/crates/gateway/src/store_watch.rs
@@ -0,0 +1,241 @@
+//! Keeps the configuration and the upstreams in step with the store.
+
+use crate::counters;
+use crate::process::GatewayState;
+use crate::seams::{ControlNews, NewsReading, NewsSource, StoreError, UpstreamNews};
+use skylarkshed_core::{ClockTime, UpstreamRecord};
+use skylarkshed_policy::BookChange;
+use std::sync::Arc;
+
+/// A watch without news is answered after this time, which bounds the age of
+/// what the VM knows. Revoked keys need an age below seconds; each answer is a
+/// priced call.
+const CONTROL_WAIT: ClockTime = ClockTime::from_millis(800);
+/// A watch of upstreams proves nothing by its silence, so it can last longer.
+const UPSTREAM_WAIT: ClockTime = ClockTime::from_millis(1_000);
+/// The pause after a failed call: short against the 2 s in which changes have
+/// to be in force.
+const RETRY_PAUSE: ClockTime = ClockTime::from_millis(150);
+/// The longest pause after many failed calls.
+const LONGEST_PAUSE: ClockTime = ClockTime::from_millis(600);
+
+/// Takes what a source tells.
+trait NewsSink: Send {
+    type News;
+
+    /// How long a watch waits for news.
+    const WAIT: ClockTime;
+
+    /// Takes the whole table.
+    fn replace(&mut self, reading: NewsReading<Self::News>, asked: ClockTime);
+
+    /// Takes changes.
+    fn apply(&mut self, reading: NewsReading<Self::News>, asked: ClockTime);
+
+    /// Notes that the store does not answer.
+    fn note_lost(&mut self);
+}
+
+/// Keeps the configuration up to date.
+pub(crate) async fn watch_control<S>(state: Arc<GatewayState>, source: S)
+where
+    S: NewsSource<News = ControlNews>,
+{
+    let sink = ControlSink {
+        state: state.clone(),
+    };
+    run(&state, source, sink).await;
+}
+
+/// Keeps the upstreams up to date.
+pub(crate) async fn watch_upstreams<S>(state: Arc<GatewayState>, source: S)
+where
+    S: NewsSource<News = UpstreamNews>,
+{
+    let sink = UpstreamSink {
+        state: state.clone(),
+    };
+    run(&state, source, sink).await;
+}
+
+async fn run<S, K>(state: &GatewayState, mut source: S, mut sink: K)
+where
+    S: NewsSource,
+    K: NewsSink<News = S::News>,
+{
+    let mut known: Option<u64> = None;
+    let mut failures = 0;
+    loop {
+        let asked = state.control.now();
+        let result = match known {
+            None => source.read().await,
+            Some(revision) => source.watch(revision, K::WAIT).await,
+        };
+        match result {
+            Ok(reading) => {
+                counters::count_store(S::NAME, "answered");
+                if failures > 0 {
+                    log::info!(source = S::NAME, failures; "the store answers again");
+                }
+                failures = 0;
+                let revision = reading.revision;
+                match known {
+                    None => sink.replace(reading, asked),
+                    Some(_) => sink.apply(reading, asked),
+                }
+                known = Some(known.unwrap_or(0).max(revision));
+            }
+            Err(error) => {
+                counters::count_store(S::NAME, error.label());
+                if matches!(error, StoreError::HistoryLost) {
+                    log::info!(source = S::NAME, revision = known; "{error}; reading all again");
+                    known = None;
+                    continue;
+                }
+                if failures == 0 {
+                    log::warn!(
+                        source = S::NAME,
+                        reason = error.label(),
+                        config_age_ms = state.control.age().as_millis();
+                        "the store does not answer: {error}"
+                    );
+                }
+                failures += 1;
+                sink.note_lost();
+                tokio::time::sleep(pause(failures).to_duration()).await;
+            }
+        }
+    }
+}
+
+/// Returns the pause after so many failures, spread so that VMs do not meet.
+fn pause(failures: u64) -> ClockTime {
+    let longest = (RETRY_PAUSE.as_millis() * failures).min(LONGEST_PAUSE.as_millis());
+    ClockTime::from_millis(rand::random_range(longest / 2..=longest))
+}
+
+struct ControlSink {
+    state: Arc<GatewayState>,
+}
+
+impl ControlSink {
+    fn take(&self, news: Vec<ControlNews>) {
+        for item in news {
+            match item {
+                ControlNews::Config(config) => self.accept(*config),
+                ControlNews::Rollout(order) => {
+                    log::info!(service:% = order.service, to:% = order.to; "rollout ordered");
+                }
+                ControlNews::RolloutGone(service) => {
+                    log::info!(service:%; "rollout withdrawn");
+                }
+                ControlNews::Unreadable { row, problem } => {
+                    log::warn!(row = row.as_str(); "an operator's row can't be read: {problem}");
+                }
+                ControlNews::Ignored => {}
+            }
+        }
+    }
+
+    fn accept(&self, config: skylarkshed_core::RoutingConfig) {
+        let version = config.version;
+        if self.state.control.accept(config) {
+            counters::set_config_version(version);
+            log::info!(config_version = version; "configuration in force");
+        }
+    }
+}
+
+impl NewsSink for ControlSink {
+    type News = ControlNews;
+
+    const WAIT: ClockTime = CONTROL_WAIT;
+
+    fn replace(&mut self, reading: NewsReading<ControlNews>, asked: ClockTime) {
+        self.apply(reading, asked);
+    }
+
+    fn apply(&mut self, reading: NewsReading<ControlNews>, asked: ClockTime) {
+        self.take(reading.news);
+        self.state.control.prove(asked);
+    }
+
+    fn note_lost(&mut self) {}
+}
+
+struct UpstreamSink {
+    state: Arc<GatewayState>,
+}
+
+impl NewsSink for UpstreamSink {
+    type News = UpstreamNews;
+
+    const WAIT: ClockTime = UPSTREAM_WAIT;
+
+    fn replace(&mut self, reading: NewsReading<UpstreamNews>, _asked: ClockTime) {
+        let present = reading.news.into_iter().filter_map(to_present);
+        let records: Vec<UpstreamRecord> = present.collect();
+        let changes = self.state.upstreams.update(|book, now| {
+            book.note_store_answer(now);
+            book.replace(records, now)
+        });
+        log_changes(&changes);
+    }
+
+    fn apply(&mut self, reading: NewsReading<UpstreamNews>, _asked: ClockTime) {
+        let changes = self.state.upstreams.update(|book, now| {
+            book.note_store_answer(now);
+            let mut changes = book.expire(now);
+            for item in reading.news {
+                match item {
+                    UpstreamNews::Present(record) => book.put(record, &mut changes),
+                    UpstreamNews::Gone(name) => book.remove(&name, now, &mut changes),
+                    UpstreamNews::Unreadable { name, problem } => {
+                        log::warn!(upstream:% = name; "an upstream's entry can't be read: {problem}");
+                        book.remove(&name, now, &mut changes);
+                    }
+                }
+            }
+            changes
+        });
+        log_changes(&changes);
+    }
+
+    fn note_lost(&mut self) {
+        self.state.upstreams.update(|book, now| {
+            book.note_store_lost();
+            book.expire(now)
+        });
+    }
+}
+
+fn to_present(news: UpstreamNews) -> Option<UpstreamRecord> {
+    match news {
+        UpstreamNews::Present(record) => Some(record),
+        UpstreamNews::Gone(_) => None,
+        UpstreamNews::Unreadable { name, problem } => {
+            log::warn!(upstream:% = name; "an upstream's entry can't be read: {problem}");
+            None
+        }
+    }
+}
+
+fn log_changes(changes: &[BookChange]) {
+    for change in changes {
+        match change {
+            BookChange::Present(record) => log::info!(
+                upstream:% = record.name,
+                service:% = record.service,
+                zone:% = record.zone,
+                address:% = record.address,
+                version:% = record.version;
+                "upstream present"
+            ),
+            BookChange::Leaving(record) => {
+                log::info!(upstream:% = record.name; "upstream leaving");
+            }
+            BookChange::Lapsed(name) => log::info!(upstream:% = name; "upstream's entry lapsed"),
+            BookChange::Gone(name) => log::info!(upstream:% = name; "upstream gone"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream/mod.rs
@@ -0,0 +1,376 @@
+//! Carries an answer of many events over any number of upstreams.
+
+mod attempt;
+mod events;
+
+use crate::answer::{AnswerBody, AnswerPart, CallerAnswer};
+use crate::counters;
+use crate::exchange::{send, CallerRequest};
+use crate::process::GatewayState;
+use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunEvidence};
+use crate::seams::{MemoryCopy, SendOrder, WireDialect};
+use crate::upstreams::{UpstreamQuery, UpstreamState};
+use attempt::{watch_silence, AttemptStep, FailedSend, StreamAttempt};
+use events::StreamEvent;
+use http::{response, Response};
+use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
+use skylarkshed_policy::{
+    recover_stream, silence_limit, EventLedger, EventVerdict, LossCause, RecoveryStep, StreamPhase,
+    StreamState,
+};
+use std::marker::PhantomData;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Events that wait for a slow caller before its upstream is slowed down too.
+const WAITING_EVENTS: usize = 32;
+/// Upstreams that may refuse a connection before the caller is told so.
+const MOST_UNSENT: u32 = 6;
+/// When a caller is to come back after a refusal: the time in which restarted
+/// engines are listed again is seconds, in which others become free less.
+const RETRY_PAUSE: ClockTime = ClockTime::from_millis(300);
+
+/// A stream and what it has spent.
+struct StreamRelay<D> {
+    state: Arc<GatewayState>,
+    request: CallerRequest,
+    is_resumable: bool,
+    ledger: EventLedger,
+    evidence: RunEvidence,
+    sends: u32,
+    unsent: u32,
+    tried: Vec<UpstreamName>,
+    lost_zones: Vec<ZoneName>,
+    _dialect: PhantomData<D>,
+}
+
+/// What the relay does at the end of a stream's attempts.
+enum OpenedStream {
+    Running(Box<StreamAttempt>),
+    /// An answer of the upstream that is no stream of events.
+    Plain(CallerAnswer),
+    Stopped,
+}
+
+/// Carries a stream and returns the head of its answer.
+pub(crate) async fn serve_stream<D: WireDialect>(
+    state: Arc<GatewayState>,
+    request: CallerRequest,
+    is_resumable: bool,
+) -> CallerAnswer {
+    state.budget(&request.service).earn(1);
+    let mut relay = StreamRelay::<D> {
+        ledger: EventLedger::after(request.head.resume_after),
+        state,
+        request,
+        is_resumable,
+        evidence: RunEvidence::default(),
+        sends: 0,
+        unsent: 0,
+        tried: Vec::new(),
+        lost_zones: Vec::new(),
+        _dialect: PhantomData,
+    };
+    match relay.open(None).await {
+        OpenedStream::Running(attempt) => {
+            let (parts, body) = mpsc::channel(WAITING_EVENTS);
+            let answer = begin_answer(&attempt.answer.parts, body);
+            tokio::spawn(relay.run(*attempt, parts));
+            answer
+        }
+        OpenedStream::Plain(answer) => {
+            relay.log_end("passed_on");
+            answer
+        }
+        OpenedStream::Stopped => {
+            relay.log_end("not_begun");
+            relay.give_up()
+        }
+    }
+}
+
+fn begin_answer(head: &response::Parts, body: mpsc::Receiver<AnswerPart>) -> CallerAnswer {
+    let mut answer = Response::new(AnswerBody::Parts(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = head.headers.clone();
+    answer.headers_mut().remove(http::header::CONTENT_LENGTH);
+    answer
+}
+
+impl<D: WireDialect> StreamRelay<D> {
+    /// Finds an upstream that answers; `copy` is where the answer's memory stands.
+    async fn open(&mut self, mut copy: Option<MemoryCopy>) -> OpenedStream {
+        loop {
+            let holder = copy.take().and_then(|copy| self.usable_holder(copy));
+            let step = recover_stream(&StreamState {
+                sends: self.sends,
+                attempts: self.request.route.attempts,
+                is_resumable: self.is_resumable,
+                may_have_run: self.evidence.may_have_run(),
+                has_copy: holder.is_some(),
+            });
+            let has_tries = self.unsent < MOST_UNSENT && !self.request.deadline.is_over();
+            if step == RecoveryStep::Stop || !has_tries || !self.may_send() {
+                return OpenedStream::Stopped;
+            }
+            let (upstream, from) = match holder {
+                Some((upstream, copy)) => (upstream, Some(copy)),
+                None => match self.choose_upstream() {
+                    Some(upstream) => (upstream, None),
+                    None => return OpenedStream::Stopped,
+                },
+            };
+            match self.start(upstream.clone(), from.as_ref()).await {
+                Ok(opened) => return opened,
+                Err(FailedSend(cause)) => self.note_loss(&upstream, cause),
+            }
+        }
+    }
+
+    /// Takes a send beyond the first from the budget.
+    fn may_send(&self) -> bool {
+        self.sends == 0 || self.state.budget(&self.request.service).try_spend(1)
+    }
+
+    /// Returns the upstream that holds a copy, if it still works.
+    fn usable_holder(&self, copy: MemoryCopy) -> Option<(Arc<UpstreamState>, MemoryCopy)> {
+        let upstream = self
+            .state
+            .upstreams
+            .find(&self.request.service, &copy.holder)?;
+        let now = self.state.clock.now();
+        let is_usable = upstream.health(now) == skylarkshed_policy::UpstreamHealth::Healthy;
+        is_usable.then_some((upstream, copy))
+    }
+
+    fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+        self.state.upstreams.choose(&UpstreamQuery {
+            service: &self.request.service,
+            zone: &self.state.settings.zone,
+            avoid: &self.tried,
+            avoid_zones: &self.lost_zones,
+        })
+    }
+
+    /// Picks the engine that is to hold a copy: in another zone than the
+    /// upstream, and not in one that was just lost.
+    fn choose_holder(&self, upstream: &UpstreamState) -> Option<MemoryCopy> {
+        let table = self.state.control.table()?;
+        let engine = table.engine(&self.request.service)?;
+        if !engine.has_backups || !self.is_resumable {
+            return None;
+        }
+        let mut avoid = self.tried.clone();
+        avoid.push(upstream.name().clone());
+        let mut avoid_zones = self.lost_zones.clone();
+        avoid_zones.push(upstream.record.zone.clone());
+        let holder = self.state.upstreams.choose(&UpstreamQuery {
+            service: &self.request.service,
+            zone: &self.state.settings.zone,
+            avoid: &avoid,
+            avoid_zones: &avoid_zones,
+        })?;
+        Some(MemoryCopy {
+            holder: holder.name().clone(),
+            address: holder.record.address,
+        })
+    }
+
+    /// Sends the request to an upstream and waits for the head of its answer.
+    async fn start(
+        &mut self,
+        upstream: Arc<UpstreamState>,
+        from: Option<&MemoryCopy>,
+    ) -> Result<OpenedStream, FailedSend> {
+        self.tried.push(upstream.name().clone());
+        let copy = self.choose_holder(&upstream);
+        let phase = match from {
+            Some(_) => StreamPhase::Resuming,
+            None => StreamPhase::Prefill {
+                tokens: self.request.head.prompt_tokens,
+            },
+        };
+        let order = SendOrder {
+            resume_after: self.ledger.last(),
+            copy_from: from,
+            copy_to: copy.as_ref().map(|copy| copy.address),
+            ..self.request.order(&upstream)
+        };
+        log::info!(
+            request = self.request.id(),
+            upstream:% = upstream.name(),
+            zone:% = upstream.record.zone,
+            sends = self.sends,
+            resume_after = self.ledger.last(),
+            is_from_copy = from.is_some(),
+            holder = copy.as_ref().map(|copy| copy.holder.to_string()),
+            after_ms = self.request.deadline.passed().as_millis();
+            "stream sent"
+        );
+        let sending = send::<D>(&self.state, &self.request, &upstream, &order);
+        let limit = silence_limit(phase, true).min(self.request.deadline.left());
+        let clock = self.state.clock;
+        let answer = watch_silence(sending, limit, upstream.record.address, clock).await;
+        let answer = answer.ok_or(FailedSend(LossCause::Silence))??;
+        if answer.head.is_not_run || answer.head.is_misdirected {
+            return Err(FailedSend(LossCause::NotRun));
+        }
+        if !answer.is_success() {
+            return self.judge_failure(answer).await;
+        }
+        self.sends += 1;
+        let now = clock.now();
+        let attempt = StreamAttempt::new(upstream, copy, answer, phase, now);
+        Ok(OpenedStream::Running(Box::new(attempt)))
+    }
+
+    /// Passes on a failure that the upstream means, and retries any other.
+    async fn judge_failure(
+        &mut self,
+        mut answer: crate::exchange::LiveAnswer,
+    ) -> Result<OpenedStream, FailedSend> {
+        let status = answer.parts.status;
+        let is_meant = answer.head.is_signed && status.is_client_error();
+        if !is_meant || self.ledger.accepted() > 0 {
+            return Err(FailedSend(LossCause::Broken));
+        }
+        let body = answer.collect().await?;
+        let answer = Response::from_parts(answer.parts, AnswerBody::whole(body));
+        Ok(OpenedStream::Plain(answer))
+    }
+
+    fn note_loss(&mut self, upstream: &UpstreamState, cause: LossCause) {
+        match cause {
+            LossCause::Unsent => self.unsent += 1,
+            LossCause::NotRun => self.sends += 1,
+            _ => {
+                self.sends += 1;
+                self.evidence.note_may_have_run();
+            }
+        }
+        self.note_lost_upstream(upstream, cause);
+    }
+
+    fn note_lost_upstream(&mut self, upstream: &UpstreamState, cause: LossCause) {
+        if cause != LossCause::NotRun {
+            upstream.suspect(self.state.clock.now());
+            if !self.lost_zones.contains(&upstream.record.zone) {
+                self.lost_zones.push(upstream.record.zone.clone());
+            }
+        }
+        counters::count_retry(cause.label());
+        log::info!(
+            request = self.request.id(),
+            upstream:% = upstream.name(),
+            zone:% = upstream.record.zone,
+            cause = cause.label(),
+            events = self.ledger.accepted(),
+            after_ms = self.request.deadline.passed().as_millis();
+            "stream lost its upstream"
+        );
+    }
+
+    /// Relays events until the answer is whole, can't go on or its caller leaves.
+    async fn run(mut self, first: StreamAttempt, parts: mpsc::Sender<AnswerPart>) {
+        let mut attempt = first;
+        loop {
+            let left = self.request.deadline.left();
+            let step = tokio::select! {
+                step = attempt.next(self.state.clock) => step,
+                () = parts.closed() => return self.log_end("caller_left"),
+                () = tokio::time::sleep(left.to_duration()) => return self.log_end("timeout"),
+            };
+            let cause = match step {
+                AttemptStep::Event(event) => match self.relay(event, &parts).await {
+                    Ok(()) => continue,
+                    Err(cause) => cause,
+                },
+                AttemptStep::End => {
+                    // A caller that left needs no end.
+                    let _ = parts.send(AnswerPart::End).await;
+                    return self.log_end("served");
+                }
+                AttemptStep::Lost(cause) => cause,
+            };
+            match self.replace(attempt, cause, &parts).await {
+                Some(next) => attempt = next,
+                None => return,
+            }
+        }
+    }
+
+    /// Goes on at another upstream.
+    async fn replace(
+        &mut self,
+        attempt: StreamAttempt,
+        cause: LossCause,
+        parts: &mpsc::Sender<AnswerPart>,
+    ) -> Option<StreamAttempt> {
+        let copy = attempt.copy.clone();
+        let upstream = attempt.upstream.clone();
+        // The old upstream stops before the next one starts.
+        drop(attempt);
+        self.evidence.note_may_have_run();
+        self.note_lost_upstream(&upstream, cause);
+        let opened = tokio::select! {
+            opened = self.open(copy) => opened,
+            () = parts.closed() => {
+                self.log_end("caller_left");
+                return None;
+            }
+        };
+        match opened {
+            OpenedStream::Running(next) => Some(*next),
+            OpenedStream::Plain(_) | OpenedStream::Stopped => {
+                self.log_end("broken_off");
+                None
+            }
+        }
+    }
+
+    async fn relay(
+        &mut self,
+        event: StreamEvent,
+        parts: &mpsc::Sender<AnswerPart>,
+    ) -> Result<(), LossCause> {
+        let verdict = match event.id {
+            Some(id) => self.ledger.offer(id),
+            None => EventVerdict::Accepted,
+        };
+        match verdict {
+            EventVerdict::Accepted => {
+                // The main loop notes that the caller left.
+                let _ = parts.send(AnswerPart::Bytes(event.bytes)).await;
+                Ok(())
+            }
+            EventVerdict::Repeated => Ok(()),
+            EventVerdict::Gap => Err(LossCause::WrongEvent),
+        }
+    }
+
+    /// Ends a stream of which the caller has nothing.
+    fn give_up(&self) -> CallerAnswer {
+        match self.evidence.proof() {
+            Some(proof) => refuse(proof, NotRunReason::NoUpstream, RETRY_PAUSE),
+            None if self.request.deadline.is_over() => fail(FailureReason::Timeout),
+            None => fail(FailureReason::UpstreamBroke),
+        }
+    }
+
+    fn log_end(&self, outcome: &'static str) {
+        let kind = self.request.route.kind.label();
+        let lasted = self.request.deadline.passed();
+        log::info!(
+            request = self.request.id(),
+            kind,
+            route = self.request.route.name.as_str(),
+            service:% = self.request.service,
+            outcome,
+            events = self.ledger.accepted(),
+            sends = self.sends,
+            ms = lasted.as_millis();
+            "request ended"
+        );
+        counters::count_request(kind, outcome, lasted);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,12 +14,17 @@
 //!   and [`MintedKeys`] does so without the platform.
 //! - [`judge_version`] and [`decide_move`] carry traffic to a new version or
 //!   back.
+//! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamBook`]
+//!   keeps the upstreams that may get it, and [`choose_place`] picks one.
+//! - [`EventLedger`] lets each event of a stream through once, and
+//!   [`recover_stream`] decides how it goes on after a loss.
 //! - [`MembershipTable`] tells which VMs are there.
 
 mod admission;
 mod budget;
 mod claim;
 mod concurrency;
+mod event_ledger;
 mod evidence;
 mod gaps;
 mod generation;
@@ -29,14 +34,19 @@
 mod membership_types;
 mod minted;
 mod move_plan;
+mod placement;
 mod rate;
 mod rendezvous;
+mod route_table;
 mod routing;
+mod stream_recovery;
+mod upstream_book;
 
 pub use admission::{AdmissionQueue, AdmissionRefusal, AdmissionVerdict, TicketNumber};
 pub use budget::WorkBudget;
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
 pub use concurrency::ConcurrencyLimit;
+pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{judge_version, EvidenceVerdict, RouteCounts, VersionCounts};
 pub use gaps::{GapEstimator, SilenceBounds};
 pub use generation::GenerationMachine;
@@ -52,6 +62,12 @@
 };
 pub use minted::{MintedKeys, MintedState, MintedVerdict};
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
+pub use placement::{choose_place, PlaceCandidate, PlaceQuery};
 pub use rate::RateLimit;
 pub use rendezvous::is_among_first;
+pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
+pub use stream_recovery::{
+    recover_stream, silence_limit, LossCause, RecoveryStep, StreamPhase, StreamState,
+};
+pub use upstream_book::{BookChange, UpstreamBook};
--- /dev/null
+++ b/crates/policy/src/route_table.rs
@@ -0,0 +1,129 @@
+//! Finds the route, the service and the customer of a request.
+
+use faststr::FastStr;
+use skylarkshed_core::{
+    CallerLimits, CustomerKeys, EngineTraits, KeyHash, RouteRule, RoutingConfig, ServiceName,
+};
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A routing configuration, indexed for lookups.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::RoutingConfig;
+/// use skylarkshed_policy::RouteTable;
+///
+/// let table = RouteTable::new(RoutingConfig::default());
+/// assert!(table.find("stock.example", "/bins/7").is_none());
+/// ```
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    version: u64,
+    limits: CallerLimits,
+    /// The routes of each host, longest prefix first.
+    hosts: HashMap<FastStr, Vec<Arc<RouteRule>>>,
+    customers: HashMap<KeyHash, Arc<CustomerKeys>>,
+    engines: HashMap<ServiceName, EngineTraits>,
+    has_customers: bool,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(config: RoutingConfig) -> Self {
+        let mut hosts: HashMap<FastStr, Vec<Arc<RouteRule>>> = HashMap::new();
+        for route in config.routes {
+            let routes = hosts.entry(route.host.clone()).or_default();
+            routes.push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| Reverse(route.prefix.len()));
+        }
+        let has_customers = !config.customers.is_empty();
+        let mut customers = HashMap::new();
+        for customer in config.customers.into_iter().map(Arc::new) {
+            let entries = customer.keys.iter().map(|key| (*key, customer.clone()));
+            customers.extend(entries);
+        }
+        let engines = config.services.into_iter().filter_map(|service| {
+            let engine = service.engine?;
+            Some((service.name, engine))
+        });
+        RouteTable {
+            version: config.version,
+            limits: config.limits,
+            hosts,
+            customers,
+            engines: engines.collect(),
+            has_customers,
+        }
+    }
+
+    /// Returns the version of the configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns what callers may send.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Returns the host's route with the longest prefix that begins the path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let mut routes = self.hosts.get(host)?.iter();
+        routes.find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Tells whether requests on a route need a customer's key.
+    pub fn needs_key(&self, route: &RouteRule) -> bool {
+        self.has_customers && !route.is_public
+    }
+
+    /// Returns the customer that holds a key.
+    pub fn customer(&self, key: &KeyHash) -> Option<&Arc<CustomerKeys>> {
+        self.customers.get(key)
+    }
+
+    /// Returns what a service's upstreams can do, if they are model engines.
+    pub fn engine(&self, service: &ServiceName) -> Option<EngineTraits> {
+        self.engines.get(service).copied()
+    }
+}
+
+/// Picks the service of a request by the route's weights.
+///
+/// `draw` is any number that is even over requests, and the same for the tries
+/// of one request.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ServiceShare;
+/// use skylarkshed_policy::choose_service;
+///
+/// let share = |name: &str, weight| ServiceShare { service: name.into(), weight };
+/// let targets = [share("old", 3), share("new", 1)];
+/// assert_eq!(choose_service(&targets, 2).unwrap().as_str(), "old");
+/// assert_eq!(choose_service(&targets, 3).unwrap().as_str(), "new");
+/// ```
+pub fn choose_service(
+    targets: &[skylarkshed_core::ServiceShare],
+    draw: u64,
+) -> Option<&ServiceName> {
+    let total: u64 = targets.iter().map(|share| u64::from(share.weight)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut place = draw % total;
+    for share in targets {
+        let weight = u64::from(share.weight);
+        if place < weight {
+            return Some(&share.service);
+        }
+        place -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/policy/src/stream_recovery.rs
@@ -0,0 +1,146 @@
+//! What a stream does after it lost its upstream.
+//!
+//! Reading a long prompt again takes longer than a caller waits between two
+//! events, so an answer that has begun goes on from a copy of its memory
+//! wherever one stands.
+
+use skylarkshed_core::ClockTime;
+
+/// An engine reads so many prompt tokens in a millisecond; the slowest that
+/// the deployments tell of.
+const PREFILL_TOKENS_PER_MS: u64 = 8;
+/// The time to a first event is this many times the bare prefill at most, for
+/// the prompts that wait beside it.
+const PREFILL_FACTOR: u64 = 2;
+/// The time to a first event beyond the prefill: queueing and one step.
+const FIRST_EVENT_SLACK: ClockTime = ClockTime::from_millis(1_200);
+/// A silence between events that is acted on if a copy stands ready: five
+/// times the usual pause of 40 ms, and far below the 700 ms that callers allow.
+const SILENCE_WITH_COPY: ClockTime = ClockTime::from_millis(260);
+/// The same without a copy: going on means reading the prompt again.
+const SILENCE_WITHOUT_COPY: ClockTime = ClockTime::from_millis(700);
+/// The time to the first event after a copy was taken over: what the copy
+/// lacks has to be read.
+const RESUME_TIME: ClockTime = ClockTime::from_millis(500);
+
+/// How a stream's upstream was lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LossCause {
+    /// No connection was made; nothing was sent.
+    Unsent,
+    /// The upstream says that it did not run the request.
+    NotRun,
+    /// The answer broke off.
+    Broken,
+    /// Nothing came for too long.
+    Silence,
+    /// An event was missing or malformed.
+    WrongEvent,
+}
+
+impl LossCause {
+    /// Returns the cause as a label of logs and metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            LossCause::Unsent => "unsent",
+            LossCause::NotRun => "not_run",
+            LossCause::Broken => "broken",
+            LossCause::Silence => "silence",
+            LossCause::WrongEvent => "wrong_event",
+        }
+    }
+
+    /// Tells whether the upstream can't have run the request.
+    pub const fn is_not_run(self) -> bool {
+        matches!(self, LossCause::Unsent | LossCause::NotRun)
+    }
+}
+
+/// How a stream goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RecoveryStep {
+    /// At the engine that holds a copy.
+    FromCopy,
+    /// At another upstream, which reads the prompt again.
+    Reread,
+    /// Not at all.
+    Stop,
+}
+
+/// What a stream has spent and what it has.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamState {
+    /// Upstreams that the request was sent to.
+    pub sends: u32,
+    /// The most upstreams that it may be sent to.
+    pub attempts: u32,
+    /// Whether another upstream may go on.
+    pub is_resumable: bool,
+    /// Whether an upstream may have run it.
+    pub may_have_run: bool,
+    /// Whether a copy of its memory stands at an upstream that works.
+    pub has_copy: bool,
+}
+
+/// Decides how a stream goes on after a loss.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{recover_stream, RecoveryStep, StreamState};
+///
+/// let state = StreamState {
+///     sends: 1,
+///     attempts: 5,
+///     is_resumable: true,
+///     may_have_run: true,
+///     has_copy: true,
+/// };
+/// assert_eq!(recover_stream(&state), RecoveryStep::FromCopy);
+/// let state = StreamState { is_resumable: false, ..state };
+/// assert_eq!(recover_stream(&state), RecoveryStep::Stop);
+/// ```
+pub fn recover_stream(state: &StreamState) -> RecoveryStep {
+    if state.sends >= state.attempts || (state.may_have_run && !state.is_resumable) {
+        return RecoveryStep::Stop;
+    }
+    match state.has_copy {
+        true => RecoveryStep::FromCopy,
+        false => RecoveryStep::Reread,
+    }
+}
+
+/// How far a stream's attempt has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamPhase {
+    /// The prompt is read.
+    Prefill {
+        /// Tokens to read.
+        tokens: u64,
+    },
+    /// What a copy lacks is read.
+    Resuming,
+    /// Events come.
+    Flowing,
+}
+
+/// Returns the silence after which a stream's upstream counts as lost.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{silence_limit, StreamPhase};
+///
+/// assert!(silence_limit(StreamPhase::Flowing, true) < silence_limit(StreamPhase::Flowing, false));
+/// ```
+pub fn silence_limit(phase: StreamPhase, has_copy: bool) -> ClockTime {
+    match phase {
+        StreamPhase::Prefill { tokens } => {
+            let prefill_ms = tokens / PREFILL_TOKENS_PER_MS * PREFILL_FACTOR;
+            ClockTime::from_millis(prefill_ms) + FIRST_EVENT_SLACK
+        }
+        StreamPhase::Resuming => RESUME_TIME,
+        StreamPhase::Flowing if has_copy => SILENCE_WITH_COPY,
+        StreamPhase::Flowing => SILENCE_WITHOUT_COPY,
+    }
+}
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,38 @@
+//! `gateway`: routes plain HTTP on the users' platform.
+
+use crate::exit::{CommandError, CommandResult};
+use clap::{ArgMatches, Command};
+use skylarkshed_gateway::{run_gateway, start_logging};
+use skylarkshed_users_platform::{read_settings, settings_path, PlatformDialect, PlatformStore};
+
+const DEFAULT_LOG_LEVEL: &str = "info";
+/// A VM has a quarter of a core: a second thread serves while the first one
+/// is busy, and more would only wake each other.
+const WORKER_THREADS: usize = 2;
+
+/// Builds the command line of `gateway`.
+pub(crate) fn make_subcommand() -> Command {
+    Command::new("gateway").about("Routes plain HTTP on the users' platform")
+}
+
+/// Serves until the process gets a termination signal.
+pub(crate) fn execute(_matches: &ArgMatches) -> CommandResult {
+    let path = settings_path()?;
+    let settings = read_settings(&path)?;
+    let start = |error: &dyn std::fmt::Display| CommandError::Start(error.to_string());
+    let _handle = start_logging(DEFAULT_LOG_LEVEL).map_err(|error| start(&error))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .map_err(|error| start(&error))?;
+    let store = PlatformStore::new(settings.store);
+    let reload = move || {
+        let settings = read_settings(&path);
+        settings
+            .map(|settings| settings.gateway)
+            .map_err(|error| error.to_string())
+    };
+    let serving = run_gateway::<PlatformDialect, _, _>(settings.gateway, store, reload);
+    runtime.block_on(serving).map_err(CommandError::Gateway)
+}
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -2,7 +2,9 @@
 
 use miette::{Diagnostic, Report};
 use skylarkshed_core::SettingsError;
+use skylarkshed_gateway::GatewayError;
 use skylarkshed_node::NodeError;
+use skylarkshed_users_platform::PlatformSettingsError;
 use std::process::ExitCode;
 use thiserror::Error;
 use volo_grpc::Status;
@@ -17,6 +19,13 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Settings(#[from] SettingsError),
+    /// The platform's settings were not accepted.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    PlatformSettings(#[from] PlatformSettingsError),
+    /// The gateway could not serve.
+    #[error("the gateway could not serve: {0}")]
+    Gateway(GatewayError),
     /// The process could not serve.
     #[error("the process could not serve")]
     Node(#[source] NodeError),
@@ -43,9 +52,13 @@
         return ExitCode::SUCCESS;
     };
     let code = match &error {
-        CommandError::Settings(_) => ExitCode::from(EXIT_SETTINGS),
+        CommandError::Settings(_) | CommandError::PlatformSettings(_) => {
+            ExitCode::from(EXIT_SETTINGS)
+        }
         CommandError::Refused(_) => ExitCode::from(EXIT_REFUSED),
-        CommandError::Node(_) | CommandError::Start(_) => ExitCode::FAILURE,
+        CommandError::Gateway(_) | CommandError::Node(_) | CommandError::Start(_) => {
+            ExitCode::FAILURE
+        }
     };
     eprintln!("{:?}", Report::new(error));
     code
