Keep a copy of each running answer; place prompts by engines' reports

Cause: after each zone's failure the answers whose copy stood there had none for the next loss and read 8,000 tokens again; blind placement put several prompts on one engine, which slows its answers seven times and lengthens their exposure.

Change: a lost copy is made anew by a copy order, renewed while it runs; the engine of a prompt is the best of three that report; a resume waits 1.2 s; a refused connection costs no budget.

--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -83,8 +83,12 @@
     pub slots: u32,
     /// Tokens that fit in an engine's memory.
     pub memory_tokens: u64,
-    /// Whether a running answer's memory can be copied to another engine.
+    /// Whether an engine copies a running answer's memory as it grows.
     pub has_backups: bool,
+    /// Whether an engine copies a running answer's memory when it is told to.
+    pub has_moves: bool,
+    /// How long a copy is kept after its last part.
+    pub copy_time: ClockTime,
 }
 
 /// A service that requests are routed to.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod control;
 mod counters;
 mod deadline;
+mod engine_calls;
 mod exchange;
 mod front;
 mod log_writer;
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -8,6 +8,7 @@
     UpstreamRecord, VersionName,
 };
 use skylarkshed_http_link::LinkRequest;
+use skylarkshed_policy::{CopyKind, EngineLoad};
 use std::future::Future;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -48,8 +49,13 @@
 pub struct MemoryCopy {
     /// The upstream that holds it.
     pub holder: UpstreamName,
-    /// Where it listens.
+    /// The address under which the copy is known: the holder's for a copy that
+    /// grows with the answer, the engine's that made it for any other.
     pub address: SocketAddr,
+    /// The name of the copy at that address.
+    pub handle: FastStr,
+    /// How it is kept up to date.
+    pub kind: CopyKind,
 }
 
 /// How a request is sent to an upstream.
@@ -105,6 +111,26 @@
 
     /// Reads the head of an upstream's response.
     fn read_answer(parts: &response::Parts) -> AnswerHead;
+
+    /// Writes a question for an engine's report.
+    fn write_report_request(engine: &UpstreamRecord) -> LinkRequest;
+
+    /// Reads an engine's report.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what is wrong with it.
+    fn read_report(body: &[u8]) -> Result<EngineLoad, String>;
+
+    /// Writes an order to copy a running answer's memory to another engine.
+    fn write_copy_request(engine: &UpstreamRecord, request: &str, to: SocketAddr) -> LinkRequest;
+
+    /// Reads the name of the copy that an engine made.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what is wrong with the reply.
+    fn read_copy_reply(body: &[u8]) -> Result<FastStr, String>;
 }
 
 /// Why the store did not answer.
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -6,7 +6,9 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use tokio::net::TcpStream;
 
@@ -62,11 +64,10 @@
             }
             let limit = silence_limit(self.phase, self.copy.is_some());
             let address = self.upstream.record.address;
-            let since = clock.now();
             let bytes = self.answer.next_bytes();
-            match watch_silence(bytes, limit, address, clock).await {
+            match watch_silence(bytes, self.last_heard, limit, address, clock).await {
                 Some(Ok(Some(bytes))) => {
-                    self.note_bytes(since, clock.now());
+                    self.note_bytes(clock.now());
                     self.reader.push(&bytes);
                 }
                 Some(Ok(None)) if self.reader.is_amid_event() => {
@@ -79,36 +80,34 @@
         }
     }
 
-    fn note_bytes(&mut self, since: ClockTime, now: ClockTime) {
-        let gap = now.since(since);
-        if gap > ClockTime::from_millis(150) {
-            log::debug!(upstream:% = self.upstream.name(), gap_ms = gap.as_millis(), phase:? = self.phase; "long gap");
-        }
+    fn note_bytes(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Flowing;
         self.last_heard = now;
     }
 }
 
-/// Waits for `work` until it has been silent for too long.
+/// Waits for `work` until it has been silent for too long since `since`.
 ///
 /// A long wait is cut short if the upstream's machine does not even accept a
 /// connection: engines without power say nothing, and a prompt's prefill hides
-/// them for more than a second.
-pub(super) async fn watch_silence<F: std::future::Future>(
+/// them for more than a second. The wait may be given up and taken up again.
+pub(super) async fn watch_silence<F: Future>(
     work: F,
+    since: ClockTime,
     limit: ClockTime,
     address: SocketAddr,
     clock: MonotonicClock,
 ) -> Option<F::Output> {
-    let mut work = std::pin::pin!(work);
-    let start = clock.now();
+    let mut work = pin!(work);
+    let mut checked = since;
     loop {
-        let left = limit.since(clock.now().since(start));
-        let wait = left.min(LIFE_CHECK_PERIOD);
+        let left = limit.since(clock.now().since(since));
+        let unchecked = clock.now().since(checked);
+        let wait = left.min(LIFE_CHECK_PERIOD.since(unchecked));
         if let Ok(output) = tokio::time::timeout(wait.to_duration(), &mut work).await {
             return Some(output);
         }
-        if clock.now().since(start) >= limit {
+        if clock.now().since(since) >= limit {
             return None;
         }
         tokio::select! {
@@ -117,6 +116,7 @@
                 if !is_alive {
                     return None;
                 }
+                checked = clock.now();
             }
         }
     }
--- /dev/null
+++ b/crates/gateway/src/stream/copy_keeper.rs
@@ -0,0 +1,113 @@
+//! Keeps a copy of a running answer's memory while engines come and go.
+
+use super::attempt::StreamAttempt;
+use crate::engine_calls::copy_memory;
+use crate::process::GatewayState;
+use crate::seams::{MemoryCopy, WireDialect};
+use crate::upstreams::UpstreamState;
+use skylarkshed_core::{ClockTime, EngineTraits, ServiceName};
+use skylarkshed_policy::{plan_copy, CopyState, CopyStep, StreamPhase};
+use std::sync::Arc;
+use tokio::task::JoinHandle;
+use tokio::time::{interval, Interval, MissedTickBehavior};
+
+/// How often a copy's holder is looked at: a lost one is to be replaced well
+/// before the next zone fails, seconds later.
+const CHECK_PERIOD: ClockTime = ClockTime::from_millis(500);
+
+/// Looks after the copy of one answer.
+pub(super) struct CopyKeeper {
+    ticks: Interval,
+    copying: Option<JoinHandle<Option<MemoryCopy>>>,
+}
+
+impl CopyKeeper {
+    pub(super) fn new() -> Self {
+        let mut ticks = interval(CHECK_PERIOD.to_duration());
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        CopyKeeper {
+            ticks,
+            copying: None,
+        }
+    }
+
+    /// Waits until a copy was made or the next look is due.
+    pub(super) async fn next(&mut self) -> Option<MemoryCopy> {
+        let Some(copying) = &mut self.copying else {
+            self.ticks.tick().await;
+            return None;
+        };
+        // A task that was cancelled or panicked made no copy.
+        let copy = copying.await.unwrap_or(None);
+        self.copying = None;
+        copy
+    }
+
+    /// Starts a copy if the attempt needs one.
+    pub(super) fn look<D: WireDialect>(
+        &mut self,
+        state: &Arc<GatewayState>,
+        service: &ServiceName,
+        request: &str,
+        attempt: &StreamAttempt,
+        choose: impl FnOnce() -> Option<Arc<UpstreamState>>,
+    ) {
+        let engine = state.control.table().and_then(|table| table.engine(service));
+        let Some(engine) = engine.filter(|engine| engine.has_moves) else {
+            return;
+        };
+        if self.copying.is_some() || attempt.phase != StreamPhase::Flowing {
+            return;
+        }
+        let holder = match needed_step(state, service, attempt, engine) {
+            CopyStep::Keep => return,
+            CopyStep::Renew => present_holder(state, service, attempt),
+            CopyStep::Replace => choose(),
+        };
+        let Some(holder) = holder else {
+            return;
+        };
+        let (source, clock) = (attempt.upstream.clone(), state.clock);
+        let request = request.to_owned();
+        self.copying = Some(tokio::spawn(async move {
+            copy_memory::<D>(&source, &request, &holder, clock).await
+        }));
+    }
+
+    /// Gives up what is under way; the attempt has ended.
+    pub(super) fn stop(&mut self) {
+        if let Some(copying) = self.copying.take() {
+            copying.abort();
+        }
+    }
+}
+
+impl Drop for CopyKeeper {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn needed_step(
+    state: &GatewayState,
+    service: &ServiceName,
+    attempt: &StreamAttempt,
+    engine: EngineTraits,
+) -> CopyStep {
+    let copy = CopyState {
+        kind: attempt.copy.as_ref().map(|copy| copy.kind),
+        is_holder_present: present_holder(state, service, attempt).is_some(),
+        kept_for: engine.copy_time,
+    };
+    plan_copy(&copy, state.clock.now())
+}
+
+fn present_holder(
+    state: &GatewayState,
+    service: &ServiceName,
+    attempt: &StreamAttempt,
+) -> Option<Arc<UpstreamState>> {
+    let copy = attempt.copy.as_ref()?;
+    let holder = state.upstreams.find(service, &copy.holder)?;
+    (!holder.is_retired() && !holder.record.is_leaving).then_some(holder)
+}
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -1,21 +1,24 @@
 //! Carries an answer of many events over any number of upstreams.
 
 mod attempt;
+mod copy_keeper;
 mod events;
 
 use crate::answer::{AnswerBody, AnswerPart, CallerAnswer};
 use crate::counters;
+use crate::engine_calls::ask_report;
 use crate::exchange::{send, CallerRequest};
 use crate::process::GatewayState;
 use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunEvidence};
 use crate::seams::{MemoryCopy, SendOrder, WireDialect};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use attempt::{watch_silence, AttemptStep, FailedSend, StreamAttempt};
+use copy_keeper::CopyKeeper;
 use events::StreamEvent;
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    recover_stream, silence_limit, EventLedger, EventVerdict, LossCause, RecoveryStep, StreamPhase,
+    choose_engine, recover_stream, silence_limit, CopyKind, EventLedger, EventVerdict, LossCause, RecoveryStep, RouteTable, StreamPhase,
     StreamState,
 };
 use std::marker::PhantomData;
@@ -26,6 +29,9 @@
 const WAITING_EVENTS: usize = 32;
 /// Upstreams that may refuse a connection before the caller is told so.
 const MOST_UNSENT: u32 = 6;
+/// Engines that are asked for a report before a prompt is sent: each more costs
+/// a priced call, and three find an idle one of eight nearly always.
+const ASKED_ENGINES: usize = 3;
 /// When a caller is to come back after a refusal: the time in which restarted
 /// engines are listed again is seconds, in which others become free less.
 const RETRY_PAUSE: ClockTime = ClockTime::from_millis(300);
@@ -136,12 +142,13 @@
             }
             let (upstream, from) = match holder {
                 Some((upstream, copy)) => (upstream, Some(copy)),
-                None => match self.choose_upstream() {
+                None => match self.choose_upstream().await {
                     Some(upstream) => (upstream, None),
                     None => return OpenedStream::Stopped,
                 },
             };
-            match self.start(upstream.clone(), from.as_ref()).await {
+            let ordered = self.order_copy(&upstream);
+            match self.start(upstream.clone(), from.as_ref(), ordered).await {
                 Ok(opened) => return opened,
                 Err(FailedSend(cause)) => self.note_loss(&upstream, cause),
             }
@@ -163,36 +170,64 @@
         (!upstream.is_retired()).then_some((upstream, copy))
     }
 
-    fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+    /// Picks the upstream that is to read the prompt, among a few that report.
+    async fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+        let mut avoid = self.tried.clone();
+        let mut candidates = Vec::new();
+        while candidates.len() < ASKED_ENGINES {
+            let Some(candidate) = self.next_candidate(&avoid) else {
+                break;
+            };
+            avoid.push(candidate.name().clone());
+            candidates.push(candidate);
+        }
+        let is_engine = |table: Arc<RouteTable>| table.engine(&self.request.service).is_some();
+        if candidates.len() > 1 && self.state.control.table().is_some_and(is_engine) {
+            let asking = candidates.iter().map(|engine| ask_report::<D>(engine));
+            let reports = futures::future::join_all(asking).await;
+            if let Some(place) = choose_engine(&reports) {
+                return Some(candidates.swap_remove(place));
+            }
+        }
+        candidates.into_iter().next()
+    }
+
+    fn next_candidate(&self, avoid: &[UpstreamName]) -> Option<Arc<UpstreamState>> {
         self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
-            avoid: &self.tried,
+            avoid,
             avoid_zones: &self.lost_zones,
         })
     }
 
     /// Picks the engine that is to hold a copy: in another zone than the
     /// upstream, and not in one that was just lost.
-    fn choose_holder(&self, upstream: &UpstreamState) -> Option<MemoryCopy> {
-        let table = self.state.control.table()?;
-        let engine = table.engine(&self.request.service)?;
-        if !engine.has_backups || !self.is_resumable {
-            return None;
-        }
-        let mut avoid = self.tried.clone();
-        avoid.push(upstream.name().clone());
+    fn choose_holder(&self, upstream: &UpstreamState) -> Option<Arc<UpstreamState>> {
+        let avoid = [upstream.name().clone()];
         let mut avoid_zones = self.lost_zones.clone();
         avoid_zones.push(upstream.record.zone.clone());
-        let holder = self.state.upstreams.choose(&UpstreamQuery {
+        self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
             avoid: &avoid,
             avoid_zones: &avoid_zones,
-        })?;
+        })
+    }
+
+    /// Returns the copy that an upstream is to make while the answer runs.
+    fn order_copy(&self, upstream: &UpstreamState) -> Option<MemoryCopy> {
+        let table = self.state.control.table()?;
+        let engine = table.engine(&self.request.service)?;
+        if !engine.has_backups || !self.is_resumable {
+            return None;
+        }
+        let holder = self.choose_holder(upstream)?;
         Some(MemoryCopy {
             holder: holder.name().clone(),
             address: holder.record.address,
+            handle: self.request.head.request.clone(),
+            kind: CopyKind::Continuous,
         })
     }
 
@@ -201,9 +236,9 @@
         &mut self,
         upstream: Arc<UpstreamState>,
         from: Option<&MemoryCopy>,
+        copy: Option<MemoryCopy>,
     ) -> Result<OpenedStream, FailedSend> {
         self.tried.push(upstream.name().clone());
-        let copy = self.choose_holder(&upstream);
         let phase = match from {
             Some(_) => StreamPhase::Resuming,
             None => StreamPhase::Prefill {
@@ -230,7 +265,8 @@
         let sending = send::<D>(&self.state, &self.request, &upstream, &order);
         let limit = silence_limit(phase, true).min(self.request.deadline.left());
         let clock = self.state.clock;
-        let answer = watch_silence(sending, limit, upstream.record.address, clock).await;
+        let address = upstream.record.address;
+        let answer = watch_silence(sending, clock.now(), limit, address, clock).await;
         let answer = answer.ok_or(FailedSend(LossCause::Silence))??;
         if answer.head.is_not_run || answer.head.is_misdirected {
             return Err(FailedSend(LossCause::NotRun));
@@ -261,7 +297,10 @@
 
     fn note_loss(&mut self, upstream: &UpstreamState, cause: LossCause) {
         match cause {
-            LossCause::Unsent => self.unsent += 1,
+            LossCause::Unsent => {
+                self.unsent += 1;
+                self.state.budget(&self.request.service).refund(1);
+            }
             LossCause::NotRun => self.sends += 1,
             _ => {
                 self.sends += 1;
@@ -293,10 +332,15 @@
     /// Relays events until the answer is whole, can't go on or its caller leaves.
     async fn run(mut self, first: StreamAttempt, parts: mpsc::Sender<AnswerPart>) {
         let mut attempt = first;
+        let mut keeper = CopyKeeper::new();
         loop {
             let left = self.request.deadline.left();
             let step = tokio::select! {
                 step = attempt.next(self.state.clock) => step,
+                copy = keeper.next() => {
+                    self.keep_copy(&mut keeper, &mut attempt, copy);
+                    continue;
+                }
                 () = parts.closed() => return self.log_end("caller_left"),
                 () = tokio::time::sleep(left.to_duration()) => return self.log_end("timeout"),
             };
@@ -312,6 +356,7 @@
                 }
                 AttemptStep::Lost(cause) => cause,
             };
+            keeper.stop();
             match self.replace(attempt, cause, &parts).await {
                 Some(next) => attempt = next,
                 None => return,
@@ -319,6 +364,31 @@
         }
     }
 
+    /// Takes a copy that was made, and has another made if one is needed.
+    fn keep_copy(
+        &self,
+        keeper: &mut CopyKeeper,
+        attempt: &mut StreamAttempt,
+        copy: Option<MemoryCopy>,
+    ) {
+        if let Some(copy) = copy {
+            log::info!(
+                request = self.request.id(),
+                upstream:% = attempt.upstream.name(),
+                holder:% = copy.holder,
+                events = self.ledger.accepted();
+                "memory copied"
+            );
+            attempt.copy = Some(copy);
+        }
+        if !self.is_resumable {
+            return;
+        }
+        let service = &self.request.service;
+        let choose = || self.choose_holder(&attempt.upstream);
+        keeper.look::<D>(&self.state, service, self.request.id(), attempt, choose);
+    }
+
     /// Goes on at another upstream.
     async fn replace(
         &mut self,
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -49,6 +49,18 @@
             });
     }
 
+    /// Gives back units that were taken for work that was not done.
+    pub fn refund(&self, units: u64) {
+        let returned = i64::try_from(units)
+            .unwrap_or(i64::MAX / PARTS)
+            .saturating_mul(PARTS);
+        let _ = self
+            .credit
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
+                Some(credit.saturating_add(returned).min(self.limit))
+            });
+    }
+
     /// Takes units for extra work, or nothing if there are too few.
     pub fn try_spend(&self, units: u64) -> bool {
         let cost = i64::try_from(units)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,13 +17,16 @@
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamBook`]
 //!   keeps the upstreams that may get it, and [`choose_place`] picks one.
 //! - [`EventLedger`] lets each event of a stream through once, and
-//!   [`recover_stream`] decides how it goes on after a loss.
+//!   [`recover_stream`] decides how it goes on after a loss, from the copy that
+//!   [`plan_copy`] keeps.
 //! - [`MembershipTable`] tells which VMs are there.
 
 mod admission;
 mod budget;
 mod claim;
 mod concurrency;
+mod copy_plan;
+mod engine_choice;
 mod event_ledger;
 mod evidence;
 mod gaps;
@@ -46,6 +49,8 @@
 pub use budget::WorkBudget;
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
 pub use concurrency::ConcurrencyLimit;
+pub use copy_plan::{plan_copy, CopyKind, CopyState, CopyStep};
+pub use engine_choice::{choose_engine, EngineLoad};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{judge_version, EvidenceVerdict, RouteCounts, VersionCounts};
 pub use gaps::{GapEstimator, SilenceBounds};
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -21,9 +21,10 @@
 /// The same without a copy: going on means reading the prompt again, which
 /// takes more than a second.
 const SILENCE_WITHOUT_COPY: ClockTime = ClockTime::from_millis(1_500);
-/// The time to the first event after a copy was taken over: what the copy
-/// lacks has to be read.
-const RESUME_TIME: ClockTime = ClockTime::from_millis(500);
+/// The time to the first event after a copy was taken over. An engine that reads
+/// another prompt makes an event in a third of a second; giving the copy up
+/// means reading the prompt again, which takes more than a second.
+const RESUME_TIME: ClockTime = ClockTime::from_millis(1_200);
 
 /// How a stream's upstream was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
