--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -58,11 +58,7 @@
     }
 }
 
-async fn ask(
-    address: SocketAddr,
-    request: LinkRequest,
-    limit: ClockTime,
-) -> Result<Bytes, String> {
+async fn ask(address: SocketAddr, request: LinkRequest, limit: ClockTime) -> Result<Bytes, String> {
     let exchange = async {
         let mut link = HttpLink::connect(address, limit).await?;
         let response = link.send(request).await?;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -72,7 +72,9 @@
     log::info!(
         vm:% = state.settings.name,
         zone:% = state.settings.zone,
-        callers:% = listen.callers;
+        callers:% = local(&callers, listen.callers),
+        readiness:% = local(&readiness, listen.readiness),
+        metrics:% = local(&pages, listen.metrics);
         "the process starts"
     );
     let (close, closing) = watch::channel(false);
@@ -92,6 +94,11 @@
     listener.map_err(|source| GatewayError::Listen { address, source })
 }
 
+/// Returns the address with the port that the system chose, if it did.
+fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
 async fn wait_for_signal(mut terminate: Signal) {
     if terminate.recv().await.is_none() {
         log::warn!("no signals are received any more");
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -3,7 +3,7 @@
 use crate::counters;
 use crate::process::GatewayState;
 use crate::seams::{ControlNews, NewsReading, NewsSource, StoreError, UpstreamNews};
-use skylarkshed_core::{ClockTime, UpstreamRecord};
+use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use skylarkshed_policy::BookChange;
 use std::sync::Arc;
 
@@ -130,6 +130,7 @@
                     log::info!(service:%; "rollout withdrawn");
                 }
                 ControlNews::Unreadable { row, problem } => {
+                    counters::count_unreadable_row();
                     log::warn!(row = row.as_str(); "an operator's row can't be read: {problem}");
                 }
                 ControlNews::Ignored => {}
@@ -191,7 +192,7 @@
                     UpstreamNews::Present(record) => book.put(record, &mut changes),
                     UpstreamNews::Gone(name) => book.remove(&name, now, &mut changes),
                     UpstreamNews::Unreadable { name, problem } => {
-                        log::warn!(upstream:% = name; "an upstream's entry can't be read: {problem}");
+                        note_unreadable(&name, &problem);
                         book.remove(&name, now, &mut changes);
                     }
                 }
@@ -214,12 +215,17 @@
         UpstreamNews::Present(record) => Some(record),
         UpstreamNews::Gone(_) => None,
         UpstreamNews::Unreadable { name, problem } => {
-            log::warn!(upstream:% = name; "an upstream's entry can't be read: {problem}");
+            note_unreadable(&name, &problem);
             None
         }
     }
 }
 
+fn note_unreadable(name: &UpstreamName, problem: &str) {
+    counters::count_unreadable_row();
+    log::warn!(upstream:% = name; "an upstream's entry can't be read: {problem}");
+}
+
 fn log_changes(changes: &[BookChange]) {
     for change in changes {
         match change {
--- a/crates/gateway/src/stream/copy_keeper.rs
+++ b/crates/gateway/src/stream/copy_keeper.rs
@@ -52,7 +52,10 @@
         attempt: &StreamAttempt,
         choose: impl FnOnce() -> Option<Arc<UpstreamState>>,
     ) {
-        let engine = state.control.table().and_then(|table| table.engine(service));
+        let engine = state
+            .control
+            .table()
+            .and_then(|table| table.engine(service));
         let Some(engine) = engine.filter(|engine| engine.has_moves) else {
             return;
         };
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -18,8 +18,8 @@
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    choose_engine, recover_stream, silence_limit, CopyKind, EventLedger, EventVerdict, LossCause, RecoveryStep, RouteTable, StreamPhase,
-    StreamState,
+    choose_engine, recover_stream, silence_limit, CopyKind, EventLedger, EventVerdict, LossCause,
+    RecoveryStep, RouteTable, StreamPhase, StreamState,
 };
 use std::marker::PhantomData;
 use std::sync::Arc;
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,6 +4,10 @@
 //! They run as processes of `skylarkshed-stand-ins` and are not shipped. Each
 //! prints one JSON line with its address when it listens, and takes its fault
 //! switches at `/control`.
+//!
+//! [`StoreStandIn`] and [`UpstreamStandIn`] stand for the platform that the
+//! gateway runs on. They run inside a test, which changes rows and scripts
+//! reactions directly and reads what was heard.
 
 mod application;
 mod engine;
@@ -11,6 +15,7 @@
 mod platform;
 mod proxy;
 mod reply;
+mod routing;
 mod token_oracle;
 
 pub use application::{run_application, ApplicationFaults, CallCounts};
@@ -18,4 +23,7 @@
 pub use engine_batch::{EngineFaults, EngineSpeed};
 pub use platform::{run_platform, PlatformFaults, PlatformSwitch};
 pub use proxy::{run_proxy, ProxyFaults};
+pub use routing::{
+    HeardRequest, Reaction, StoreMode, StoreStandIn, StreamEnd, StreamScript, UpstreamStandIn,
+};
 pub use token_oracle::{check_answer, AnswerFault, TokenOracle};
--- /dev/null
+++ b/crates/stand-ins/src/routing/store.rs
@@ -0,0 +1,270 @@
+//! A store of rows that can be read and watched.
+
+use base64::prelude::{Engine, BASE64_STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreMode {
+    /// It answers.
+    #[default]
+    Serving,
+    /// It answers 503.
+    Busy,
+    /// It answers nothing, and does nothing.
+    Silent,
+}
+
+#[derive(Clone, Debug)]
+struct ChangeEntry {
+    revision: u64,
+    table: String,
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct StoreState {
+    revision: u64,
+    rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
+    history: Vec<ChangeEntry>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    calls: u64,
+}
+
+/// A store that runs until it is dropped.
+#[derive(Debug)]
+pub struct StoreStandIn {
+    address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    mode: watch::Sender<StoreMode>,
+    changed: watch::Sender<u64>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for StoreStandIn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Clone)]
+struct StoreService {
+    state: Arc<Mutex<StoreState>>,
+    mode: watch::Receiver<StoreMode>,
+    changed: watch::Receiver<u64>,
+}
+
+impl StoreStandIn {
+    /// Starts an empty store on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port is free.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let state = Arc::new(Mutex::new(StoreState::default()));
+        let (mode, mode_seen) = watch::channel(StoreMode::Serving);
+        let (changed, change_seen) = watch::channel(0);
+        let service = StoreService {
+            state: state.clone(),
+            mode: mode_seen,
+            changed: change_seen,
+        };
+        let task = tokio::spawn(serve(listener, service));
+        StoreStandIn {
+            address,
+            state,
+            mode,
+            changed,
+            task,
+        }
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a row.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().into_bytes());
+    }
+
+    /// Writes a row of any bytes.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
+        self.change(table, key, Some(value));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.change(table, key, None);
+    }
+
+    /// Forgets all changes so far, and loses changes that watches did not see.
+    pub fn forget_history(&self) {
+        let mut state = lock(&self.state);
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// Returns how many calls it got.
+    pub fn calls(&self) -> u64 {
+        lock(&self.state).calls
+    }
+
+    fn change(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        let mut state = lock(&self.state);
+        state.revision += 1;
+        let revision = state.revision;
+        let place = (table.to_owned(), key.to_owned());
+        match &value {
+            Some(value) => state.rows.insert(place, (revision, value.clone())),
+            None => state.rows.remove(&place),
+        };
+        state.history.push(ChangeEntry {
+            revision,
+            table: table.to_owned(),
+            key: key.to_owned(),
+            value,
+        });
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+}
+
+fn lock(state: &Mutex<StoreState>) -> std::sync::MutexGuard<'_, StoreState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn serve(listener: TcpListener, service: StoreService) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let service = service.clone();
+        let respond = service_fn(move |request| respond(service.clone(), request));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), respond);
+        tokio::spawn(async move {
+            // The caller sees that its connection broke.
+            let _ = connection.await;
+        });
+    }
+}
+
+async fn respond(
+    mut service: StoreService,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    lock(&service.state).calls += 1;
+    let mode = *service.mode.borrow();
+    match mode {
+        StoreMode::Serving => {}
+        StoreMode::Busy => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+        StoreMode::Silent => std::future::pending().await,
+    }
+    let fields = query(&request);
+    let table = fields.get("table").cloned().unwrap_or_default();
+    match request.uri().path() {
+        "/-/rows-get" => Ok(get_rows(&lock(&service.state), &table)),
+        "/-/rows-feed" => Ok(feed_rows(&mut service, &table, &fields).await),
+        _ => Ok(reply(StatusCode::NOT_FOUND, &json!({}))),
+    }
+}
+
+fn get_rows(state: &StoreState, table: &str) -> Response<Full<Bytes>> {
+    let rows = state.rows.iter().filter(|((name, _), _)| name == table);
+    let rows = rows.map(|((_, key), (revision, value))| row(table, key, *revision, Some(value)));
+    let rows: Vec<Value> = rows.collect();
+    let body = json!({
+        "rows": rows,
+        "more_pages": false,
+        "schema_version": state.revision,
+        "now_ms": 1,
+    });
+    reply(StatusCode::OK, &body)
+}
+
+async fn feed_rows(
+    service: &mut StoreService,
+    table: &str,
+    fields: &HashMap<String, String>,
+) -> Response<Full<Bytes>> {
+    let number = |name: &str| fields.get(name).and_then(|text| text.parse().ok());
+    let after: u64 = number("after_revision").unwrap_or(0);
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+    let deadline = tokio::time::Instant::now() + wait;
+    loop {
+        service.changed.borrow_and_update();
+        let (rows, revision, forgotten) = changes(&lock(&service.state), table, after);
+        if after < forgotten {
+            return reply(StatusCode::GONE, &json!({}));
+        }
+        let is_over = tokio::time::Instant::now() >= deadline;
+        if !rows.is_empty() || is_over {
+            let body = json!({"rows": rows, "schema_version": revision, "now_ms": 1});
+            return reply(StatusCode::OK, &body);
+        }
+        tokio::select! {
+            changed = service.changed.changed() => {
+                if changed.is_err() {
+                    std::future::pending::<()>().await;
+                }
+            }
+            () = tokio::time::sleep_until(deadline) => {}
+        }
+    }
+}
+
+fn changes(state: &StoreState, table: &str, after: u64) -> (Vec<Value>, u64, u64) {
+    let news = state.history.iter();
+    let news = news.filter(|entry| entry.table == table && entry.revision > after);
+    let rows = news.map(|entry| row(table, &entry.key, entry.revision, entry.value.as_deref()));
+    (rows.collect(), state.revision, state.forgotten)
+}
+
+fn row(table: &str, key: &str, revision: u64, value: Option<&[u8]>) -> Value {
+    let mut row = json!({
+        "table": table,
+        "part": "",
+        "key": key,
+        "schema_version": revision,
+    });
+    match value {
+        Some(value) => row["value"] = json!(BASE64_STANDARD.encode(value)),
+        None => row["removed"] = json!(true),
+    }
+    row
+}
+
+fn query(request: &Request<Incoming>) -> HashMap<String, String> {
+    let query = request.uri().query().unwrap_or("");
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -0,0 +1,425 @@
+//! A gateway process between stand-ins of its store and its upstreams.
+
+use crate::raw_caller::{RawAnswer, RawCaller};
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::{json, Value};
+use skylarkshed_stand_ins::{StoreStandIn, UpstreamStandIn};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdout, Command};
+
+/// The key of the customer `depot`.
+pub const KEY: &str = "depot-key";
+/// The key of the customer `vendor`.
+pub const OTHER_KEY: &str = "vendor-key";
+
+const HOST: &str = "stock.example";
+const APP_SERVICE: &str = "stores";
+const MODEL_SERVICE: &str = "ledger";
+/// No state of the tests takes so long to be reached.
+const STATE_WAIT: Duration = Duration::from_secs(20);
+const POLL_PAUSE: Duration = Duration::from_millis(10);
+
+static NUMBERS: AtomicU64 = AtomicU64::new(1);
+
+/// Builds a rig.
+#[derive(Debug)]
+pub struct RigBuilder {
+    applications: usize,
+    engines: usize,
+    grace_s: u64,
+    revoke_ms: u64,
+    reads_output: bool,
+}
+
+impl Default for RigBuilder {
+    fn default() -> Self {
+        RigBuilder {
+            applications: 2,
+            engines: 2,
+            grace_s: 8,
+            revoke_ms: 5_000,
+            reads_output: true,
+        }
+    }
+}
+
+impl RigBuilder {
+    /// Sets how many applications there are.
+    pub fn applications(mut self, count: usize) -> Self {
+        self.applications = count;
+        self
+    }
+
+    /// Sets how many engines there are.
+    pub fn engines(mut self, count: usize) -> Self {
+        self.engines = count;
+        self
+    }
+
+    /// Sets how long a revoked key may work.
+    pub fn revoke_ms(mut self, time: u64) -> Self {
+        self.revoke_ms = time;
+        self
+    }
+
+    /// Sets the time from a termination signal to the kill.
+    pub fn grace_s(mut self, time: u64) -> Self {
+        self.grace_s = time;
+        self
+    }
+
+    /// Leaves the process's output unread after its first line.
+    pub fn unread_output(mut self) -> Self {
+        self.reads_output = false;
+        self
+    }
+
+    /// Starts everything and waits until the process is ready.
+    pub async fn start(self) -> GatewayRig {
+        let rig = self.start_unready().await;
+        rig.wait_ready().await;
+        rig
+    }
+
+    /// Starts everything, the store without any configuration.
+    pub async fn start_empty(self) -> GatewayRig {
+        self.launch(false).await
+    }
+
+    async fn start_unready(self) -> GatewayRig {
+        self.launch(true).await
+    }
+
+    async fn launch(self, is_configured: bool) -> GatewayRig {
+        let store = StoreStandIn::start().await;
+        let mut applications = Vec::new();
+        for number in 0..self.applications {
+            applications.push(UpstreamStandIn::start(&format!("app-{number}")).await);
+        }
+        let mut engines = Vec::new();
+        for number in 0..self.engines {
+            engines.push(UpstreamStandIn::start(&format!("engine-{number}")).await);
+        }
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        let file = format!("skylarkshed-gateway-{}-{number}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, self.settings(store.address())).expect("a temporary file");
+        let mut process = Command::new(program())
+            .arg("gateway")
+            .env("SKYLARKSHED_NODE_FILE", &settings)
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program is built");
+        let output = process.stdout.take().expect("it is piped");
+        let (addresses, output) = read_addresses(output).await;
+        let kept_output = match self.reads_output {
+            true => {
+                tokio::spawn(forget_output(output));
+                None
+            }
+            false => Some(output),
+        };
+        let rig = GatewayRig {
+            store,
+            applications,
+            engines,
+            process,
+            settings,
+            callers: addresses[0],
+            readiness: addresses[1],
+            metrics: addresses[2],
+            version: AtomicU64::new(1),
+            _kept_output: kept_output,
+        };
+        if is_configured {
+            rig.put_config(&rig.config());
+            rig.list_upstreams();
+        }
+        rig
+    }
+
+    fn settings(&self, store: SocketAddr) -> String {
+        let (grace, revoke) = (self.grace_s, self.revoke_ms);
+        format!(
+            r#"
+node_name = "vm-1"
+role = "gateway"
+ip_address = "127.0.0.1"
+zone = "zone-0"
+region = "region"
+internal_port_range = [0, 0]
+heartbeat_interval_ms = 1200
+unknown_to_us = ["later"]
+[listen_addresses]
+frontend = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+[limits]
+file_descriptors = 4100
+[bounds]
+grace_s = {grace}
+revoke_ms = {revoke}
+retry_budget_ratio = 0.8
+retry_budget_slack = 150
+[platform]
+address = "{store}"
+"#
+        )
+    }
+}
+
+/// A running gateway with its surroundings.
+#[derive(Debug)]
+pub struct GatewayRig {
+    /// The store.
+    pub store: StoreStandIn,
+    /// The applications, one a zone.
+    pub applications: Vec<UpstreamStandIn>,
+    /// The engines, one a zone.
+    pub engines: Vec<UpstreamStandIn>,
+    /// The process.
+    pub process: Child,
+    /// Its settings file.
+    pub settings: PathBuf,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it answers readiness checks.
+    pub readiness: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    version: AtomicU64,
+    _kept_output: Option<BufReader<ChildStdout>>,
+}
+
+impl Drop for GatewayRig {
+    fn drop(&mut self) {
+        // The file may be gone already.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl GatewayRig {
+    /// Returns the usual configuration, with the next version.
+    pub fn config(&self) -> Value {
+        let version = self.version.fetch_add(1, Ordering::Relaxed);
+        json!({
+            "version": version,
+            "routes": [
+                route("book", "/book/", "unsafe", APP_SERVICE, 1, 1_000),
+                route("find", "/find/", "safe", APP_SERVICE, 2, 1_000),
+                route("longer", "/find/special/", "unsafe", APP_SERVICE, 1, 1_000),
+                route("write", "/write/", "streaming", MODEL_SERVICE, 5, 20_000),
+            ],
+            "services": [
+                {"name": APP_SERVICE, "health_path": "/h", "max_connections": 100},
+                {"name": MODEL_SERVICE, "health_path": "/h", "max_connections": 100,
+                 "engine": {"slots": 16, "cache_capacity": 88_000, "backups": true,
+                            "moves": true, "handle_s": 4.0}},
+            ],
+            "limits": {
+                "max_header_bytes": 8192,
+                "max_body_bytes": 65_536,
+                "header_timeout_ms": 500,
+                "idle_timeout_ms": 1_500,
+            },
+            "tenants": [
+                {"name": "depot", "api_keys": [KEY]},
+                {"name": "vendor", "api_keys": [OTHER_KEY]},
+            ],
+        })
+    }
+
+    /// Writes a configuration.
+    pub fn put_config(&self, config: &Value) {
+        self.store.put("op", "config", config);
+    }
+
+    /// Writes the entries of all upstreams.
+    pub fn list_upstreams(&self) {
+        for (number, upstream) in self.applications.iter().enumerate() {
+            self.list(upstream, APP_SERVICE, number, "ready");
+        }
+        for (number, upstream) in self.engines.iter().enumerate() {
+            self.list(upstream, MODEL_SERVICE, number, "ready");
+        }
+    }
+
+    /// Writes an upstream's entry.
+    pub fn list(&self, upstream: &UpstreamStandIn, service: &str, zone: usize, state: &str) {
+        let entry = json!({
+            "service": service,
+            "address": upstream.address(),
+            "zone": format!("zone-{zone}"),
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "born": 1_000,
+            "sequence": 1,
+        });
+        self.store.put("servers", &upstream.name(), &entry);
+    }
+
+    /// Writes an application's entry as that of a leaving one.
+    pub fn list_leaving(&self, number: usize) {
+        self.list(&self.applications[number], APP_SERVICE, number, "draining");
+    }
+
+    /// Waits until the process is ready.
+    pub async fn wait_ready(&self) {
+        self.wait_readiness(200).await;
+    }
+
+    /// Waits until the readiness check has a status.
+    pub async fn wait_readiness(&self, status: u16) {
+        let waiting = async {
+            while get(self.readiness, "/-/readiness")
+                .await
+                .map(|answer| answer.status)
+                != Some(status)
+            {
+                tokio::time::sleep(POLL_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(STATE_WAIT, waiting)
+            .await
+            .expect("the readiness is reached");
+    }
+
+    /// Waits until the metrics contain some text.
+    pub async fn wait_metric(&self, text: &str) {
+        let waiting = async {
+            loop {
+                let answer = get(self.metrics, "/metrics").await;
+                if answer.is_some_and(|answer| answer.body.contains(text)) {
+                    return;
+                }
+                tokio::time::sleep(POLL_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(STATE_WAIT, waiting)
+            .await
+            .unwrap_or_else(|_| panic!("no metric has `{text}`"));
+    }
+
+    /// Waits until the configuration with a version is in force.
+    pub async fn wait_version(&self, version: u64) {
+        self.wait_metric(&format!("gateway_config_version {version}\n"))
+            .await;
+    }
+
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.process.id().expect("it runs");
+        let id = i32::try_from(id).expect("process ids are small");
+        kill(Pid::from_raw(id), signal).expect("it runs");
+    }
+
+    /// Connects as a caller.
+    pub async fn connect(&self) -> RawCaller {
+        RawCaller::connect(self.callers).await
+    }
+
+    /// Sends a request on a new connection and returns its answer.
+    pub async fn ask(&self, method: &str, path: &str, body: &str) -> RawAnswer {
+        let request = Self::request(method, path, KEY, body);
+        self.ask_raw(&request).await.expect("an answer")
+    }
+
+    /// Sends bytes on a new connection and returns the answer.
+    pub async fn ask_raw(&self, request: &str) -> Option<RawAnswer> {
+        let mut caller = self.connect().await;
+        caller.send(request.as_bytes()).await;
+        caller.answer().await
+    }
+
+    /// Writes a request with an identifier of its own.
+    pub fn request(method: &str, path: &str, key: &str, body: &str) -> String {
+        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+        let length = body.len();
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r{number}\r\n\
+             X-Deadline-Remaining: 20000\r\nX-Token-Usage: 800,80\r\n\
+             Authorization: Token {key}\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+    }
+
+    /// Returns the requests that all applications heard.
+    pub fn heard_by_applications(&self) -> usize {
+        self.applications.iter().map(|app| app.heard().len()).sum()
+    }
+}
+
+fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    attempts: u32,
+    timeout_ms: u64,
+) -> Value {
+    let is_stream = kind == "streaming";
+    json!({
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": if is_stream { 4_500 } else { 300 },
+        "priority": 1,
+        "service": service,
+        "attempts": attempts,
+        "public_access": false,
+        "session_affinity": is_stream,
+        "stream_resumption": is_stream,
+        "target_gap_ms": 700,
+    })
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<RawAnswer> {
+    let mut caller = RawCaller::connect(address).await;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
+    caller.send(request.as_bytes()).await;
+    caller.answer().await
+}
+
+fn program() -> PathBuf {
+    let own = std::env::current_exe().expect("the test runs");
+    let folder = own
+        .ancestors()
+        .nth(2)
+        .expect("it stands in the build folder");
+    folder.join("skylarkshed")
+}
+
+/// Reads lines until the one that names the addresses.
+async fn read_addresses(output: ChildStdout) -> (Vec<SocketAddr>, BufReader<ChildStdout>) {
+    let mut reader = BufReader::new(output);
+    loop {
+        let mut line = String::new();
+        let reading = tokio::time::timeout(STATE_WAIT, reader.read_line(&mut line)).await;
+        let read = reading.expect("the process starts").expect("its output");
+        assert!(read > 0, "the process ended before it listened");
+        let line: Value = serde_json::from_str(&line).expect("a line of JSON");
+        if line["text"] == "the process starts" {
+            let address = |name: &str| {
+                let text = line["kv"][name].as_str().expect("an address");
+                text.parse().expect("an address")
+            };
+            let names = ["callers", "readiness", "metrics"];
+            return (names.map(address).to_vec(), reader);
+        }
+    }
+}
+
+async fn forget_output(mut output: BufReader<ChildStdout>) {
+    let mut line = String::new();
+    while output.read_line(&mut line).await.is_ok_and(|read| read > 0) {
+        line.clear();
+    }
+}
--- /dev/null
+++ b/tests/testsuite/src/raw_caller.rs
@@ -0,0 +1,179 @@
+//! A caller that sends bytes as they are and reads the answer as it comes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// No answer of the tests takes so long.
+const ANSWER_WAIT: Duration = Duration::from_secs(30);
+
+/// An answer as it came.
+#[derive(Clone, Debug)]
+pub struct RawAnswer {
+    /// The status.
+    pub status: u16,
+    /// The headers, with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// The body without its framing.
+    pub body: String,
+    /// Whether the body came to its end.
+    pub is_complete: bool,
+}
+
+impl RawAnswer {
+    /// Returns a header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        let found = headers.find(|(other, _)| other == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the ids of the events in the body.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let lines = self.body.lines();
+        let ids = lines.filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+/// A connection of a caller.
+#[derive(Debug)]
+pub struct RawCaller {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+impl RawCaller {
+    /// Connects to a VM.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM does not listen.
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("the VM listens");
+        RawCaller {
+            stream,
+            read: Vec::new(),
+        }
+    }
+
+    /// Sends bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection is closed.
+    pub async fn send(&mut self, bytes: &[u8]) {
+        self.stream
+            .write_all(bytes)
+            .await
+            .expect("the connection is open");
+    }
+
+    /// Reads an answer, or none if the connection is closed first.
+    pub async fn answer(&mut self) -> Option<RawAnswer> {
+        let reading = self.read_answer();
+        tokio::time::timeout(ANSWER_WAIT, reading)
+            .await
+            .expect("an answer comes")
+    }
+
+    /// Waits until some text has come.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection is closed first.
+    pub async fn wait_for_text(&mut self, text: &str) {
+        while !String::from_utf8_lossy(&self.read).contains(text) {
+            assert!(self.read_more().await, "the connection ended before {text}");
+        }
+    }
+
+    /// Waits until the VM closes the connection.
+    pub async fn wait_closed(&mut self) {
+        let closing = async { while self.read_more().await {} };
+        tokio::time::timeout(ANSWER_WAIT, closing)
+            .await
+            .expect("the connection is closed");
+    }
+
+    async fn read_more(&mut self) -> bool {
+        let mut part = [0; 4096];
+        let read = tokio::time::timeout(ANSWER_WAIT, self.stream.read(&mut part)).await;
+        let read = read.expect("bytes or an end come").unwrap_or(0);
+        self.read.extend_from_slice(&part[..read]);
+        read > 0
+    }
+
+    async fn read_answer(&mut self) -> Option<RawAnswer> {
+        let end = loop {
+            let end = self.read.windows(4).position(|part| part == b"\r\n\r\n");
+            if let Some(end) = end {
+                break end + 4;
+            }
+            if !self.read_more().await {
+                return None;
+            }
+        };
+        let head = String::from_utf8_lossy(&self.read[..end]).into_owned();
+        self.read.drain(..end);
+        let mut lines = head.split("\r\n");
+        let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+        let headers = lines.filter_map(|line| line.split_once(':'));
+        let headers: Vec<(String, String)> = headers
+            .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+            .collect();
+        let find = |name: &str| headers.iter().find(|(other, _)| other == name);
+        let is_chunked = find("transfer-encoding").is_some();
+        let length = find("content-length").and_then(|(_, text)| text.parse().ok());
+        let (body, is_complete) = match is_chunked {
+            true => self.read_chunks().await,
+            false => self.read_length(length.unwrap_or(0)).await,
+        };
+        Some(RawAnswer {
+            status,
+            headers,
+            body: String::from_utf8_lossy(&body).into_owned(),
+            is_complete,
+        })
+    }
+
+    async fn read_length(&mut self, length: usize) -> (Vec<u8>, bool) {
+        while self.read.len() < length {
+            if !self.read_more().await {
+                return (std::mem::take(&mut self.read), false);
+            }
+        }
+        (self.read.drain(..length).collect(), true)
+    }
+
+    async fn read_chunks(&mut self) -> (Vec<u8>, bool) {
+        let mut body = Vec::new();
+        loop {
+            let Some(line) = self.read_line().await else {
+                return (body, false);
+            };
+            let size = usize::from_str_radix(line.trim(), 16).expect("a chunk's size");
+            let (chunk, is_whole) = self.read_length(size + 2).await;
+            if !is_whole {
+                return (body, false);
+            }
+            if size == 0 {
+                return (body, true);
+            }
+            body.extend_from_slice(&chunk[..size]);
+        }
+    }
+
+    async fn read_line(&mut self) -> Option<String> {
+        loop {
+            if let Some(end) = self.read.windows(2).position(|part| part == b"\r\n") {
+                let line: Vec<u8> = self.read.drain(..end + 2).collect();
+                return Some(String::from_utf8_lossy(&line).into_owned());
+            }
+            if !self.read_more().await {
+                return None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/tests/gateway/answers.rs
@@ -0,0 +1,76 @@
+//! Callers get the whole answer to their own request.
+
+use rstest::rstest;
+use skylarkshed_stand_ins::Reaction;
+use skylarkshed_testsuite::{GatewayRig, RigBuilder, KEY};
+
+#[tokio::test]
+async fn a_second_answer_reaches_nobody() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    rig.applications[0].react(Reaction::Twice);
+    let mut caller = rig.connect().await;
+    for _ in 0..3 {
+        let request = GatewayRig::request("POST", "/book/7", KEY, "x");
+        let id = request.split("X-Attempt-Id: ").nth(1).unwrap();
+        let id = id.split("\r\n").next().unwrap().to_owned();
+        caller.send(request.as_bytes()).await;
+        let answer = caller.answer().await.unwrap();
+        assert_eq!(answer.header("x-attempt-id"), Some(id.as_str()));
+        assert_eq!(answer.body, "answer");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    rig.applications[0].react(Reaction::Unframed);
+    let answer = rig.ask("POST", "/book/7", "x").await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "answer"));
+    assert!(answer.is_complete);
+}
+
+#[rstest]
+#[case::reset(Reaction::Reset)]
+#[case::unsigned(Reaction::Unsigned)]
+#[tokio::test]
+async fn a_failure_of_ours_bears_no_signature(#[case] reaction: Reaction) {
+    let rig = RigBuilder::default().applications(1).start().await;
+    rig.applications[0].react(reaction);
+    let answer = rig.ask("POST", "/book/7", "x").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("x-server-signature"), None);
+}
+
+#[tokio::test]
+async fn requests_of_one_connection_are_answered_in_turn() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    let mut caller = rig.connect().await;
+    let first = GatewayRig::request("POST", "/book/1", KEY, "x");
+    let second = GatewayRig::request("GET", "/find/2", KEY, "");
+    caller.send(format!("{first}{second}").as_bytes()).await;
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+    let lines: Vec<String> = rig.applications[0]
+        .heard()
+        .iter()
+        .map(|request| request.line.clone())
+        .collect();
+    assert_eq!(lines, ["POST /book/1 HTTP/1.1", "GET /find/2 HTTP/1.1"]);
+}
+
+#[tokio::test]
+async fn requests_are_served_while_nobody_reads_the_log() {
+    let rig = RigBuilder::default()
+        .applications(1)
+        .unread_output()
+        .start()
+        .await;
+    // More lines than the pipe and the queue hold.
+    let mut caller = rig.connect().await;
+    for _ in 0..4_000 {
+        let request = GatewayRig::request("POST", "/book/7", KEY, "x");
+        caller.send(request.as_bytes()).await;
+        assert_eq!(caller.answer().await.unwrap().status, 200);
+    }
+    rig.wait_metric("gateway_log_lines_dropped_total").await;
+}
--- /dev/null
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -0,0 +1,10 @@
+//! The gateway as a process between stand-ins, a module per promise.
+
+mod answers;
+mod caller_gone;
+mod configuration;
+mod framing;
+mod leaving;
+mod routing;
+mod runs_once;
+mod streams;
--- /dev/null
+++ b/tests/testsuite/tests/gateway/runs_once.rs
@@ -0,0 +1,100 @@
+//! Requests that may not be repeated run once at most, and refusals are true.
+
+use rstest::rstest;
+use skylarkshed_stand_ins::Reaction;
+use skylarkshed_testsuite::RigBuilder;
+use std::time::Duration;
+
+#[rstest]
+#[case::reset(Reaction::Reset, 502)]
+#[case::garbage(Reaction::Garbage, 502)]
+#[case::truncated(Reaction::Truncated, 502)]
+#[case::crossed(Reaction::Crossed, 502)]
+#[case::unsigned(Reaction::Unsigned, 502)]
+#[case::silent(Reaction::Silent, 504)]
+#[case::own_failure(Reaction::failure(), 500)]
+#[tokio::test]
+async fn a_booking_that_may_have_run_is_not_sent_again(
+    #[case] reaction: Reaction,
+    #[case] status: u16,
+) {
+    let rig = RigBuilder::default().applications(2).start().await;
+    for application in &rig.applications {
+        application.react_always(reaction.clone());
+    }
+    let answer = rig.ask("POST", "/book/7", "x").await;
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.header("retry-after"), None);
+    assert_eq!(rig.heard_by_applications(), 1);
+}
+
+#[tokio::test]
+async fn a_booking_goes_elsewhere_if_nothing_was_sent() {
+    let rig = RigBuilder::default().applications(2).start().await;
+    rig.applications[0].stop();
+    for _ in 0..4 {
+        assert_eq!(rig.ask("POST", "/book/7", "x").await.status, 200);
+    }
+    assert_eq!(rig.applications[1].heard().len(), 4);
+}
+
+#[rstest]
+#[case::full(Reaction::NotRun)]
+#[case::other_upstream(Reaction::Misdirected)]
+#[tokio::test]
+async fn a_refusal_says_not_run_and_when_to_come_back(#[case] reaction: Reaction) {
+    let rig = RigBuilder::default().applications(2).start().await;
+    for application in &rig.applications {
+        application.react_always(reaction.clone());
+    }
+    let answer = rig.ask("POST", "/book/7", "x").await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(answer.body.contains("\"outcome\":\"not_run\""));
+    // The route allows one attempt.
+    assert_eq!(rig.heard_by_applications(), 1);
+}
+
+#[tokio::test]
+async fn a_lookup_is_tried_again_within_its_attempts() {
+    let rig = RigBuilder::default().applications(3).start().await;
+    for application in &rig.applications {
+        application.react_always(Reaction::failure());
+    }
+    let answer = rig.ask("GET", "/find/7", "").await;
+    assert_eq!(
+        answer.status, 500,
+        "the upstream's own failure is passed on"
+    );
+    assert!(answer.header("x-server-signature").is_some());
+    assert_eq!(rig.heard_by_applications(), 2);
+}
+
+#[rstest]
+#[case::own_failure(Reaction::failure())]
+#[case::reset(Reaction::Reset)]
+#[case::not_run(Reaction::NotRun)]
+#[case::crossed(Reaction::Crossed)]
+#[case::truncated(Reaction::Truncated)]
+#[case::slow(Reaction::Answer { status: 200, after: Duration::from_secs(5) })]
+#[tokio::test]
+async fn a_lookup_gets_its_answer_from_another(#[case] reaction: Reaction) {
+    let rig = RigBuilder::default().applications(2).start().await;
+    // The zone of the VM is tried first.
+    rig.applications[0].react(reaction);
+    let answer = rig.ask("GET", "/find/7", "").await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, "answer");
+    assert_eq!(rig.heard_by_applications(), 2);
+}
+
+#[tokio::test]
+async fn an_address_of_another_upstream_is_not_used_again() {
+    let rig = RigBuilder::default().applications(2).start().await;
+    rig.applications[0].react(Reaction::Misdirected);
+    assert_eq!(rig.ask("GET", "/find/7", "").await.status, 200);
+    for _ in 0..3 {
+        assert_eq!(rig.ask("POST", "/book/7", "x").await.status, 200);
+    }
+    assert_eq!(rig.applications[0].heard().len(), 1);
+}
