Ask engines of other zones when the own are busy; wait for a prefill only while a restart is in time

Cause: after all VMs were restarted, callers came back at once and their zone's eight engines had prompts to read for seconds; two prompts 3 ms apart went to one engine, as reports lag; after an outage of the store five 421 in a row ended answers; waits for a first event ended after the objective.

Change: a report is corrected by this VM's own last sends; three more engines are asked when the first are busy; an address of another upstream speaks against its zone; the wait for a first event leaves time for a restart; copies made by a call are dropped at the end.

--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -17,10 +17,17 @@
 const COPY_LIMIT: ClockTime = ClockTime::from_millis(1_500);
 
 /// Asks an engine for its report; none if it does not answer in time.
-pub(crate) async fn ask_report<D: WireDialect>(engine: &UpstreamState) -> Option<EngineLoad> {
+pub(crate) async fn ask_report<D: WireDialect>(
+    engine: &UpstreamState,
+    clock: MonotonicClock,
+) -> Option<EngineLoad> {
     let request = D::write_report_request(&engine.record);
     let body = ask(engine.record.address, request, REPORT_LIMIT).await;
     let report = body.and_then(|body| D::read_report(&body));
+    let report = report.map(|report| EngineLoad {
+        unreported: engine.unreported_prompts(clock.now()),
+        ..report
+    });
     report
         .map_err(|problem| {
             log::debug!(upstream:% = engine.name(); "no report: {problem}");
@@ -58,6 +65,15 @@
     }
 }
 
+/// Has an engine drop a copy that nobody needs any more.
+pub(crate) async fn drop_copy<D: WireDialect>(engine: &UpstreamState, copy: &MemoryCopy) {
+    let message = D::write_drop_request(&engine.record, &copy.handle);
+    if let Err(problem) = ask(engine.record.address, message, COPY_LIMIT).await {
+        // The engine drops it by itself after a while.
+        log::debug!(upstream:% = engine.name(); "copy not dropped: {problem}");
+    }
+}
+
 async fn ask(address: SocketAddr, request: LinkRequest, limit: ClockTime) -> Result<Bytes, String> {
     let exchange = async {
         let mut link = HttpLink::connect(address, limit).await?;
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -125,6 +125,9 @@
     /// Writes an order to copy a running answer's memory to another engine.
     fn write_copy_request(engine: &UpstreamRecord, request: &str, to: SocketAddr) -> LinkRequest;
 
+    /// Writes an order to drop a copy, for the engine that made it.
+    fn write_drop_request(engine: &UpstreamRecord, handle: &str) -> LinkRequest;
+
     /// Reads the name of the copy that an engine made.
     ///
     /// # Errors
--- a/crates/gateway/src/stream/copy_keeper.rs
+++ b/crates/gateway/src/stream/copy_keeper.rs
@@ -1,12 +1,12 @@
 //! Keeps a copy of a running answer's memory while engines come and go.
 
 use super::attempt::StreamAttempt;
-use crate::engine_calls::copy_memory;
+use crate::engine_calls::{copy_memory, drop_copy};
 use crate::process::GatewayState;
 use crate::seams::{MemoryCopy, WireDialect};
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, EngineTraits, ServiceName};
-use skylarkshed_policy::{plan_copy, CopyState, CopyStep, StreamPhase};
+use skylarkshed_policy::{plan_copy, CopyKind, CopyState, CopyStep, StreamPhase};
 use std::sync::Arc;
 use tokio::task::JoinHandle;
 use tokio::time::{interval, Interval, MissedTickBehavior};
@@ -77,6 +77,17 @@
         }));
     }
 
+    /// Has the copy dropped that was made by a call; the answer has ended. One
+    /// that grows with the answer ends with it.
+    pub(super) fn release<D: WireDialect>(&mut self, attempt: &StreamAttempt) {
+        self.stop();
+        let is_once = |copy: &&MemoryCopy| copy.kind != CopyKind::Continuous;
+        if let Some(copy) = attempt.copy.as_ref().filter(is_once) {
+            let (engine, copy) = (attempt.upstream.clone(), copy.clone());
+            tokio::spawn(async move { drop_copy::<D>(&engine, &copy).await });
+        }
+    }
+
     /// Gives up what is under way; the attempt has ended.
     pub(super) fn stop(&mut self) {
         if let Some(copying) = self.copying.take() {
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -18,8 +18,8 @@
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    choose_engine, recover_stream, silence_limit, CopyKind, EventLedger, EventVerdict, LossCause,
-    RecoveryStep, RouteTable, StreamPhase, StreamState,
+    are_all_busy, choose_engine, recover_stream, silence_limit, CopyKind, EngineLoad, EventLedger,
+    EventVerdict, LossCause, RecoveryStep, RouteTable, StreamPhase, StreamState,
 };
 use std::marker::PhantomData;
 use std::sync::Arc;
@@ -172,32 +172,58 @@
 
     /// Picks the upstream that is to read the prompt, among a few that report.
     async fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+        let mut asked = Vec::new();
+        let mut reports = self.ask_engines(&mut asked, &self.lost_zones).await;
+        if !reports.is_empty() && are_all_busy(&reports) {
+            let mut avoid_zones = self.lost_zones.clone();
+            avoid_zones.extend(asked.iter().map(|engine| engine.record.zone.clone()));
+            reports.extend(self.ask_engines(&mut asked, &avoid_zones).await);
+        }
+        let place = choose_engine(&reports).unwrap_or(0);
+        let upstream = asked.into_iter().nth(place)?;
+        upstream.note_prompt(self.state.clock.now());
+        Some(upstream)
+    }
+
+    /// Asks a few more engines for their reports; services without engines
+    /// report nothing.
+    async fn ask_engines(
+        &self,
+        asked: &mut Vec<Arc<UpstreamState>>,
+        avoid_zones: &[ZoneName],
+    ) -> Vec<Option<EngineLoad>> {
+        let known = asked.len();
         let mut avoid = self.tried.clone();
-        let mut candidates = Vec::new();
-        while candidates.len() < ASKED_ENGINES {
-            let Some(candidate) = self.next_candidate(&avoid) else {
+        avoid.extend(asked.iter().map(|engine| engine.name().clone()));
+        while asked.len() < known + ASKED_ENGINES {
+            let Some(engine) = self.next_candidate(&avoid, avoid_zones) else {
                 break;
             };
-            avoid.push(candidate.name().clone());
-            candidates.push(candidate);
+            avoid.push(engine.name().clone());
+            asked.push(engine);
         }
-        let is_engine = |table: Arc<RouteTable>| table.engine(&self.request.service).is_some();
-        if candidates.len() > 1 && self.state.control.table().is_some_and(is_engine) {
-            let asking = candidates.iter().map(|engine| ask_report::<D>(engine));
-            let reports = futures::future::join_all(asking).await;
-            if let Some(place) = choose_engine(&reports) {
-                return Some(candidates.swap_remove(place));
-            }
+        let service = &self.request.service;
+        let is_engine = |table: Arc<RouteTable>| table.engine(service).is_some();
+        if !self.state.control.table().is_some_and(is_engine) {
+            return Vec::new();
         }
-        candidates.into_iter().next()
+        let clock = self.state.clock;
+        let asking = asked[known..]
+            .iter()
+            .map(|engine| ask_report::<D>(engine, clock));
+        futures::future::join_all(asking).await
     }
 
-    fn next_candidate(&self, avoid: &[UpstreamName]) -> Option<Arc<UpstreamState>> {
+    fn next_candidate(
+        &self,
+        avoid: &[UpstreamName],
+        avoid_zones: &[ZoneName],
+    ) -> Option<Arc<UpstreamState>> {
         self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
             avoid,
-            avoid_zones: &self.lost_zones,
+            avoid_zones,
         })
     }
 
@@ -243,6 +269,7 @@
             Some(_) => StreamPhase::Resuming,
             None => StreamPhase::Prefill {
                 tokens: self.request.head.prompt_tokens,
+                objective_left: self.objective_left(),
             },
         };
         let order = SendOrder {
@@ -268,7 +295,10 @@
         let address = upstream.record.address;
         let answer = watch_silence(sending, clock.now(), limit, address, clock).await;
         let answer = answer.ok_or(FailedSend(LossCause::Silence))??;
-        if answer.head.is_not_run || answer.head.is_misdirected {
+        if answer.head.is_misdirected {
+            return Err(FailedSend(LossCause::Replaced));
+        }
+        if answer.head.is_not_run {
             return Err(FailedSend(LossCause::NotRun));
         }
         if !answer.is_success() {
@@ -280,6 +310,17 @@
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
+    /// Returns the time in which a first event is in time.
+    fn objective_left(&self) -> ClockTime {
+        match self.ledger.accepted() {
+            0 => {
+                let objective = self.request.route.objective;
+                objective.since(self.request.deadline.passed())
+            }
+            _ => ClockTime::ZERO,
+        }
+    }
+
     /// Passes on a failure that the upstream means, and retries any other.
     async fn judge_failure(
         &mut self,
@@ -301,7 +342,7 @@
                 self.unsent += 1;
                 self.state.budget(&self.request.service).refund(1);
             }
-            LossCause::NotRun => self.sends += 1,
+            LossCause::NotRun | LossCause::Replaced => self.sends += 1,
             _ => {
                 self.sends += 1;
                 self.evidence.note_may_have_run();
@@ -341,7 +382,10 @@
                     self.keep_copy(&mut keeper, &mut attempt, copy);
                     continue;
                 }
-                () = parts.closed() => return self.log_end("caller_left"),
+                () = parts.closed() => {
+                    keeper.release::<D>(&attempt);
+                    return self.log_end("caller_left");
+                }
                 () = tokio::time::sleep(left.to_duration()) => return self.log_end("timeout"),
             };
             let cause = match step {
@@ -350,6 +394,7 @@
                     Err(cause) => cause,
                 },
                 AttemptStep::End => {
+                    keeper.release::<D>(&attempt);
                     // A caller that left needs no end.
                     let _ = parts.send(AnswerPart::End).await;
                     return self.log_end("served");
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -14,6 +14,8 @@
 /// How long an upstream that failed is used only if no other is left: about
 /// the time in which a new entry of a restarted upstream arrives.
 const SUSPICION: ClockTime = ClockTime::from_millis(2_000);
+/// Reports of engines are some hundred milliseconds old.
+const REPORT_LAG: ClockTime = ClockTime::from_millis(250);
 /// Load of one request, in thousandths of one slot.
 const REQUEST_LOAD: u64 = 1_000;
 
@@ -29,6 +31,9 @@
 struct UpstreamUsage {
     running: AtomicU64,
     suspect_until: AtomicU64,
+    /// When the last prompt was sent, and how many were sent shortly before.
+    prompt_sent: AtomicU64,
+    recent_prompts: AtomicU64,
     /// Its address belongs to another upstream, or it said that it leaves.
     is_gone: AtomicBool,
 }
@@ -53,6 +58,24 @@
         LoadGuard(self.usage.clone())
     }
 
+    /// Notes that a prompt is sent.
+    pub(crate) fn note_prompt(&self, now: ClockTime) {
+        let recent = self.unreported_prompts(now) + 1;
+        self.usage.recent_prompts.store(recent, Ordering::Relaxed);
+        let sent = now.as_millis();
+        self.usage.prompt_sent.store(sent, Ordering::Relaxed);
+    }
+
+    /// Returns the prompts sent so recently that no report can have them.
+    pub(crate) fn unreported_prompts(&self, now: ClockTime) -> u64 {
+        let sent = self.usage.prompt_sent.load(Ordering::Relaxed);
+        let sent = ClockTime::from_millis(sent);
+        match sent > ClockTime::ZERO && now.since(sent) < REPORT_LAG {
+            true => self.usage.recent_prompts.load(Ordering::Relaxed),
+            false => 0,
+        }
+    }
+
     /// Notes that the upstream failed.
     pub(crate) fn suspect(&self, now: ClockTime) {
         let until = (now + SUSPICION).as_millis();
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -20,6 +20,8 @@
     pub running: u64,
     /// The prompt tokens already read of each request without an event.
     pub prefilling: Vec<u64>,
+    /// Prompts that this VM sent so short a time ago that no report has them.
+    pub unreported: u64,
 }
 
 impl EngineLoad {
@@ -39,11 +41,35 @@
             // A longer prompt than usual is nearly read.
             USUAL_PROMPT_TOKENS.saturating_sub(*read).max(RUNNING_COST)
         });
-        let waiting = self.waiting * USUAL_PROMPT_TOKENS;
+        let waiting = (self.waiting + self.unreported) * USUAL_PROMPT_TOKENS;
         waiting + unread.sum::<u64>() + self.running * RUNNING_COST
     }
 }
 
+/// From this cost on engines of other zones are asked as well: most of another
+/// prompt is to be read first.
+const BUSY_COST: u64 = 6_000;
+
+/// Tells whether the best of the reported engines is too busy to stay there.
+///
+/// This answers the load after a zone is lost, or after all VMs were restarted:
+/// callers come back at once, and their zone's engines have prompts to read for
+/// seconds while others are idle.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{are_all_busy, EngineLoad};
+///
+/// let busy = EngineLoad { waiting: 1, ..EngineLoad::default() };
+/// assert!(are_all_busy(&[Some(busy.clone()), None]));
+/// assert!(!are_all_busy(&[Some(busy), Some(EngineLoad::default())]));
+/// ```
+pub fn are_all_busy(reports: &[Option<EngineLoad>]) -> bool {
+    let mut costs = reports.iter().flatten().map(EngineLoad::cost);
+    costs.all(|cost| cost >= BUSY_COST)
+}
+
 /// Returns the place of the engine to use among those that reported.
 ///
 /// # Examples
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,7 +50,7 @@
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
 pub use concurrency::ConcurrencyLimit;
 pub use copy_plan::{plan_copy, CopyKind, CopyState, CopyStep};
-pub use engine_choice::{choose_engine, EngineLoad};
+pub use engine_choice::{are_all_busy, choose_engine, EngineLoad};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{judge_version, EvidenceVerdict, RouteCounts, VersionCounts};
 pub use gaps::{GapEstimator, SilenceBounds};
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -9,11 +9,17 @@
 /// An engine reads so many prompt tokens in a millisecond; the slowest that
 /// the deployments tell of.
 const PREFILL_TOKENS_PER_MS: u64 = 8;
+/// The time to a first event beyond the prefill: queueing and one step.
+const FIRST_EVENT_SLACK: ClockTime = ClockTime::from_millis(1_200);
 /// The time to a first event is this many times the bare prefill at most, for
 /// the prompts that wait beside it.
 const PREFILL_FACTOR: u64 = 2;
-/// The time to a first event beyond the prefill: queueing and one step.
-const FIRST_EVENT_SLACK: ClockTime = ClockTime::from_millis(1_200);
+/// The least part of a prefill beyond itself that is waited for, in hundredths:
+/// an upstream of a third of the usual speed is slow, not lost.
+const LEAST_PREFILL_PERCENT: u64 = 150;
+/// The time that another upstream needs beside the prefill.
+const RESTART_SLACK: ClockTime = ClockTime::from_millis(300);
+
 /// A silence between events that is acted on if a copy stands ready. While an
 /// engine reads another prompt, the pause between events of eight tokens is 230
 /// to 330 ms; going on from a copy takes 100 ms, and callers allow 700 ms.
@@ -33,6 +39,9 @@
     Unsent,
     /// The upstream says that it did not run the request.
     NotRun,
+    /// Another upstream has the address: the one that had it has ended, as have
+    /// probably others of its zone.
+    Replaced,
     /// The answer broke off.
     Broken,
     /// Nothing came for too long.
@@ -47,6 +56,7 @@
         match self {
             LossCause::Unsent => "unsent",
             LossCause::NotRun => "not_run",
+            LossCause::Replaced => "replaced",
             LossCause::Broken => "broken",
             LossCause::Silence => "silence",
             LossCause::WrongEvent => "wrong_event",
@@ -55,7 +65,10 @@
 
     /// Tells whether the upstream can't have run the request.
     pub const fn is_not_run(self) -> bool {
-        matches!(self, LossCause::Unsent | LossCause::NotRun)
+        matches!(
+            self,
+            LossCause::Unsent | LossCause::NotRun | LossCause::Replaced
+        )
     }
 }
 
@@ -120,6 +133,8 @@
     Prefill {
         /// Tokens to read.
         tokens: u64,
+        /// The time left in which the first event is in time.
+        objective_left: ClockTime,
     },
     /// What a copy lacks is read.
     Resuming,
@@ -138,12 +153,27 @@
 /// ```
 pub fn silence_limit(phase: StreamPhase, has_copy: bool) -> ClockTime {
     match phase {
-        StreamPhase::Prefill { tokens } => {
-            let prefill_ms = tokens / PREFILL_TOKENS_PER_MS * PREFILL_FACTOR;
-            ClockTime::from_millis(prefill_ms) + FIRST_EVENT_SLACK
-        }
+        StreamPhase::Prefill {
+            tokens,
+            objective_left,
+        } => prefill_limit(tokens, objective_left),
         StreamPhase::Resuming => RESUME_TIME,
         StreamPhase::Flowing if has_copy => SILENCE_WITH_COPY,
         StreamPhase::Flowing => SILENCE_WITHOUT_COPY,
     }
 }
+
+/// Returns how long a first event is waited for: as long as another upstream
+/// can still bring it in time, but not less than a slow prefill takes.
+fn prefill_limit(tokens: u64, objective_left: ClockTime) -> ClockTime {
+    let prefill_ms = tokens / PREFILL_TOKENS_PER_MS;
+    let prefill = ClockTime::from_millis(prefill_ms);
+    let longest = ClockTime::from_millis(prefill_ms * PREFILL_FACTOR) + FIRST_EVENT_SLACK;
+    let least = ClockTime::from_millis(prefill_ms * LEAST_PREFILL_PERCENT / 100) + RESTART_SLACK;
+    let restart = prefill + RESTART_SLACK;
+    match objective_left > restart + least {
+        true => longest.min(objective_left.since(restart)),
+        // Too late for another to be in time: starting over only costs more.
+        false => longest,
+    }
+}
