Let one VM a zone watch the store for the others; share the retry budget by VMs

Change: VMs announce themselves in the store; a zone's carrier, by rendezvous, watches it, the others ask the carrier with the age of its knowledge, then the store, then others. What a peer vouches for keeps its age, so a cut VM serves keys only as long as someone read the store. Budgets divide the reserve by the VMs known; answers that have begun may draw on four more.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -64,7 +64,7 @@
     state: &GatewayState,
     request: &CallerRequest,
 ) -> CallerAnswer {
-    state.budget(&request.service).earn(1);
+    state.budget(&request.service).note_request();
     let mut tries = CallTries {
         state,
         request,
@@ -156,7 +156,7 @@
         if !may_go_on || !has_tries || self.request.deadline.is_over() {
             return Some(self.give_up(NotRunReason::UpstreamsBusy));
         }
-        if self.sends > 0 && !self.state.budget(&self.request.service).try_spend(1) {
+        if self.sends > 0 && !self.state.budget(&self.request.service).try_retry() {
             return Some(self.give_up(NotRunReason::RetryBudget));
         }
         counters::count_retry(label);
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -29,6 +29,11 @@
     counter!("gateway_store_calls_total", "source" => source, "outcome" => outcome).increment(1);
 }
 
+/// Counts a question to another VM by its source and outcome.
+pub(crate) fn count_peer(source: &'static str, outcome: &'static str) {
+    counter!("gateway_peer_calls_total", "source" => source, "outcome" => outcome).increment(1);
+}
+
 /// Counts a row of the store that could not be read.
 pub(crate) fn count_unreadable_row() {
     counter!("gateway_unreadable_rows_total").increment(1);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!   request;
 //! - `call` carries quick calls and `stream` answers of many events;
 //! - `store_watch` keeps the configuration and the upstreams up to date;
+//! - `peers` shares what one VM read of the store with the others;
 //! - `upstreams` knows the upstreams and what this VM sent them.
 //!
 //! How requests, upstreams and the store speak is left to the [`WireDialect`]
@@ -21,6 +22,7 @@
 mod exchange;
 mod front;
 mod log_writer;
+mod peers;
 mod process;
 mod refusal;
 mod run;
@@ -34,7 +36,7 @@
 pub use log_writer::{start_logging, LogError};
 pub use run::{run_gateway, GatewayError};
 pub use seams::{
-    AnswerHead, CallerHead, ControlNews, HeadError, MemoryCopy, NewsReading, NewsSource,
-    RolloutState, RolloutStatus, RoutingStore, SendOrder, StoreError, UpstreamNews, WireDialect,
+    AnswerHead, CallerHead, ControlNews, HeadError, MemoryCopy, NewsSource, RolloutState,
+    RolloutStatus, RoutingStore, SendOrder, StoreError, UpstreamNews, WireDialect,
 };
 pub use settings::{GatewayListen, GatewaySettings, GatewayTimes};
--- /dev/null
+++ b/crates/gateway/src/peers/news_chain.rs
@@ -0,0 +1,107 @@
+//! Reads a table at the carrier, at the store, or at any VM that knows it.
+
+use super::peer_news::ask_peer;
+use crate::counters;
+use crate::process::GatewayState;
+use crate::seams::{NewsSource, StoreError};
+use skylarkshed_core::ClockTime;
+use skylarkshed_policy::{NewsPlace, NewsReading, NewsRoute};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// News of another VM that were last known to be the newest so long ago are
+/// not good enough while the store may answer.
+const STALE_AGE: ClockTime = ClockTime::from_millis(1_600);
+
+/// Asks the places of a route in turn.
+pub(crate) struct NewsChain<S> {
+    state: Arc<GatewayState>,
+    store: S,
+    route: NewsRoute,
+    /// The proof of freshness last seen, and whose it is.
+    proof: Option<(SocketAddr, u64)>,
+}
+
+impl<S: NewsSource> NewsChain<S> {
+    pub(crate) fn new(state: Arc<GatewayState>, store: S) -> Self {
+        let settings = &state.settings;
+        let route = NewsRoute::new(settings.name.clone(), settings.zone.clone());
+        NewsChain {
+            state,
+            store,
+            route,
+            proof: None,
+        }
+    }
+
+    /// Returns changes after a revision, or the whole table.
+    pub(crate) async fn next(
+        &mut self,
+        after: Option<u64>,
+        wait: ClockTime,
+    ) -> Result<NewsReading, StoreError> {
+        self.route.set_vms(&self.state.roster.vms());
+        let mut first_error = None;
+        for place in self.route.places(self.state.clock.now()) {
+            let answer = match place {
+                NewsPlace::Store => self.ask_store(after, wait).await,
+                NewsPlace::Peer(peer) => self.ask_peer(peer, after, first_error.is_some()).await,
+            };
+            match answer {
+                Ok(reading) => return Ok(reading),
+                Err(StoreError::HistoryLost) => return Err(StoreError::HistoryLost),
+                Err(error) => {
+                    log::debug!(source = S::NAME, place:? = place; "no news: {error}");
+                    first_error = Some(error);
+                }
+            }
+        }
+        Err(first_error.unwrap_or_else(|| StoreError::Unreachable("no place to ask".to_owned())))
+    }
+
+    async fn ask_store(
+        &mut self,
+        after: Option<u64>,
+        wait: ClockTime,
+    ) -> Result<NewsReading, StoreError> {
+        let reading = match after {
+            None => self.store.read().await,
+            Some(after) => self.store.watch(after, wait).await,
+        };
+        let outcome = reading
+            .as_ref()
+            .map_or_else(StoreError::label, |_| "answered");
+        counters::count_store(S::NAME, outcome);
+        reading
+    }
+
+    /// Asks a peer; once the store has failed, old news are better than none.
+    async fn ask_peer(
+        &mut self,
+        peer: SocketAddr,
+        after: Option<u64>,
+        is_last_resort: bool,
+    ) -> Result<NewsReading, StoreError> {
+        let proof = self.proof.filter(|(of, _)| *of == peer);
+        let proof = proof.map_or(0, |(_, proof)| proof);
+        let reading = ask_peer(&self.state.peers, peer, S::NAME, after, proof).await;
+        let reading = reading.and_then(|(reading, proof)| {
+            self.proof = Some((peer, proof));
+            match reading.age > STALE_AGE && !is_last_resort {
+                true => Err(StoreError::Unreachable(format!("{peer}: its news are old"))),
+                false => Ok(reading),
+            }
+        });
+        let outcome = reading
+            .as_ref()
+            .map_or_else(StoreError::label, |_| "answered");
+        counters::count_peer(S::NAME, outcome);
+        if reading
+            .as_ref()
+            .is_err_and(|error| !matches!(error, StoreError::HistoryLost))
+        {
+            self.route.avoid(peer, self.state.clock.now());
+        }
+        reading
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -1,30 +1,42 @@
 //! What all parts of a gateway process share.
 
 use crate::control::ControlState;
+use crate::peers::{NewsBoard, VmRoster};
 use crate::settings::GatewaySettings;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{ClockTime, MonotonicClock, ServiceName, SuspendClock};
-use skylarkshed_policy::WorkBudget;
+use skylarkshed_peer::{PeerClient, PeerKey};
+use skylarkshed_policy::RetryBudget;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+/// As many VMs are taken to share the budgets until the others are known: the
+/// users' deployments of today have 8 and 9, and can add 3.
+const UNKNOWN_VMS: usize = 12;
+
 /// The state of one gateway process.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
     pub(crate) clock: MonotonicClock,
     pub(crate) control: ControlState,
     pub(crate) upstreams: UpstreamDirectory,
+    pub(crate) board: NewsBoard,
+    pub(crate) roster: VmRoster,
+    pub(crate) peers: PeerClient,
     pub(crate) connections: AtomicUsize,
-    budgets: Mutex<HashMap<ServiceName, Arc<WorkBudget>>>,
+    budgets: Mutex<HashMap<ServiceName, Arc<RetryBudget>>>,
     /// When the process was told to leave, in milliseconds; 0 for not yet.
     leaving_ms: AtomicU64,
 }
 
 impl GatewayState {
-    pub(crate) fn new(settings: GatewaySettings) -> Self {
+    pub(crate) fn new(settings: GatewaySettings, key: PeerKey) -> Self {
         let clock = MonotonicClock::start();
         GatewayState {
+            board: NewsBoard::new(),
+            roster: VmRoster::default(),
+            peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             control: ControlState::new(SuspendClock::start()),
             upstreams: UpstreamDirectory::new(clock, settings.times.lapse),
@@ -36,15 +48,30 @@
     }
 
     /// Returns the budget of repeated sends to a service.
-    pub(crate) fn budget(&self, service: &ServiceName) -> Arc<WorkBudget> {
+    pub(crate) fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
         // Inserting an entry leaves the map whole, also after a panic elsewhere.
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
         let settings = &self.settings;
-        let make = || WorkBudget::new(settings.retry_percent, settings.retry_reserve);
+        let make = || RetryBudget::new(settings.retry_percent, self.reserve_share());
         let budget = budgets.entry(service.clone());
         budget.or_insert_with(|| Arc::new(make())).clone()
     }
 
+    /// Divides the budgets' reserves over the VMs that are known.
+    pub(crate) fn share_budgets(&self) {
+        let reserve = self.reserve_share();
+        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        budgets
+            .values()
+            .for_each(|budget| budget.set_reserve(reserve));
+    }
+
+    fn reserve_share(&self) -> u32 {
+        let vms = self.roster.count().unwrap_or(UNKNOWN_VMS);
+        let vms = u32::try_from(vms).unwrap_or(u32::MAX);
+        (self.settings.retry_reserve / vms.max(1)).max(1)
+    }
+
     pub(crate) fn start_leaving(&self) {
         let now = self.clock.now().as_millis().max(1);
         self.leaving_ms.store(now, Ordering::Relaxed);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Starts all parts of a gateway process and serves until it is told to end.
 
 use crate::caller::serve_callers;
+use crate::peers::{keep_roster, GatewayPeers};
 use crate::process::GatewayState;
 use crate::seams::{RoutingStore, WireDialect};
 use crate::service_pages::{serve_metrics, serve_readiness};
@@ -8,6 +9,7 @@
 use crate::store_watch::{watch_control, watch_upstreams};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use skylarkshed_core::ClockTime;
+use skylarkshed_peer::{serve_peers, PeerError, PeerKey};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -37,6 +39,9 @@
     /// The metrics can't be recorded.
     #[error("the metrics can't be recorded: {0}")]
     Metrics(String),
+    /// The peers' key can't be used.
+    #[error(transparent)]
+    Peers(PeerError),
     /// Signals can't be received.
     #[error("signals can't be received: {0}")]
     Signals(std::io::Error),
@@ -68,7 +73,10 @@
     let callers = bind(listen.callers).await?;
     let readiness = bind(listen.readiness).await?;
     let pages = bind(listen.metrics).await?;
-    let state = Arc::new(GatewayState::new(settings));
+    let peers = bind(listen.peers).await?;
+    let key = PeerKey::parse(&settings.peer_key).map_err(GatewayError::Peers)?;
+    let settings = with_bound_peers(settings, &peers);
+    let state = Arc::new(GatewayState::new(settings, key.clone()));
     log::info!(
         vm:% = state.settings.name,
         zone:% = state.settings.zone,
@@ -78,6 +86,13 @@
         "the process starts"
     );
     let (close, closing) = watch::channel(false);
+    let handler = GatewayPeers {
+        state: state.clone(),
+    };
+    tokio::spawn(serve_peers(peers, key, handler, |error| {
+        log::debug!("a peer's connection ended: {error}");
+    }));
+    tokio::spawn(keep_roster(state.clone(), store.clone()));
     tokio::spawn(watch_control(state.clone(), store.control()));
     tokio::spawn(watch_upstreams(state.clone(), store.upstreams()));
     tokio::spawn(serve_callers::<D>(callers, state.clone(), closing));
@@ -85,7 +100,8 @@
     tokio::spawn(serve_metrics(pages, metrics, state.clone()));
     tokio::spawn(reload_on_signal(hang_up, state.clone(), reload));
     wait_for_signal(terminate).await;
-    leave(&state, &close).await;
+    state.start_leaving();
+    tokio::join!(leave(&state, &close), withdraw(&state, &store));
     Ok(())
 }
 
@@ -94,6 +110,18 @@
     listener.map_err(|source| GatewayError::Listen { address, source })
 }
 
+/// Puts the port that the system chose into the settings, for other VMs.
+fn with_bound_peers(mut settings: GatewaySettings, peers: &TcpListener) -> GatewaySettings {
+    settings.listen.peers = local(peers, settings.listen.peers);
+    settings
+}
+
+async fn withdraw<S: RoutingStore>(state: &GatewayState, store: &S) {
+    if let Err(error) = store.withdraw(&state.settings.name).await {
+        log::info!(reason = error.label(); "not withdrawn: {error}");
+    }
+}
+
 /// Returns the address with the port that the system chose, if it did.
 fn local(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
     listener.local_addr().unwrap_or(wanted)
@@ -123,7 +151,6 @@
 
 /// Fails readiness, then closes idle connections, then waits for the last answer.
 async fn leave(state: &GatewayState, close: &watch::Sender<bool>) {
-    state.start_leaving();
     let connections = || state.connections.load(Ordering::Relaxed);
     log::info!(connections = connections(); "the process leaves: readiness fails");
     let grace = state.settings.times.grace.since(KILL_MARGIN);
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -5,10 +5,10 @@
 use http::{request, response};
 use skylarkshed_core::{
     ClockTime, CustomerName, KeyHash, RolloutOrder, RoutingConfig, ServiceName, UpstreamName,
-    UpstreamRecord, VersionName,
+    UpstreamRecord, VersionName, VmName,
 };
 use skylarkshed_http_link::LinkRequest;
-use skylarkshed_policy::{CopyKind, EngineLoad};
+use skylarkshed_policy::{CopyKind, EngineLoad, NewsReading, NewsRow, VmEntry};
 use std::future::Future;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -209,32 +209,26 @@
     },
 }
 
-/// An answer of the store.
-#[derive(Clone, Debug)]
-pub struct NewsReading<N> {
-    /// The news, oldest first.
-    pub news: Vec<N>,
-    /// The store's revision as of this answer.
-    pub revision: u64,
-}
-
 /// A table of the store that can be read and watched.
 pub trait NewsSource: Send + 'static {
     /// What its rows say.
     type News: Send;
 
-    /// Names the source in logs and metrics.
+    /// Names the source between VMs, in logs and in metrics.
     const NAME: &'static str;
 
     /// Reads the whole table.
-    fn read(&mut self) -> impl Future<Output = Result<NewsReading<Self::News>, StoreError>> + Send;
+    fn read(&mut self) -> impl Future<Output = Result<NewsReading, StoreError>> + Send;
 
     /// Waits for changes after a revision, at most for `wait`.
     fn watch(
         &mut self,
         after: u64,
         wait: ClockTime,
-    ) -> impl Future<Output = Result<NewsReading<Self::News>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<NewsReading, StoreError>> + Send;
+
+    /// Decodes a row.
+    fn decode(row: &NewsRow) -> Self::News;
 }
 
 /// How far a rollout has come.
@@ -271,4 +265,13 @@
 
     /// Returns the source of the upstreams' entries.
     fn upstreams(&self) -> Self::Upstreams;
+
+    /// Says that a VM is there.
+    fn announce(&self, vm: &VmEntry) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Says that a VM leaves.
+    fn withdraw(&self, name: &VmName) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Returns the VMs that said they are there.
+    fn read_vms(&self) -> impl Future<Output = Result<Vec<VmEntry>, StoreError>> + Send;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,8 @@
     pub readiness: SocketAddr,
     /// For the metrics.
     pub metrics: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
 }
 
 /// The times that a gateway's promises depend on.
@@ -42,4 +44,6 @@
     pub retry_percent: u32,
     /// Repeated requests in a short time that all VMs together may send beyond the share.
     pub retry_reserve: u32,
+    /// The key with which the VMs authenticate to each other, in hexadecimal digits.
+    pub peer_key: String,
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -1,18 +1,19 @@
 //! Keeps the configuration and the upstreams in step with the store.
 
 use crate::counters;
+use crate::peers::NewsChain;
 use crate::process::GatewayState;
-use crate::seams::{ControlNews, NewsReading, NewsSource, StoreError, UpstreamNews};
+use crate::seams::{ControlNews, NewsSource, StoreError, UpstreamNews};
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
-use skylarkshed_policy::BookChange;
+use skylarkshed_policy::{BookChange, UpstreamBook};
 use std::sync::Arc;
 
 /// A watch without news is answered after this time, which bounds the age of
 /// what the VM knows. Revoked keys need an age below seconds; each answer is a
 /// priced call.
-const CONTROL_WAIT: ClockTime = ClockTime::from_millis(800);
+const CONTROL_WAIT: ClockTime = ClockTime::from_millis(700);
 /// A watch of upstreams proves nothing by its silence, so it can last longer.
-const UPSTREAM_WAIT: ClockTime = ClockTime::from_millis(1_000);
+const UPSTREAM_WAIT: ClockTime = ClockTime::from_millis(800);
 /// The pause after a failed call: short against the 2 s in which changes have
 /// to be in force.
 const RETRY_PAUSE: ClockTime = ClockTime::from_millis(150);
@@ -26,11 +27,8 @@
     /// How long a watch waits for news.
     const WAIT: ClockTime;
 
-    /// Takes the whole table.
-    fn replace(&mut self, reading: NewsReading<Self::News>, asked: ClockTime);
-
-    /// Takes changes.
-    fn apply(&mut self, reading: NewsReading<Self::News>, asked: ClockTime);
+    /// Takes news; `proved` is when they were known to be the newest.
+    fn take(&mut self, news: Vec<Self::News>, is_whole: bool, proved: ClockTime);
 
     /// Notes that the store does not answer.
     fn note_lost(&mut self);
@@ -58,40 +56,33 @@
     run(&state, source, sink).await;
 }
 
-async fn run<S, K>(state: &GatewayState, mut source: S, mut sink: K)
+async fn run<S, K>(state: &Arc<GatewayState>, source: S, mut sink: K)
 where
     S: NewsSource,
     K: NewsSink<News = S::News>,
 {
+    let mut chain = NewsChain::new(state.clone(), source);
     let mut known: Option<u64> = None;
     let mut failures = 0;
     loop {
         let asked = state.control.now();
-        let result = match known {
-            None => source.read().await,
-            Some(revision) => source.watch(revision, K::WAIT).await,
-        };
-        match result {
+        match chain.next(known, K::WAIT).await {
             Ok(reading) => {
-                counters::count_store(S::NAME, "answered");
                 if failures > 0 {
                     log::info!(source = S::NAME, failures; "the store answers again");
                 }
                 failures = 0;
-                let revision = reading.revision;
-                match known {
-                    None => sink.replace(reading, asked),
-                    Some(_) => sink.apply(reading, asked),
-                }
-                known = Some(known.unwrap_or(0).max(revision));
+                let proved = asked.since(reading.age);
+                state.board.note(S::NAME, &reading, known.is_none(), proved);
+                let news = reading.rows.iter().map(S::decode).collect();
+                sink.take(news, known.is_none(), proved);
+                known = Some(known.unwrap_or(0).max(reading.revision));
+            }
+            Err(StoreError::HistoryLost) => {
+                log::info!(source = S::NAME, revision = known; "history lost; reading all again");
+                known = None;
             }
             Err(error) => {
-                counters::count_store(S::NAME, error.label());
-                if matches!(error, StoreError::HistoryLost) {
-                    log::info!(source = S::NAME, revision = known; "{error}; reading all again");
-                    known = None;
-                    continue;
-                }
                 if failures == 0 {
                     log::warn!(
                         source = S::NAME,
@@ -119,22 +110,20 @@
 }
 
 impl ControlSink {
-    fn take(&self, news: Vec<ControlNews>) {
-        for item in news {
-            match item {
-                ControlNews::Config(config) => self.accept(*config),
-                ControlNews::Rollout(order) => {
-                    log::info!(service:% = order.service, to:% = order.to; "rollout ordered");
-                }
-                ControlNews::RolloutGone(service) => {
-                    log::info!(service:%; "rollout withdrawn");
-                }
-                ControlNews::Unreadable { row, problem } => {
-                    counters::count_unreadable_row();
-                    log::warn!(row = row.as_str(); "an operator's row can't be read: {problem}");
-                }
-                ControlNews::Ignored => {}
+    fn take_item(&self, item: ControlNews) {
+        match item {
+            ControlNews::Config(config) => self.accept(*config),
+            ControlNews::Rollout(order) => {
+                log::info!(service:% = order.service, to:% = order.to; "rollout ordered");
+            }
+            ControlNews::RolloutGone(service) => {
+                log::info!(service:%; "rollout withdrawn");
+            }
+            ControlNews::Unreadable { row, problem } => {
+                counters::count_unreadable_row();
+                log::warn!(row = row.as_str(); "an operator's row can't be read: {problem}");
             }
+            ControlNews::Ignored => {}
         }
     }
 
@@ -152,13 +141,11 @@
 
     const WAIT: ClockTime = CONTROL_WAIT;
 
-    fn replace(&mut self, reading: NewsReading<ControlNews>, asked: ClockTime) {
-        self.apply(reading, asked);
-    }
-
-    fn apply(&mut self, reading: NewsReading<ControlNews>, asked: ClockTime) {
-        self.take(reading.news);
-        self.state.control.prove(asked);
+    fn take(&mut self, news: Vec<ControlNews>, _is_whole: bool, proved: ClockTime) {
+        for item in news {
+            self.take_item(item);
+        }
+        self.state.control.prove(proved);
     }
 
     fn note_lost(&mut self) {}
@@ -173,29 +160,16 @@
 
     const WAIT: ClockTime = UPSTREAM_WAIT;
 
-    fn replace(&mut self, reading: NewsReading<UpstreamNews>, _asked: ClockTime) {
-        let present = reading.news.into_iter().filter_map(to_present);
-        let records: Vec<UpstreamRecord> = present.collect();
-        let changes = self.state.upstreams.update(|book, now| {
-            book.note_store_answer(now);
-            book.replace(records, now)
-        });
-        log_changes(&changes);
-    }
-
-    fn apply(&mut self, reading: NewsReading<UpstreamNews>, _asked: ClockTime) {
+    fn take(&mut self, news: Vec<UpstreamNews>, is_whole: bool, _proved: ClockTime) {
         let changes = self.state.upstreams.update(|book, now| {
             book.note_store_answer(now);
             let mut changes = book.expire(now);
-            for item in reading.news {
-                match item {
-                    UpstreamNews::Present(record) => book.put(record, &mut changes),
-                    UpstreamNews::Gone(name) => book.remove(&name, now, &mut changes),
-                    UpstreamNews::Unreadable { name, problem } => {
-                        note_unreadable(&name, &problem);
-                        book.remove(&name, now, &mut changes);
-                    }
+            match is_whole {
+                true => {
+                    let present = news.into_iter().filter_map(to_present);
+                    changes.extend(book.replace(present.collect(), now));
                 }
+                false => take_changes(book, news, now, &mut changes),
             }
             changes
         });
@@ -210,6 +184,24 @@
     }
 }
 
+fn take_changes(
+    book: &mut UpstreamBook,
+    news: Vec<UpstreamNews>,
+    now: ClockTime,
+    changes: &mut Vec<BookChange>,
+) {
+    for item in news {
+        match item {
+            UpstreamNews::Present(record) => book.put(record, changes),
+            UpstreamNews::Gone(name) => book.remove(&name, now, changes),
+            UpstreamNews::Unreadable { name, problem } => {
+                note_unreadable(&name, &problem);
+                book.remove(&name, now, changes);
+            }
+        }
+    }
+}
+
 fn to_present(news: UpstreamNews) -> Option<UpstreamRecord> {
     match news {
         UpstreamNews::Present(record) => Some(record),
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -84,7 +84,7 @@
     request: CallerRequest,
     is_resumable: bool,
 ) -> CallerAnswer {
-    state.budget(&request.service).earn(1);
+    state.budget(&request.service).note_request();
     let mut relay = StreamRelay::<D> {
         ledger: EventLedger::after(request.head.resume_after),
         state,
@@ -157,7 +157,12 @@
 
     /// Takes a send beyond the first from the budget.
     fn may_send(&self) -> bool {
-        self.sends == 0 || self.state.budget(&self.request.service).try_spend(1)
+        let budget = self.state.budget(&self.request.service);
+        match (self.sends, self.ledger.accepted()) {
+            (0, _) => true,
+            (_, 0) => budget.try_retry(),
+            (_, _) => budget.try_recover(),
+        }
     }
 
     /// Returns the upstream that holds a copy, unless it is known to be gone.
@@ -340,7 +345,7 @@
         match cause {
             LossCause::Unsent => {
                 self.unsent += 1;
-                self.state.budget(&self.request.service).refund(1);
+                self.state.budget(&self.request.service).refund();
             }
             LossCause::NotRun | LossCause::Replaced => self.sends += 1,
             _ => {
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -37,7 +37,9 @@
             PeerBody::Changes(_)
             | PeerBody::Outcome(_)
             | PeerBody::Done(_)
-            | PeerBody::Evidence(_) => PeerBody::Done(false),
+            | PeerBody::Evidence(_)
+            | PeerBody::AskNews(_)
+            | PeerBody::News(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -2,7 +2,7 @@
 //!
 //! Field numbers are never used for something else.
 
-use prost::{Message, Oneof};
+use prost::{Enumeration, Message, Oneof};
 
 /// A message with its authentication code.
 #[derive(Clone, PartialEq, Message)]
@@ -22,7 +22,7 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
     /// What the frame carries.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<PeerBody>,
 }
 
@@ -56,6 +56,75 @@
     /// Evidence speaks against a move's new version.
     #[prost(message, tag = "10")]
     StopMove(MoveName),
+    /// Asks for what a VM has read of the platform's store.
+    #[prost(message, tag = "11")]
+    AskNews(NewsAsk),
+    /// What a VM has read of the platform's store.
+    #[prost(message, tag = "12")]
+    News(NewsBatch),
+}
+
+/// Asks for rows of a table of the platform's store.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsAsk {
+    /// Names the table.
+    #[prost(string, tag = "1")]
+    pub source: String,
+    /// The revision that the asker has; none asks for the whole table.
+    #[prost(uint64, optional, tag = "2")]
+    pub after: Option<u64>,
+    /// The last proof of freshness that the asker got from this VM.
+    #[prost(uint64, tag = "3")]
+    pub proof: u64,
+    /// How long to wait for news or a newer proof, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+}
+
+/// Rows of a table of the platform's store.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsBatch {
+    /// Whether the answering VM has what was asked for.
+    #[prost(enumeration = "NewsOutcome", tag = "1")]
+    pub outcome: i32,
+    /// The rows, whole or changed.
+    #[prost(message, repeated, tag = "2")]
+    pub rows: Vec<NewsRowWire>,
+    /// The store's revision as far as the answering VM knows.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// The age of the knowledge that these rows are the newest, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// Counts the proofs of freshness that the answering VM got.
+    #[prost(uint64, tag = "5")]
+    pub proof: u64,
+}
+
+/// A row of a table; its value is passed on as it is.
+#[derive(Clone, PartialEq, Message)]
+pub struct NewsRowWire {
+    /// The row's key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// The revision of its last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Its value; none if it was removed.
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub value: Option<Vec<u8>>,
+}
+
+/// Whether a VM has the news that another asked for.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Enumeration)]
+#[repr(i32)]
+pub enum NewsOutcome {
+    /// It knows nothing of the table yet.
+    Unknown = 0,
+    /// The rows are there.
+    Rows = 1,
+    /// The asker's revision lies before what it keeps.
+    HistoryLost = 2,
 }
 
 /// Names a move.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,8 @@
 //!   with [`TokenLedger`] as the only way to the caller.
 //! - [`GapEstimator`] judges an engine's silence against its own gaps.
 //! - [`choose_upstream`] picks the upstream of an attempt.
-//! - [`WorkBudget`] bounds races and retries.
+//! - [`WorkBudget`] bounds races and retries, and [`RetryBudget`] the sends
+//!   beyond the first over all VMs.
 //! - [`AdmissionQueue`] shares a VM's places between customers, and
 //!   [`ConcurrencyLimit`] bounds the calls to one upstream.
 //! - [`ClaimMachine`] keeps a call that may not be repeated from running twice,
@@ -19,6 +20,8 @@
 //! - [`EventLedger`] lets each event of a stream through once, and
 //!   [`recover_stream`] decides how it goes on after a loss, from the copy that
 //!   [`plan_copy`] keeps.
+//! - [`NewsCache`] holds what a VM read of the platform's store, and
+//!   [`NewsRoute`] tells where it reads it.
 //! - [`MembershipTable`] tells which VMs are there.
 
 mod admission;
@@ -37,9 +40,12 @@
 mod membership_types;
 mod minted;
 mod move_plan;
+mod news_cache;
+mod news_route;
 mod placement;
 mod rate;
 mod rendezvous;
+mod retry_budget;
 mod route_table;
 mod routing;
 mod stream_recovery;
@@ -67,9 +73,12 @@
 };
 pub use minted::{MintedKeys, MintedState, MintedVerdict};
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
+pub use news_cache::{NewsCache, NewsGap, NewsReading, NewsRow};
+pub use news_route::{NewsPlace, NewsRoute, VmEntry};
 pub use placement::{choose_place, PlaceCandidate, PlaceQuery};
 pub use rate::RateLimit;
 pub use rendezvous::is_among_first;
+pub use retry_budget::RetryBudget;
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
--- /dev/null
+++ b/crates/policy/src/news_cache.rs
@@ -0,0 +1,151 @@
+//! What a VM has read of a table of the platform's store, for itself and others.
+
+use bytes::Bytes;
+use faststr::FastStr;
+use skylarkshed_core::ClockTime;
+use std::collections::BTreeMap;
+
+/// Removed rows that are remembered for VMs that ask for changes.
+const MOST_REMOVED: usize = 512;
+
+/// A row, or its removal.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NewsRow {
+    /// The row's key.
+    pub key: FastStr,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its value; none if it was removed.
+    pub value: Option<Bytes>,
+}
+
+/// Rows of a table as of some time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct NewsReading {
+    /// The rows, whole or changed.
+    pub rows: Vec<NewsRow>,
+    /// The store's revision as far as known.
+    pub revision: u64,
+    /// How long ago these were known to be the newest when the answer was asked for.
+    pub age: ClockTime,
+}
+
+/// Why a VM can't give the changes that another asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NewsGap {
+    /// It knows nothing of the table yet.
+    Unknown,
+    /// The changes asked for are not kept any more.
+    HistoryLost,
+}
+
+/// The rows of one table, with the removed ones that others may not know of.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_policy::{NewsCache, NewsReading, NewsRow};
+///
+/// let mut cache = NewsCache::default();
+/// assert!(cache.changes(Some(3)).is_err());
+/// let row = NewsRow { key: "a".into(), revision: 4, value: None };
+/// let age = ClockTime::ZERO;
+/// cache.replace(&NewsReading { rows: vec![], revision: 3, age }, ClockTime::ZERO);
+/// cache.apply(&NewsReading { rows: vec![row.clone()], revision: 4, age }, ClockTime::ZERO);
+/// assert_eq!(cache.changes(Some(3)), Ok(vec![row]));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct NewsCache {
+    rows: BTreeMap<FastStr, NewsRow>,
+    is_known: bool,
+    /// Removals up to this revision are forgotten.
+    base: u64,
+    revision: u64,
+    proved: ClockTime,
+    proofs: u64,
+}
+
+impl NewsCache {
+    /// Takes the whole table; `proved` is when it was known to be the newest.
+    pub fn replace(&mut self, reading: &NewsReading, proved: ClockTime) {
+        if self.is_known && reading.revision < self.revision {
+            return;
+        }
+        self.rows.clear();
+        self.insert(&reading.rows);
+        self.is_known = true;
+        self.base = reading.revision;
+        self.revision = reading.revision;
+        self.prove(proved);
+    }
+
+    /// Takes changes.
+    pub fn apply(&mut self, reading: &NewsReading, proved: ClockTime) {
+        self.insert(&reading.rows);
+        self.revision = self.revision.max(reading.revision);
+        self.forget_removed();
+        self.prove(proved);
+    }
+
+    /// Returns the rows changed after a revision, or all that are there.
+    ///
+    /// # Errors
+    ///
+    /// Fails if changes after `after` may be missing.
+    pub fn changes(&self, after: Option<u64>) -> Result<Vec<NewsRow>, NewsGap> {
+        if !self.is_known {
+            return Err(NewsGap::Unknown);
+        }
+        let rows = self.rows.values();
+        match after {
+            None => Ok(rows.filter(|row| row.value.is_some()).cloned().collect()),
+            Some(after) if after < self.base => Err(NewsGap::HistoryLost),
+            Some(after) => Ok(rows.filter(|row| row.revision > after).cloned().collect()),
+        }
+    }
+
+    /// Returns the store's revision as far as known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns when the rows were last known to be the newest.
+    pub fn proved(&self) -> ClockTime {
+        self.proved
+    }
+
+    /// Returns how many proofs of freshness there were.
+    pub fn proofs(&self) -> u64 {
+        self.proofs
+    }
+
+    fn insert(&mut self, rows: &[NewsRow]) {
+        for row in rows {
+            let known = self.rows.get(&row.key);
+            if known.is_none_or(|known| known.revision <= row.revision) {
+                self.rows.insert(row.key.clone(), row.clone());
+            }
+        }
+    }
+
+    fn prove(&mut self, proved: ClockTime) {
+        if proved > self.proved {
+            self.proved = proved;
+            self.proofs += 1;
+        }
+    }
+
+    fn forget_removed(&mut self) {
+        let removed = self.rows.values().filter(|row| row.value.is_none());
+        let mut removed: Vec<u64> = removed.map(|row| row.revision).collect();
+        if removed.len() <= MOST_REMOVED {
+            return;
+        }
+        removed.sort_unstable();
+        let forgotten = removed[removed.len() / 2];
+        self.base = self.base.max(forgotten);
+        self.rows
+            .retain(|_, row| row.value.is_some() || row.revision > forgotten);
+    }
+}
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -3,7 +3,7 @@
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -51,9 +51,8 @@
 #[derive(Debug)]
 pub struct StoreStandIn {
     address: SocketAddr,
-    state: Arc<Mutex<StoreState>>,
+    service: StoreService,
     mode: watch::Sender<StoreMode>,
-    changed: watch::Sender<u64>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -63,11 +62,11 @@
     }
 }
 
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 struct StoreService {
     state: Arc<Mutex<StoreState>>,
     mode: watch::Receiver<StoreMode>,
-    changed: watch::Receiver<u64>,
+    changed: watch::Sender<u64>,
 }
 
 impl StoreStandIn {
@@ -81,18 +80,17 @@
         let address = listener.local_addr().expect("it is bound");
         let state = Arc::new(Mutex::new(StoreState::default()));
         let (mode, mode_seen) = watch::channel(StoreMode::Serving);
-        let (changed, change_seen) = watch::channel(0);
+        let (changed, _) = watch::channel(0);
         let service = StoreService {
-            state: state.clone(),
+            state,
             mode: mode_seen,
-            changed: change_seen,
+            changed,
         };
-        let task = tokio::spawn(serve(listener, service));
+        let task = tokio::spawn(serve(listener, service.clone()));
         StoreStandIn {
             address,
-            state,
+            service,
             mode,
-            changed,
             task,
         }
     }
@@ -119,7 +117,7 @@
 
     /// Forgets all changes so far, and loses changes that watches did not see.
     pub fn forget_history(&self) {
-        let mut state = lock(&self.state);
+        let mut state = lock(&self.service.state);
         state.forgotten = state.revision;
         state.history.clear();
     }
@@ -131,10 +129,16 @@
 
     /// Returns how many calls it got.
     pub fn calls(&self) -> u64 {
-        lock(&self.state).calls
+        lock(&self.service.state).calls
     }
 
     fn change(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.service.write(table, key, value);
+    }
+}
+
+impl StoreService {
+    fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut state = lock(&self.state);
         state.revision += 1;
         let revision = state.revision;
@@ -171,7 +175,7 @@
 }
 
 async fn respond(
-    mut service: StoreService,
+    service: StoreService,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     lock(&service.state).calls += 1;
@@ -181,15 +185,40 @@
         StoreMode::Busy => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
         StoreMode::Silent => std::future::pending().await,
     }
+    if request.uri().path() == "/-/rows-tx" {
+        return Ok(change_rows(&service, request).await);
+    }
     let fields = query(&request);
     let table = fields.get("table").cloned().unwrap_or_default();
     match request.uri().path() {
         "/-/rows-get" => Ok(get_rows(&lock(&service.state), &table)),
-        "/-/rows-feed" => Ok(feed_rows(&mut service, &table, &fields).await),
+        "/-/rows-feed" => Ok(feed_rows(&service, &table, &fields).await),
         _ => Ok(reply(StatusCode::NOT_FOUND, &json!({}))),
     }
 }
 
+async fn change_rows(service: &StoreService, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let body = request.into_body().collect().await;
+    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let Ok(change) = serde_json::from_slice::<Value>(&body) else {
+        return reply(StatusCode::BAD_REQUEST, &json!({}));
+    };
+    let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+    let entries = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+    for row in entries("put") {
+        let value = BASE64_STANDARD.decode(text(&row, "value"));
+        service.write(&text(&row, "table"), &text(&row, "key"), value.ok());
+    }
+    for row in entries("remove") {
+        service.write(&text(&row, "table"), &text(&row, "key"), None);
+    }
+    let revision = lock(&service.state).revision;
+    reply(
+        StatusCode::OK,
+        &json!({"schema_version": revision, "now_ms": 1}),
+    )
+}
+
 fn get_rows(state: &StoreState, table: &str) -> Response<Full<Bytes>> {
     let rows = state.rows.iter().filter(|((name, _), _)| name == table);
     let rows = rows.map(|((_, key), (revision, value))| row(table, key, *revision, Some(value)));
@@ -204,7 +233,7 @@
 }
 
 async fn feed_rows(
-    service: &mut StoreService,
+    service: &StoreService,
     table: &str,
     fields: &HashMap<String, String>,
 ) -> Response<Full<Bytes>> {
@@ -212,8 +241,9 @@
     let after: u64 = number("after_revision").unwrap_or(0);
     let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
     let deadline = tokio::time::Instant::now() + wait;
+    let mut changed = service.changed.subscribe();
     loop {
-        service.changed.borrow_and_update();
+        changed.borrow_and_update();
         let (rows, revision, forgotten) = changes(&lock(&service.state), table, after);
         if after < forgotten {
             return reply(StatusCode::GONE, &json!({}));
@@ -224,11 +254,8 @@
             return reply(StatusCode::OK, &body);
         }
         tokio::select! {
-            changed = service.changed.changed() => {
-                if changed.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            }
+            // The sender lives as long as `service`.
+            _ = changed.changed() => {}
             () = tokio::time::sleep_until(deadline) => {}
         }
     }
--- a/tests/testsuite/src/gateway_rig.rs
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -106,19 +106,8 @@
         for number in 0..self.engines {
             engines.push(UpstreamStandIn::start(&format!("engine-{number}")).await);
         }
-        let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
-        let file = format!("skylarkshed-gateway-{}-{number}.toml", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, self.settings(store.address())).expect("a temporary file");
-        let mut process = Command::new(program())
-            .arg("gateway")
-            .env("SKYLARKSHED_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the program is built");
-        let output = process.stdout.take().expect("it is piped");
-        let (addresses, output) = read_addresses(output).await;
+        let text = self.settings("vm-1", store.address());
+        let (process, settings, addresses, output) = start_process(&text).await;
         let kept_output = match self.reads_output {
             true => {
                 tokio::spawn(forget_output(output));
@@ -145,11 +134,11 @@
         rig
     }
 
-    fn settings(&self, store: SocketAddr) -> String {
+    fn settings(&self, name: &str, store: SocketAddr) -> String {
         let (grace, revoke) = (self.grace_s, self.revoke_ms);
         format!(
             r#"
-node_name = "vm-1"
+node_name = "{name}"
 role = "gateway"
 ip_address = "127.0.0.1"
 zone = "zone-0"
@@ -174,6 +163,25 @@
     }
 }
 
+/// Another gateway process at the same store.
+#[derive(Debug)]
+pub struct OtherVm {
+    /// The process.
+    pub process: Child,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for OtherVm {
+    fn drop(&mut self) {
+        // The file may be gone already.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
 /// A running gateway with its surroundings.
 #[derive(Debug)]
 pub struct GatewayRig {
@@ -205,6 +213,19 @@
 }
 
 impl GatewayRig {
+    /// Starts another VM of the same zone at the same store.
+    pub async fn start_other(&self, name: &str) -> OtherVm {
+        let text = RigBuilder::default().settings(name, self.store.address());
+        let (process, settings, addresses, output) = start_process(&text).await;
+        tokio::spawn(forget_output(output));
+        OtherVm {
+            process,
+            metrics: addresses[2],
+            callers: addresses[0],
+            settings,
+        }
+    }
+
     /// Returns the usual configuration, with the next version.
     pub fn config(&self) -> Value {
         let version = self.version.fetch_add(1, Ordering::Relaxed);
@@ -293,24 +314,12 @@
 
     /// Waits until the metrics contain some text.
     pub async fn wait_metric(&self, text: &str) {
-        let waiting = async {
-            loop {
-                let answer = get(self.metrics, "/metrics").await;
-                if answer.is_some_and(|answer| answer.body.contains(text)) {
-                    return;
-                }
-                tokio::time::sleep(POLL_PAUSE).await;
-            }
-        };
-        tokio::time::timeout(STATE_WAIT, waiting)
-            .await
-            .unwrap_or_else(|_| panic!("no metric has `{text}`"));
+        wait_metric(self.metrics, text).await;
     }
 
     /// Waits until the configuration with a version is in force.
     pub async fn wait_version(&self, version: u64) {
-        self.wait_metric(&format!("gateway_config_version {version}\n"))
-            .await;
+        self.wait_metric(&config_metric(version)).await;
     }
 
     /// Sends the process a signal.
@@ -381,6 +390,46 @@
     })
 }
 
+/// Returns the metric of a configuration in force.
+pub fn config_metric(version: u64) -> String {
+    format!("gateway_config_version {version}\n")
+}
+
+/// Waits until a process's metrics contain some text.
+pub async fn wait_metric(metrics: SocketAddr, text: &str) {
+    let waiting = async {
+        loop {
+            let answer = get(metrics, "/metrics").await;
+            if answer.is_some_and(|answer| answer.body.contains(text)) {
+                return;
+            }
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    };
+    tokio::time::timeout(STATE_WAIT, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("no metric has `{text}`"));
+}
+
+type StartedProcess = (Child, PathBuf, Vec<SocketAddr>, BufReader<ChildStdout>);
+
+async fn start_process(text: &str) -> StartedProcess {
+    let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
+    let file = format!("skylarkshed-gateway-{}-{number}.toml", std::process::id());
+    let settings = std::env::temp_dir().join(file);
+    std::fs::write(&settings, text).expect("a temporary file");
+    let mut process = Command::new(program())
+        .arg("gateway")
+        .env("SKYLARKSHED_NODE_FILE", &settings)
+        .stdout(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program is built");
+    let output = process.stdout.take().expect("it is piped");
+    let (addresses, output) = read_addresses(output).await;
+    (process, settings, addresses, output)
+}
+
 async fn get(address: SocketAddr, path: &str) -> Option<RawAnswer> {
     let mut caller = RawCaller::connect(address).await;
     let request = format!("GET {path} HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -6,6 +6,8 @@
 mod running_answer;
 
 pub use fixture::{check_whole, query, SERVICE_CALLS};
-pub use gateway_rig::{GatewayRig, RigBuilder, KEY, OTHER_KEY};
+pub use gateway_rig::{
+    config_metric, wait_metric, GatewayRig, OtherVm, RigBuilder, KEY, OTHER_KEY,
+};
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use running_answer::RunningAnswer;
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod framing;
 mod leaving;
+mod peers;
 mod routing;
 mod runs_once;
 mod streams;
