Test the gateway's decisions; leave time for a restart of the longest prompts as well

Cause: the test of first events failed for prompts of 14,400 tokens: the wait was 4.8 s, past the objective of 4.5 s, as 1.5 prefills and 0.3 s were always waited for. Change: 1.3 prefills, what the slower engines take; the limit is 2.4 s then.

58 tests replay the loads and failures: budgets over all VMs, copies, engines' reports, news between VMs, placement, routes, streams, lapsed entries.

--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -14,9 +14,9 @@
 /// The time to a first event is this many times the bare prefill at most, for
 /// the prompts that wait beside it.
 const PREFILL_FACTOR: u64 = 2;
-/// The least part of a prefill beyond itself that is waited for, in hundredths:
-/// an upstream of a third of the usual speed is slow, not lost.
-const LEAST_PREFILL_PERCENT: u64 = 150;
+/// The least time for a prefill, in hundredths of the usual: the users' slower
+/// engines take 1.3 times as long.
+const LEAST_PREFILL_PERCENT: u64 = 130;
 /// The time that another upstream needs beside the prefill.
 const RESTART_SLACK: ClockTime = ClockTime::from_millis(300);
 
@@ -169,7 +169,7 @@
     let prefill_ms = tokens / PREFILL_TOKENS_PER_MS;
     let prefill = ClockTime::from_millis(prefill_ms);
     let longest = ClockTime::from_millis(prefill_ms * PREFILL_FACTOR) + FIRST_EVENT_SLACK;
-    let least = ClockTime::from_millis(prefill_ms * LEAST_PREFILL_PERCENT / 100) + RESTART_SLACK;
+    let least = ClockTime::from_millis(prefill_ms * LEAST_PREFILL_PERCENT / 100);
     let restart = prefill + RESTART_SLACK;
     match objective_left > restart + least {
         true => longest.min(objective_left.since(restart)),
--- /dev/null
+++ b/crates/policy/tests/gateway/main.rs
@@ -0,0 +1,10 @@
+//! The gateway's decisions, each against the load or failure that it answers.
+
+mod budgets;
+mod copies;
+mod engines;
+mod news;
+mod placement;
+mod routes;
+mod streams;
+mod upstream_book;
--- /dev/null
+++ b/crates/policy/tests/gateway/news.rs
@@ -0,0 +1,145 @@
+//! What VMs pass on of the store, and whom they ask.
+
+use skylarkshed_core::ClockTime;
+use skylarkshed_policy::{NewsCache, NewsGap, NewsPlace, NewsReading, NewsRoute, NewsRow, VmEntry};
+
+fn row(key: &'static str, revision: u64, value: Option<&'static str>) -> NewsRow {
+    NewsRow {
+        key: key.into(),
+        revision,
+        value: value.map(Into::into),
+    }
+}
+
+fn reading(rows: Vec<NewsRow>, revision: u64) -> NewsReading {
+    NewsReading {
+        rows,
+        revision,
+        age: ClockTime::ZERO,
+    }
+}
+
+const NOW: ClockTime = ClockTime::from_millis(50);
+
+#[test]
+fn changes_include_removals() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![row("a", 3, Some("x"))], 5), NOW);
+    cache.apply(&reading(vec![row("a", 7, None)], 7), NOW);
+    assert_eq!(cache.changes(Some(5)), Ok(vec![row("a", 7, None)]));
+    assert_eq!(cache.changes(None), Ok(vec![]));
+}
+
+#[test]
+fn an_asker_from_before_the_last_whole_reading_is_told_to_read_all() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![], 5), NOW);
+    assert_eq!(cache.changes(Some(4)), Err(NewsGap::HistoryLost));
+}
+
+#[test]
+fn an_older_row_does_not_replace_a_newer_one() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![row("a", 9, Some("new"))], 9), NOW);
+    cache.apply(&reading(vec![row("a", 3, Some("old"))], 9), NOW);
+    assert_eq!(cache.changes(None), Ok(vec![row("a", 9, Some("new"))]));
+}
+
+#[test]
+fn an_older_table_does_not_replace_a_newer_one() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![row("a", 9, Some("new"))], 9), NOW);
+    cache.replace(&reading(vec![], 4), NOW);
+    assert_eq!(cache.revision(), 9);
+    assert_eq!(cache.changes(None).unwrap().len(), 1);
+}
+
+#[test]
+fn an_old_proof_is_no_new_one() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![], 5), NOW);
+    let proofs = cache.proofs();
+    cache.apply(&reading(vec![], 5), ClockTime::from_millis(20));
+    assert_eq!((cache.proofs(), cache.proved()), (proofs, NOW));
+}
+
+#[test]
+fn forgotten_removals_are_told_as_lost_history() {
+    let mut cache = NewsCache::default();
+    cache.replace(&reading(vec![], 0), NOW);
+    for revision in 1..=600 {
+        let key = format!("upstream-{revision}");
+        let gone = NewsRow {
+            key: key.into(),
+            revision,
+            value: None,
+        };
+        cache.apply(&reading(vec![gone], revision), NOW);
+    }
+    assert_eq!(cache.changes(Some(1)), Err(NewsGap::HistoryLost));
+    assert!(cache.changes(Some(590)).is_ok());
+}
+
+fn vm(name: &str, zone: &str, port: u16) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        zone: zone.into(),
+        address: ([127, 0, 0, 1], port).into(),
+        announced: ClockTime::ZERO,
+    }
+}
+
+fn routes(vms: &[VmEntry]) -> Vec<NewsRoute> {
+    let route = |vm: &VmEntry| {
+        let mut route = NewsRoute::new(vm.name.clone(), vm.zone.clone());
+        route.set_vms(vms);
+        route
+    };
+    vms.iter().map(route).collect()
+}
+
+#[test]
+fn one_vm_of_each_zone_asks_the_store_first() {
+    let vms: Vec<VmEntry> = (0..30)
+        .map(|number| {
+            vm(
+                &format!("vm-{number}"),
+                &format!("zone-{}", number % 3),
+                number,
+            )
+        })
+        .collect();
+    let mut routes = routes(&vms);
+    let first = routes.iter_mut().map(|route| route.places(NOW)[0]);
+    assert_eq!(first.filter(|place| *place == NewsPlace::Store).count(), 3);
+}
+
+#[test]
+fn a_failed_carrier_is_left_out_for_a_while() {
+    let vms = [vm("vm-a", "z", 1), vm("vm-b", "z", 2), vm("vm-c", "z", 3)];
+    let mut routes = routes(&vms);
+    let mut asking = routes
+        .iter_mut()
+        .filter_map(|route| match route.places(NOW)[0] {
+            NewsPlace::Peer(carrier) => Some((route, carrier)),
+            NewsPlace::Store => None,
+        });
+    let (route, carrier) = asking.next().unwrap();
+    route.avoid(carrier, NOW);
+    assert!(!route.places(NOW).contains(&NewsPlace::Peer(carrier)));
+    let later = NOW + ClockTime::from_millis(3_100);
+    assert_eq!(route.places(later)[0], NewsPlace::Peer(carrier));
+}
+
+#[test]
+fn a_vm_that_the_store_turns_away_asks_others() {
+    let vms = [
+        vm("vm-a", "z", 1),
+        vm("vm-b", "z", 2),
+        vm("vm-c", "other", 3),
+    ];
+    for mut route in routes(&vms[..2]) {
+        let places = route.places(NOW);
+        assert_eq!(places.len(), 2, "the store and the other VM of the zone");
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/gateway/placement.rs
@@ -0,0 +1,109 @@
+//! Which upstream gets a request.
+
+use skylarkshed_core::{UpstreamName, ZoneName};
+use skylarkshed_policy::{choose_place, PlaceCandidate, PlaceQuery, UpstreamHealth};
+use std::collections::BTreeSet;
+
+struct Upstream {
+    name: UpstreamName,
+    zone: ZoneName,
+    load: u64,
+    health: UpstreamHealth,
+}
+
+fn upstreams(zones: usize, each: usize) -> Vec<Upstream> {
+    let all = (0..zones * each).map(|number| Upstream {
+        name: UpstreamName::new(format!("up-{number}")),
+        zone: ZoneName::new(format!("zone-{}", number % zones)),
+        load: 0,
+        health: UpstreamHealth::Healthy,
+    });
+    all.collect()
+}
+
+fn choose(upstreams: &[Upstream], draw: u64) -> Option<usize> {
+    let zone = ZoneName::from("zone-0");
+    choose_with(upstreams, &zone, &[], draw)
+}
+
+fn choose_with(
+    upstreams: &[Upstream],
+    zone: &ZoneName,
+    avoid_zones: &[ZoneName],
+    draw: u64,
+) -> Option<usize> {
+    let candidates = upstreams.iter().map(|upstream| PlaceCandidate {
+        name: &upstream.name,
+        zone: &upstream.zone,
+        load: upstream.load,
+        health: upstream.health,
+    });
+    let candidates: Vec<PlaceCandidate<'_>> = candidates.collect();
+    let query = PlaceQuery {
+        zone,
+        avoid: &[],
+        avoid_zones,
+        draw,
+    };
+    choose_place(&query, &candidates)
+}
+
+#[test]
+fn the_own_zone_goes_first_until_it_is_half_full() {
+    let mut all = upstreams(3, 1);
+    assert_eq!(choose(&all, 1), Some(0));
+    all[0].load = 499;
+    assert_eq!(choose(&all, 1), Some(0));
+    all[0].load = 501;
+    assert_ne!(choose(&all, 1), Some(0));
+}
+
+#[test]
+fn equal_upstreams_are_drawn_evenly() {
+    let all = upstreams(1, 8);
+    let chosen: BTreeSet<Option<usize>> = (0..200).map(|draw| choose(&all, draw)).collect();
+    assert_eq!(chosen.len(), 8);
+}
+
+#[test]
+fn a_leaving_upstream_is_never_chosen_and_a_suspect_one_last() {
+    let mut all = upstreams(1, 3);
+    all[0].health = UpstreamHealth::Leaving;
+    all[1].health = UpstreamHealth::Suspect;
+    assert!((0..50).all(|draw| choose(&all, draw) == Some(2)));
+    all[2].health = UpstreamHealth::Leaving;
+    assert_eq!(choose(&all, 1), Some(1));
+    all[1].health = UpstreamHealth::Leaving;
+    assert_eq!(choose(&all, 1), None);
+}
+
+/// A zone's engines die together: those that no request has met yet are as
+/// dead as the others.
+#[test]
+fn a_zone_most_of_whose_upstreams_failed_is_left() {
+    let mut all = upstreams(3, 8);
+    for upstream in all
+        .iter_mut()
+        .filter(|up| up.zone.as_str() == "zone-0")
+        .take(4)
+    {
+        upstream.health = UpstreamHealth::Suspect;
+    }
+    for draw in 0..50 {
+        let chosen = choose(&all, draw).unwrap();
+        assert_ne!(all[chosen].zone.as_str(), "zone-0");
+    }
+}
+
+#[test]
+fn a_copy_stands_in_another_zone_if_there_is_one() {
+    let zone = ZoneName::from("zone-0");
+    let avoid = [zone.clone()];
+    let all = upstreams(3, 2);
+    for draw in 0..50 {
+        let chosen = choose_with(&all, &zone, &avoid, draw).unwrap();
+        assert_ne!(all[chosen].zone, zone);
+    }
+    let single = upstreams(1, 2);
+    assert!(choose_with(&single, &zone, &avoid, 1).is_some());
+}
--- /dev/null
+++ b/crates/policy/tests/gateway/routes.rs
@@ -0,0 +1,88 @@
+//! Routes, services and customers of a configuration.
+
+use rstest::rstest;
+use skylarkshed_core::{
+    ClockTime, CustomerKeys, KeyHash, RequestKind, RouteRule, RoutingConfig, ServiceShare,
+};
+use skylarkshed_policy::{choose_service, RouteTable};
+
+fn route(name: &'static str, host: &'static str, prefix: &'static str) -> RouteRule {
+    RouteRule {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        attempts: 2,
+        timeout: ClockTime::from_millis(800),
+        objective: ClockTime::from_millis(150),
+        priority: 1,
+        targets: vec![ServiceShare {
+            service: "stores".into(),
+            weight: 1,
+        }],
+        is_public: false,
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(RoutingConfig {
+        version: 7,
+        routes: vec![
+            route("short", "a.example", "/find/"),
+            route("long", "a.example", "/find/special/"),
+            route("other", "b.example", "/"),
+        ],
+        customers: vec![CustomerKeys {
+            name: "depot".into(),
+            keys: vec![KeyHash::of("one"), KeyHash::of("two")],
+            priority: None,
+        }],
+        ..RoutingConfig::default()
+    })
+}
+
+#[rstest]
+#[case("a.example", "/find/7", Some("short"))]
+#[case("a.example", "/find/special/7", Some("long"))]
+#[case("a.example", "/find/specially", Some("short"))]
+#[case("a.example", "/find", None)]
+#[case("a.example", "/", None)]
+#[case("b.example", "/anything", Some("other"))]
+#[case("c.example", "/find/7", None)]
+fn the_longest_prefix_of_the_host_decides(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table();
+    let found = table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn each_key_names_its_customer() {
+    let table = table();
+    for key in ["one", "two"] {
+        let customer = table.customer(&KeyHash::of(key)).unwrap();
+        assert_eq!(customer.name.as_str(), "depot");
+    }
+    assert!(table.customer(&KeyHash::of("three")).is_none());
+}
+
+#[test]
+fn without_customers_no_route_needs_a_key() {
+    let table = RouteTable::new(RoutingConfig::default());
+    assert!(!table.needs_key(&route("r", "a.example", "/")));
+}
+
+#[test]
+fn weights_share_the_requests() {
+    let share = |name: &str, weight| ServiceShare {
+        service: name.into(),
+        weight,
+    };
+    let targets = [share("old", 90), share("new", 10), share("none", 0)];
+    let new = (0..1_000).filter(|&draw| choose_service(&targets, draw).unwrap().as_str() == "new");
+    assert_eq!(new.count(), 100);
+    assert!(choose_service(&[share("none", 0)], 5).is_none());
+}
