Move services to other versions by the operators' orders

Cause: an order was only logged, so a new version's upstreams got traffic at once and no state was written.

Change: a new version gets 8 % of the requests for 70 % of the time; all VMs add their counts in the store, the evidence test decides, and the end is written once under a condition. Without the store a VM leaves a bad version on its own counts.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -79,7 +79,7 @@
             return tries.give_up(NotRunReason::NoUpstream);
         };
         let outcome = tries.try_upstream::<D>(&upstream).await;
-        tries.log(&upstream, &outcome);
+        tries.note(&upstream, &outcome);
         if let Some(answer) = tries.settle(outcome) {
             return answer;
         }
@@ -93,6 +93,7 @@
             zone: &self.state.settings.zone,
             avoid: &self.tried,
             avoid_zones: &[],
+            versions: &self.request.versions,
         })
     }
 
@@ -174,7 +175,24 @@
         }
     }
 
-    fn log(&self, upstream: &UpstreamState, outcome: &TryOutcome) {
+    /// Notes a try's outcome as evidence of its upstream's version.
+    fn note(&self, upstream: &UpstreamState, outcome: &TryOutcome) {
+        let passed = self.request.deadline.passed();
+        let time = match outcome {
+            TryOutcome::Answer(..) => Some(Some(passed)),
+            TryOutcome::UpstreamError(..) | TryOutcome::Lost(_) => Some(None),
+            TryOutcome::Unsent | TryOutcome::NotRun => None,
+        };
+        if let Some(time) = time {
+            let request = self.request;
+            self.state.rollouts.record(
+                &request.service,
+                &upstream.record.version,
+                &request.route.name,
+                request.customer.as_ref(),
+                time,
+            );
+        }
         log::debug!(
             request = self.request.id(),
             upstream:% = upstream.name(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteRule, ServiceName};
 use skylarkshed_http_link::{strip_connection_headers, HttpLink, LinkError};
+use skylarkshed_policy::VersionRule;
 use std::sync::Arc;
 
 /// A connection takes 1 ms and a round trip of 3 ms between zones; a slow VM is
@@ -31,6 +32,8 @@
     pub(crate) route: Arc<RouteRule>,
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerName>,
+    /// Which versions of the service may get it.
+    pub(crate) versions: VersionRule,
     pub(crate) deadline: RequestDeadline,
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -152,6 +152,7 @@
             RETRY_NOT_READY,
         ))
     })?;
+    let versions = state.rollouts.rule(&service, draw);
     Ok(CallerRequest {
         parts,
         body,
@@ -159,6 +160,7 @@
         route,
         service,
         customer,
+        versions,
         deadline,
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `call` carries quick calls and `stream` answers of many events;
 //! - `store_watch` keeps the configuration and the upstreams up to date;
 //! - `peers` shares what one VM read of the store with the others;
+//! - `rollouts` moves services to other versions;
 //! - `upstreams` knows the upstreams and what this VM sent them.
 //!
 //! How requests, upstreams and the store speak is left to the [`WireDialect`]
@@ -25,6 +26,7 @@
 mod peers;
 mod process;
 mod refusal;
+mod rollouts;
 mod run;
 mod seams;
 mod service_pages;
@@ -36,7 +38,7 @@
 pub use log_writer::{start_logging, LogError};
 pub use run::{run_gateway, GatewayError};
 pub use seams::{
-    AnswerHead, CallerHead, ControlNews, HeadError, MemoryCopy, NewsSource, RolloutState,
+    AnswerHead, CallerHead, ControlNews, HeadError, MemoryCopy, NewsSource, RolloutReading,
     RolloutStatus, RoutingStore, SendOrder, StoreError, UpstreamNews, WireDialect,
 };
 pub use settings::{GatewayListen, GatewaySettings, GatewayTimes};
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::control::ControlState;
 use crate::peers::{NewsBoard, VmRoster};
+use crate::rollouts::RolloutDesk;
 use crate::settings::GatewaySettings;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{ClockTime, MonotonicClock, ServiceName, SuspendClock};
@@ -23,6 +24,7 @@
     pub(crate) upstreams: UpstreamDirectory,
     pub(crate) board: NewsBoard,
     pub(crate) roster: VmRoster,
+    pub(crate) rollouts: RolloutDesk,
     pub(crate) peers: PeerClient,
     pub(crate) connections: AtomicUsize,
     budgets: Mutex<HashMap<ServiceName, Arc<RetryBudget>>>,
@@ -36,6 +38,7 @@
         GatewayState {
             board: NewsBoard::new(),
             roster: VmRoster::default(),
+            rollouts: RolloutDesk::default(),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             control: ControlState::new(SuspendClock::start()),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -93,8 +93,8 @@
         log::debug!("a peer's connection ended: {error}");
     }));
     tokio::spawn(keep_roster(state.clone(), store.clone()));
-    tokio::spawn(watch_control(state.clone(), store.control()));
-    tokio::spawn(watch_upstreams(state.clone(), store.upstreams()));
+    tokio::spawn(watch_control(state.clone(), store.clone()));
+    tokio::spawn(watch_upstreams(state.clone(), store.clone()));
     tokio::spawn(serve_callers::<D>(callers, state.clone(), closing));
     tokio::spawn(serve_readiness(readiness, D::READINESS_PATH, state.clone()));
     tokio::spawn(serve_metrics(pages, metrics, state.clone()));
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -8,7 +8,7 @@
     UpstreamRecord, VersionName, VmName,
 };
 use skylarkshed_http_link::LinkRequest;
-use skylarkshed_policy::{CopyKind, EngineLoad, NewsReading, NewsRow, VmEntry};
+use skylarkshed_policy::{CopyKind, EngineLoad, NewsReading, NewsRow, RolloutState, VmEntry};
 use std::future::Future;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -231,26 +231,30 @@
     fn decode(row: &NewsRow) -> Self::News;
 }
 
-/// How far a rollout has come.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RolloutState {
-    /// Traffic is being moved.
-    Running,
-    /// The new version has all traffic.
-    Done,
-    /// The old version has all traffic again.
-    RolledBack,
-}
-
 /// A rollout's state as it stands in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RolloutStatus {
     /// The service.
     pub service: ServiceName,
-    /// The version that was to take the traffic.
+    /// The version that is to take the traffic.
     pub to: VersionName,
     /// How far it has come.
     pub state: RolloutState,
+    /// The revision of the order.
+    pub order: u64,
+    /// When the order was first seen, by the store's clock.
+    pub started: ClockTime,
+}
+
+/// What the store says of a service's rollout.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutReading {
+    /// The last state written, if any.
+    pub status: Option<RolloutStatus>,
+    /// The revision of that row; 0 if there is none.
+    pub revision: u64,
+    /// The time by the store's clock.
+    pub now: ClockTime,
 }
 
 /// The tables of the store that the gateway uses.
@@ -272,6 +276,33 @@
     /// Says that a VM leaves.
     fn withdraw(&self, name: &VmName) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Reads a service's rollout.
+    fn read_rollout(
+        &self,
+        service: &ServiceName,
+    ) -> impl Future<Output = Result<RolloutReading, StoreError>> + Send;
+
+    /// Writes a rollout's state if the row still has a revision.
+    fn write_rollout(
+        &self,
+        status: &RolloutStatus,
+        expected: u64,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes what a VM saw of a rollout's versions.
+    fn write_evidence(
+        &self,
+        order: &RolloutOrder,
+        vm: &VmName,
+        evidence: Vec<u8>,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads what all VMs saw of a rollout's versions.
+    fn read_evidence(
+        &self,
+        order: &RolloutOrder,
+    ) -> impl Future<Output = Result<Vec<Vec<u8>>, StoreError>> + Send;
+
     /// Returns the VMs that said they are there.
     fn read_vms(&self) -> impl Future<Output = Result<Vec<VmEntry>, StoreError>> + Send;
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -3,7 +3,7 @@
 use crate::counters;
 use crate::peers::NewsChain;
 use crate::process::GatewayState;
-use crate::seams::{ControlNews, NewsSource, StoreError, UpstreamNews};
+use crate::seams::{ControlNews, NewsSource, RoutingStore, StoreError, UpstreamNews};
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use skylarkshed_policy::{BookChange, UpstreamBook};
 use std::sync::Arc;
@@ -35,21 +35,18 @@
 }
 
 /// Keeps the configuration up to date.
-pub(crate) async fn watch_control<S>(state: Arc<GatewayState>, source: S)
-where
-    S: NewsSource<News = ControlNews>,
-{
+pub(crate) async fn watch_control<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
+    let source = store.control();
     let sink = ControlSink {
         state: state.clone(),
+        store,
     };
     run(&state, source, sink).await;
 }
 
 /// Keeps the upstreams up to date.
-pub(crate) async fn watch_upstreams<S>(state: Arc<GatewayState>, source: S)
-where
-    S: NewsSource<News = UpstreamNews>,
-{
+pub(crate) async fn watch_upstreams<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
+    let source = store.upstreams();
     let sink = UpstreamSink {
         state: state.clone(),
     };
@@ -105,20 +102,20 @@
     ClockTime::from_millis(rand::random_range(longest / 2..=longest))
 }
 
-struct ControlSink {
+struct ControlSink<S> {
     state: Arc<GatewayState>,
+    store: S,
 }
 
-impl ControlSink {
+impl<S: RoutingStore> ControlSink<S> {
     fn take_item(&self, item: ControlNews) {
         match item {
             ControlNews::Config(config) => self.accept(*config),
             ControlNews::Rollout(order) => {
-                log::info!(service:% = order.service, to:% = order.to; "rollout ordered");
-            }
-            ControlNews::RolloutGone(service) => {
-                log::info!(service:%; "rollout withdrawn");
+                let rollouts = &self.state.rollouts;
+                rollouts.start(&self.state, &self.store, order);
             }
+            ControlNews::RolloutGone(service) => self.state.rollouts.remove(&service),
             ControlNews::Unreadable { row, problem } => {
                 counters::count_unreadable_row();
                 log::warn!(row = row.as_str(); "an operator's row can't be read: {problem}");
@@ -136,7 +133,7 @@
     }
 }
 
-impl NewsSink for ControlSink {
+impl<S: RoutingStore> NewsSink for ControlSink<S> {
     type News = ControlNews;
 
     const WAIT: ClockTime = CONTROL_WAIT;
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -229,6 +229,7 @@
             zone: &self.state.settings.zone,
             avoid,
             avoid_zones,
+            versions: &self.request.versions,
         })
     }
 
@@ -243,6 +244,7 @@
             zone: &self.state.settings.zone,
             avoid: &avoid,
             avoid_zones: &avoid_zones,
+            versions: &self.request.versions,
         })
     }
 
@@ -310,11 +312,25 @@
             return self.judge_failure(answer).await;
         }
         self.sends += 1;
+        if from.is_none() {
+            self.note_version(&upstream, Some(self.request.deadline.passed()));
+        }
         let now = clock.now();
         let attempt = StreamAttempt::new(upstream, copy, answer, phase, now);
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
+    /// Notes how a send ended as evidence of its upstream's version.
+    fn note_version(&self, upstream: &UpstreamState, time: Option<ClockTime>) {
+        self.state.rollouts.record(
+            &self.request.service,
+            &upstream.record.version,
+            &self.request.route.name,
+            self.request.customer.as_ref(),
+            time,
+        );
+    }
+
     /// Returns the time in which a first event is in time.
     fn objective_left(&self) -> ClockTime {
         match self.ledger.accepted() {
@@ -363,6 +379,9 @@
                 self.lost_zones.push(upstream.record.zone.clone());
             }
         }
+        if !cause.is_not_run() {
+            self.note_version(upstream, None);
+        }
         counters::count_retry(cause.label());
         log::info!(
             request = self.request.id(),
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -5,7 +5,7 @@
     ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
 };
 use skylarkshed_policy::{
-    choose_place, BookChange, PlaceCandidate, PlaceQuery, UpstreamBook, UpstreamHealth,
+    choose_place, BookChange, PlaceCandidate, PlaceQuery, UpstreamBook, UpstreamHealth, VersionRule,
 };
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -129,6 +129,7 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) avoid: &'a [UpstreamName],
     pub(crate) avoid_zones: &'a [ZoneName],
+    pub(crate) versions: &'a VersionRule,
 }
 
 impl UpstreamDirectory {
@@ -179,7 +180,24 @@
     pub(crate) fn choose(&self, query: &UpstreamQuery<'_>) -> Option<Arc<UpstreamState>> {
         let services = self.services.load();
         let states = services.get(query.service)?;
+        let versions = query.versions;
+        let preferred = |state: &UpstreamState| versions.prefers(&state.record.version);
+        let allowed = |state: &UpstreamState| versions.allows(&state.record.version);
+        let chosen = self.choose_among(states, query, preferred);
+        chosen.or_else(|| self.choose_among(states, query, allowed))
+    }
+
+    fn choose_among(
+        &self,
+        states: &[Arc<UpstreamState>],
+        query: &UpstreamQuery<'_>,
+        is_allowed: impl Fn(&UpstreamState) -> bool,
+    ) -> Option<Arc<UpstreamState>> {
         let now = self.clock.now();
+        let states = states.iter().filter(|state| is_allowed(state));
+        let states: Vec<&Arc<UpstreamState>> = states
+            .filter(|state| query.versions.allows(&state.record.version))
+            .collect();
         let candidates = states.iter().map(|state| PlaceCandidate {
             name: state.name(),
             zone: &state.record.zone,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`ClaimMachine`] keeps a call that may not be repeated from running twice,
 //!   and [`MintedKeys`] does so without the platform.
 //! - [`judge_version`] and [`decide_move`] carry traffic to a new version or
-//!   back.
+//!   back; [`decide_rollout`] does so by an operator's order with a time limit.
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamBook`]
 //!   keeps the upstreams that may get it, and [`choose_place`] picks one.
 //! - [`EventLedger`] lets each event of a stream through once, and
@@ -46,6 +46,7 @@
 mod rate;
 mod rendezvous;
 mod retry_budget;
+mod rollout_plan;
 mod route_table;
 mod routing;
 mod stream_recovery;
@@ -79,6 +80,7 @@
 pub use rate::RateLimit;
 pub use rendezvous::is_among_first;
 pub use retry_budget::RetryBudget;
+pub use rollout_plan::{decide_rollout, version_rule, RolloutState, RolloutStep, VersionRule};
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
--- /dev/null
+++ b/crates/policy/src/rollout_plan.rs
@@ -0,0 +1,123 @@
+//! Moves a service's traffic to another version by an operator's order.
+//!
+//! Only a small share goes to the new version until most of the time has
+//! passed, as a bad version may show only late; what it got by then is below
+//! what it may get. The move back needs no agreement: any VM stops at once on
+//! its own evidence.
+
+use crate::evidence::{judge_version, EvidenceVerdict, VersionCounts};
+use skylarkshed_core::{ClockTime, RolloutOrder, VersionName};
+
+const WHOLE_PPM: u64 = 1_000_000;
+/// The new version's share while it is watched: below the tenth of all requests
+/// that a bad version may get.
+const WATCHED_PPM: u64 = 80_000;
+/// The part of the time in which the new version is watched, in hundredths;
+/// the rest is for a store that is slow to take the end.
+const WATCHED_PERCENT: u64 = 70;
+
+/// How far a rollout has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RolloutState {
+    /// The new version is watched.
+    Running,
+    /// The new version has all traffic.
+    Done,
+    /// The old version has all traffic again.
+    RolledBack,
+}
+
+/// Which versions may get a request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum VersionRule {
+    /// Any.
+    #[default]
+    Any,
+    /// This one, or any other if it has no upstream.
+    Prefer(VersionName),
+    /// Any but this one.
+    Except(VersionName),
+}
+
+impl VersionRule {
+    /// Tells whether a version may get the request.
+    pub fn allows(&self, version: &VersionName) -> bool {
+        match self {
+            VersionRule::Except(other) => version != other,
+            VersionRule::Any | VersionRule::Prefer(_) => true,
+        }
+    }
+
+    /// Tells whether a version goes before the others.
+    pub fn prefers(&self, version: &VersionName) -> bool {
+        match self {
+            VersionRule::Prefer(wanted) => version == wanted,
+            VersionRule::Any | VersionRule::Except(_) => true,
+        }
+    }
+}
+
+/// What a rollout does now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RolloutStep {
+    /// Nothing.
+    Wait,
+    /// Give all traffic to the new version.
+    Finish,
+    /// Give all traffic back to the old version.
+    RollBack(EvidenceVerdict),
+}
+
+/// Returns which versions may get a request, by a number even over requests.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{version_rule, RolloutState, VersionRule};
+///
+/// let rule = version_rule(&"v2".into(), RolloutState::RolledBack, 7);
+/// assert_eq!(rule, VersionRule::Except("v2".into()));
+/// ```
+pub fn version_rule(to: &VersionName, state: RolloutState, draw: u64) -> VersionRule {
+    match state {
+        RolloutState::Running if draw % WHOLE_PPM < WATCHED_PPM => VersionRule::Prefer(to.clone()),
+        RolloutState::Running | RolloutState::RolledBack => VersionRule::Except(to.clone()),
+        RolloutState::Done => VersionRule::Prefer(to.clone()),
+    }
+}
+
+/// Decides what a running rollout does; `passed` is the time since its order.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::{ClockTime, RolloutOrder};
+/// use skylarkshed_policy::{decide_rollout, RolloutStep, VersionCounts};
+///
+/// let order = RolloutOrder {
+///     service: "stores".into(),
+///     to: "v2".into(),
+///     duration: ClockTime::from_millis(10_000),
+///     revision: 3,
+/// };
+/// let none = VersionCounts::default();
+/// let decide = |ms| decide_rollout(&order, &none, &none, ClockTime::from_millis(ms));
+/// assert_eq!(decide(6_900), RolloutStep::Wait);
+/// assert_eq!(decide(7_000), RolloutStep::Finish);
+/// ```
+pub fn decide_rollout(
+    order: &RolloutOrder,
+    old: &VersionCounts,
+    new: &VersionCounts,
+    passed: ClockTime,
+) -> RolloutStep {
+    let verdict = judge_version(old, new);
+    if verdict != EvidenceVerdict::NoFault {
+        return RolloutStep::RollBack(verdict);
+    }
+    let watched_ms = order.duration.as_millis() * WATCHED_PERCENT / 100;
+    match passed >= ClockTime::from_millis(watched_ms) {
+        true => RolloutStep::Finish,
+        false => RolloutStep::Wait,
+    }
+}
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -37,8 +37,9 @@
     value: Option<Vec<u8>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct StoreState {
+    started: std::time::Instant,
     revision: u64,
     rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
     history: Vec<ChangeEntry>,
@@ -78,7 +79,14 @@
     pub async fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
-        let state = Arc::new(Mutex::new(StoreState::default()));
+        let state = Arc::new(Mutex::new(StoreState {
+            started: std::time::Instant::now(),
+            revision: 0,
+            rows: BTreeMap::new(),
+            history: Vec::new(),
+            forgotten: 0,
+            calls: 0,
+        }));
         let (mode, mode_seen) = watch::channel(StoreMode::Serving);
         let (changed, _) = watch::channel(0);
         let service = StoreService {
@@ -110,6 +118,13 @@
         self.change(table, key, Some(value));
     }
 
+    /// Returns a row's value.
+    pub fn row(&self, table: &str, key: &str) -> Option<Value> {
+        let state = lock(&self.service.state);
+        let (_, value) = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        serde_json::from_slice(value).ok()
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.change(table, key, None);
@@ -191,7 +206,7 @@
     let fields = query(&request);
     let table = fields.get("table").cloned().unwrap_or_default();
     match request.uri().path() {
-        "/-/rows-get" => Ok(get_rows(&lock(&service.state), &table)),
+        "/-/rows-get" => Ok(get_rows(&lock(&service.state), &table, &fields)),
         "/-/rows-feed" => Ok(feed_rows(&service, &table, &fields).await),
         _ => Ok(reply(StatusCode::NOT_FOUND, &json!({}))),
     }
@@ -205,6 +220,15 @@
     };
     let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
     let entries = |name: &str| change[name].as_array().cloned().unwrap_or_default();
+    let is_changed = entries("expected_revision").iter().any(|row| {
+        let place = (text(row, "table"), text(row, "key"));
+        let state = lock(&service.state);
+        let revision = state.rows.get(&place).map_or(0, |(revision, _)| *revision);
+        revision != row["schema_version"].as_u64().unwrap_or_default()
+    });
+    if is_changed {
+        return reply(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
+    }
     for row in entries("put") {
         let value = BASE64_STANDARD.decode(text(&row, "value"));
         service.write(&text(&row, "table"), &text(&row, "key"), value.ok());
@@ -213,21 +237,26 @@
         service.write(&text(&row, "table"), &text(&row, "key"), None);
     }
     let revision = lock(&service.state).revision;
-    reply(
-        StatusCode::OK,
-        &json!({"schema_version": revision, "now_ms": 1}),
-    )
+    reply(StatusCode::OK, &json!({"schema_version": revision}))
 }
 
-fn get_rows(state: &StoreState, table: &str) -> Response<Full<Bytes>> {
+fn get_rows(
+    state: &StoreState,
+    table: &str,
+    fields: &HashMap<String, String>,
+) -> Response<Full<Bytes>> {
+    let from = fields.get("from").map_or("", String::as_str);
+    let limit = fields.get("limit").and_then(|text| text.parse().ok());
     let rows = state.rows.iter().filter(|((name, _), _)| name == table);
+    let rows = rows.filter(|((_, key), _)| key.as_str() >= from);
+    let rows = rows.take(limit.unwrap_or(usize::MAX));
     let rows = rows.map(|((_, key), (revision, value))| row(table, key, *revision, Some(value)));
     let rows: Vec<Value> = rows.collect();
     let body = json!({
         "rows": rows,
         "more_pages": false,
         "schema_version": state.revision,
-        "now_ms": 1,
+        "now_ms": now_ms(state),
     });
     reply(StatusCode::OK, &body)
 }
@@ -250,7 +279,7 @@
         }
         let is_over = tokio::time::Instant::now() >= deadline;
         if !rows.is_empty() || is_over {
-            let body = json!({"rows": rows, "schema_version": revision, "now_ms": 1});
+            let body = json!({"rows": rows, "schema_version": revision});
             return reply(StatusCode::OK, &body);
         }
         tokio::select! {
@@ -282,6 +311,11 @@
     row
 }
 
+/// Returns the time by the store's steady clock.
+fn now_ms(state: &StoreState) -> u64 {
+    u64::try_from(state.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
+
 fn query(request: &Request<Incoming>) -> HashMap<String, String> {
     let query = request.uri().query().unwrap_or("");
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/tests/testsuite/src/gateway_rig.rs
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -273,11 +273,23 @@
 
     /// Writes an upstream's entry.
     pub fn list(&self, upstream: &UpstreamStandIn, service: &str, zone: usize, state: &str) {
+        self.list_version(upstream, service, zone, state, "v1");
+    }
+
+    /// Writes the entry of an upstream with a version.
+    pub fn list_version(
+        &self,
+        upstream: &UpstreamStandIn,
+        service: &str,
+        zone: usize,
+        state: &str,
+        version: &str,
+    ) {
         let entry = json!({
             "service": service,
             "address": upstream.address(),
             "zone": format!("zone-{zone}"),
-            "version": "v1",
+            "version": version,
             "slots": 6,
             "state": state,
             "born": 1_000,
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod framing;
 mod leaving;
 mod peers;
+mod rollouts;
 mod routing;
 mod runs_once;
 mod streams;
