Take no old news of other VMs as an answer

Change: a peer's news older than 1.6 s are no answer, also after the store failed. Ruled out: keys working longer than allowed (ages are passed on and only grow; the test of that passed before and passes).

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -39,6 +39,11 @@
     counter!("gateway_unreadable_rows_total").increment(1);
 }
 
+/// Counts an upstream's entry that was missing right after the store came back.
+pub(crate) fn count_lapsed_entry() {
+    counter!("gateway_entries_lapsed_total").increment(1);
+}
+
 /// Counts log lines that were left out.
 pub(crate) fn count_dropped_line() {
     counter!("gateway_log_lines_dropped_total").increment(1);
--- a/crates/gateway/src/peers/news_chain.rs
+++ b/crates/gateway/src/peers/news_chain.rs
@@ -9,8 +9,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// News of another VM that were last known to be the newest so long ago are
-/// not good enough while the store may answer.
+/// News of another VM that were last known to be the newest so long ago prove
+/// that it has lost the store as well. Taken as an answer they would pass on
+/// between VMs that are all cut off, and hide that the store is lost.
 const STALE_AGE: ClockTime = ClockTime::from_millis(1_600);
 
 /// Asks the places of a route in turn.
@@ -45,7 +46,7 @@
         for place in self.route.places(self.state.clock.now()) {
             let answer = match place {
                 NewsPlace::Store => self.ask_store(after, wait).await,
-                NewsPlace::Peer(peer) => self.ask_peer(peer, after, first_error.is_some()).await,
+                NewsPlace::Peer(peer) => self.ask_peer(peer, after).await,
             };
             match answer {
                 Ok(reading) => return Ok(reading),
@@ -75,19 +76,17 @@
         reading
     }
 
-    /// Asks a peer; once the store has failed, old news are better than none.
     async fn ask_peer(
         &mut self,
         peer: SocketAddr,
         after: Option<u64>,
-        is_last_resort: bool,
     ) -> Result<NewsReading, StoreError> {
         let proof = self.proof.filter(|(of, _)| *of == peer);
         let proof = proof.map_or(0, |(_, proof)| proof);
         let reading = ask_peer(&self.state.peers, peer, S::NAME, after, proof).await;
         let reading = reading.and_then(|(reading, proof)| {
             self.proof = Some((peer, proof));
-            match reading.age > STALE_AGE && !is_last_resort {
+            match reading.age > STALE_AGE {
                 true => Err(StoreError::Unreachable(format!("{peer}: its news are old"))),
                 false => Ok(reading),
             }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -229,7 +229,10 @@
             BookChange::Leaving(record) => {
                 log::info!(upstream:% = record.name; "upstream leaving");
             }
-            BookChange::Lapsed(name) => log::info!(upstream:% = name; "upstream's entry lapsed"),
+            BookChange::Lapsed(name) => {
+                counters::count_lapsed_entry();
+                log::info!(upstream:% = name; "upstream's entry lapsed");
+            }
             BookChange::Gone(name) => log::info!(upstream:% = name; "upstream gone"),
         }
     }
--- a/tests/testsuite/tests/gateway/peers.rs
+++ b/tests/testsuite/tests/gateway/peers.rs
@@ -66,3 +66,16 @@
     rig.store.set_mode(StoreMode::Serving);
     rig.wait_ready().await;
 }
+
+#[tokio::test]
+async fn cut_vms_do_not_hide_from_each_other_that_the_store_is_lost() {
+    let (rig, other, _) = start_pair().await;
+    rig.store.set_mode(StoreMode::Busy);
+    // Both ask each other meanwhile, and both lost the store.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    rig.store.remove("servers", "app-1");
+    rig.store.set_mode(StoreMode::Serving);
+    let lapsed = "gateway_entries_lapsed_total 1";
+    rig.wait_metric(lapsed).await;
+    wait_metric(other.metrics, lapsed).await;
+}
