--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -143,14 +143,9 @@
                 self.evidence.note_may_have_run();
                 self.fallback = Some(fail(reason));
             }
-            TryOutcome::NotRun => {
-                self.sends += 1;
-                self.fallback = None;
-            }
-            TryOutcome::Unsent => {
-                self.unsent += 1;
-                self.fallback = None;
-            }
+            // What an earlier try brought still stands.
+            TryOutcome::NotRun => self.sends += 1,
+            TryOutcome::Unsent => self.unsent += 1,
         }
         let may_go_on = is_repeatable || !self.evidence.may_have_run();
         let has_tries = self.sends < self.request.route.attempts && self.unsent < MOST_UNSENT;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -54,9 +54,14 @@
 
     /// Returns the time since the configuration was known to be the newest.
     pub(crate) fn age(&self) -> ClockTime {
+        self.known_age().unwrap_or(ClockTime::NEVER)
+    }
+
+    /// Returns the same, or none if no configuration is known.
+    pub(crate) fn known_age(&self) -> Option<ClockTime> {
         match self.proved_ms.load(Ordering::Relaxed) {
-            0 => ClockTime::NEVER,
-            proved => self.now().since(ClockTime::from_millis(proved)),
+            0 => None,
+            proved => Some(self.now().since(ClockTime::from_millis(proved))),
         }
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -70,7 +70,7 @@
                 request = id.as_deref().unwrap_or(""),
                 outcome = refusal.label(),
                 config_version = state.control.table().map_or(0, |table| table.version()),
-                config_age_ms = state.control.age().as_millis();
+                config_age_ms = state.control.known_age().map(ClockTime::as_millis);
                 "request refused"
             );
             counters::count_request("none", refusal.label(), state.clock.now().since(received));
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -84,7 +84,7 @@
                     log::warn!(
                         source = S::NAME,
                         reason = error.label(),
-                        config_age_ms = state.control.age().as_millis();
+                        config_age_ms = state.control.known_age().map(ClockTime::as_millis);
                         "the store does not answer: {error}"
                     );
                 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,7 +1,7 @@
 //! `check`: checks a settings file.
 
 use crate::exit::CommandResult;
-use clap::{value_parser, Arg, ArgMatches, Command};
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use skylarkshed_core::{NodeSettings, SettingsError};
 use std::path::PathBuf;
 
@@ -10,10 +10,19 @@
     Command::new("check")
         .about("Checks a settings file")
         .arg(settings_arg())
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .help("Reads the file as the users' platform writes it, in TOML")
+                .action(ArgAction::SetTrue),
+        )
 }
 
 /// Checks the file and prints the settings with all defaults.
 pub(crate) fn execute(matches: &ArgMatches) -> CommandResult {
+    if matches.get_flag("platform") {
+        return check_platform(matches);
+    }
     let mut settings = read_settings(matches)?;
     settings.peer_key = "hidden".to_owned();
     let text = serde_json::to_string_pretty(&settings).expect("settings are plain data");
@@ -21,6 +30,15 @@
     Ok(())
 }
 
+fn check_platform(matches: &ArgMatches) -> CommandResult {
+    let path = matches
+        .get_one::<PathBuf>("settings")
+        .expect("clap requires it");
+    let settings = skylarkshed_users_platform::read_settings(path)?;
+    println!("{settings:#?}");
+    Ok(())
+}
+
 /// Builds the argument that names the settings file.
 pub(crate) fn settings_arg() -> Arg {
     Arg::new("settings")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod check;
 pub(crate) mod customer;
 pub(crate) mod describe;
+pub(crate) mod explain;
 pub(crate) mod gateway;
 mod operator;
 pub(crate) mod serve;
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -5,6 +5,7 @@
 use skylarkshed_gateway::GatewayError;
 use skylarkshed_node::NodeError;
 use skylarkshed_users_platform::PlatformSettingsError;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use thiserror::Error;
 use volo_grpc::Status;
@@ -32,6 +33,20 @@
     /// The runtime or the logger could not be started.
     #[error("the process could not be started: {0}")]
     Start(String),
+    /// A log can't be read.
+    #[error("can't read the log {}: {source}", path.display())]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// No log has a line of the request.
+    #[error("no line of these logs names the request `{0}`")]
+    #[diagnostic(help(
+        "give the logs of all VMs of the caller's zone and of the time in question"
+    ))]
+    NotFound(String),
     /// The VM refused an operator's command.
     #[error("the VM refused ({:?}): {}", .0.code(), .0.message())]
     Refused(Box<Status>),
@@ -56,9 +71,11 @@
             ExitCode::from(EXIT_SETTINGS)
         }
         CommandError::Refused(_) => ExitCode::from(EXIT_REFUSED),
-        CommandError::Gateway(_) | CommandError::Node(_) | CommandError::Start(_) => {
-            ExitCode::FAILURE
-        }
+        CommandError::Gateway(_)
+        | CommandError::Node(_)
+        | CommandError::Start(_)
+        | CommandError::Log { .. }
+        | CommandError::NotFound(_) => ExitCode::FAILURE,
     };
     eprintln!("{:?}", Report::new(error));
     code
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
     let matches = make_command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => cmd::serve::execute(matches),
+        Some(("explain", matches)) => cmd::explain::execute(matches),
         Some(("gateway", matches)) => cmd::gateway::execute(matches),
         Some(("check", matches)) => cmd::check::execute(matches),
         Some(("service", matches)) => cmd::service::execute(matches),
@@ -31,6 +32,7 @@
         .arg_required_else_help(true)
         .subcommand(cmd::serve::make_subcommand())
         .subcommand(cmd::gateway::make_subcommand())
+        .subcommand(cmd::explain::make_subcommand())
         .subcommand(cmd::check::make_subcommand())
         .subcommand(cmd::service::make_subcommand())
         .subcommand(cmd::version::make_subcommand())
--- a/tests/testsuite/src/gateway_rig.rs
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -1,5 +1,8 @@
 //! A gateway process between stand-ins of its store and its upstreams.
 
+use crate::gateway_process::{
+    config_metric, get, keep_output, start_process, wait_metric, POLL_PAUSE, STATE_WAIT,
+};
 use crate::raw_caller::{RawAnswer, RawCaller};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -7,11 +10,9 @@
 use skylarkshed_stand_ins::{StoreStandIn, UpstreamStandIn};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Stdio;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, ChildStdout, Command};
+use tokio::io::BufReader;
+use tokio::process::{Child, ChildStdout};
 
 /// The key of the customer `depot`.
 pub const KEY: &str = "depot-key";
@@ -21,9 +22,6 @@
 const HOST: &str = "stock.example";
 const APP_SERVICE: &str = "stores";
 const MODEL_SERVICE: &str = "ledger";
-/// No state of the tests takes so long to be reached.
-const STATE_WAIT: Duration = Duration::from_secs(20);
-const POLL_PAUSE: Duration = Duration::from_millis(10);
 
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
 
@@ -110,7 +108,7 @@
         let (process, settings, addresses, output) = start_process(&text).await;
         let kept_output = match self.reads_output {
             true => {
-                tokio::spawn(forget_output(output));
+                tokio::spawn(keep_output(output, settings.with_extension("log")));
                 None
             }
             false => Some(output),
@@ -120,6 +118,7 @@
             applications,
             engines,
             process,
+            log: settings.with_extension("log"),
             settings,
             callers: addresses[0],
             readiness: addresses[1],
@@ -177,8 +176,9 @@
 
 impl Drop for OtherVm {
     fn drop(&mut self) {
-        // The file may be gone already.
+        // The files may be gone already.
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(self.settings.with_extension("log"));
     }
 }
 
@@ -195,6 +195,8 @@
     pub process: Child,
     /// Its settings file.
     pub settings: PathBuf,
+    /// Its log, as far as it is read.
+    pub log: PathBuf,
     /// Where it listens for callers.
     pub callers: SocketAddr,
     /// Where it answers readiness checks.
@@ -207,8 +209,9 @@
 
 impl Drop for GatewayRig {
     fn drop(&mut self) {
-        // The file may be gone already.
+        // The files may be gone already.
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(self.settings.with_extension("log"));
     }
 }
 
@@ -217,7 +220,7 @@
     pub async fn start_other(&self, name: &str) -> OtherVm {
         let text = RigBuilder::default().settings(name, self.store.address());
         let (process, settings, addresses, output) = start_process(&text).await;
-        tokio::spawn(forget_output(output));
+        tokio::spawn(keep_output(output, settings.with_extension("log")));
         OtherVm {
             process,
             metrics: addresses[2],
@@ -401,86 +404,3 @@
         "target_gap_ms": 700,
     })
 }
-
-/// Returns the metric of a configuration in force.
-pub fn config_metric(version: u64) -> String {
-    format!("gateway_config_version {version}\n")
-}
-
-/// Waits until a process's metrics contain some text.
-pub async fn wait_metric(metrics: SocketAddr, text: &str) {
-    let waiting = async {
-        loop {
-            let answer = get(metrics, "/metrics").await;
-            if answer.is_some_and(|answer| answer.body.contains(text)) {
-                return;
-            }
-            tokio::time::sleep(POLL_PAUSE).await;
-        }
-    };
-    tokio::time::timeout(STATE_WAIT, waiting)
-        .await
-        .unwrap_or_else(|_| panic!("no metric has `{text}`"));
-}
-
-type StartedProcess = (Child, PathBuf, Vec<SocketAddr>, BufReader<ChildStdout>);
-
-async fn start_process(text: &str) -> StartedProcess {
-    let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
-    let file = format!("skylarkshed-gateway-{}-{number}.toml", std::process::id());
-    let settings = std::env::temp_dir().join(file);
-    std::fs::write(&settings, text).expect("a temporary file");
-    let mut process = Command::new(program())
-        .arg("gateway")
-        .env("SKYLARKSHED_NODE_FILE", &settings)
-        .stdout(Stdio::piped())
-        .kill_on_drop(true)
-        .spawn()
-        .expect("the program is built");
-    let output = process.stdout.take().expect("it is piped");
-    let (addresses, output) = read_addresses(output).await;
-    (process, settings, addresses, output)
-}
-
-async fn get(address: SocketAddr, path: &str) -> Option<RawAnswer> {
-    let mut caller = RawCaller::connect(address).await;
-    let request = format!("GET {path} HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
-    caller.send(request.as_bytes()).await;
-    caller.answer().await
-}
-
-fn program() -> PathBuf {
-    let own = std::env::current_exe().expect("the test runs");
-    let folder = own
-        .ancestors()
-        .nth(2)
-        .expect("it stands in the build folder");
-    folder.join("skylarkshed")
-}
-
-/// Reads lines until the one that names the addresses.
-async fn read_addresses(output: ChildStdout) -> (Vec<SocketAddr>, BufReader<ChildStdout>) {
-    let mut reader = BufReader::new(output);
-    loop {
-        let mut line = String::new();
-        let reading = tokio::time::timeout(STATE_WAIT, reader.read_line(&mut line)).await;
-        let read = reading.expect("the process starts").expect("its output");
-        assert!(read > 0, "the process ended before it listened");
-        let line: Value = serde_json::from_str(&line).expect("a line of JSON");
-        if line["text"] == "the process starts" {
-            let address = |name: &str| {
-                let text = line["kv"][name].as_str().expect("an address");
-                text.parse().expect("an address")
-            };
-            let names = ["callers", "readiness", "metrics"];
-            return (names.map(address).to_vec(), reader);
-        }
-    }
-}
-
-async fn forget_output(mut output: BufReader<ChildStdout>) {
-    let mut line = String::new();
-    while output.read_line(&mut line).await.is_ok_and(|read| read > 0) {
-        line.clear();
-    }
-}
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod caller_gone;
 mod configuration;
+mod explaining;
 mod framing;
 mod leaving;
 mod peers;
