--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -188,11 +188,17 @@
                 time,
             );
         }
-        log::debug!(
-            request = self.request.id(),
-            upstream:% = upstream.name(),
-            outcome = outcome.label(),
-            after_ms = self.request.deadline.passed().as_millis();
+        if !matches!(outcome, TryOutcome::Answer(..)) {
+            log::info!(
+                request = self.request.id(),
+                upstream:% = upstream.name(),
+                zone:% = upstream.record.zone,
+                cause = outcome.label(),
+                sends = self.sends,
+                after_ms = passed.as_millis();
+                "try failed"
+            );
+        }
             "try ended"
         );
     }
