--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -170,7 +170,7 @@
         }
     }
 
-    /// Notes a try's outcome as evidence of its upstream's version.
+    /// Notes a try's outcome, also as evidence of its upstream's version.
     fn note(&self, upstream: &UpstreamState, outcome: &TryOutcome) {
         let passed = self.request.deadline.passed();
         let time = match outcome {
@@ -199,8 +199,6 @@
                 "try failed"
             );
         }
-            "try ended"
-        );
     }
 }
 
