--- a/tests/testsuite/tests/suite/documents.rs
+++ b/tests/testsuite/tests/suite/documents.rs
@@ -77,3 +77,71 @@
         );
     }
 }
+
+/// Returns the quoted texts of a source file that look like labels.
+fn labels(source: &str) -> Vec<&str> {
+    let texts = source.split('"').skip(1).step_by(2);
+    let is_label =
+        |text: &&str| !text.is_empty() && text.chars().all(|c| c.is_ascii_lowercase() || c == '_');
+    texts.filter(is_label).collect()
+}
+
+#[test]
+fn every_refusal_reason_of_the_gateway_is_explained() {
+    let text = page("docs/OPERATIONS.md");
+    let source = page("crates/gateway/src/refusal.rs");
+    let reasons = source.lines().filter_map(|line| {
+        let (_, rest) = line.trim().split_once(" => \"")?;
+        Some(rest.split_once('"')?.0)
+    });
+    let reasons: Vec<&str> = reasons.collect();
+    assert!(reasons.len() >= 14, "the reasons are found");
+    for reason in reasons {
+        assert!(
+            text.contains(&format!("`{reason}`")),
+            "`{reason}` is not explained"
+        );
+    }
+}
+
+#[test]
+fn every_cause_and_metric_of_the_gateway_is_explained() {
+    let text = page("docs/OPERATIONS.md");
+    let metrics = page("crates/gateway/src/counters.rs");
+    let metrics = labels(&metrics)
+        .into_iter()
+        .filter(|label| label.starts_with("gateway_"));
+    let causes = page("crates/policy/src/stream_recovery.rs");
+    let causes = labels(&causes).into_iter().filter(|label| *label != "vec");
+    let all: Vec<&str> = metrics.chain(causes).collect();
+    assert!(all.len() >= 18, "the labels are found");
+    for label in all {
+        assert!(
+            text.contains(&format!("`{label}`")),
+            "`{label}` is not explained"
+        );
+    }
+}
+
+#[test]
+fn every_line_that_the_gateway_logs_is_listed() {
+    let text = page("docs/LOGS.md");
+    for start in [
+        "the process starts",
+        "the process leaves",
+        "the process ends",
+        "configuration in force",
+        "request refused",
+        "request ended",
+        "send failed",
+        "try failed",
+        "stream sent",
+        "stream lost its upstream",
+        "rollout ended",
+    ] {
+        assert!(
+            text.contains(&format!("`{start}`")),
+            "`{start}` is not listed"
+        );
+    }
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,6 +1,6 @@
 //! Builds the programs and runs the main job.
 
-use crate::run::{cargo, run};
+use crate::run::{build_folder, cargo, run};
 use clap::Command;
 use std::error::Error;
 
@@ -19,5 +19,6 @@
         build.args(["--package", package]);
     }
     run(&mut build)?;
-    run(std::process::Command::new("target/release/skylarkshed-bench").arg("demo"))
+    let program = build_folder()?.join("release/skylarkshed-bench");
+    run(std::process::Command::new(program).arg("demo"))
 }
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -1,6 +1,6 @@
 //! Builds all programs and runs all tests.
 
-use crate::run::{cargo, run};
+use crate::run::{cargo, run, workspace};
 use clap::Command;
 use std::error::Error;
 use std::fs;
@@ -39,7 +39,7 @@
 
 /// Returns the names of the tests that are known to fail.
 fn known_red() -> Vec<String> {
-    let text = fs::read_to_string(KNOWN_RED).unwrap_or_default();
+    let text = fs::read_to_string(workspace().join(KNOWN_RED)).unwrap_or_default();
     let names = text.lines().filter_map(|line| line.strip_prefix(ENTRY));
     names.map(|name| name.trim().to_owned()).collect()
 }
