Split the watch of callers' connections; let a restarted VM use the only version there is

Cause: a VM that restarts after a rollout meets its old order and held back the version with all upstreams until its first look at the rollout's state, which the store may not answer. While a rollout runs the old version now goes first instead of being the only one; after a roll-back the bad version is still excluded.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer;
 mod call;
 mod caller;
+mod connection_watch;
 mod control;
 mod counters;
 mod deadline;
--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -35,6 +35,8 @@
     Any,
     /// This one, or any other if it has no upstream.
     Prefer(VersionName),
+    /// Any other, or this one if no other has an upstream.
+    Avoid(VersionName),
     /// Any but this one.
     Except(VersionName),
 }
@@ -44,7 +46,7 @@
     pub fn allows(&self, version: &VersionName) -> bool {
         match self {
             VersionRule::Except(other) => version != other,
-            VersionRule::Any | VersionRule::Prefer(_) => true,
+            VersionRule::Any | VersionRule::Prefer(_) | VersionRule::Avoid(_) => true,
         }
     }
 
@@ -52,6 +54,7 @@
     pub fn prefers(&self, version: &VersionName) -> bool {
         match self {
             VersionRule::Prefer(wanted) => version == wanted,
+            VersionRule::Avoid(other) => version != other,
             VersionRule::Any | VersionRule::Except(_) => true,
         }
     }
@@ -81,7 +84,10 @@
 pub fn version_rule(to: &VersionName, state: RolloutState, draw: u64) -> VersionRule {
     match state {
         RolloutState::Running if draw % WHOLE_PPM < WATCHED_PPM => VersionRule::Prefer(to.clone()),
-        RolloutState::Running | RolloutState::RolledBack => VersionRule::Except(to.clone()),
+        // A VM that was restarted does not know yet whether the rollout is done
+        // and the other version has no upstream any more.
+        RolloutState::Running => VersionRule::Avoid(to.clone()),
+        RolloutState::RolledBack => VersionRule::Except(to.clone()),
         RolloutState::Done => VersionRule::Prefer(to.clone()),
     }
 }
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod engines;
 mod news;
 mod placement;
+mod rollouts;
 mod routes;
 mod streams;
 mod upstream_book;
