--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,7 +52,6 @@
             resume_after: self.head.resume_after,
             copy_from: None,
             copy_to: None,
-            urgency: None,
         }
     }
 }
@@ -123,9 +122,6 @@
     let (mut parts, body) = response.into_parts();
     let head = D::read_answer(&parts);
     strip_connection_headers(&mut parts.headers);
-    if head.closes && !head.is_not_run && parts.status.is_success() {
-        log::debug!(upstream:% = upstream.name(); "the upstream closes the connection");
-    }
     if head.is_misdirected {
         upstream.retire();
     }
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -75,8 +75,6 @@
     pub copy_from: Option<&'a MemoryCopy>,
     /// Where the answer's memory is to be copied while it runs.
     pub copy_to: Option<SocketAddr>,
-    /// How urgent the request is, if it differs from the usual; 0 goes first.
-    pub urgency: Option<u8>,
 }
 
 /// What the head of an upstream's response says.
@@ -90,8 +88,6 @@
     pub is_not_run: bool,
     /// Whether another upstream than the expected one has the address.
     pub is_misdirected: bool,
-    /// Whether the upstream is about to close the connection.
-    pub closes: bool,
 }
 
 /// Translates heads between callers, the gateway and upstreams.
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -181,8 +181,9 @@
         let services = self.services.load();
         let states = services.get(query.service)?;
         let versions = query.versions;
-        let preferred = |state: &UpstreamState| versions.prefers(&state.record.version);
         let allowed = |state: &UpstreamState| versions.allows(&state.record.version);
+        let preferred =
+            |state: &UpstreamState| allowed(state) && versions.prefers(&state.record.version);
         let chosen = self.choose_among(states, query, preferred);
         chosen.or_else(|| self.choose_among(states, query, allowed))
     }
@@ -195,9 +196,7 @@
     ) -> Option<Arc<UpstreamState>> {
         let now = self.clock.now();
         let states = states.iter().filter(|state| is_allowed(state));
-        let states: Vec<&Arc<UpstreamState>> = states
-            .filter(|state| query.versions.allows(&state.record.version))
-            .collect();
+        let states: Vec<&Arc<UpstreamState>> = states.collect();
         let candidates = states.iter().map(|state| PlaceCandidate {
             name: state.name(),
             zone: &state.record.zone,
