Wait for slow calls that no upstream can do better; count retries by window

And 59 of some 970 answers were given up after one engine's loss: the bucket of retries holds one send on a VM of 64, so what its requests earned between two losses of a zone was thrown away.

Change: a quick call goes elsewhere after 55% of its objective or three times the service's own recent mean, whichever is longer, and only if a healthy upstream and the budget allow it; otherwise it is waited for (CallPace). Retries are counted over the bound's own sliding window, whose length is read from the platform's file. Answers that can go on draw on the reserve for recovery first. A connection that was refused on the first send no longer gives back a send that was never taken.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,18 +3,18 @@
 use crate::answer::{AnswerBody, CallerAnswer};
 use crate::counters;
 use crate::exchange::{send, CallerRequest, LiveAnswer, SendFailure};
-use crate::process::GatewayState;
+use crate::process::{GatewayState, ServiceTraffic};
 use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunEvidence};
 use crate::seams::WireDialect;
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use bytes::Bytes;
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName};
+use skylarkshed_policy::UpstreamHealth;
+use std::future::Future;
+use std::pin::{pin, Pin};
 use std::sync::Arc;
 
-/// A repeatable call is sent elsewhere after this part of its objective, in
-/// hundredths, so that the second try still ends in time.
-const FIRST_TRY_PERCENT: u64 = 55;
 /// Upstreams that may refuse a connection before the caller is told so.
 const MOST_UNSENT: usize = 4;
 /// When a caller is to come back after a refusal: a few calls' time, in which
@@ -50,11 +50,14 @@
 /// The tries of one call.
 struct CallTries<'a> {
     state: &'a GatewayState,
+    traffic: Arc<ServiceTraffic>,
     request: &'a CallerRequest,
     evidence: RunEvidence,
     tried: Vec<UpstreamName>,
     sends: u32,
     unsent: usize,
+    /// The budget's part for the next send has been taken.
+    is_retry_paid: bool,
     /// What the caller is told if no further try is made.
     fallback: Option<CallerAnswer>,
 }
@@ -64,14 +67,17 @@
     state: &GatewayState,
     request: &CallerRequest,
 ) -> CallerAnswer {
-    state.budget(&request.service).note_request();
+    let traffic = state.traffic(&request.service);
+    traffic.budget.note_request(state.clock.now());
     let mut tries = CallTries {
         state,
+        traffic,
         request,
         evidence: RunEvidence::default(),
         tried: Vec::new(),
         sends: 0,
         unsent: 0,
+        is_retry_paid: false,
         fallback: None,
     };
     loop {
@@ -99,16 +105,24 @@
 
     async fn try_upstream<D: WireDialect>(&mut self, upstream: &UpstreamState) -> TryOutcome {
         self.tried.push(upstream.name().clone());
-        let limit = self.try_limit();
-        let deadline = &self.request.deadline;
+        let begun = self.state.clock.now();
         let order = self.request.order(upstream);
+        let (state, request) = (self.state, self.request);
         let exchange = async {
-            let mut answer = send::<D>(self.state, self.request, upstream, &order).await?;
+            let mut answer = send::<D>(state, request, upstream, &order).await?;
             let body = answer.collect().await?;
             Ok((answer, body))
         };
-        match deadline.bound(limit, exchange).await {
-            Some(Ok((answer, body))) => judge(upstream, answer, body),
+        let done = self.wait_for(pin!(exchange)).await;
+        match done {
+            Some(Ok((answer, body))) => {
+                let outcome = judge(upstream, answer, body);
+                if matches!(outcome, TryOutcome::Answer(..)) {
+                    let time = self.state.clock.now().since(begun);
+                    self.traffic.pace.note(time);
+                }
+                outcome
+            }
             Some(Err(SendFailure::Unsent)) => TryOutcome::Unsent,
             Some(Err(SendFailure::Broken)) => TryOutcome::Lost(FailureReason::UpstreamBroke),
             None => {
@@ -118,16 +132,37 @@
         }
     }
 
-    /// Returns how long a try may take.
-    fn try_limit(&self) -> ClockTime {
-        let route = &self.request.route;
-        if !route.kind.is_repeatable() || self.sends + 1 >= route.attempts {
-            return ClockTime::NEVER;
+    /// Waits for a try; gives it up at the deadline, or sooner if it is slow
+    /// and another upstream may get the call.
+    async fn wait_for<F: Future>(&mut self, mut exchange: Pin<&mut F>) -> Option<F::Output> {
+        let request = self.request;
+        let (deadline, route) = (&request.deadline, &request.route);
+        if route.kind.is_repeatable() && self.sends + 1 < route.attempts {
+            let patience = self.traffic.pace.patience(route.objective);
+            let done = deadline.bound(patience, exchange.as_mut()).await;
+            if done.is_some() || self.may_go_elsewhere() {
+                return done;
+            }
         }
-        ClockTime::from_millis(route.objective.as_millis() * FIRST_TRY_PERCENT / 100)
+        deadline.bound(ClockTime::NEVER, exchange).await
+    }
+
+    /// Tells whether a sound upstream is left that the budget lets get the call.
+    fn may_go_elsewhere(&mut self) -> bool {
+        let now = self.state.clock.now();
+        let other = self.next_upstream();
+        let is_sound = other.is_some_and(|other| other.health(now) == UpstreamHealth::Healthy);
+        is_sound && self.pay_retry()
     }
 
-    /// Takes a try's outcome; returns the answer unless another try is made.
+    /// Takes the budget's part for the next send, once.
+    fn pay_retry(&mut self) -> bool {
+        self.is_retry_paid =
+            self.is_retry_paid || self.traffic.budget.try_retry(self.state.clock.now());
+        self.is_retry_paid
+    }
+
+    /// Settles a try's outcome; returns the answer unless another try is made.
     fn settle(&mut self, outcome: TryOutcome) -> Option<CallerAnswer> {
         let label = outcome.label();
         let is_repeatable = self.request.route.kind.is_repeatable();
@@ -152,15 +187,19 @@
         if !may_go_on || !has_tries || self.request.deadline.is_over() {
             return Some(self.give_up(NotRunReason::UpstreamsBusy));
         }
-        if self.sends > 0 && !self.state.budget(&self.request.service).try_retry() {
+        if self.sends > 0 && !self.pay_retry() {
             return Some(self.give_up(NotRunReason::RetryBudget));
         }
+        self.is_retry_paid = false;
         counters::count_retry(label);
         None
     }
 
     /// Ends the call without a success.
     fn give_up(&mut self, reason: NotRunReason) -> CallerAnswer {
+        if std::mem::take(&mut self.is_retry_paid) {
+            self.traffic.budget.refund(self.state.clock.now());
+        }
         if let Some(answer) = self.fallback.take() {
             return answer;
         }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -7,15 +7,24 @@
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{ClockTime, MonotonicClock, ServiceName, SuspendClock};
 use skylarkshed_peer::{PeerClient, PeerKey};
-use skylarkshed_policy::RetryBudget;
+use skylarkshed_policy::{CallPace, RetryBudget};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// As many VMs are taken to share the budgets until the others are known: the
 /// users' deployments of today have 8 and 9, and can add 3.
 const UNKNOWN_VMS: usize = 12;
 
+/// What one VM keeps about its traffic to one service.
+#[derive(Debug)]
+pub(crate) struct ServiceTraffic {
+    /// The sends beyond the first of each request.
+    pub(crate) budget: RetryBudget,
+    /// How long quick calls take.
+    pub(crate) pace: CallPace,
+}
+
 /// The state of one gateway process.
 pub(crate) struct GatewayState {
     pub(crate) settings: GatewaySettings,
@@ -27,7 +36,7 @@
     pub(crate) rollouts: RolloutDesk,
     pub(crate) peers: PeerClient,
     pub(crate) connections: AtomicUsize,
-    budgets: Mutex<HashMap<ServiceName, Arc<RetryBudget>>>,
+    services: Mutex<HashMap<ServiceName, Arc<ServiceTraffic>>>,
     /// When the process was told to leave, in milliseconds; 0 for not yet.
     leaving_ms: AtomicU64,
 }
@@ -44,35 +53,38 @@
             control: ControlState::new(SuspendClock::start()),
             upstreams: UpstreamDirectory::new(clock, settings.times.lapse),
             connections: AtomicUsize::new(0),
-            budgets: Mutex::default(),
+            services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
             settings,
         }
     }
 
-    /// Returns the budget of repeated sends to a service.
-    pub(crate) fn budget(&self, service: &ServiceName) -> Arc<RetryBudget> {
-        // Inserting an entry leaves the map whole, also after a panic elsewhere.
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let settings = &self.settings;
-        let make = || RetryBudget::new(settings.retry_percent, self.reserve_share());
-        let budget = budgets.entry(service.clone());
-        budget.or_insert_with(|| Arc::new(make())).clone()
+    /// Returns what this VM keeps about its traffic to a service.
+    pub(crate) fn traffic(&self, service: &ServiceName) -> Arc<ServiceTraffic> {
+        let make = || ServiceTraffic {
+            budget: RetryBudget::new(self.settings.retries, self.vm_count()),
+            pace: CallPace::default(),
+        };
+        let mut services = self.lock_services();
+        let traffic = services.entry(service.clone());
+        traffic.or_insert_with(|| Arc::new(make())).clone()
     }
 
     /// Divides the budgets' reserves over the VMs that are known.
     pub(crate) fn share_budgets(&self) {
-        let reserve = self.reserve_share();
-        let budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        budgets
+        let vms = self.vm_count();
+        self.lock_services()
             .values()
-            .for_each(|budget| budget.set_reserve(reserve));
+            .for_each(|traffic| traffic.budget.set_vms(vms));
+    }
+
+    fn lock_services(&self) -> MutexGuard<'_, HashMap<ServiceName, Arc<ServiceTraffic>>> {
+        // Inserting an entry leaves the map whole, also after a panic elsewhere.
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn reserve_share(&self) -> u32 {
-        let vms = self.roster.count().unwrap_or(UNKNOWN_VMS);
-        let vms = u32::try_from(vms).unwrap_or(u32::MAX);
-        (self.settings.retry_reserve / vms.max(1)).max(1)
+    fn vm_count(&self) -> usize {
+        self.roster.count().unwrap_or(UNKNOWN_VMS)
     }
 
     pub(crate) fn start_leaving(&self) {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of one gateway process.
 
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
+use skylarkshed_policy::RetryLimits;
 use std::net::SocketAddr;
 
 /// The addresses that a gateway listens on.
@@ -40,10 +41,8 @@
     pub times: GatewayTimes,
     /// File descriptors that the process may use.
     pub descriptors: usize,
-    /// The share of requests that may be sent a second time, in hundredths.
-    pub retry_percent: u32,
-    /// Repeated requests in a short time that all VMs together may send beyond the share.
-    pub retry_reserve: u32,
+    /// The sends beyond the first that all VMs together may make.
+    pub retries: RetryLimits,
     /// The key with which the VMs authenticate to each other, in hexadecimal digits.
     pub peer_key: String,
 }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -69,7 +69,10 @@
     request: CallerRequest,
     is_resumable: bool,
 ) -> CallerAnswer {
-    state.budget(&request.service).note_request();
+    state
+        .traffic(&request.service)
+        .budget
+        .note_request(state.clock.now());
     let mut relay = StreamRelay::<D> {
         ledger: EventLedger::after(request.head.resume_after),
         state,
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -58,11 +58,20 @@
 
     /// Takes a send beyond the first from the budget.
     fn may_send(&self) -> bool {
-        let budget = self.state.budget(&self.request.service);
-        match (self.sends, self.ledger.accepted()) {
+        let traffic = self.state.traffic(&self.request.service);
+        let now = self.state.clock.now();
+        match (self.sends, self.is_resumable) {
             (0, _) => true,
-            (_, 0) => budget.try_retry(),
-            (_, _) => budget.try_recover(),
+            (_, true) => traffic.budget.try_recover(now),
+            (_, false) => traffic.budget.try_retry(now),
+        }
+    }
+
+    /// Gives back what [`Self::may_send`] took.
+    fn refund_send(&self) {
+        if self.sends > 0 {
+            let traffic = self.state.traffic(&self.request.service);
+            traffic.budget.refund(self.state.clock.now());
         }
     }
 
@@ -160,7 +169,7 @@
         match cause {
             LossCause::Unsent => {
                 self.unsent += 1;
-                self.state.budget(&self.request.service).refund();
+                self.refund_send();
             }
             LossCause::NotRun | LossCause::Replaced => self.sends += 1,
             _ => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 //!   back; [`decide_rollout`] does so by an operator's order with a time limit.
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamBook`]
 //!   keeps the upstreams that may get it, and [`choose_place`] picks one.
+//! - [`CallPace`] tells when a quick call is slower than others of its service.
 //! - [`EventLedger`] lets each event of a stream through once, and
 //!   [`recover_stream`] decides how it goes on after a loss, from the copy that
 //!   [`plan_copy`] keeps.
@@ -26,6 +27,7 @@
 
 mod admission;
 mod budget;
+mod call_pace;
 mod claim;
 mod concurrency;
 mod copy_plan;
@@ -51,9 +53,11 @@
 mod routing;
 mod stream_recovery;
 mod upstream_book;
+mod window_count;
 
 pub use admission::{AdmissionQueue, AdmissionRefusal, AdmissionVerdict, TicketNumber};
 pub use budget::WorkBudget;
+pub use call_pace::CallPace;
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredAnswer};
 pub use concurrency::ConcurrencyLimit;
 pub use copy_plan::{plan_copy, CopyKind, CopyState, CopyStep};
@@ -79,7 +83,7 @@
 pub use placement::{choose_place, PlaceCandidate, PlaceQuery};
 pub use rate::RateLimit;
 pub use rendezvous::is_among_first;
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_plan::{decide_rollout, version_rule, RolloutState, RolloutStep, VersionRule};
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
--- a/crates/stand-ins/src/routing/reaction.rs
+++ b/crates/stand-ins/src/routing/reaction.rs
@@ -52,6 +52,8 @@
     Unframed,
     /// Answers twice.
     Twice,
+    /// Answers before it has read the body, and keeps what came of it.
+    Early,
     /// Sends bytes that are no response.
     Garbage,
     /// Never answers.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -62,6 +62,18 @@
     closed: watch::Sender<usize>,
 }
 
+impl UpstreamShared {
+    /// Tells whether the next request is to be answered before its body is read.
+    fn take_early(&self) -> bool {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_early = matches!(state.script.front(), Some(Reaction::Early));
+        if is_early {
+            state.script.pop_front();
+        }
+        is_early
+    }
+}
+
 impl UpstreamStandIn {
     /// Starts an upstream on a free port; it answers with a success.
     ///
@@ -155,9 +167,18 @@
 }
 
 async fn serve_connection(mut stream: TcpStream, shared: UpstreamShared) {
-    let Some(request) = read_request(&mut stream).await else {
+    let Some((mut request, length)) = read_head(&mut stream).await else {
         return;
     };
+    if shared.take_early() {
+        return answer_early(&mut stream, request, length, &shared).await;
+    }
+    if read_body(&mut stream, &mut request.body, length)
+        .await
+        .is_none()
+    {
+        return;
+    }
     if let Some(reply) = engine_call(&request, &shared) {
         // The caller sees that its connection broke.
         let _ = stream.write_all(reply.as_bytes()).await;
@@ -183,6 +204,24 @@
     }
 }
 
+/// Answers, then reads whatever the caller sends as the rest of the body.
+async fn answer_early(
+    stream: &mut TcpStream,
+    mut request: HeardRequest,
+    length: usize,
+    shared: &UpstreamShared,
+) {
+    if react(stream, &request, &Reaction::Early).await.is_err() {
+        return;
+    }
+    // A caller may close instead of sending the rest.
+    let _ = read_body(stream, &mut request.body, length).await;
+    let mut state = shared.state.lock().unwrap_or_else(PoisonError::into_inner);
+    state.heard.push(request);
+    drop(state);
+    shared.heard.send_modify(|count| *count += 1);
+}
+
 /// Answers the calls that are no requests of callers.
 fn engine_call(request: &HeardRequest, shared: &UpstreamShared) -> Option<String> {
     let mut state = shared.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -204,7 +243,8 @@
     ))
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<HeardRequest> {
+/// Reads a head and what came with it; returns the body's length as well.
+async fn read_head(stream: &mut TcpStream) -> Option<(HeardRequest, usize)> {
     let mut bytes = Vec::new();
     let end = loop {
         let mut part = [0; 4096];
@@ -226,7 +266,17 @@
         .collect();
     let length = headers.iter().find(|(name, _)| name == "content-length");
     let length: usize = length.and_then(|(_, text)| text.parse().ok()).unwrap_or(0);
-    let mut body = bytes.split_off(end);
+    let body = bytes.split_off(end);
+    let request = HeardRequest {
+        line,
+        headers,
+        body,
+    };
+    Some((request, length))
+}
+
+/// Reads until a body is whole; returns none if its connection ends first.
+async fn read_body(stream: &mut TcpStream, body: &mut Vec<u8>, length: usize) -> Option<()> {
     while body.len() < length {
         let mut part = [0; 4096];
         let read = stream.read(&mut part).await.ok()?;
@@ -235,11 +285,7 @@
         }
         body.extend_from_slice(&part[..read]);
     }
-    Some(HeardRequest {
-        line,
-        headers,
-        body,
-    })
+    Some(())
 }
 
 /// Fails if the caller closed the connection first.
@@ -259,6 +305,7 @@
             wait_or_closed(stream, *after).await?;
             whole(*status, &signed, "answer")
         }
+        Reaction::Early => whole(200, &signed, "answer"),
         Reaction::Unsigned => whole(200, &format!("X-Attempt-Id: {id}\r\n"), "answer"),
         Reaction::Crossed => whole(
             200,
--- a/tests/testsuite/src/gateway_rig.rs
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -155,6 +155,7 @@
 revoke_ms = {revoke}
 retry_budget_ratio = 0.8
 retry_budget_slack = 150
+retry_window_s = 10
 [platform]
 address = "{store}"
 "#
--- a/tests/testsuite/tests/gateway/answers.rs
+++ b/tests/testsuite/tests/gateway/answers.rs
@@ -74,3 +74,22 @@
     }
     rig.wait_metric("gateway_log_lines_dropped_total").await;
 }
+
+/// The rest of a long body may reach the upstream or not; nothing else may.
+#[tokio::test]
+async fn answer_that_comes_before_the_body_was_read_is_whole() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    let body = "b".repeat(60_000);
+    let mut caller = rig.connect().await;
+    for sent in 1..=2 {
+        rig.applications[0].react(Reaction::Early);
+        let request = GatewayRig::request("POST", "/book/7", KEY, &body);
+        caller.send(request.as_bytes()).await;
+        let answer = caller.answer().await.unwrap();
+        assert_eq!((answer.status, answer.body.as_str()), (200, "answer"));
+        rig.applications[0].wait_heard(sent).await;
+    }
+    for request in rig.applications[0].heard() {
+        assert!(body.as_bytes().starts_with(&request.body));
+    }
+}
--- a/tests/testsuite/tests/gateway/framing.rs
+++ b/tests/testsuite/tests/gateway/framing.rs
@@ -33,6 +33,12 @@
 #[case::space_before_colon("Transfer-Encoding : chunked\r\n", "0\r\n\r\n")]
 #[case::folded("X-Fold: a\r\n b\r\nContent-Length: 0\r\n", "")]
 #[case::bad_chunk("Transfer-Encoding: chunked\r\n", "0x0\r\n\r\n")]
+#[case::line_feeds_around_chunk("Transfer-Encoding: chunked\r\n", "0\n\n")]
+#[case::line_feed_hides_length("X-Note: a\nContent-Length: 5\r\n", "")]
+#[case::line_feed_hides_chunks(
+    "Content-Length: 0\r\nX-Note: a\nTransfer-Encoding: chunked\r\n",
+    ""
+)]
 #[tokio::test]
 async fn hidden_request_is_never_run(#[case] framing: &str, #[case] body: &str) {
     let heard = send_with_hidden(framing, body).await;
@@ -93,3 +99,20 @@
     assert_eq!(answer.status, 408);
     assert_eq!(rig.heard_by_applications(), 0);
 }
+
+/// Whatever a line feed alone is taken for, an upstream must not see one.
+#[tokio::test]
+async fn line_feed_in_a_header_is_not_passed_on() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    let request = format!("{HEAD}X-Note: a\nX-Tenant: vendor\r\nContent-Length: 0\r\n\r\n");
+    // A connection that is closed without an answer is right, too.
+    let _ = rig.ask_raw(&request).await;
+    for request in rig.applications[0].heard() {
+        let has_feed = request
+            .headers
+            .iter()
+            .any(|(name, value)| name.contains('\n') || value.contains('\n'));
+        assert!(!has_feed, "{request:?}");
+        assert_eq!(request.header("x-tenant"), Some("depot"));
+    }
+}
--- a/tests/testsuite/tests/gateway/runs_once.rs
+++ b/tests/testsuite/tests/gateway/runs_once.rs
@@ -98,3 +98,25 @@
     }
     assert_eq!(rig.applications[0].heard().len(), 1);
 }
+
+/// Cutting a call off brings nothing if no other upstream can do better.
+#[tokio::test]
+async fn slow_lookup_is_waited_for_if_no_other_upstream_is_left() {
+    let rig = RigBuilder::default().applications(1).start().await;
+    rig.applications[0].react_always(Reaction::Answer {
+        status: 200,
+        after: Duration::from_millis(500),
+    });
+    assert_eq!(rig.ask("GET", "/find/7", "").await.status, 200);
+    assert_eq!(rig.heard_by_applications(), 1);
+}
+
+/// One of two upstreams hangs; the lookup goes to the other before it is late.
+#[tokio::test]
+async fn hanging_lookup_goes_to_an_upstream_that_answers() {
+    let rig = RigBuilder::default().applications(2).start().await;
+    rig.applications[0].react_always(Reaction::Silent);
+    for _ in 0..6 {
+        assert_eq!(rig.ask("GET", "/find/7", "").await.status, 200);
+    }
+}
