Leave a store that is down to the carriers; read the roster seldom

While the store was down for all, each of 64 VMs tried it with both watches every 0.3 to 0.6 s, and for 3 s after its return each watched it directly, because its carrier was still avoided. Besides, every VM read the roster eight times in its first 15 s, asked the store itself for 3 s after a carrier that had only just started said that it knew nothing, and a zone's 30 engines that go and come back within a second were fetched change by change.

Change: a VM that is no carrier tries a store that failed it every 1.7 to 2.6 s and asks its carrier at once and first; a starting carrier is asked again after 0.5 s; the roster is read again after 1 s only while it changes; news of upstreams gather for 100 ms after some.

The test split_route_uses_the_services_by_weight took for granted that an upstream is known when a later configuration is; it now waits for that upstream, and checks the same. The three new tests of NewsRoute were written with the change and not seen red.

--- a/crates/gateway/src/peers/news_chain.rs
+++ b/crates/gateway/src/peers/news_chain.rs
@@ -42,7 +42,7 @@
         wait: ClockTime,
     ) -> Result<NewsReading, StoreError> {
         self.route.set_vms(&self.state.roster.vms());
-        let mut first_error = None;
+        let mut last_error = None;
         for place in self.route.places(self.state.clock.now()) {
             let answer = match place {
                 NewsPlace::Store => self.ask_store(after, wait).await,
@@ -53,11 +53,12 @@
                 Err(StoreError::HistoryLost) => return Err(StoreError::HistoryLost),
                 Err(error) => {
                     log::debug!(source = S::NAME, place:? = place; "no news: {error}");
-                    first_error = Some(error);
+                    last_error = Some(error);
                 }
             }
         }
-        Err(first_error.unwrap_or_else(|| StoreError::Unreachable("no place to ask".to_owned())))
+        self.route.note_all_failed(self.state.clock.now());
+        Err(last_error.unwrap_or_else(|| StoreError::Unreachable("no place to ask".to_owned())))
     }
 
     async fn ask_store(
@@ -95,11 +96,11 @@
             .as_ref()
             .map_or_else(StoreError::label, |_| "answered");
         counters::count_peer(S::NAME, outcome);
-        if reading
-            .as_ref()
-            .is_err_and(|error| !matches!(error, StoreError::HistoryLost))
-        {
-            self.route.avoid(peer, self.state.clock.now());
+        let now = self.state.clock.now();
+        match &reading {
+            Ok(_) | Err(StoreError::HistoryLost) => {}
+            Err(StoreError::NotKnownYet(_)) => self.route.avoid_starting(peer, now),
+            Err(_) => self.route.avoid(peer, now),
         }
         reading
     }
--- a/crates/gateway/src/peers/peer_news.rs
+++ b/crates/gateway/src/peers/peer_news.rs
@@ -75,7 +75,7 @@
     match batch.outcome() {
         NewsOutcome::Rows => Ok((to_reading(batch.clone()), batch.proof)),
         NewsOutcome::HistoryLost => Err(StoreError::HistoryLost),
-        NewsOutcome::Unknown => Err(StoreError::Unreachable(format!("{to}: knows nothing yet"))),
+        NewsOutcome::Unknown => Err(StoreError::NotKnownYet(to)),
     }
 }
 
--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -10,8 +10,9 @@
 /// How often the list of VMs is read: a VM that is not on it yet is not asked,
 /// and one that is gone is found out when it is asked.
 const READ_PERIOD: ClockTime = ClockTime::from_millis(15_000);
-/// The first readings come sooner, as all VMs may have started together.
-const FIRST_PERIOD: ClockTime = ClockTime::from_millis(2_000);
+/// A list that has changed is read again soon: VMs that start together announce
+/// themselves within a second.
+const CHANGING_PERIOD: ClockTime = ClockTime::from_millis(1_000);
 /// How often a VM says that it is there.
 const ANNOUNCE_PERIOD: ClockTime = ClockTime::from_millis(60_000);
 /// An entry so old is of a VM that was replaced: three announcements and a
@@ -39,7 +40,6 @@
 /// Announces this VM and reads the list of the others, for ever.
 pub(crate) async fn keep_roster<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
     let mut announced: Option<ClockTime> = None;
-    let mut period = FIRST_PERIOD;
     loop {
         let now = state.clock.now();
         let is_due = announced.is_none_or(|at| now.since(at) >= ANNOUNCE_PERIOD);
@@ -49,13 +49,17 @@
                 Err(error) => log::info!(reason = error.label(); "not announced: {error}"),
             }
         }
-        match store.read_vms().await {
-            Ok(vms) => note_vms(&state, vms),
-            Err(error) => log::info!(reason = error.label(); "VMs not read: {error}"),
-        }
-        if state.clock.now() >= READ_PERIOD {
-            period = READ_PERIOD;
-        }
+        let is_settled = match store.read_vms().await {
+            Ok(vms) => !note_vms(&state, vms),
+            Err(error) => {
+                log::info!(reason = error.label(); "VMs not read: {error}");
+                state.roster.count().is_some()
+            }
+        };
+        let period = match is_settled {
+            true => READ_PERIOD,
+            false => CHANGING_PERIOD,
+        };
         let spread = rand::random_range(80..=120);
         let pause = ClockTime::from_millis(period.as_millis() * spread / 100);
         tokio::time::sleep(pause.to_duration()).await;
@@ -71,14 +75,22 @@
     }
 }
 
-fn note_vms(state: &GatewayState, vms: Vec<VmEntry>) {
+/// Takes the list; tells whether it has changed.
+fn note_vms(state: &GatewayState, vms: Vec<VmEntry>) -> bool {
     let now = ClockTime::wall();
     let is_live = |vm: &VmEntry| now.since(vm.announced) < EXPIRY;
     let live: Vec<VmEntry> = vms.into_iter().filter(is_live).collect();
     let before = state.roster.vms();
-    if *before != live {
+    let is_changed = !before
+        .iter()
+        .map(|vm| vm.address)
+        .eq(live.iter().map(|vm| vm.address));
+    if is_changed {
         log::info!(vms = live.len(); "VMs known");
+    }
+    if *before != live {
         state.roster.vms.store(Arc::new(live));
         state.share_budgets();
     }
+    is_changed
 }
--- a/crates/gateway/src/seams.rs
+++ b/crates/gateway/src/seams.rs
@@ -150,6 +150,9 @@
     /// The row changed meanwhile.
     #[error("the row has changed")]
     Conflict,
+    /// The VM that was asked has not read the store yet.
+    #[error("{0} knows nothing of the store yet")]
+    NotKnownYet(SocketAddr),
     /// The answer can't be read.
     #[error("the store's answer can't be read: {0}")]
     Unreadable(String),
@@ -164,6 +167,7 @@
             StoreError::Refused(_) => "refused",
             StoreError::HistoryLost => "history_lost",
             StoreError::Conflict => "conflict",
+            StoreError::NotKnownYet(_) => "not_known_yet",
             StoreError::Unreadable(_) => "unreadable",
         }
     }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -14,6 +14,10 @@
 const CONTROL_WAIT: ClockTime = ClockTime::from_millis(700);
 /// A watch of upstreams proves nothing by its silence, so it can last longer.
 const UPSTREAM_WAIT: ClockTime = ClockTime::from_millis(800);
+/// The pause after news of upstreams: a zone's engines go and come back within
+/// a second, one by one, and one answer can tell of many. An upstream that
+/// leaves may get work for 2 s.
+const UPSTREAM_GATHER: ClockTime = ClockTime::from_millis(100);
 /// The pause after a failed call: short against the 2 s in which changes have
 /// to be in force.
 const RETRY_PAUSE: ClockTime = ClockTime::from_millis(150);
@@ -26,6 +30,8 @@
 
     /// How long a watch waits for news.
     const WAIT: ClockTime;
+    /// How long more news are let gather after some.
+    const GATHER: ClockTime;
 
     /// Takes news; `proved` is when they were known to be the newest.
     fn take(&mut self, news: Vec<Self::News>, is_whole: bool, proved: ClockTime);
@@ -72,8 +78,12 @@
                 let proved = asked.since(reading.age);
                 state.board.note(S::NAME, &reading, known.is_none(), proved);
                 let news = reading.rows.iter().map(S::decode).collect();
+                let has_news = !reading.rows.is_empty();
                 sink.take(news, known.is_none(), proved);
                 known = Some(known.unwrap_or(0).max(reading.revision));
+                if has_news {
+                    tokio::time::sleep(K::GATHER.to_duration()).await;
+                }
             }
             Err(StoreError::HistoryLost) => {
                 log::info!(source = S::NAME, revision = known; "history lost; reading all again");
@@ -137,6 +147,7 @@
     type News = ControlNews;
 
     const WAIT: ClockTime = CONTROL_WAIT;
+    const GATHER: ClockTime = ClockTime::ZERO;
 
     fn take(&mut self, news: Vec<ControlNews>, _is_whole: bool, proved: ClockTime) {
         for item in news {
@@ -156,6 +167,7 @@
     type News = UpstreamNews;
 
     const WAIT: ClockTime = UPSTREAM_WAIT;
+    const GATHER: ClockTime = UPSTREAM_GATHER;
 
     fn take(&mut self, news: Vec<UpstreamNews>, is_whole: bool, _proved: ClockTime) {
         let changes = self.state.upstreams.update(|book, now| {
--- a/crates/policy/src/news_route.rs
+++ b/crates/policy/src/news_route.rs
@@ -5,6 +5,11 @@
 //! carrier, watches the store, and the others ask the carrier. A VM whose
 //! carrier fails or knows nothing fresh asks the store itself, and others if
 //! the store fails it as well.
+//!
+//! The load that it answers: the store is down for all. Were every VM to try it
+//! until it answers, its return would meet the calls of the whole fleet at once.
+//! The carriers try it often, the others seldom, and these learn of its return
+//! from their carrier.
 
 use crate::rendezvous::hash_rank;
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
@@ -14,6 +19,14 @@
 
 /// A peer that failed is not asked again for this time: longer than a restart.
 const AVOID_TIME: ClockTime = ClockTime::from_millis(3_000);
+/// A peer that knows nothing yet has just started, and knows all in a moment.
+const START_TIME: ClockTime = ClockTime::from_millis(500);
+/// A VM that is no carrier leaves a store that failed it alone for this time,
+/// and longer the further it is from being the carrier, so that a zone's VMs do
+/// not meet: below the 3 s after which all has to be in force again.
+const STORE_PAUSE: ClockTime = ClockTime::from_millis(1_600);
+const STORE_PAUSE_STEP: ClockTime = ClockTime::from_millis(100);
+const MOST_PAUSE_STEPS: usize = 10;
 /// Other VMs that are asked when the store fails: more would only tell the same.
 const MOST_OTHERS: usize = 2;
 
@@ -58,6 +71,8 @@
     others: Vec<SocketAddr>,
     own_place: usize,
     avoided: HashMap<SocketAddr, ClockTime>,
+    /// When the store is asked again.
+    store_from: ClockTime,
 }
 
 impl NewsRoute {
@@ -69,6 +84,7 @@
             others: Vec::new(),
             own_place: 0,
             avoided: HashMap::new(),
+            store_from: ClockTime::ZERO,
         }
     }
 
@@ -88,6 +104,25 @@
         self.avoided.insert(peer, now + AVOID_TIME);
     }
 
+    /// Notes that a peer has only just started.
+    pub fn avoid_starting(&mut self, peer: SocketAddr, now: ClockTime) {
+        self.avoided.insert(peer, now + START_TIME);
+    }
+
+    /// Notes that the store failed, and that no VM that was asked knew more.
+    pub fn note_all_failed(&mut self, now: ClockTime) {
+        let Some(carrier) = self.others.first().filter(|_| self.own_place > 0) else {
+            return;
+        };
+        self.avoided.remove(carrier);
+        if now < self.store_from {
+            return;
+        }
+        let steps = self.own_place.min(MOST_PAUSE_STEPS) as u64;
+        let pause_ms = STORE_PAUSE.as_millis() + steps * STORE_PAUSE_STEP.as_millis();
+        self.store_from = now + ClockTime::from_millis(pause_ms);
+    }
+
     /// Returns the places to ask, best first.
     pub fn places(&mut self, now: ClockTime) -> Vec<NewsPlace> {
         self.avoided.retain(|_, until| now < *until);
@@ -98,7 +133,9 @@
             .map(|peer| NewsPlace::Peer(*peer))
             .into_iter()
             .collect();
-        places.push(NewsPlace::Store);
+        if now >= self.store_from {
+            places.push(NewsPlace::Store);
+        }
         let rest = better.iter().chain(worse).filter(is_usable);
         let rest = rest.filter(|peer| Some(*peer) != carrier);
         places.extend(rest.take(MOST_OTHERS).map(|peer| NewsPlace::Peer(*peer)));
--- a/crates/policy/tests/gateway/news.rs
+++ b/crates/policy/tests/gateway/news.rs
@@ -131,6 +131,66 @@
     assert_eq!(route.places(later)[0], NewsPlace::Peer(carrier));
 }
 
+/// The store is down for all: in ten seconds a fleet that loops every 600 ms
+/// would call it a thousand times.
+#[test]
+fn a_store_that_is_down_is_left_to_the_carriers() {
+    let vms: Vec<VmEntry> = (0..60)
+        .map(|number| {
+            vm(
+                &format!("vm-{number}"),
+                &format!("zone-{}", number % 3),
+                number,
+            )
+        })
+        .collect();
+    let mut calls = 0;
+    for mut route in routes(&vms) {
+        let before = calls;
+        for step in 0..16 {
+            let now = ClockTime::from_millis(step * 600);
+            for place in route.places(now) {
+                match place {
+                    NewsPlace::Store => calls += 1,
+                    NewsPlace::Peer(peer) => route.avoid(peer, now),
+                }
+            }
+            route.note_all_failed(now);
+        }
+        assert!(calls - before >= 3, "a VM must see for itself every 3 s");
+    }
+    assert!(calls < 400, "{calls} calls");
+}
+
+#[test]
+fn the_return_of_the_store_is_learned_from_the_carrier() {
+    let vms = [vm("vm-a", "z", 1), vm("vm-b", "z", 2), vm("vm-c", "z", 3)];
+    for mut route in routes(&vms) {
+        let places = route.places(NOW);
+        let NewsPlace::Peer(carrier) = places[0] else {
+            continue;
+        };
+        route.avoid(carrier, NOW);
+        route.note_all_failed(NOW);
+        let soon = NOW + ClockTime::from_millis(300);
+        assert_eq!(route.places(soon)[0], NewsPlace::Peer(carrier));
+    }
+}
+
+#[test]
+fn a_carrier_that_has_just_started_is_asked_again_soon() {
+    let vms = [vm("vm-a", "z", 1), vm("vm-b", "z", 2)];
+    for mut route in routes(&vms) {
+        let NewsPlace::Peer(carrier) = route.places(NOW)[0] else {
+            continue;
+        };
+        route.avoid_starting(carrier, NOW);
+        assert_eq!(route.places(NOW)[0], NewsPlace::Store);
+        let soon = NOW + ClockTime::from_millis(600);
+        assert_eq!(route.places(soon)[0], NewsPlace::Peer(carrier));
+    }
+}
+
 #[test]
 fn a_vm_that_the_store_turns_away_asks_others() {
     let vms = [
--- a/tests/testsuite/tests/gateway/routing.rs
+++ b/tests/testsuite/tests/gateway/routing.rs
@@ -1,6 +1,7 @@
 //! Which upstream gets a request, and what it is shown.
 
 use rstest::rstest;
+use skylarkshed_stand_ins::UpstreamStandIn;
 use skylarkshed_testsuite::{GatewayRig, RigBuilder, OTHER_KEY};
 
 #[tokio::test]
@@ -109,8 +110,12 @@
 
 #[tokio::test]
 async fn split_route_uses_the_services_by_weight() {
-    let rig = RigBuilder::default().applications(2).start().await;
-    rig.list(&rig.applications[1], "stores-new", 0, "ready");
+    let rig = RigBuilder::default().applications(1).start().await;
+    let other = UpstreamStandIn::start("new-1").await;
+    rig.list(&other, "stores-new", 0, "ready");
+    let present = rig.applications.len() + rig.engines.len() + 1;
+    rig.wait_metric(&format!("gateway_upstreams{{state=\"present\"}} {present}"))
+        .await;
     let mut config = rig.config();
     let version = config["version"].as_u64().unwrap();
     config["routes"][0]["traffic_split"] = serde_json::json!([
@@ -123,5 +128,5 @@
         assert_eq!(rig.ask("POST", "/book/7", "x").await.status, 200);
     }
     assert_eq!(rig.applications[0].heard().len(), 0);
-    assert_eq!(rig.applications[1].heard().len(), 5);
+    assert_eq!(other.heard().len(), 5);
 }
