Let one VM of the fleet watch the store; count the age of news at arrival

Change: the zones' carriers ask the fleet's carrier, and fall back on the store as their VMs do; a peer that fails in a row is avoided for 3 to 24 s; the roster is read every 30 s once it is settled.

Each hop counted the time of its long poll as age, so after two hops news looked older than the 2 s of readiness. An answer now tells how long it was held, and only the rest of the asker's time counts as the way back: an upper bound as before, without clocks that agree.

Ruled out: longer watches; they make news older, and the idle ones are few.

--- a/crates/gateway/src/peers/news_chain.rs
+++ b/crates/gateway/src/peers/news_chain.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Returns changes after a revision, or the whole table.
+    /// Returns changes after a revision, or the whole table, with their age.
     pub(crate) async fn next(
         &mut self,
         after: Option<u64>,
@@ -66,10 +66,16 @@
         after: Option<u64>,
         wait: ClockTime,
     ) -> Result<NewsReading, StoreError> {
+        let asked = self.state.control.now();
         let reading = match after {
             None => self.store.read().await,
             Some(after) => self.store.watch(after, wait).await,
         };
+        // A store that held the answer does not tell for how long.
+        let reading = reading.map(|reading| NewsReading {
+            age: self.state.control.now().since(asked),
+            ..reading
+        });
         let outcome = reading
             .as_ref()
             .map_or_else(StoreError::label, |_| "answered");
@@ -84,7 +90,7 @@
     ) -> Result<NewsReading, StoreError> {
         let proof = self.proof.filter(|(of, _)| *of == peer);
         let proof = proof.map_or(0, |(_, proof)| proof);
-        let reading = ask_peer(&self.state.peers, peer, S::NAME, after, proof).await;
+        let reading = ask_peer(&self.state, peer, S::NAME, after, proof).await;
         let reading = reading.and_then(|(reading, proof)| {
             self.proof = Some((peer, proof));
             match reading.age > STALE_AGE {
@@ -98,7 +104,7 @@
         counters::count_peer(S::NAME, outcome);
         let now = self.state.clock.now();
         match &reading {
-            Ok(_) | Err(StoreError::HistoryLost) => {}
+            Ok(_) | Err(StoreError::HistoryLost) => self.route.trust(peer),
             Err(StoreError::NotKnownYet(_)) => self.route.avoid_starting(peer, now),
             Err(_) => self.route.avoid(peer, now),
         }
--- a/crates/gateway/src/peers/peer_news.rs
+++ b/crates/gateway/src/peers/peer_news.rs
@@ -4,7 +4,7 @@
 use crate::seams::StoreError;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{NewsAsk, NewsBatch, NewsOutcome, NewsRowWire, PeerBody};
-use skylarkshed_peer::{PeerClient, PeerHandler};
+use skylarkshed_peer::PeerHandler;
 use skylarkshed_policy::{NewsGap, NewsReading, NewsRow};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +32,7 @@
 
 async fn answer(state: &GatewayState, ask: &NewsAsk) -> NewsBatch {
     let wait = ClockTime::from_millis(ask.wait_ms).min(ANSWER_WAIT);
+    let asked = state.control.now();
     let news = state.board.wait(&ask.source, ask.after, ask.proof, wait);
     match news.await {
         Ok(news) => NewsBatch {
@@ -40,6 +41,7 @@
             revision: news.revision,
             age_ms: state.control.now().since(news.proved).as_millis(),
             proof: news.proofs,
+            held_ms: state.control.now().since(asked).as_millis(),
         },
         Err(gap) => NewsBatch {
             outcome: match gap {
@@ -53,8 +55,11 @@
 }
 
 /// Asks a VM for the rows of a source; returns them with the proof's number.
+///
+/// The age of the rows is that at their arrival: the time that the answer took
+/// beyond the other VM's wait may all have been the way back.
 pub(super) async fn ask_peer(
-    peers: &PeerClient,
+    state: &GatewayState,
     to: SocketAddr,
     source: &str,
     after: Option<u64>,
@@ -66,20 +71,27 @@
         proof,
         wait_ms: ANSWER_WAIT.as_millis(),
     };
-    let reply = peers.ask(to, PeerBody::AskNews(ask), ANSWER_WAIT + TRANSIT);
-    let reply = reply.await;
+    let asked = state.control.now();
+    let limit = ANSWER_WAIT + TRANSIT;
+    let reply = state.peers.ask(to, PeerBody::AskNews(ask), limit).await;
     let reply = reply.map_err(|error| StoreError::Unreachable(format!("{to}: {error}")))?;
     let PeerBody::News(batch) = reply else {
         return Err(StoreError::Unreadable(format!("{to}: no news")));
     };
     match batch.outcome() {
-        NewsOutcome::Rows => Ok((to_reading(batch.clone()), batch.proof)),
+        NewsOutcome::Rows => {
+            let taken = state.control.now().since(asked);
+            let way = taken.since(ClockTime::from_millis(batch.held_ms));
+            let age = ClockTime::from_millis(batch.age_ms) + way;
+            let proof = batch.proof;
+            Ok((to_reading(batch, age), proof))
+        }
         NewsOutcome::HistoryLost => Err(StoreError::HistoryLost),
         NewsOutcome::Unknown => Err(StoreError::NotKnownYet(to)),
     }
 }
 
-fn to_reading(batch: NewsBatch) -> NewsReading {
+fn to_reading(batch: NewsBatch, age: ClockTime) -> NewsReading {
     let rows = batch.rows.into_iter().map(|row| NewsRow {
         key: row.key.into(),
         revision: row.revision,
@@ -88,7 +100,7 @@
     NewsReading {
         rows: rows.collect(),
         revision: batch.revision,
-        age: ClockTime::from_millis(batch.age_ms),
+        age,
     }
 }
 
--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -9,7 +9,7 @@
 
 /// How often the list of VMs is read: a VM that is not on it yet is not asked,
 /// and one that is gone is found out when it is asked.
-const READ_PERIOD: ClockTime = ClockTime::from_millis(15_000);
+const READ_PERIOD: ClockTime = ClockTime::from_millis(30_000);
 /// A list that has changed is read again soon: VMs that start together announce
 /// themselves within a second.
 const CHANGING_PERIOD: ClockTime = ClockTime::from_millis(1_000);
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -68,14 +68,13 @@
     let mut known: Option<u64> = None;
     let mut failures = 0;
     loop {
-        let asked = state.control.now();
         match chain.next(known, K::WAIT).await {
             Ok(reading) => {
                 if failures > 0 {
                     log::info!(source = S::NAME, failures; "the store answers again");
                 }
                 failures = 0;
-                let proved = asked.since(reading.age);
+                let proved = state.control.now().since(reading.age);
                 state.board.note(S::NAME, &reading, known.is_none(), proved);
                 let news = reading.rows.iter().map(S::decode).collect();
                 let has_news = !reading.rows.is_empty();
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -99,6 +99,10 @@
     /// Counts the proofs of freshness that the answering VM got.
     #[prost(uint64, tag = "5")]
     pub proof: u64,
+    /// How long the answering VM waited for news, in milliseconds. What is left
+    /// of the asker's own time is an upper bound of the way back.
+    #[prost(uint64, tag = "6")]
+    pub held_ms: u64,
 }
 
 /// A row of a table; its value is passed on as it is.
--- a/crates/policy/src/news_cache.rs
+++ b/crates/policy/src/news_cache.rs
@@ -26,7 +26,7 @@
     pub rows: Vec<NewsRow>,
     /// The store's revision as far as known.
     pub revision: u64,
-    /// How long ago these were known to be the newest when the answer was asked for.
+    /// How long ago these were known to be the newest, at their arrival.
     pub age: ClockTime,
 }
 
--- a/crates/policy/src/news_route.rs
+++ b/crates/policy/src/news_route.rs
@@ -1,10 +1,11 @@
 //! Where a VM asks for news of the platform's store.
 //!
 //! Each call to the store is counted and priced, and a fleet whose VMs all
-//! watch it makes hundreds a second. So one VM of each availability zone, its
-//! carrier, watches the store, and the others ask the carrier. A VM whose
-//! carrier fails or knows nothing fresh asks the store itself, and others if
-//! the store fails it as well.
+//! watch it makes hundreds a second. So the VMs of an availability zone ask one
+//! of them, the zone's carrier; the carriers ask one of themselves, the fleet's
+//! carrier; and that one watches the store. A VM whose carrier fails or knows
+//! nothing fresh asks the store itself, and others if the store fails it as
+//! well. So a zone that is cut off has the store, or its own VMs.
 //!
 //! The load that it answers: the store is down for all. Were every VM to try it
 //! until it answers, its return would meet the calls of the whole fleet at once.
@@ -17,8 +18,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-/// A peer that failed is not asked again for this time: longer than a restart.
+/// A peer that failed is not asked again for this time, longer than a restart;
+/// it doubles with each failure in a row, as a silent peer costs a second.
 const AVOID_TIME: ClockTime = ClockTime::from_millis(3_000);
+const MOST_DOUBLINGS: u32 = 3;
 /// A peer that knows nothing yet has just started, and knows all in a moment.
 const START_TIME: ClockTime = ClockTime::from_millis(500);
 /// A VM that is no carrier leaves a store that failed it alone for this time,
@@ -27,6 +30,8 @@
 const STORE_PAUSE: ClockTime = ClockTime::from_millis(1_600);
 const STORE_PAUSE_STEP: ClockTime = ClockTime::from_millis(100);
 const MOST_PAUSE_STEPS: usize = 10;
+/// Part of the hash that orders the zones, unlike that of the VMs in a zone.
+const FLEET: &str = "fleet";
 /// Other VMs that are asked when the store fails: more would only tell the same.
 const MOST_OTHERS: usize = 2;
 
@@ -52,6 +57,13 @@
     Peer(SocketAddr),
 }
 
+/// How often a peer failed, and until when it is not asked.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerFailure {
+    until: ClockTime,
+    in_row: u32,
+}
+
 /// The places that one VM asks, best first.
 ///
 /// # Examples
@@ -70,7 +82,9 @@
     /// The other VMs of the zone, the carrier first, and this VM's own place.
     others: Vec<SocketAddr>,
     own_place: usize,
-    avoided: HashMap<SocketAddr, ClockTime>,
+    /// The fleet's carrier, if this VM is the carrier of another zone.
+    fleet_carrier: Option<SocketAddr>,
+    avoided: HashMap<SocketAddr, PeerFailure>,
     /// When the store is asked again.
     store_from: ClockTime,
 }
@@ -83,6 +97,7 @@
             zone,
             others: Vec::new(),
             own_place: 0,
+            fleet_carrier: None,
             avoided: HashMap::new(),
             store_from: ClockTime::ZERO,
         }
@@ -97,16 +112,41 @@
         let own_rank = rank(&self.own);
         self.own_place = others.partition_point(|vm| rank(&vm.name) < own_rank);
         self.others = others.iter().map(|vm| vm.address).collect();
+        self.fleet_carrier = match self.own_place {
+            0 => self.find_fleet_carrier(vms),
+            _ => None,
+        };
+    }
+
+    /// Returns the first of the zones' carriers, unless it is this VM.
+    fn find_fleet_carrier(&self, vms: &[VmEntry]) -> Option<SocketAddr> {
+        let zone_rank = |zone: &ZoneName| hash_rank((FLEET, zone));
+        let zone = vms
+            .iter()
+            .map(|vm| &vm.zone)
+            .max_by_key(|zone| zone_rank(zone));
+        let zone = zone.filter(|zone| **zone != self.zone)?;
+        let in_zone = vms.iter().filter(|vm| vm.zone == *zone);
+        let carrier = in_zone.max_by_key(|vm| hash_rank((zone, &vm.name)));
+        carrier.map(|vm| vm.address)
     }
 
     /// Notes that a peer failed or knew nothing fresh.
     pub fn avoid(&mut self, peer: SocketAddr, now: ClockTime) {
-        self.avoided.insert(peer, now + AVOID_TIME);
+        let failure = self.avoided.entry(peer).or_default();
+        let time_ms = AVOID_TIME.as_millis() << failure.in_row.min(MOST_DOUBLINGS);
+        failure.until = now + ClockTime::from_millis(time_ms);
+        failure.in_row += 1;
     }
 
     /// Notes that a peer has only just started.
     pub fn avoid_starting(&mut self, peer: SocketAddr, now: ClockTime) {
-        self.avoided.insert(peer, now + START_TIME);
+        self.avoided.entry(peer).or_default().until = now + START_TIME;
+    }
+
+    /// Notes that a peer told news.
+    pub fn trust(&mut self, peer: SocketAddr) {
+        self.avoided.remove(&peer);
     }
 
     /// Notes that the store failed, and that no VM that was asked knew more.
@@ -124,11 +164,14 @@
     }
 
     /// Returns the places to ask, best first.
-    pub fn places(&mut self, now: ClockTime) -> Vec<NewsPlace> {
-        self.avoided.retain(|_, until| now < *until);
-        let is_usable = |address: &&SocketAddr| !self.avoided.contains_key(*address);
+    pub fn places(&self, now: ClockTime) -> Vec<NewsPlace> {
+        let is_usable = |address: &&SocketAddr| {
+            let failure = self.avoided.get(*address);
+            failure.is_none_or(|failure| now >= failure.until)
+        };
         let (better, worse) = self.others.split_at(self.own_place);
-        let carrier = better.iter().find(is_usable);
+        let better_ones = better.iter().chain(&self.fleet_carrier);
+        let carrier = better_ones.clone().find(is_usable);
         let mut places: Vec<NewsPlace> = carrier
             .map(|peer| NewsPlace::Peer(*peer))
             .into_iter()
@@ -136,7 +179,7 @@
         if now >= self.store_from {
             places.push(NewsPlace::Store);
         }
-        let rest = better.iter().chain(worse).filter(is_usable);
+        let rest = better_ones.chain(worse).filter(is_usable);
         let rest = rest.filter(|peer| Some(*peer) != carrier);
         places.extend(rest.take(MOST_OTHERS).map(|peer| NewsPlace::Peer(*peer)));
         places
