Ask a silent engine for a sign of life; spread the answers of a loss

Change: an engine that is silent for half of the shortest limit is asked for its load once; if it answers it gets twice the time. Of the engines that may take over, those where this VM has no prefill under way go first.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -30,7 +30,12 @@
     Experiment {
         name: "resume",
         about: "Resume latency and extra work of three ways to notice a lost engine",
-        run: |seed| Box::pin(resume::run(seed)),
+        run: |seed| Box::pin(resume::run(seed, &resume::WAYS)),
+    },
+    Experiment {
+        name: "resume-default",
+        about: "The part of resume that measures the default way",
+        run: |seed| Box::pin(resume::run(seed, &resume::WAYS[2..])),
     },
     Experiment {
         name: "overload",
--- a/crates/bench/src/experiments/resume.rs
+++ b/crates/bench/src/experiments/resume.rs
@@ -37,10 +37,13 @@
     Slow,
 }
 
-/// Runs all ways with all losses.
-pub(crate) async fn run(seed: u64) -> Result<Report, FleetError> {
+/// The ways to call a silent engine lost; the last is the default.
+pub(crate) const WAYS: [&str; 3] = ["fixed_timeout", "own_gaps", "race"];
+
+/// Runs some of the ways with all losses.
+pub(crate) async fn run(seed: u64, ways: &[&str]) -> Result<Report, FleetError> {
     let mut report = Report::new("resume", seed);
-    for way in ["fixed_timeout", "own_gaps", "race"] {
+    for way in ways.iter().copied() {
         let base = run_case(way, LossKind::None, seed).await?;
         let base_work = base.work_per_token();
         report.add(way, "work per token without a loss", base_work, "tokens");
--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -4,7 +4,6 @@
 use crate::upstreams::UpstreamState;
 use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_http_link::{HttpLink, LinkRequest};
 use skylarkshed_policy::{CopyKind, EngineLoad};
@@ -77,11 +76,7 @@
 async fn ask(address: SocketAddr, request: LinkRequest, limit: ClockTime) -> Result<Bytes, String> {
     let exchange = async {
         let mut link = HttpLink::connect(address, limit).await?;
-        let response = link.send(request).await?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(skylarkshed_http_link::LinkError::Broken)?;
-        Ok::<_, skylarkshed_http_link::LinkError>((status, body.to_bytes()))
+        link.exchange(request).await
     };
     match tokio::time::timeout(limit.to_duration(), exchange).await {
         Ok(Ok((StatusCode::OK, body))) => Ok(body),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,9 +15,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RequestKind, RouteRule, UnsentCall};
-use skylarkshed_policy::{choose_service, RouteTable};
+use skylarkshed_policy::{choose_service, hash_rank, RouteTable};
 use std::convert::Infallible;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 /// A new VM knows its configuration after a few reads of the store.
@@ -144,7 +143,7 @@
     let deadline = RequestDeadline::new(state.clock, received, &route, head.time_left);
     let limit = table.limits().body_bytes;
     let body = read_body(body, limit, &deadline).await.map_err(refused)?;
-    let draw = hash_of(&head.request);
+    let draw = hash_rank(&head.request);
     let service = choose_service(&route.targets, draw).cloned();
     let service = service.ok_or_else(|| {
         refused(FrontRefusal::NotRun(
@@ -223,9 +222,3 @@
         )),
     }
 }
-
-fn hash_of(text: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/http-link/src/link.rs
+++ b/crates/http-link/src/link.rs
@@ -2,8 +2,8 @@
 
 use crate::options::set_options;
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -100,6 +100,40 @@
         })
     }
 
+    /// Sends a request and returns the status and the whole body of its response.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`HttpLink::send`] does, or if the connection ends within the body.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use bytes::Bytes;
+    /// use http::Request;
+    /// use http_body_util::Full;
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_http_link::{HttpLink, LinkError};
+    ///
+    /// # async fn ask() -> Result<(), LinkError> {
+    /// let address = ([127, 0, 0, 1], 8080).into();
+    /// let mut link = HttpLink::connect(address, ClockTime::from_millis(500)).await?;
+    /// let (status, body) = link.exchange(Request::new(Full::new(Bytes::new()))).await?;
+    /// println!("{status}: {} bytes", body.len());
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub async fn exchange(
+        &mut self,
+        request: LinkRequest,
+    ) -> Result<(StatusCode, Bytes), LinkError> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(LinkError::Broken)?;
+        Ok((status, body.to_bytes()))
+    }
+
     /// Tells whether the connection can't carry another request.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/crates/node/src/attempt_runner.rs
+++ b/crates/node/src/attempt_runner.rs
@@ -1,6 +1,6 @@
 //! Runs one attempt of a generation: opens its stream and reads it.
 
-use crate::registry::UpstreamRecord;
+use crate::registry::{PrefillGuard, UpstreamRecord};
 use crate::seams::Engine;
 use crate::shared::NodeShared;
 use crate::watch_task::note_leaving;
@@ -9,6 +9,7 @@
 use skylarkshed_policy::{AttemptFailure, AttemptPhase, GenerationInput};
 use skylarkshed_upstream::wire::{GenerateRequest, ResumeRequest};
 use skylarkshed_upstream::{EngineClient, EngineError, EngineEvent};
+use std::pin::pin;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -18,6 +19,11 @@
 const ROUTE_DECODE: &str = "decode";
 /// Decoding is timed for so many tokens.
 const DECODE_UNIT: u64 = 100;
+/// A silent engine is asked after this part of the shortest limit, so that the
+/// answer is there before the limit is.
+const PROBES_PER_LIMIT: u64 = 2;
+/// An engine that works answers within milliseconds.
+const PROBE_WAIT: ClockTime = ClockTime::from_millis(100);
 const CONNECT_WAIT: ClockTime = ClockTime::from_millis(1_000);
 
 type EngineStream = <Engine as EngineClient>::Stream;
@@ -37,9 +43,9 @@
 
 impl AttemptRunner {
     /// Runs the attempt to its end and tells its generation what happens.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(self, prefill: PrefillGuard) {
         let failure = match self.open().await {
-            Ok(stream) => match self.read(stream).await {
+            Ok(stream) => match self.read(stream, prefill).await {
                 Some(error) => error,
                 None => return,
             },
@@ -99,13 +105,29 @@
         self.note(ROUTE_WHOLE, Some(last.since(first)));
     }
 
+    /// Reads an event; asks a silent engine for a sign of life meanwhile.
+    async fn next_event(&self, stream: &mut EngineStream) -> EngineEvent {
+        let pause = ClockTime::from_millis(
+            self.shared.settings.resume.shortest_silence.as_millis() / PROBES_PER_LIMIT,
+        );
+        let mut event = pin!(Engine::next_event(stream));
+        if let Ok(event) = tokio::time::timeout(pause.to_duration(), &mut event).await {
+            return event;
+        }
+        if self.record.try_probe(self.shared.clock.now(), pause) {
+            tokio::spawn(probe(self.shared.clone(), self.record.clone()));
+        }
+        event.await
+    }
+
     /// Reads until the end; returns the error of a stream that broke.
-    async fn read(&self, mut stream: EngineStream) -> Option<EngineError> {
+    async fn read(&self, mut stream: EngineStream, prefill: PrefillGuard) -> Option<EngineError> {
+        let mut prefill = Some(prefill);
         let mut phase = AttemptPhase::Prefill;
         let mut last = self.shared.clock.now();
         let (mut first, mut tokens) = (None, 0);
         loop {
-            let event = Engine::next_event(&mut stream).await;
+            let event = self.next_event(&mut stream).await;
             let message = match event {
                 EngineEvent::Message(message) => message,
                 EngineEvent::Closed(error) => return Some(error),
@@ -124,6 +146,7 @@
                 first.get_or_insert(now);
                 tokens += 1;
                 phase = AttemptPhase::Decoding;
+                drop(prefill.take());
                 last = now;
             }
             let (generation, echoed) = (message.generation, message.attempt);
@@ -155,3 +178,13 @@
         }
     }
 }
+
+/// Notes that an engine lives if it answers.
+async fn probe(shared: Arc<NodeShared>, record: Arc<UpstreamRecord>) {
+    let load = shared.engine.load(record.entry.address);
+    let answer = tokio::time::timeout(PROBE_WAIT.to_duration(), load).await;
+    // Without an answer the limit of the silence stands as it is.
+    if let Ok(Ok(_)) = answer {
+        record.note_alive(shared.clock.now());
+    }
+}
--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generation_task.rs
@@ -3,7 +3,7 @@
 use crate::attempt_runner::{AttemptRunner, ROUTE_WHOLE};
 use crate::counters;
 use crate::reason_texts::{notice_text, start_reason};
-use crate::registry::{InFlightGuard, UpstreamRecord};
+use crate::registry::{InFlightGuard, PrefillGuard, UpstreamRecord};
 use crate::shared::NodeShared;
 use faststr::FastStr;
 use skylarkshed_core::{
@@ -208,7 +208,7 @@
         );
         let upstream = record.entry.name.clone();
         let runner = self.runner(attempt, &record, &version, held);
-        let task = tokio::spawn(runner.run()).abort_handle();
+        let task = tokio::spawn(runner.run(PrefillGuard::new(record.clone()))).abort_handle();
         let name = version.name.clone();
         let guard = InFlightGuard::new(record);
         self.attempts.insert(
@@ -391,10 +391,11 @@
         prefill_tokens: u32,
     ) -> ClockTime {
         let settings = &self.shared.settings.resume;
+        let now = self.shared.clock.now();
         let mut records = self.attempts.values().map(|attempt| &attempt.guard.record);
         let record = records.find(|record| record.entry.name == *upstream);
         record.map_or(settings.longest_silence, |record| {
-            record.silence_limit(settings, phase, prefill_tokens)
+            record.silence_limit(settings, phase, prefill_tokens, now)
         })
     }
 
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -24,6 +24,9 @@
 pub(crate) struct UpstreamRecord {
     pub(crate) entry: Arc<UpstreamEntry>,
     in_flight: AtomicU32,
+    prefills: AtomicU32,
+    answered_probe_at: AtomicU64,
+    probed_at: AtomicU64,
     reported_load: AtomicU32,
     suspect_until: AtomicU64,
     leaving_until: AtomicU64,
@@ -38,6 +41,9 @@
         UpstreamRecord {
             entry,
             in_flight: AtomicU32::new(0),
+            prefills: AtomicU32::new(0),
+            answered_probe_at: AtomicU64::new(0),
+            probed_at: AtomicU64::new(0),
             reported_load: AtomicU32::new(0),
             suspect_until: AtomicU64::new(0),
             leaving_until: AtomicU64::new(0),
@@ -75,12 +81,50 @@
         }
     }
 
+    /// Tells whether a silent upstream is to be asked for a sign of life.
+    ///
+    /// All its answers fall silent together, and one question is enough.
+    pub(crate) fn try_probe(&self, now: ClockTime, period: ClockTime) -> bool {
+        let last = self.probed_at.load(Ordering::Relaxed);
+        let is_due = last == 0 || now.as_millis() >= last + period.as_millis();
+        is_due
+            && self
+                .probed_at
+                .compare_exchange(last, now.as_millis(), Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok()
+    }
+
+    /// Notes that the upstream answered a question during a silence.
+    pub(crate) fn note_alive(&self, now: ClockTime) {
+        self.answered_probe_at
+            .fetch_max(now.as_millis(), Ordering::Relaxed);
+    }
+
     /// Returns the silence after which the upstream is to be suspected.
+    ///
+    /// An upstream that has just answered a question is rather slow than lost,
+    /// and gets twice the time.
     pub(crate) fn silence_limit(
         &self,
         settings: &ResumeSettings,
         phase: AttemptPhase,
         prefill_tokens: u32,
+        now: ClockTime,
+    ) -> ClockTime {
+        let limit = self.gap_limit(settings, phase, prefill_tokens);
+        let alive_at = self.answered_probe_at.load(Ordering::Relaxed);
+        let is_alive = alive_at > 0 && now.as_millis() < alive_at + limit.as_millis();
+        match is_alive {
+            true => limit + limit,
+            false => limit,
+        }
+    }
+
+    fn gap_limit(
+        &self,
+        settings: &ResumeSettings,
+        phase: AttemptPhase,
+        prefill_tokens: u32,
     ) -> ClockTime {
         let bounds = SilenceBounds {
             shortest: settings.shortest_silence,
@@ -176,6 +220,24 @@
 
 type RecordKey = (UpstreamName, SocketAddr);
 
+/// Counts a request whose first token is still to come until it is dropped.
+pub(crate) struct PrefillGuard {
+    record: Arc<UpstreamRecord>,
+}
+
+impl PrefillGuard {
+    pub(crate) fn new(record: Arc<UpstreamRecord>) -> Self {
+        record.prefills.fetch_add(1, Ordering::Relaxed);
+        PrefillGuard { record }
+    }
+}
+
+impl Drop for PrefillGuard {
+    fn drop(&mut self) {
+        self.record.prefills.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// All upstreams that this VM has seen.
 pub(crate) struct UpstreamRegistry {
     clock: MonotonicClock,
@@ -239,6 +301,7 @@
                 name: &record.entry.name,
                 zone: &record.entry.zone,
                 load: record.load(),
+                prefills: u64::from(record.prefills.load(Ordering::Relaxed)),
                 health: record.health(now),
             })
             .collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -82,7 +82,7 @@
 pub use news_route::{NewsPlace, NewsRoute, VmEntry};
 pub use placement::{choose_place, PlaceCandidate, PlaceQuery};
 pub use rate::RateLimit;
-pub use rendezvous::is_among_first;
+pub use rendezvous::{hash_rank, is_among_first};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_plan::{decide_rollout, version_rule, RolloutState, RolloutStep, VersionRule};
 pub use route_table::{choose_service, RouteTable};
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -4,7 +4,15 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Returns the rank of a value; for one subject the highest candidate goes first.
-pub(crate) fn hash_rank(value: impl Hash) -> u64 {
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::hash_rank;
+///
+/// assert_eq!(hash_rank("request-1"), hash_rank("request-1".to_owned()));
+/// ```
+pub fn hash_rank(value: impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
     hasher.finish()
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -32,6 +32,8 @@
     pub zone: &'a ZoneName,
     /// Its requests in progress, as far as known.
     pub load: u64,
+    /// This VM's requests in progress whose first token is still to come.
+    pub prefills: u64,
     /// Whether it is to get new work.
     pub health: UpstreamHealth,
 }
@@ -59,7 +61,7 @@
 /// use skylarkshed_policy::{choose_upstream, RouteQuery, UpstreamHealth, UpstreamView};
 ///
 /// let (name, zone) = (UpstreamName::from("engine-1"), ZoneName::from("chag"));
-/// let view = UpstreamView { name: &name, zone: &zone, load: 0, health: UpstreamHealth::Healthy };
+/// let view = UpstreamView { name: &name, zone: &zone, load: 0, prefills: 0, health: UpstreamHealth::Healthy };
 /// let query = RouteQuery { prefix: 7, zone: &zone, avoid: &[] };
 /// assert_eq!(choose_upstream(&query, &[view.clone()]), Some(0));
 /// let leaving = UpstreamView { health: UpstreamHealth::Leaving, ..view };
@@ -90,7 +92,9 @@
 ///
 /// No cache holds the answer elsewhere, so the least load goes first. A loss in
 /// one availability zone speaks against the others of that zone: zones and
-/// racks fail as a whole.
+/// racks fail as a whole. An engine that dies sends all its answers on at once,
+/// and two prefills at one engine wait for each other, so an engine without a
+/// prefill goes before one with fewer requests.
 fn least_loaded(
     places: &[usize],
     query: &RouteQuery<'_>,
@@ -101,7 +105,12 @@
     let key = |&place: &usize| {
         let view = &views[place];
         let rank = rank(query.prefix, view.name);
-        (lost_zones.contains(&view.zone), view.load, Reverse(rank))
+        (
+            lost_zones.contains(&view.zone),
+            view.prefills,
+            view.load,
+            Reverse(rank),
+        )
     };
     places.iter().copied().min_by_key(key)
 }
--- a/tests/testsuite/tests/suite/tokens.rs
+++ b/tests/testsuite/tests/suite/tokens.rs
@@ -229,3 +229,23 @@
     };
     caller.ask_with_tokens(vm, &query, None, None, told).await
 }
+
+/// A step of 700 ms is longer than any silence before it, but the engine still
+/// answers when it is asked.
+#[tokio::test]
+async fn engine_that_turns_slow_is_not_taken_for_lost() {
+    let builder = FleetBuilder::new().engine_args(&["--step-us", "20000"]);
+    let (fleet, query, mut answer) = start(builder, "slow", 56).await;
+    answer.reach(50).await;
+    let slow = EngineFaults {
+        slow: 35,
+        ..EngineFaults::default()
+    };
+    let engine = &fleet.engines[serving(&fleet).await];
+    fleet.fault_engine(engine, &slow).await.unwrap();
+    check_resumed(&query, &answer.end().await);
+    for vm in &fleet.vms {
+        let suspected = fleet.metric(vm, "silent_attempt").await.unwrap();
+        assert_eq!(suspected, 0.0, "{} suspected it", vm.name);
+    }
+}
