Ask the store, not a carrier, for whole tables and old changes

A carrier that had just read all told everybody with an older table that history was lost, and each then read 750 kB from it; and it remembered 512 removals where a zone's loss removes a thousand.

Change: whole tables are asked for at the store first, whose link is 400 times as wide; a VM that knows more than its carrier's history goes on with the store's; half as many removals are remembered as a table has rows.

Ruled out: sending whole tables in a tree of VMs; each hop of such a table takes seconds.

--- a/crates/gateway/src/peers/news_chain.rs
+++ b/crates/gateway/src/peers/news_chain.rs
@@ -42,18 +42,29 @@
         wait: ClockTime,
     ) -> Result<NewsReading, StoreError> {
         self.route.set_vms(&self.state.roster.vms());
+        let now = self.state.clock.now();
+        let places = match after {
+            None => self.route.places_for_all(now),
+            Some(_) => self.route.places(now),
+        };
         let mut last_error = None;
-        for place in self.route.places(self.state.clock.now()) {
+        for place in places {
             let answer = match place {
                 NewsPlace::Store => self.ask_store(after, wait).await,
                 NewsPlace::Peer(peer) => self.ask_peer(peer, after).await,
             };
             match answer {
                 Ok(reading) => return Ok(reading),
-                Err(StoreError::HistoryLost) => return Err(StoreError::HistoryLost),
+                Err(StoreError::HistoryLost) if place == NewsPlace::Store => {
+                    return Err(StoreError::HistoryLost);
+                }
+                // A peer that read all later than this VM has no older changes,
+                // but the store has.
                 Err(error) => {
                     log::debug!(source = S::NAME, place:? = place; "no news: {error}");
-                    last_error = Some(error);
+                    if !matches!(last_error, Some(StoreError::HistoryLost)) {
+                        last_error = Some(error);
+                    }
                 }
             }
         }
@@ -104,8 +115,10 @@
         counters::count_peer(S::NAME, outcome);
         let now = self.state.clock.now();
         match &reading {
-            Ok(_) | Err(StoreError::HistoryLost) => self.route.trust(peer),
-            Err(StoreError::NotKnownYet(_)) => self.route.avoid_starting(peer, now),
+            Ok(_) => self.route.trust(peer),
+            Err(StoreError::NotKnownYet(_) | StoreError::HistoryLost) => {
+                self.route.avoid_starting(peer, now);
+            }
             Err(_) => self.route.avoid(peer, now),
         }
         reading
--- a/crates/policy/src/news_cache.rs
+++ b/crates/policy/src/news_cache.rs
@@ -5,8 +5,9 @@
 use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
 
-/// Removed rows that are remembered for VMs that ask for changes.
-const MOST_REMOVED: usize = 512;
+/// Removed rows that are remembered for VMs that ask for changes; of a larger
+/// table half as many as it has rows, as a zone's upstreams may end at once.
+const LEAST_REMOVED: usize = 512;
 
 /// A row, or its removal.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -139,7 +140,7 @@
     fn forget_removed(&mut self) {
         let removed = self.rows.values().filter(|row| row.value.is_none());
         let mut removed: Vec<u64> = removed.map(|row| row.revision).collect();
-        if removed.len() <= MOST_REMOVED {
+        if removed.len() <= LEAST_REMOVED.max(self.rows.len() / 2) {
             return;
         }
         removed.sort_unstable();
--- a/crates/policy/src/news_route.rs
+++ b/crates/policy/src/news_route.rs
@@ -163,7 +163,18 @@
         self.store_from = now + ClockTime::from_millis(pause_ms);
     }
 
-    /// Returns the places to ask, best first.
+    /// Returns the places to ask for a whole table, best first.
+    ///
+    /// The load that it answers: a hundred VMs of a zone start at once. A table
+    /// of thousands of rows sent to each of them fills a carrier's link for a
+    /// minute; the store's is hundreds of times as wide.
+    pub fn places_for_all(&self, now: ClockTime) -> Vec<NewsPlace> {
+        let mut places = self.places(now);
+        places.sort_by_key(|place| *place != NewsPlace::Store);
+        places
+    }
+
+    /// Returns the places to ask for changes, best first.
     pub fn places(&self, now: ClockTime) -> Vec<NewsPlace> {
         let is_usable = |address: &&SocketAddr| {
             let failure = self.avoided.get(*address);
--- a/crates/policy/tests/gateway/news.rs
+++ b/crates/policy/tests/gateway/news.rs
@@ -80,6 +80,39 @@
     assert!(cache.changes(Some(590)).is_ok());
 }
 
+/// A zone's thousand engines end, and a VM that asks a moment later is told all.
+#[test]
+fn removals_of_a_large_table_are_remembered() {
+    let mut cache = NewsCache::default();
+    let present = (0..3_000).map(|number| {
+        let key = format!("upstream-{number}");
+        NewsRow {
+            key: key.into(),
+            revision: 1,
+            value: Some("x".into()),
+        }
+    });
+    cache.replace(&reading(present.collect(), 1), NOW);
+    for number in 0..1_000 {
+        let gone = NewsRow {
+            key: format!("upstream-{number}").into(),
+            revision: number + 2,
+            value: None,
+        };
+        cache.apply(&reading(vec![gone], number + 2), NOW);
+    }
+    assert_eq!(cache.changes(Some(1)).map(|rows| rows.len()), Ok(1_000));
+}
+
+#[test]
+fn whole_tables_are_read_at_the_store() {
+    let vms = [vm("vm-a", "z", 1), vm("vm-b", "z", 2)];
+    for route in routes(&vms) {
+        assert_eq!(route.places_for_all(NOW)[0], NewsPlace::Store);
+        assert_eq!(route.places_for_all(NOW).len(), 2);
+    }
+}
+
 fn vm(name: &str, zone: &str, port: u16) -> VmEntry {
     VmEntry {
         name: name.into(),
