Split three files by their jobs

Prompts and the environment of a generation, what follows a failed attempt, and the usual configuration of the test rig have files of their own; nothing else changes.

--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generation_task.rs
@@ -2,6 +2,8 @@
 
 use crate::attempt_runner::{AttemptRunner, ROUTE_WHOLE};
 use crate::counters;
+use crate::generation_environment::{AttemptHandle, TaskEnvironment};
+use crate::prompt::prefix_hash;
 use crate::reason_texts::{notice_text, start_reason};
 use crate::registry::{InFlightGuard, PrefillGuard, UpstreamRecord};
 use crate::shared::NodeShared;
@@ -11,15 +13,14 @@
     VersionName,
 };
 use skylarkshed_policy::{
-    AttemptPhase, FailReason, GenerationAction, GenerationEnvironment, GenerationInput,
-    GenerationMachine, GenerationPlan, HeldAttempt, NoUpstreamReason, NoticeReason, StartReason,
+    FailReason, GenerationAction, GenerationInput, GenerationMachine, GenerationPlan, HeldAttempt,
+    NoUpstreamReason, NoticeReason, StartReason,
 };
 use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest};
 use skylarkshed_upstream::EngineClient;
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::mpsc;
-use tokio::task::AbortHandle;
 
 const CANCEL_WAIT: ClockTime = ClockTime::from_millis(2_000);
 
@@ -50,12 +51,6 @@
     Failed { reason: FailReason },
 }
 
-struct AttemptHandle {
-    guard: InFlightGuard,
-    version: VersionName,
-    task: AbortHandle,
-}
-
 /// One generation under way.
 pub(crate) struct GenerationTask {
     shared: Arc<NodeShared>,
@@ -376,45 +371,3 @@
         evidence.record(&catalog, service, version, ROUTE_WHOLE, customer, None);
     }
 }
-
-/// What the state machine asks of this VM.
-struct TaskEnvironment<'a> {
-    shared: &'a NodeShared,
-    attempts: &'a HashMap<AttemptNumber, AttemptHandle>,
-}
-
-impl GenerationEnvironment for TaskEnvironment<'_> {
-    fn silence_limit(
-        &self,
-        upstream: &UpstreamName,
-        phase: AttemptPhase,
-        prefill_tokens: u32,
-    ) -> ClockTime {
-        let settings = &self.shared.settings.resume;
-        let now = self.shared.clock.now();
-        let mut records = self.attempts.values().map(|attempt| &attempt.guard.record);
-        let record = records.find(|record| record.entry.name == *upstream);
-        record.map_or(settings.longest_silence, |record| {
-            record.silence_limit(settings, phase, prefill_tokens, now)
-        })
-    }
-
-    fn try_race(&self, cost: u32) -> bool {
-        self.shared.race_budget.try_spend(u64::from(cost))
-    }
-}
-
-/// Counts the tokens of a prompt, for the cost of computing it again.
-pub(crate) fn count_words(prompt: &str) -> u32 {
-    prompt.split_whitespace().count() as u32
-}
-
-/// Hashes the start of a prompt; requests with the same start share a cache.
-fn prefix_hash(prompt: &str) -> u64 {
-    const PREFIX_BYTES: usize = 512;
-    let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
-    let hash = blake3::hash(start);
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.as_bytes()[..8]);
-    u64::from_le_bytes(bytes)
-}
--- a/crates/policy/src/generation.rs
+++ b/crates/policy/src/generation.rs
@@ -1,5 +1,6 @@
 //! Carries one answer over any number of attempts.
 
+mod replacement;
 mod silence;
 
 use crate::generation_types::{
@@ -348,44 +349,6 @@
         self.drop_attempt(attempt, StartReason::Failed(failure), now, actions);
     }
 
-    /// Cancels an attempt and goes on with another.
-    fn replace(
-        &mut self,
-        attempt: AttemptNumber,
-        reason: StartReason,
-        now: ClockTime,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        actions.push(GenerationAction::Cancel { attempt });
-        if self.ledger.next_index() < self.plan.deliver_from {
-            return self.fail(FailReason::HeldGone, actions);
-        }
-        self.drop_attempt(attempt, reason, now, actions);
-    }
-
-    /// Forgets an attempt; if none is left, starts another.
-    fn drop_attempt(
-        &mut self,
-        attempt: AttemptNumber,
-        reason: StartReason,
-        now: ClockTime,
-        actions: &mut Vec<GenerationAction>,
-    ) {
-        let Some(place) = self.live.iter().position(|live| live.number == attempt) else {
-            return;
-        };
-        let live = self.live.remove(place);
-        if !self.avoid.contains(&live.upstream) {
-            self.avoid.push(live.upstream);
-        }
-        if self.ledger.current() == Some(attempt) {
-            self.ledger.release();
-        }
-        if self.live.is_empty() {
-            self.start_attempt(reason, now, actions);
-        }
-    }
-
     fn notice(
         &self,
         attempt: AttemptNumber,
--- a/tests/testsuite/src/gateway_rig.rs
+++ b/tests/testsuite/src/gateway_rig.rs
@@ -1,5 +1,6 @@
 //! A gateway process between stand-ins of its store and its upstreams.
 
+use crate::gateway_config::{usual_config, APP_SERVICE, HOST, KEY, MODEL_SERVICE};
 use crate::gateway_process::{
     config_metric, get, keep_output, start_process, wait_metric, POLL_PAUSE, STATE_WAIT,
 };
@@ -14,15 +15,6 @@
 use tokio::io::BufReader;
 use tokio::process::{Child, ChildStdout};
 
-/// The key of the customer `depot`.
-pub const KEY: &str = "depot-key";
-/// The key of the customer `vendor`.
-pub const OTHER_KEY: &str = "vendor-key";
-
-const HOST: &str = "stock.example";
-const APP_SERVICE: &str = "stores";
-const MODEL_SERVICE: &str = "ledger";
-
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
 
 /// Builds a rig.
@@ -232,32 +224,7 @@
 
     /// Returns the usual configuration, with the next version.
     pub fn config(&self) -> Value {
-        let version = self.version.fetch_add(1, Ordering::Relaxed);
-        json!({
-            "version": version,
-            "routes": [
-                route("book", "/book/", "unsafe", APP_SERVICE, 1, 1_000),
-                route("find", "/find/", "safe", APP_SERVICE, 2, 1_000),
-                route("longer", "/find/special/", "unsafe", APP_SERVICE, 1, 1_000),
-                route("write", "/write/", "streaming", MODEL_SERVICE, 5, 20_000),
-            ],
-            "services": [
-                {"name": APP_SERVICE, "health_path": "/h", "max_connections": 100},
-                {"name": MODEL_SERVICE, "health_path": "/h", "max_connections": 100,
-                 "engine": {"slots": 16, "cache_capacity": 88_000, "backups": true,
-                            "moves": true, "handle_s": 4.0}},
-            ],
-            "limits": {
-                "max_header_bytes": 8192,
-                "max_body_bytes": 65_536,
-                "header_timeout_ms": 500,
-                "idle_timeout_ms": 1_500,
-            },
-            "tenants": [
-                {"name": "depot", "api_keys": [KEY]},
-                {"name": "vendor", "api_keys": [OTHER_KEY]},
-            ],
-        })
+        usual_config(self.version.fetch_add(1, Ordering::Relaxed))
     }
 
     /// Writes a configuration.
@@ -379,29 +346,3 @@
         self.applications.iter().map(|app| app.heard().len()).sum()
     }
 }
-
-fn route(
-    name: &str,
-    prefix: &str,
-    kind: &str,
-    service: &str,
-    attempts: u32,
-    timeout_ms: u64,
-) -> Value {
-    let is_stream = kind == "streaming";
-    json!({
-        "name": name,
-        "host": HOST,
-        "prefix": prefix,
-        "kind": kind,
-        "timeout_ms": timeout_ms,
-        "target_latency_ms": if is_stream { 4_500 } else { 300 },
-        "priority": 1,
-        "service": service,
-        "attempts": attempts,
-        "public_access": false,
-        "session_affinity": is_stream,
-        "stream_resumption": is_stream,
-        "target_gap_ms": 700,
-    })
-}
