Take out what stood twice or was left over

Cause: the whole change read once more. `WorkBudget::set_reserve` and its atomic limit had lost their only caller when retries began to be counted by window. A stream looked its service's traffic up under a lock at each send, where a call holds it. The spread of a pause, the order of a zone's carriers, an upstream's query and the VMs of three tests were each written twice or more, and the experiment's default way was found by its place in a list.

Change: the dead method goes; a stream holds its traffic; `spread`, `carrier_rank`, `next_candidate`, `vms_of_three_zones` and DEFAULT_WAY are the one place each.

Ruled out: one guard for both counters of registry.rs, and one reading of a request for early and other answers of the stand-in; each is longer, or changes when a scripted reaction is taken.

Behaviour and assertions as before.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -35,7 +35,7 @@
     Experiment {
         name: "resume-default",
         about: "The part of resume that measures the default way",
-        run: |seed| Box::pin(resume::run(seed, &resume::WAYS[2..])),
+        run: |seed| Box::pin(resume::run(seed, &[resume::DEFAULT_WAY])),
     },
     Experiment {
         name: "overload",
--- a/crates/bench/src/experiments/resume.rs
+++ b/crates/bench/src/experiments/resume.rs
@@ -37,8 +37,10 @@
     Slow,
 }
 
-/// The ways to call a silent engine lost; the last is the default.
-pub(crate) const WAYS: [&str; 3] = ["fixed_timeout", "own_gaps", "race"];
+/// The default way to call a silent engine lost.
+pub(crate) const DEFAULT_WAY: &str = "race";
+/// All ways to call a silent engine lost.
+pub(crate) const WAYS: [&str; 3] = ["fixed_timeout", "own_gaps", DEFAULT_WAY];
 
 /// Runs some of the ways with all losses.
 pub(crate) async fn run(seed: u64, ways: &[&str]) -> Result<Report, FleetError> {
@@ -211,7 +213,7 @@
     if loss == LossKind::Slow {
         let share = outcome.races / count as f64;
         return match way {
-            "race" => {
+            DEFAULT_WAY => {
                 report.add_bounded(&case, "races per answer", share, "", RACE_SHARE_BOUND);
             }
             _ => report.add(&case, "races per answer", share, ""),
@@ -221,7 +223,7 @@
     let times = TimeHistogram::of(samples.iter().map(|sample| sample.latency));
     report.add(&case, "answers taken over", times.count() as f64, "");
     report.add(&case, "resume median", times.quantile_ms(0.5), "ms");
-    let is_chosen = way == "race";
+    let is_chosen = way == DEFAULT_WAY;
     let is_frozen = matches!(loss, LossKind::Frozen | LossKind::ZoneFrozen);
     if is_chosen && is_frozen {
         let p95_ms = times.quantile_ms(0.95);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod exchange;
 mod front;
 mod log_writer;
+mod pacing;
 mod peers;
 mod process;
 mod refusal;
--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -1,5 +1,6 @@
 //! Which VMs there are.
 
+use crate::pacing::spread;
 use crate::process::GatewayState;
 use crate::seams::RoutingStore;
 use arc_swap::ArcSwap;
@@ -60,9 +61,7 @@
             true => READ_PERIOD,
             false => CHANGING_PERIOD,
         };
-        let spread = rand::random_range(80..=120);
-        let pause = ClockTime::from_millis(period.as_millis() * spread / 100);
-        tokio::time::sleep(pause.to_duration()).await;
+        tokio::time::sleep(spread(period).to_duration()).await;
     }
 }
 
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -1,5 +1,6 @@
 //! The rollouts that operators ordered, and what this VM saw of them.
 
+use crate::pacing::spread;
 use crate::process::GatewayState;
 use crate::seams::{RolloutReading, RolloutStatus, RoutingStore, StoreError};
 use arc_swap::ArcSwap;
@@ -180,8 +181,7 @@
         drop(record);
         let vms = state.roster.count().unwrap_or(1) as u64;
         let pause_ms = LOOK_PERIOD.as_millis() * (1 + vms / VMS_PER_PERIOD);
-        let spread = rand::random_range(80..=120);
-        let pause = ClockTime::from_millis(pause_ms * spread / 100);
+        let pause = spread(ClockTime::from_millis(pause_ms));
         tokio::time::sleep(pause.to_duration()).await;
     }
 }
--- a/crates/gateway/src/stream/engine_pick.rs
+++ b/crates/gateway/src/stream/engine_pick.rs
@@ -90,13 +90,7 @@
         let avoid = [upstream.name().clone()];
         let mut avoid_zones = self.lost_zones.clone();
         avoid_zones.push(upstream.record.zone.clone());
-        self.state.upstreams.choose(&UpstreamQuery {
-            service: &self.request.service,
-            zone: &self.state.settings.zone,
-            avoid: &avoid,
-            avoid_zones: &avoid_zones,
-            versions: &self.request.versions,
-        })
+        self.next_candidate(&avoid, &avoid_zones)
     }
 
     /// Returns the copy that an upstream is to make while the answer runs.
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -9,7 +9,7 @@
 use crate::answer::{AnswerBody, AnswerPart, CallerAnswer};
 use crate::counters;
 use crate::exchange::CallerRequest;
-use crate::process::GatewayState;
+use crate::process::{GatewayState, ServiceTraffic};
 use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunEvidence};
 use crate::seams::{MemoryCopy, WireDialect};
 use attempt::{AttemptStep, StreamAttempt};
@@ -32,6 +32,7 @@
 /// A stream and what it has spent.
 struct StreamRelay<D> {
     state: Arc<GatewayState>,
+    traffic: Arc<ServiceTraffic>,
     request: CallerRequest,
     is_resumable: bool,
     ledger: EventLedger,
@@ -69,13 +70,12 @@
     request: CallerRequest,
     is_resumable: bool,
 ) -> CallerAnswer {
-    state
-        .traffic(&request.service)
-        .budget
-        .note_request(state.clock.now());
+    let traffic = state.traffic(&request.service);
+    traffic.budget.note_request(state.clock.now());
     let mut relay = StreamRelay::<D> {
         ledger: EventLedger::after(request.head.resume_after),
         state,
+        traffic,
         request,
         is_resumable,
         evidence: RunEvidence::default(),
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -58,20 +58,18 @@
 
     /// Takes a send beyond the first from the budget.
     fn may_send(&self) -> bool {
-        let traffic = self.state.traffic(&self.request.service);
         let now = self.state.clock.now();
         match (self.sends, self.is_resumable) {
             (0, _) => true,
-            (_, true) => traffic.budget.try_recover(now),
-            (_, false) => traffic.budget.try_retry(now),
+            (_, true) => self.traffic.budget.try_recover(now),
+            (_, false) => self.traffic.budget.try_retry(now),
         }
     }
 
     /// Gives back what [`Self::may_send`] took.
     fn refund_send(&self) {
         if self.sends > 0 {
-            let traffic = self.state.traffic(&self.request.service);
-            traffic.budget.refund(self.state.clock.now());
+            self.traffic.budget.refund(self.state.clock.now());
         }
     }
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -24,7 +24,7 @@
     percent: i64,
     /// The credit, in hundredths of a unit.
     credit: AtomicI64,
-    limit: AtomicI64,
+    limit: i64,
 }
 
 impl WorkBudget {
@@ -35,45 +35,17 @@
         WorkBudget {
             percent: i64::from(percent),
             credit: AtomicI64::new(limit),
-            limit: AtomicI64::new(limit),
+            limit,
         }
     }
 
-    /// Changes the most units that the budget holds.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use skylarkshed_policy::WorkBudget;
-    ///
-    /// let budget = WorkBudget::new(5, 10);
-    /// budget.set_reserve(2);
-    /// assert!(!budget.try_spend(3));
-    /// ```
-    pub fn set_reserve(&self, reserve: u32) {
-        let limit = i64::from(reserve) * PARTS;
-        let before = self.limit.swap(limit, Ordering::Relaxed);
-        if before == limit {
-            return;
-        }
-        let _ = self
-            .credit
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                Some((credit + (limit - before).max(0)).min(limit))
-            });
-    }
-
-    fn limit(&self) -> i64 {
-        self.limit.load(Ordering::Relaxed)
-    }
-
     /// Adds the share of useful work.
     pub fn earn(&self, units: u64) {
         let earned = i64::try_from(units).unwrap_or(i64::MAX / PARTS) * self.percent;
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                Some((credit + earned).min(self.limit()))
+                Some((credit + earned).min(self.limit))
             });
     }
 
@@ -85,7 +57,7 @@
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                Some(credit.saturating_add(returned).min(self.limit()))
+                Some(credit.saturating_add(returned).min(self.limit))
             });
     }
 
--- a/crates/policy/src/news_route.rs
+++ b/crates/policy/src/news_route.rs
@@ -72,7 +72,7 @@
 /// use skylarkshed_core::ClockTime;
 /// use skylarkshed_policy::{NewsPlace, NewsRoute};
 ///
-/// let mut route = NewsRoute::new("vm-1".into(), "chag".into());
+/// let route = NewsRoute::new("vm-1".into(), "chag".into());
 /// assert_eq!(route.places(ClockTime::ZERO), vec![NewsPlace::Store]);
 /// ```
 #[derive(Clone, Debug)]
@@ -107,7 +107,7 @@
     pub fn set_vms(&mut self, vms: &[VmEntry]) {
         let in_zone = vms.iter().filter(|vm| vm.zone == self.zone);
         let mut others: Vec<&VmEntry> = in_zone.filter(|vm| vm.name != self.own).collect();
-        let rank = |name: &VmName| Reverse(hash_rank((&self.zone, name)));
+        let rank = |name: &VmName| Reverse(carrier_rank(&self.zone, name));
         others.sort_by_key(|vm| rank(&vm.name));
         let own_rank = rank(&self.own);
         self.own_place = others.partition_point(|vm| rank(&vm.name) < own_rank);
@@ -127,7 +127,7 @@
             .max_by_key(|zone| zone_rank(zone));
         let zone = zone.filter(|zone| **zone != self.zone)?;
         let in_zone = vms.iter().filter(|vm| vm.zone == *zone);
-        let carrier = in_zone.max_by_key(|vm| hash_rank((zone, &vm.name)));
+        let carrier = in_zone.max_by_key(|vm| carrier_rank(zone, &vm.name));
         carrier.map(|vm| vm.address)
     }
 
@@ -196,3 +196,8 @@
         places
     }
 }
+
+/// Returns the rank of a VM in its zone; the highest is the zone's carrier.
+fn carrier_rank(zone: &ZoneName, vm: &VmName) -> u64 {
+    hash_rank((zone, vm))
+}
--- a/crates/policy/tests/gateway/news.rs
+++ b/crates/policy/tests/gateway/news.rs
@@ -122,6 +122,14 @@
     }
 }
 
+fn vms_of_three_zones(count: u16) -> Vec<VmEntry> {
+    let vm = |number| {
+        let zone = format!("zone-{}", number % 3);
+        vm(&format!("vm-{number}"), &zone, number)
+    };
+    (0..count).map(vm).collect()
+}
+
 fn routes(vms: &[VmEntry]) -> Vec<NewsRoute> {
     let route = |vm: &VmEntry| {
         let mut route = NewsRoute::new(vm.name.clone(), vm.zone.clone());
@@ -133,17 +141,9 @@
 
 #[test]
 fn one_vm_of_the_fleet_asks_the_store_first() {
-    let vms: Vec<VmEntry> = (0..30)
-        .map(|number| {
-            vm(
-                &format!("vm-{number}"),
-                &format!("zone-{}", number % 3),
-                number,
-            )
-        })
-        .collect();
-    let mut routes = routes(&vms);
-    let first = routes.iter_mut().map(|route| route.places(NOW)[0]);
+    let vms = vms_of_three_zones(30);
+    let routes = routes(&vms);
+    let first = routes.iter().map(|route| route.places(NOW)[0]);
     assert_eq!(first.filter(|place| *place == NewsPlace::Store).count(), 1);
 }
 
@@ -151,15 +151,7 @@
 /// others still ask that one.
 #[test]
 fn a_zone_that_is_cut_off_has_one_vm_at_the_store() {
-    let vms: Vec<VmEntry> = (0..30)
-        .map(|number| {
-            vm(
-                &format!("vm-{number}"),
-                &format!("zone-{}", number % 3),
-                number,
-            )
-        })
-        .collect();
+    let vms = vms_of_three_zones(30);
     let zones = ["zone-0", "zone-1", "zone-2"];
     for zone in zones {
         let mut at_store = 0;
@@ -218,15 +210,7 @@
 /// would call it a thousand times.
 #[test]
 fn a_store_that_is_down_is_left_to_the_carriers() {
-    let vms: Vec<VmEntry> = (0..60)
-        .map(|number| {
-            vm(
-                &format!("vm-{number}"),
-                &format!("zone-{}", number % 3),
-                number,
-            )
-        })
-        .collect();
+    let vms = vms_of_three_zones(60);
     let mut calls = 0;
     for mut route in routes(&vms) {
         let before = calls;
