--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -7,7 +7,7 @@
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
 use skylarkshed_peer::{PeerClient, PeerKey};
-use skylarkshed_policy::{LatencyEstimator, RetryBudget};
+use skylarkshed_policy::{LatencyEstimator, RetryBudget, TableServer};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,6 +32,7 @@
     pub(crate) config: ConfigState,
     pub(crate) upstreams: UpstreamDirectory,
     pub(crate) feed_caches: FeedCaches,
+    pub(crate) table_server: Mutex<TableServer>,
     pub(crate) roster: VmRoster,
     pub(crate) rollouts: RolloutManager,
     pub(crate) peers: PeerClient,
@@ -46,6 +47,7 @@
         let clock = MonotonicClock::start();
         GatewayState {
             feed_caches: FeedCaches::new(),
+            table_server: Mutex::new(TableServer::new(settings.transfer_rate)),
             roster: VmRoster::default(),
             rollouts: RolloutManager::default(),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,7 +40,7 @@
 pub use log_writer::{start_logging, LogError};
 pub use platform_api::{
     ControlUpdate, FeedSource, HeadError, KvCacheCopy, RequestHead, ResponseHead, RolloutSnapshot,
-    RolloutStatus, RoutingStore, SendOptions, StoreError, UpstreamUpdate, WireProtocol,
+    RolloutStatus, RoutingStore, SendOptions, StoreError, UpstreamUpdate, VmUpdate, WireProtocol,
 };
 pub use run::{run_gateway, GatewayError};
 pub use settings::{GatewayListen, GatewaySettings, GatewayTimes};
--- a/crates/gateway/src/peers/feed_caches.rs
+++ b/crates/gateway/src/peers/feed_caches.rs
@@ -1,9 +1,12 @@
 //! Caches of the store's tables, from which other VMs are served.
 
+use bytes::Bytes;
 use skylarkshed_core::ClockTime;
+use skylarkshed_peer::wire::FeedRowWire;
+use skylarkshed_peer::{pack_rows, PeerError};
 use skylarkshed_policy::{FeedBatch, FeedCache, FeedError, FeedRow};
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
 /// The part of a cached table that another VM requested.
@@ -16,9 +19,18 @@
     pub(crate) confirmations: u64,
 }
 
+/// The most recently compressed part of a table.
+struct PackedChanges {
+    after: Option<u64>,
+    revision: u64,
+    rows: Bytes,
+}
+
 /// The caches of all tables, by source name.
 pub(crate) struct FeedCaches {
     caches: Mutex<HashMap<&'static str, FeedCache>>,
+    /// The VMs of a zone request the same part of a table at the same time.
+    packed: Mutex<HashMap<String, PackedChanges>>,
     changed: watch::Sender<()>,
 }
 
@@ -27,6 +39,7 @@
         let (changed, _) = watch::channel(());
         FeedCaches {
             caches: Mutex::default(),
+            packed: Mutex::default(),
             changed,
         }
     }
@@ -50,7 +63,8 @@
     }
 
     /// Waits, up to `wait`, for changes after a revision or a new freshness
-    /// confirmation. Without a revision it returns the whole table immediately.
+    /// confirmation. Without a revision it returns the whole table as soon as it is
+    /// known.
     pub(crate) async fn wait(
         &self,
         source: &str,
@@ -62,16 +76,53 @@
         let deadline = tokio::time::Instant::now() + wait.to_duration();
         loop {
             changed.borrow_and_update();
-            let changes = self.changes_after(source, after)?;
-            let has_changes =
-                !changes.rows.is_empty() || changes.confirmations != known_confirmations;
+            let changes = self.changes_after(source, after);
+            let is_ready = match &changes {
+                Ok(_) if after.is_none() => true,
+                Ok(changes) => {
+                    !changes.rows.is_empty() || changes.confirmations != known_confirmations
+                }
+                Err(FeedError::Unknown) => after.is_some(),
+                Err(FeedError::HistoryLost) => true,
+            };
             let changing = tokio::time::timeout_at(deadline, changed.changed());
-            if has_changes || after.is_none() || changing.await.is_err() {
-                return Ok(changes);
+            if is_ready || changing.await.is_err() {
+                return changes;
             }
         }
     }
 
+    /// Returns the compressed rows of changes.
+    ///
+    /// The lock is held during the compression, so that VMs that request the same
+    /// changes wait for the first one's result.
+    pub(crate) fn pack(
+        &self,
+        source: &str,
+        after: Option<u64>,
+        changes: &FeedChanges,
+    ) -> Result<Bytes, PeerError> {
+        let mut packed = self.lock_packed();
+        let last = packed.get(source);
+        let last = last.filter(|last| last.after == after && last.revision == changes.revision);
+        if let Some(last) = last {
+            return Ok(last.rows.clone());
+        }
+        let rows = pack_rows(changes.rows.iter().map(to_wire).collect())?;
+        let changes = PackedChanges {
+            after,
+            revision: changes.revision,
+            rows: rows.clone(),
+        };
+        packed.insert(source.to_owned(), changes);
+        Ok(rows)
+    }
+
+    fn lock_packed(&self) -> MutexGuard<'_, HashMap<String, PackedChanges>> {
+        // Insertions can't leave the map inconsistent, so a poisoned lock is usable.
+        self.packed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn changes_after(&self, source: &str, after: Option<u64>) -> Result<FeedChanges, FeedError> {
         let caches = self.caches.lock().unwrap_or_else(PoisonError::into_inner);
         let cache = caches.get(source).ok_or(FeedError::Unknown)?;
@@ -83,3 +134,12 @@
         })
     }
 }
+
+/// Converts a row to its form in messages between VMs.
+pub(super) fn to_wire(row: &FeedRow) -> FeedRowWire {
+    FeedRowWire {
+        key: row.key.to_string(),
+        revision: row.revision,
+        value: row.value.as_ref().map(|value| value.to_vec()),
+    }
+}
--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -1,62 +1,95 @@
 //! Reads a table from the relay (the VM that reads the store for its zone or for
 //! all), from the store, or from any other VM that has it.
 
-use super::peer_feed::query_peer;
+use super::peer_feed::{query_peer, PeerQuery};
 use crate::counters;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{FeedSource, StoreError};
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{FeedBatch, FeedEndpoint, FeedRoute};
+use skylarkshed_policy::{FeedBatch, FeedEndpoint, FeedRoute, VmEntry};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// A peer whose rows were last confirmed longer ago than this has lost access to the
-/// store itself. Accepting its rows would let VMs without access to the store pass
-/// rows around and hide that the store is unavailable.
-const MAX_PEER_ROW_AGE: ClockTime = ClockTime::from_millis(1_600);
+/// The time that rows may spend on the way from a relay. Rows are as old as the watch
+/// that returned them, and get older during the next one. A peer with even older rows
+/// has lost access to the store itself. Accepting its rows would let VMs without
+/// access to the store pass rows around and hide that the store is unavailable.
+const MAX_RELAY_DELAY: ClockTime = ClockTime::from_millis(200);
+/// The number of endpoints that are asked for a whole table in one round.
+const MAX_TABLE_ENDPOINTS: usize = 8;
+/// The number of VMs that are asked instead of a busy one.
+const MAX_ALTERNATIVES: usize = 2;
+
+/// How long the endpoints of a feed wait for changes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FeedWaits {
+    /// At the store.
+    pub(crate) store: ClockTime,
+    /// At another VM.
+    pub(crate) peer: ClockTime,
+}
 
 /// Reads one table from the endpoints of its route, in order.
 pub(crate) struct FeedReader<S> {
     state: Arc<GatewayState>,
     source: S,
+    waits: FeedWaits,
     route: FeedRoute,
+    /// The list of VMs that `route` was made from.
+    vms: Arc<Vec<VmEntry>>,
     /// The peer last read from, and its number of freshness confirmations.
     confirmations: Option<(SocketAddr, u64)>,
+    /// The endpoint that no longer has the requested changes; its table is the newest.
+    history_lost_at: Option<FeedEndpoint>,
 }
 
 impl<S: FeedSource> FeedReader<S> {
-    pub(crate) fn new(state: Arc<GatewayState>, source: S) -> Self {
+    pub(crate) fn new(state: Arc<GatewayState>, source: S, waits: FeedWaits) -> Self {
         let settings = &state.settings;
-        let route = FeedRoute::new(settings.name.clone(), settings.zone.clone());
+        let own = settings.listen.seed;
+        let is_own = |seed: &SocketAddr| Some(*seed) == own;
+        let is_seed = settings.seeds.iter().any(is_own);
+        let others = settings.seeds.iter().filter(|seed| !is_own(seed));
+        let route = FeedRoute::new(settings.name.clone(), settings.zone.clone())
+            .with_seeds(others.copied().collect(), is_seed);
         FeedReader {
             state,
             source,
+            waits,
             route,
+            vms: Arc::default(),
             confirmations: None,
+            history_lost_at: None,
         }
     }
 
     /// Returns the changes after a revision, or the whole table if `after` is none.
-    pub(crate) async fn next(
-        &mut self,
-        after: Option<u64>,
-        wait: ClockTime,
-    ) -> Result<FeedBatch, StoreError> {
-        self.route.set_vms(&self.state.roster.vms());
-        let now = self.state.clock.now();
-        let endpoints = match after {
-            None => self.route.snapshot_endpoints(now),
-            Some(_) => self.route.endpoints(now),
-        };
+    pub(crate) async fn next(&mut self, after: Option<u64>) -> Result<FeedBatch, StoreError> {
+        let vms = self.state.roster.vms();
+        if !Arc::ptr_eq(&vms, &self.vms) {
+            self.route.set_vms(&vms);
+            self.vms = vms;
+        }
+        match after {
+            Some(after) => self.read_changes(after).await,
+            None => self.read_table().await,
+        }
+    }
+
+    async fn read_changes(&mut self, after: u64) -> Result<FeedBatch, StoreError> {
+        let endpoints = self.route.endpoints(self.state.clock.now());
         let mut last_error = None;
         for endpoint in endpoints {
-            let result = match endpoint {
-                FeedEndpoint::Store => self.query_store(after, wait).await,
-                FeedEndpoint::Peer(peer) => self.query_peer(peer, after).await,
-            };
-            match result {
+            let is_store = endpoint == FeedEndpoint::Store;
+            // A peer that was asked before may have told to leave the store alone.
+            if is_store && !self.route.may_ask_store(self.state.clock.now()) {
+                continue;
+            }
+            match self.query(endpoint, Some(after)).await {
                 Ok(batch) => return Ok(batch),
-                Err(StoreError::HistoryLost) if endpoint == FeedEndpoint::Store => {
+                Err(StoreError::HistoryLost) if is_store => {
+                    self.history_lost_at = Some(endpoint);
                     return Err(StoreError::HistoryLost);
                 }
                 // A peer that read the table later than this VM lacks older changes
@@ -65,25 +98,67 @@
                 Err(error) => {
                     log::debug!(source = S::NAME, place:? = endpoint; "can't read the feed: {error}");
                     if !matches!(last_error, Some(StoreError::HistoryLost)) {
+                        if matches!(error, StoreError::HistoryLost) {
+                            self.history_lost_at = Some(endpoint);
+                        }
                         last_error = Some(error);
                     }
                 }
             }
         }
         self.route.mark_all_failed(self.state.clock.now());
-        Err(last_error
-            .unwrap_or_else(|| StoreError::Unreachable("no endpoint to read from".to_owned())))
+        Err(last_error.unwrap_or_else(no_endpoint))
     }
 
-    async fn query_store(
+    /// Reads the whole table. A busy VM names others, which are asked next.
+    async fn read_table(&mut self) -> Result<FeedBatch, StoreError> {
+        let now = self.state.clock.now();
+        let newest = self.history_lost_at.take();
+        let endpoints = self.route.table_endpoints(now, rand::random());
+        let mut endpoints: VecDeque<FeedEndpoint> = newest.into_iter().chain(endpoints).collect();
+        let mut asked = Vec::new();
+        let mut last_error = None;
+        while let Some(endpoint) = endpoints.pop_front() {
+            if asked.contains(&endpoint) || asked.len() == MAX_TABLE_ENDPOINTS {
+                continue;
+            }
+            asked.push(endpoint);
+            match self.query(endpoint, None).await {
+                Ok(batch) => {
+                    self.route.mark_table_read();
+                    return Ok(batch);
+                }
+                Err(StoreError::Busy(others)) => {
+                    let others = others.iter().take(MAX_ALTERNATIVES);
+                    others.for_each(|other| endpoints.push_front(FeedEndpoint::Peer(*other)));
+                    last_error = Some(StoreError::Busy(Vec::new()));
+                }
+                Err(error) => {
+                    log::debug!(source = S::NAME, place:? = endpoint; "can't read the table: {error}");
+                    last_error = Some(error);
+                }
+            }
+        }
+        self.route.mark_table_failed();
+        Err(last_error.unwrap_or_else(no_endpoint))
+    }
+
+    async fn query(
         &mut self,
+        endpoint: FeedEndpoint,
         after: Option<u64>,
-        wait: ClockTime,
     ) -> Result<FeedBatch, StoreError> {
+        match endpoint {
+            FeedEndpoint::Store => self.query_store(after).await,
+            FeedEndpoint::Peer(peer) => self.query_peer(peer, after).await,
+        }
+    }
+
+    async fn query_store(&mut self, after: Option<u64>) -> Result<FeedBatch, StoreError> {
         let requested = self.state.config.now();
         let batch = match after {
             None => self.source.read().await,
-            Some(after) => self.source.watch(after, wait).await,
+            Some(after) => self.source.watch(after, self.waits.store).await,
         };
         // The store does not report how long it held the response, so the rows may be
         // as old as the request.
@@ -104,14 +179,23 @@
         after: Option<u64>,
     ) -> Result<FeedBatch, StoreError> {
         let confirmations = self.confirmations.filter(|(owner, _)| *owner == peer);
-        let confirmations = confirmations.map_or(0, |(_, confirmations)| confirmations);
-        let batch = query_peer(&self.state, peer, S::NAME, after, confirmations).await;
+        let query = PeerQuery {
+            source: S::NAME,
+            after,
+            confirmations: confirmations.map_or(0, |(_, confirmations)| confirmations),
+            // A seed that starts with all others reads the store itself.
+            wait: match after.is_none() && self.route.is_seed() {
+                true => ClockTime::ZERO,
+                false => self.waits.peer,
+            },
+        };
+        let batch = query_peer(&self.state, peer, query).await;
+        let max_age = self.waits.store + self.waits.store + MAX_RELAY_DELAY;
         let batch = batch.and_then(|(batch, confirmations)| {
             self.confirmations = Some((peer, confirmations));
-            match batch.age > MAX_PEER_ROW_AGE {
-                true => Err(StoreError::Unreachable(format!(
-                    "{peer}: its rows are outdated"
-                ))),
+            // A VM that starts takes what there is; the rows' age is known.
+            match after.is_some() && batch.age > max_age {
+                true => Err(StoreError::Outdated(peer)),
                 false => Ok(batch),
             }
         });
@@ -119,14 +203,26 @@
             .as_ref()
             .map_or_else(StoreError::label, |_| "answered");
         counters::count_peer_call(S::NAME, outcome);
+        self.record_peer(peer, after, batch.as_ref().err());
+        batch
+    }
+
+    fn record_peer(&mut self, peer: SocketAddr, after: Option<u64>, error: Option<&StoreError>) {
         let now = self.state.clock.now();
-        match &batch {
-            Ok(_) => self.route.mark_healthy(peer),
-            Err(StoreError::NotKnownYet(_) | StoreError::HistoryLost) => {
-                self.route.mark_starting(peer, now);
+        match error {
+            None => self.route.mark_healthy(peer),
+            Some(StoreError::NotKnownYet(_) | StoreError::HistoryLost | StoreError::Busy(_)) => {
+                self.route.mark_starting(peer, now)
             }
-            Err(_) => self.route.mark_failed(peer, now),
+            Some(StoreError::Outdated(_)) => self.route.mark_outdated(peer, now),
+            // While the whole fleet starts, a VM that refuses connections will soon
+            // accept them.
+            Some(_) if after.is_none() => self.route.mark_starting(peer, now),
+            Some(_) => self.route.mark_failed(peer, now),
         }
-        batch
     }
 }
+
+fn no_endpoint() -> StoreError {
+    StoreError::Unreachable("no endpoint to read from".to_owned())
+}
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,6 +6,6 @@
 mod roster;
 
 pub(crate) use feed_caches::FeedCaches;
-pub(crate) use feed_reader::FeedReader;
-pub(crate) use peer_feed::FeedHandler;
-pub(crate) use roster::{maintain_roster, VmRoster};
+pub(crate) use feed_reader::{FeedReader, FeedWaits};
+pub(crate) use peer_feed::{FeedHandler, REPLY_TIMEOUT};
+pub(crate) use roster::{announce_vm, VmRoster};
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -1,19 +1,25 @@
 //! Requests feeds from other VMs and serves their requests.
 
+use super::feed_caches::{to_wire, FeedChanges};
 use crate::gateway_state::GatewayState;
 use crate::platform_api::StoreError;
+use bytes::Bytes;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, PeerBody};
-use skylarkshed_peer::PeerHandler;
+use skylarkshed_peer::{unpack_rows, PeerError, PeerHandler};
 use skylarkshed_policy::{FeedBatch, FeedError, FeedRow};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 /// How long a VM waits for changes or a newer freshness confirmation before it
 /// replies. It is longer than the relay's own watch on the store lasts.
-const REPLY_TIMEOUT: ClockTime = ClockTime::from_millis(900);
+pub(crate) const REPLY_TIMEOUT: ClockTime = ClockTime::from_millis(900);
+/// The longest wait that another VM may request.
+const MAX_REPLY_TIMEOUT: ClockTime = ClockTime::from_millis(10_000);
 /// The time for the round trip within a zone, and for a slow VM.
 const MAX_TRANSIT: ClockTime = ClockTime::from_millis(300);
+/// Fewer bytes are sent uncompressed; they fit in one packet.
+const MIN_PACKED_BYTES: usize = 1_200;
 
 /// Handles the requests of other VMs.
 #[derive(Clone)]
@@ -33,20 +39,32 @@
 }
 
 async fn serve_feed(state: &GatewayState, request: &FeedRequest) -> FeedReply {
-    let wait = ClockTime::from_millis(request.wait_ms).min(REPLY_TIMEOUT);
+    let wait = ClockTime::from_millis(request.wait_ms).min(MAX_REPLY_TIMEOUT);
     let received = state.config.now();
     let changes = state
         .feed_caches
         .wait(&request.source, request.after, request.proof, wait);
     match changes.await {
-        Ok(changes) => FeedReply {
-            outcome: FeedOutcome::Rows.into(),
-            rows: changes.rows.into_iter().map(to_wire).collect(),
-            revision: changes.revision,
-            age_ms: state.config.now().since(changes.fresh_at).as_millis(),
-            proof: changes.confirmations,
-            held_ms: state.config.now().since(received).as_millis(),
-        },
+        Ok(changes) => {
+            let (rows, packed_rows) = encode_rows(state, request, &changes);
+            if let Err(others) = admit_table(state, request, &changes, &packed_rows) {
+                return FeedReply {
+                    outcome: FeedOutcome::Busy.into(),
+                    alternatives: others.iter().map(SocketAddr::to_string).collect(),
+                    ..FeedReply::default()
+                };
+            }
+            FeedReply {
+                outcome: FeedOutcome::Rows.into(),
+                rows,
+                packed_rows,
+                revision: changes.revision,
+                age_ms: state.config.now().since(changes.fresh_at).as_millis(),
+                proof: changes.confirmations,
+                held_ms: state.config.now().since(received).as_millis(),
+                alternatives: Vec::new(),
+            }
+        }
         Err(error) => FeedReply {
             outcome: match error {
                 FeedError::Unknown => FeedOutcome::Unknown,
@@ -58,6 +76,67 @@
     }
 }
 
+/// Admits the transfer if a whole table is requested.
+fn admit_table(
+    state: &GatewayState,
+    request: &FeedRequest,
+    changes: &FeedChanges,
+    packed_rows: &Bytes,
+) -> Result<(), Vec<SocketAddr>> {
+    if request.after.is_some() {
+        return Ok(());
+    }
+    let bytes = match packed_rows.len() {
+        0 => value_bytes(&changes.rows),
+        packed => packed,
+    };
+    // A VM without an address for others can't be named to them.
+    let receiver = request.requester.parse().ok();
+    // The server is consistent between calls, so a poisoned lock is usable.
+    let server = state.table_server.lock();
+    let mut server = server.unwrap_or_else(PoisonError::into_inner);
+    server.admit(receiver, bytes as u64, state.clock.now(), rand::random())
+}
+
+/// Returns the rows of a reply, either as they are or compressed.
+fn encode_rows(
+    state: &GatewayState,
+    request: &FeedRequest,
+    changes: &FeedChanges,
+) -> (Vec<FeedRowWire>, Bytes) {
+    let plain = || changes.rows.iter().map(to_wire).collect();
+    if !request.accepts_packed || value_bytes(&changes.rows) < MIN_PACKED_BYTES {
+        return (plain(), Bytes::new());
+    }
+    match state
+        .feed_caches
+        .pack(&request.source, request.after, changes)
+    {
+        Ok(packed) => (Vec::new(), packed),
+        Err(error) => {
+            log::warn!(source = request.source.as_str(); "can't compress rows, sending them as they are: {error}");
+            (plain(), Bytes::new())
+        }
+    }
+}
+
+fn value_bytes(rows: &[FeedRow]) -> usize {
+    let values = rows.iter().filter_map(|row| row.value.as_ref());
+    values.map(Bytes::len).sum()
+}
+
+/// A request for a part of a table.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerQuery {
+    pub(super) source: &'static str,
+    /// The known revision; without one, the whole table is requested.
+    pub(super) after: Option<u64>,
+    /// The number of freshness confirmations in the VM's last reply.
+    pub(super) confirmations: u64,
+    /// How long the VM waits for changes.
+    pub(super) wait: ClockTime,
+}
+
 /// Requests the rows of a source from a VM; returns them with its number of
 /// freshness confirmations.
 ///
@@ -66,18 +145,18 @@
 pub(super) async fn query_peer(
     state: &GatewayState,
     to: SocketAddr,
-    source: &str,
-    after: Option<u64>,
-    confirmations: u64,
+    query: PeerQuery,
 ) -> Result<(FeedBatch, u64), StoreError> {
     let request = FeedRequest {
-        source: source.to_owned(),
-        after,
-        proof: confirmations,
-        wait_ms: REPLY_TIMEOUT.as_millis(),
+        source: query.source.to_owned(),
+        after: query.after,
+        proof: query.confirmations,
+        wait_ms: query.wait.as_millis(),
+        accepts_packed: true,
+        requester: state.settings.listen.peers.to_string(),
     };
     let sent_at = state.config.now();
-    let timeout = REPLY_TIMEOUT + MAX_TRANSIT;
+    let timeout = query.wait + MAX_TRANSIT;
     let reply = state
         .peers
         .request(to, PeerBody::RequestFeed(request), timeout)
@@ -92,30 +171,33 @@
             let transit = round_trip.since(ClockTime::from_millis(reply.held_ms));
             let age = ClockTime::from_millis(reply.age_ms) + transit;
             let confirmations = reply.proof;
-            Ok((to_batch(reply, age), confirmations))
+            let batch = to_batch(reply, age);
+            let batch = batch.map_err(|error| StoreError::Unreadable(format!("{to}: {error}")))?;
+            Ok((batch, confirmations))
         }
         FeedOutcome::HistoryLost => Err(StoreError::HistoryLost),
+        FeedOutcome::Busy => {
+            let others = reply.alternatives.iter();
+            let others = others.filter_map(|address| address.parse().ok());
+            Err(StoreError::Busy(others.collect()))
+        }
         FeedOutcome::Unknown => Err(StoreError::NotKnownYet(to)),
     }
 }
 
-fn to_batch(reply: FeedReply, age: ClockTime) -> FeedBatch {
-    let rows = reply.rows.into_iter().map(|row| FeedRow {
+fn to_batch(reply: FeedReply, age: ClockTime) -> Result<FeedBatch, PeerError> {
+    let rows = match reply.packed_rows.is_empty() {
+        true => reply.rows,
+        false => unpack_rows(&reply.packed_rows)?,
+    };
+    let rows = rows.into_iter().map(|row| FeedRow {
         key: row.key.into(),
         revision: row.revision,
         value: row.value.map(Into::into),
     });
-    FeedBatch {
+    Ok(FeedBatch {
         rows: rows.collect(),
         revision: reply.revision,
         age,
-    }
-}
-
-fn to_wire(row: FeedRow) -> FeedRowWire {
-    FeedRowWire {
-        key: row.key.to_string(),
-        revision: row.revision,
-        value: row.value.map(|value| value.to_vec()),
-    }
+    })
 }
--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -1,29 +1,45 @@
-//! The list of VMs, read from the store.
+//! The list of VMs, as read from the store, and this VM's entry in it.
 
 use crate::gateway_state::GatewayState;
 use crate::jitter::add_jitter;
-use crate::platform_api::RoutingStore;
+use crate::platform_api::{RoutingStore, VmUpdate};
 use arc_swap::ArcSwap;
-use skylarkshed_core::ClockTime;
+use skylarkshed_core::{ClockTime, VmName};
 use skylarkshed_policy::VmEntry;
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::watch;
 
-/// How often the list of VMs is read. A VM that is not listed yet gets no feed
-/// requests; one that has stopped is detected when a request to it fails.
-const READ_INTERVAL: ClockTime = ClockTime::from_millis(30_000);
-/// A list that has changed is read again soon, as VMs that start together announce
-/// themselves within a second.
-const CHANGED_READ_INTERVAL: ClockTime = ClockTime::from_millis(1_000);
+/// How often a VM compares its entry with what it should be.
+const CHECK_INTERVAL: ClockTime = ClockTime::from_millis(2_000);
 /// How often a VM renews its entry.
-const ANNOUNCE_INTERVAL: ClockTime = ClockTime::from_millis(60_000);
-/// An older entry belongs to a VM that was replaced. The time covers three
-/// announcements and a clock that jumped by a minute.
-const ENTRY_TTL: ClockTime = ClockTime::from_millis(240_000);
+const RENEWAL_INTERVAL: ClockTime = ClockTime::from_millis(300_000);
+/// An older entry belongs to a VM that was removed. The time covers three renewals
+/// and a clock that jumped by minutes.
+const ENTRY_TTL: ClockTime = ClockTime::from_millis(1_200_000);
+/// The time in which a written entry comes back in the list, through a relay.
+const WRITE_DELAY: ClockTime = ClockTime::from_millis(8_000);
+/// How long a VM that starts waits for the list, which may contain its entry.
+const LIST_TIMEOUT: ClockTime = ClockTime::from_millis(2_000);
+/// VMs that start together for the first time write their entries over this time, so
+/// that the store accepts all of them.
+const FIRST_WRITE_SPREAD_MS: u64 = 1_000;
 
 /// The VMs that announced themselves.
-#[derive(Default)]
 pub(crate) struct VmRoster {
+    entries: Mutex<BTreeMap<VmName, VmEntry>>,
     vms: ArcSwap<Vec<VmEntry>>,
+    is_read: watch::Sender<bool>,
+}
+
+impl Default for VmRoster {
+    fn default() -> Self {
+        VmRoster {
+            entries: Mutex::default(),
+            vms: ArcSwap::default(),
+            is_read: watch::channel(false).0,
+        }
+    }
 }
 
 impl VmRoster {
@@ -36,60 +52,93 @@
         let count = self.vms.load().len();
         (count > 0).then_some(count)
     }
+
+    /// Waits until the list was read for the first time, but not forever.
+    pub(crate) async fn wait_until_read(&self) {
+        let mut is_read = self.is_read.subscribe();
+        let reading = is_read.wait_for(|is_read| *is_read);
+        // Without the list, the VM asks the seeds and the store.
+        let _ = tokio::time::timeout(LIST_TIMEOUT.to_duration(), reading).await;
+    }
+
+    /// Applies changes, which are the whole list if `is_complete`; reports whether the
+    /// list is different now.
+    pub(crate) fn apply(&self, updates: Vec<VmUpdate>, is_complete: bool) -> bool {
+        // The map is consistent between changes, so a poisoned lock is usable.
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if is_complete {
+            entries.clear();
+        }
+        for update in updates {
+            match update {
+                VmUpdate::Updated(vm) => {
+                    entries.insert(vm.name.clone(), vm);
+                }
+                VmUpdate::Removed(name) => {
+                    entries.remove(&name);
+                }
+                VmUpdate::Unreadable { name, problem } => {
+                    log::warn!(row:% = name; "can't parse the entry of a VM: {problem}");
+                    entries.remove(&name);
+                }
+            }
+        }
+        let now = ClockTime::wall_clock_now();
+        let is_live = |vm: &&VmEntry| now.since(vm.announced_at) < ENTRY_TTL;
+        let live: Vec<VmEntry> = entries.values().filter(is_live).cloned().collect();
+        drop(entries);
+        let is_changed = *self.vms.load_full() != live;
+        if is_changed {
+            log::info!(vms = live.len(); "list of VMs changed");
+            self.vms.store(Arc::new(live));
+        }
+        self.is_read.send_replace(true);
+        is_changed
+    }
 }
 
-/// Announces this VM and reads the list of VMs periodically.
-pub(crate) async fn maintain_roster<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
-    let mut announced: Option<ClockTime> = None;
-    loop {
+/// Keeps this VM's entry in the store until the process drains.
+pub(crate) async fn announce_vm<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
+    state.roster.wait_until_read().await;
+    if needs_entry(&state) {
+        let delay_ms = rand::random_range(0..FIRST_WRITE_SPREAD_MS);
+        tokio::time::sleep(ClockTime::from_millis(delay_ms).to_duration()).await;
+    }
+    let mut written_at: Option<ClockTime> = None;
+    while state.leaving_for().is_none() {
         let now = state.clock.now();
-        let is_due = announced.is_none_or(|at| now.since(at) >= ANNOUNCE_INTERVAL);
-        if is_due && state.leaving_for().is_none() {
+        let is_pending = written_at.is_some_and(|at| now.since(at) < WRITE_DELAY);
+        if !is_pending && needs_entry(&state) {
             match store.announce(&own_entry(&state)).await {
-                Ok(()) => announced = Some(now),
+                Ok(()) => written_at = Some(now),
                 Err(error) => log::info!(reason = error.label(); "can't announce this VM: {error}"),
             }
         }
-        let is_settled = match store.read_vms().await {
-            Ok(vms) => !update_roster(&state, vms),
-            Err(error) => {
-                log::info!(reason = error.label(); "can't read the list of VMs: {error}");
-                state.roster.count().is_some()
-            }
-        };
-        let period = match is_settled {
-            true => READ_INTERVAL,
-            false => CHANGED_READ_INTERVAL,
-        };
-        tokio::time::sleep(add_jitter(period).to_duration()).await;
+        tokio::time::sleep(add_jitter(CHECK_INTERVAL).to_duration()).await;
     }
 }
 
+/// Reports whether this VM's entry is missing, wrong or has to be renewed.
+fn needs_entry(state: &GatewayState) -> bool {
+    let wanted = own_entry(state);
+    let vms = state.roster.vms();
+    let current = vms.iter().find(|vm| vm.name == wanted.name);
+    current.is_none_or(|current| {
+        let age = wanted.announced_at.since(current.announced_at);
+        let unchanged = VmEntry {
+            announced_at: wanted.announced_at,
+            ..current.clone()
+        };
+        age >= RENEWAL_INTERVAL || unchanged != wanted
+    })
+}
+
 fn own_entry(state: &GatewayState) -> VmEntry {
     VmEntry {
         name: state.settings.name.clone(),
         zone: state.settings.zone.clone(),
         address: state.settings.listen.peers,
         announced_at: ClockTime::wall_clock_now(),
+        capacity: state.settings.relay_capacity,
     }
 }
-
-/// Applies a list; reports whether its addresses have changed.
-fn update_roster(state: &GatewayState, vms: Vec<VmEntry>) -> bool {
-    let now = ClockTime::wall_clock_now();
-    let is_live = |vm: &VmEntry| now.since(vm.announced_at) < ENTRY_TTL;
-    let live: Vec<VmEntry> = vms.into_iter().filter(is_live).collect();
-    let before = state.roster.vms();
-    let is_changed = !before
-        .iter()
-        .map(|vm| vm.address)
-        .eq(live.iter().map(|vm| vm.address));
-    if is_changed {
-        log::info!(vms = live.len(); "list of VMs changed");
-    }
-    if *before != live {
-        state.roster.vms.store(Arc::new(live));
-        state.divide_budgets();
-    }
-    is_changed
-}
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -161,6 +161,12 @@
     /// The queried VM has not read the store yet.
     #[error("{0} has not read the store yet")]
     NotKnownYet(SocketAddr),
+    /// The queried VM has not reached the store for too long.
+    #[error("the rows of {0} are outdated")]
+    Outdated(SocketAddr),
+    /// The queried VM's link is busy; other VMs have the table as well.
+    #[error("the VM is busy and names {} others", .0.len())]
+    Busy(Vec<SocketAddr>),
     /// The response can't be parsed.
     #[error("the store's response can't be parsed: {0}")]
     Unreadable(String),
@@ -176,6 +182,8 @@
             StoreError::HistoryLost => "history_lost",
             StoreError::Conflict => "conflict",
             StoreError::NotKnownYet(_) => "not_known_yet",
+            StoreError::Outdated(_) => "outdated",
+            StoreError::Busy(_) => "busy",
             StoreError::Unreadable(_) => "unreadable",
         }
     }
@@ -217,6 +225,22 @@
     },
 }
 
+/// A change of the VMs' table.
+#[derive(Clone, Debug)]
+pub enum VmUpdate {
+    /// A VM is listed.
+    Updated(VmEntry),
+    /// A VM's entry was removed.
+    Removed(VmName),
+    /// An entry that can't be parsed.
+    Unreadable {
+        /// The VM.
+        name: VmName,
+        /// What is wrong with the entry.
+        problem: String,
+    },
+}
+
 /// A table of the store that can be read and watched.
 pub trait FeedSource: Send + 'static {
     /// The decoded form of its rows.
@@ -271,6 +295,8 @@
     type Control: FeedSource<Update = ControlUpdate>;
     /// The source of the upstreams' table.
     type Upstreams: FeedSource<Update = UpstreamUpdate>;
+    /// The source of the VMs' table.
+    type Vms: FeedSource<Update = VmUpdate>;
 
     /// Opens the operators' table.
     fn control(&self) -> Self::Control;
@@ -278,6 +304,9 @@
     /// Opens the upstreams' table.
     fn upstreams(&self) -> Self::Upstreams;
 
+    /// Opens the VMs' table.
+    fn vms(&self) -> Self::Vms;
+
     /// Writes a VM's entry.
     fn announce(&self, vm: &VmEntry) -> impl Future<Output = Result<(), StoreError>> + Send;
 
@@ -310,7 +339,4 @@
         &self,
         spec: &RolloutSpec,
     ) -> impl Future<Output = Result<Vec<Vec<u8>>, StoreError>> + Send;
-
-    /// Returns the VMs that have an entry.
-    fn read_vms(&self) -> impl Future<Output = Result<Vec<VmEntry>, StoreError>> + Send;
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,11 +2,11 @@
 
 use crate::caller::serve_callers;
 use crate::gateway_state::GatewayState;
-use crate::peers::{maintain_roster, FeedHandler};
+use crate::peers::{announce_vm, FeedHandler};
 use crate::platform_api::{RoutingStore, WireProtocol};
 use crate::settings::GatewaySettings;
 use crate::status_endpoints::{serve_metrics, serve_readiness};
-use crate::store_watch::{watch_control, watch_upstreams};
+use crate::store_watch::{watch_control, watch_upstreams, watch_vms};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::{serve_peers, PeerError, PeerKey};
@@ -75,25 +75,34 @@
     let readiness = bind(listen.readiness).await?;
     let metrics_listener = bind(listen.metrics).await?;
     let peers = bind(listen.peers).await?;
+    let seed = match listen.seed {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
     let key = PeerKey::parse(&settings.peer_key).map_err(GatewayError::Peers)?;
-    let settings = with_bound_peer_port(settings, &peers);
+    let settings = with_bound_peer_ports(settings, &peers, seed.as_ref());
     let state = Arc::new(GatewayState::new(settings, key.clone()));
     log::info!(
         vm:% = state.settings.name,
         zone:% = state.settings.zone,
         callers:% = bound_address(&callers, listen.callers),
         readiness:% = bound_address(&readiness, listen.readiness),
-        metrics:% = bound_address(&metrics_listener, listen.metrics);
+        metrics:% = bound_address(&metrics_listener, listen.metrics),
+        seed = state.settings.listen.seed.map(|seed| seed.to_string());
         "the process starts"
     );
     let (close, closing) = watch::channel(false);
     let handler = FeedHandler {
         state: state.clone(),
     };
-    tokio::spawn(serve_peers(peers, key, handler, |error| {
-        log::debug!("peer connection ended: {error}");
-    }));
-    tokio::spawn(maintain_roster(state.clone(), store.clone()));
+    for listener in std::iter::once(peers).chain(seed) {
+        let serving = serve_peers(listener, key.clone(), handler.clone(), |error| {
+            log::debug!("peer connection ended: {error}");
+        });
+        tokio::spawn(serving);
+    }
+    tokio::spawn(announce_vm(state.clone(), store.clone()));
+    tokio::spawn(watch_vms(state.clone(), store.clone()));
     tokio::spawn(watch_control(state.clone(), store.clone()));
     tokio::spawn(watch_upstreams(state.clone(), store.clone()));
     tokio::spawn(serve_callers::<P>(callers, state.clone(), closing));
@@ -111,10 +120,17 @@
     listener.map_err(|source| GatewayError::Listen { address, source })
 }
 
-/// Replaces the peer port in the settings by the bound one, which other VMs
-/// connect to.
-fn with_bound_peer_port(mut settings: GatewaySettings, peers: &TcpListener) -> GatewaySettings {
-    settings.listen.peers = bound_address(peers, settings.listen.peers);
+/// Replaces the ports for other VMs in the settings by the bound ones.
+fn with_bound_peer_ports(
+    mut settings: GatewaySettings,
+    peers: &TcpListener,
+    seed: Option<&TcpListener>,
+) -> GatewaySettings {
+    let listen = &mut settings.listen;
+    listen.peers = bound_address(peers, listen.peers);
+    listen.seed = seed
+        .zip(listen.seed)
+        .map(|(bound, wanted)| bound_address(bound, wanted));
     settings
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,8 @@
     pub metrics: SocketAddr,
     /// For other VMs.
     pub peers: SocketAddr,
+    /// For other VMs that know only the seeds' well-known addresses, if there is one.
+    pub seed: Option<SocketAddr>,
 }
 
 /// The time limits that a gateway guarantees. The `check` command prints the field
@@ -25,6 +27,8 @@
     pub revocation: ClockTime,
     /// The shutdown grace period: the time from a termination signal to the kill.
     pub grace: ClockTime,
+    /// How long a draining upstream may still get requests.
+    pub drain: ClockTime,
     /// The grace period in which upstream entries that expired while the store was
     /// unavailable may come back.
     pub lapse: ClockTime,
@@ -43,6 +47,13 @@
     pub times: GatewayTimes,
     /// The maximum number of file descriptors that the process may use.
     pub descriptors: usize,
+    /// The VM's capacity to relay, in a unit that all VMs share.
+    pub relay_capacity: u64,
+    /// The rate at which the VM may send whole tables to others, in bytes per
+    /// millisecond.
+    pub transfer_rate: u64,
+    /// The well-known addresses of some VMs; they may be outdated or down.
+    pub seeds: Vec<SocketAddr>,
     /// The limits on retries of all VMs together.
     pub retries: RetryLimits,
     /// The key with which the VMs authenticate to each other, in hexadecimal digits.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -2,8 +2,10 @@
 
 use crate::counters;
 use crate::gateway_state::GatewayState;
-use crate::peers::FeedReader;
-use crate::platform_api::{ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate};
+use crate::peers::{FeedReader, FeedWaits, REPLY_TIMEOUT};
+use crate::platform_api::{
+    ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate, VmUpdate,
+};
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use skylarkshed_policy::{UpstreamChange, UpstreamTable};
 use std::sync::Arc;
@@ -16,9 +18,16 @@
 /// configuration.
 const UPSTREAM_WATCH_TIMEOUT: ClockTime = ClockTime::from_millis(800);
 /// The delay after a change of upstreams, so that one response carries many: the
-/// engines of a zone disappear and reappear one by one within a second. The delay is
-/// acceptable because a draining upstream may get requests for 2 s.
-const UPSTREAM_BATCH_DELAY: ClockTime = ClockTime::from_millis(100);
+/// engines of a zone disappear and reappear one by one within a second. It is this
+/// part of the time for which a draining upstream may still get requests.
+const UPSTREAM_BATCH_DRAIN_PART: u64 = 20;
+/// The list of VMs confirms nothing, so watches of it last long.
+const VM_WAITS: FeedWaits = FeedWaits {
+    store: ClockTime::from_millis(20_000),
+    peer: ClockTime::from_millis(5_000),
+};
+/// VMs that start together announce themselves within seconds.
+const VM_BATCH_DELAY: ClockTime = ClockTime::from_millis(1_000);
 /// The longest delay after the first failed call, which grows with each further one.
 /// It is short because changes have to take effect within 2 s.
 const RETRY_DELAY: ClockTime = ClockTime::from_millis(150);
@@ -30,9 +39,9 @@
     type Update;
 
     /// How long a watch waits for changes.
-    const WATCH_TIMEOUT: ClockTime;
-    /// How long to wait after changes, so that more are batched.
-    const BATCH_DELAY: ClockTime;
+    const WAITS: FeedWaits;
+    /// Returns how long to wait after changes, so that more are batched.
+    fn batch_delay(&self) -> ClockTime;
 
     /// Applies updates, which are the whole table if `is_complete`; `fresh_at` is when
     /// they were last confirmed as current.
@@ -61,16 +70,24 @@
     run(&state, source, sink).await;
 }
 
+/// Keeps the list of VMs up to date.
+pub(crate) async fn watch_vms<S: RoutingStore>(state: Arc<GatewayState>, store: S) {
+    let sink = VmSink {
+        state: state.clone(),
+    };
+    run(&state, store.vms(), sink).await;
+}
+
 async fn run<S, K>(state: &Arc<GatewayState>, source: S, mut sink: K)
 where
     S: FeedSource,
     K: FeedSink<Update = S::Update>,
 {
-    let mut reader = FeedReader::new(state.clone(), source);
+    let mut reader = FeedReader::new(state.clone(), source, K::WAITS);
     let mut known_revision: Option<u64> = None;
     let mut failures = 0;
     loop {
-        match reader.next(known_revision, K::WATCH_TIMEOUT).await {
+        match reader.next(known_revision).await {
             Ok(batch) => {
                 if failures > 0 {
                     log::info!(source = S::NAME, failures; "the store is available again");
@@ -83,9 +100,13 @@
                 let updates = batch.rows.iter().map(S::decode).collect();
                 let has_updates = !batch.rows.is_empty();
                 sink.apply(updates, known_revision.is_none(), fresh_at);
+                if known_revision.is_none() {
+                    // The list of VMs tells where changes are read from.
+                    state.roster.wait_until_read().await;
+                }
                 known_revision = Some(known_revision.unwrap_or(0).max(batch.revision));
                 if has_updates {
-                    tokio::time::sleep(K::BATCH_DELAY.to_duration()).await;
+                    tokio::time::sleep(sink.batch_delay().to_duration()).await;
                 }
             }
             Err(StoreError::HistoryLost) => {
@@ -150,8 +171,14 @@
 impl<S: RoutingStore> FeedSink for ControlSink<S> {
     type Update = ControlUpdate;
 
-    const WATCH_TIMEOUT: ClockTime = CONTROL_WATCH_TIMEOUT;
-    const BATCH_DELAY: ClockTime = ClockTime::ZERO;
+    const WAITS: FeedWaits = FeedWaits {
+        store: CONTROL_WATCH_TIMEOUT,
+        peer: REPLY_TIMEOUT,
+    };
+
+    fn batch_delay(&self) -> ClockTime {
+        ClockTime::ZERO
+    }
 
     fn apply(&mut self, updates: Vec<ControlUpdate>, _is_complete: bool, fresh_at: ClockTime) {
         for update in updates {
@@ -170,8 +197,15 @@
 impl FeedSink for UpstreamSink {
     type Update = UpstreamUpdate;
 
-    const WATCH_TIMEOUT: ClockTime = UPSTREAM_WATCH_TIMEOUT;
-    const BATCH_DELAY: ClockTime = UPSTREAM_BATCH_DELAY;
+    const WAITS: FeedWaits = FeedWaits {
+        store: UPSTREAM_WATCH_TIMEOUT,
+        peer: REPLY_TIMEOUT,
+    };
+
+    fn batch_delay(&self) -> ClockTime {
+        let drain_ms = self.state.settings.times.drain.as_millis();
+        ClockTime::from_millis(drain_ms / UPSTREAM_BATCH_DRAIN_PART)
+    }
 
     fn apply(&mut self, updates: Vec<UpstreamUpdate>, is_complete: bool, _fresh_at: ClockTime) {
         let changes = self.state.upstreams.update(|table, now| {
@@ -197,6 +231,28 @@
     }
 }
 
+struct VmSink {
+    state: Arc<GatewayState>,
+}
+
+impl FeedSink for VmSink {
+    type Update = VmUpdate;
+
+    const WAITS: FeedWaits = VM_WAITS;
+
+    fn batch_delay(&self) -> ClockTime {
+        VM_BATCH_DELAY
+    }
+
+    fn apply(&mut self, updates: Vec<VmUpdate>, is_complete: bool, _fresh_at: ClockTime) {
+        if self.state.roster.apply(updates, is_complete) {
+            self.state.divide_budgets();
+        }
+    }
+
+    fn mark_unavailable(&mut self) {}
+}
+
 fn apply_changes(
     table: &mut UpstreamTable,
     updates: Vec<UpstreamUpdate>,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,8 +8,10 @@
 mod codec;
 mod connection;
 mod gossip;
+mod packing;
 pub mod wire;
 
 pub use codec::{PeerCodec, PeerError, PeerKey, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES};
 pub use connection::{serve_peers, PeerClient, PeerHandler};
 pub use gossip::{decode_gossip, encode_gossip};
+pub use packing::{pack_rows, unpack_rows};
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -2,6 +2,7 @@
 //!
 //! A field number is never reused for another field.
 
+use bytes::Bytes;
 use prost::{Enumeration, Message, Oneof};
 
 /// A message with its authentication code.
@@ -81,6 +82,12 @@
     /// How long to wait for changes or a newer confirmation, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub wait_ms: u64,
+    /// Whether the requester accepts compressed rows in the reply.
+    #[prost(bool, tag = "5")]
+    pub accepts_packed: bool,
+    /// The address on which the requester serves other VMs; empty if it serves none.
+    #[prost(string, tag = "6")]
+    pub requester: String,
 }
 
 /// A part of the change feed of a table of the platform's store.
@@ -105,6 +112,20 @@
     /// round-trip time less this is an upper bound of the reply's time in transit.
     #[prost(uint64, tag = "6")]
     pub held_ms: u64,
+    /// A compressed [`FeedRows`], in place of `rows`; empty if `rows` is used.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub packed_rows: Bytes,
+    /// Addresses of VMs that have the table, if the outcome is `Busy`.
+    #[prost(string, repeated, tag = "8")]
+    pub alternatives: Vec<String>,
+}
+
+/// The rows of a reply, to be compressed.
+#[derive(Clone, PartialEq, Message)]
+pub struct FeedRows {
+    /// The rows.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<FeedRowWire>,
 }
 
 /// A row of a table; its value is passed on unchanged.
@@ -131,6 +152,8 @@
     Rows = 1,
     /// The replying VM no longer keeps the changes after the requester's revision.
     HistoryLost = 2,
+    /// The replying VM's link is busy; other VMs have the table as well.
+    Busy = 3,
 }
 
 /// Identifies a move of a service to another version.
--- a/crates/policy/src/feed_route.rs
+++ b/crates/policy/src/feed_route.rs
@@ -14,7 +14,7 @@
 //! retried until it got a reply, the whole fleet would call the store at the
 //! moment it recovers.
 
-use crate::rendezvous::hash_rank;
+use crate::rendezvous::{hash_rank, weighted_rank};
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -35,12 +35,25 @@
 const STORE_RETRY_DELAY: ClockTime = ClockTime::from_millis(1_600);
 const STORE_RETRY_DELAY_STEP: ClockTime = ClockTime::from_millis(100);
 const MAX_DELAY_STEPS: usize = 10;
+/// The number of VMs of a zone that keep retrying a failed store; the others are told
+/// by these when it is available again.
+const RETRYING_VMS: usize = 3;
+/// The time for which the other VMs of a zone leave the store alone, unless no VM that
+/// retries it can be reached.
+const DELEGATED_RETRY_DELAY: ClockTime = ClockTime::from_millis(10_000);
 /// Distinguishes the hash that ranks the zones from the one that ranks the VMs of
 /// a zone.
 const FLEET_HASH_DOMAIN: &str = "fleet";
 /// The number of other VMs that are asked when the store fails; more would only
 /// return the same data.
 const MAX_FALLBACK_PEERS: usize = 2;
+/// The fleet relay and one deputy.
+const MAX_FLEET_RELAYS: usize = 2;
+/// The number of VMs of its zone that a VM asks for a whole table.
+const MAX_TABLE_PEERS: usize = 2;
+/// How often a VM asks other VMs for a whole table before it asks the store. When all
+/// VMs start together, the seeds need a moment to read the tables.
+const TABLE_ROUNDS_WITHOUT_STORE: u32 = 3;
 
 /// A VM of the fleet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +66,8 @@
     pub address: SocketAddr,
     /// When it last announced itself, by its own wall clock.
     pub announced_at: ClockTime,
+    /// Its capacity to relay, in any unit that all VMs share; 0 if unknown.
+    pub capacity: u64,
 }
 
 /// Where the change feed is read from.
@@ -90,11 +105,17 @@
     zone_peers: Vec<SocketAddr>,
     /// This VM's index in the ranking of its zone; 0 is the zone relay.
     own_index: usize,
-    /// The fleet relay, if this VM is the relay of another zone.
-    fleet_relay: Option<SocketAddr>,
+    /// The fleet relay and its deputies, if this VM is the relay of another zone.
+    fleet_relays: Vec<SocketAddr>,
     peer_backoffs: HashMap<SocketAddr, PeerBackoff>,
     /// When the store may be asked again.
     store_retry_at: ClockTime,
+    /// VMs at well-known addresses, which may be outdated or down.
+    seeds: Vec<SocketAddr>,
+    is_seed: bool,
+    is_listed: bool,
+    /// How often in succession no VM had a whole table.
+    failed_table_reads: u32,
 }
 
 impl FeedRoute {
@@ -105,38 +126,68 @@
             zone,
             zone_peers: Vec::new(),
             own_index: 0,
-            fleet_relay: None,
+            fleet_relays: Vec::new(),
             peer_backoffs: HashMap::new(),
             store_retry_at: ClockTime::ZERO,
+            seeds: Vec::new(),
+            is_seed: false,
+            is_listed: false,
+            failed_table_reads: 0,
         }
     }
 
+    /// Sets the well-known VMs without this one; `is_seed` tells whether this VM is
+    /// one of them.
+    pub fn with_seeds(self, seeds: Vec<SocketAddr>, is_seed: bool) -> Self {
+        FeedRoute {
+            seeds,
+            is_seed,
+            ..self
+        }
+    }
+
+    /// Reports whether this VM is at a well-known address.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed
+    }
+
     /// Replaces the list of existing VMs.
     pub fn set_vms(&mut self, vms: &[VmEntry]) {
         let in_zone = vms.iter().filter(|vm| vm.zone == self.zone);
         let mut zone_peers: Vec<&VmEntry> = in_zone.filter(|vm| vm.name != self.own).collect();
-        let rank = |name: &VmName| Reverse(relay_rank(&self.zone, name));
-        zone_peers.sort_by_key(|vm| rank(&vm.name));
-        let own_rank = rank(&self.own);
-        self.own_index = zone_peers.partition_point(|vm| rank(&vm.name) < own_rank);
+        let rank = |vm: &VmEntry| Reverse(relay_rank(vm));
+        zone_peers.sort_by_cached_key(|vm| rank(vm));
+        // A VM that is not listed yet is not a relay for others.
+        let own = vms.iter().find(|vm| vm.name == self.own);
+        self.is_listed = own.is_some();
+        self.own_index = own.map_or(zone_peers.len(), |own| {
+            let own_rank = rank(own);
+            zone_peers.partition_point(|vm| rank(vm) < own_rank)
+        });
         self.zone_peers = zone_peers.iter().map(|vm| vm.address).collect();
-        self.fleet_relay = match self.own_index {
-            0 => self.find_fleet_relay(vms),
-            _ => None,
+        self.fleet_relays = match self.own_index {
+            0 => self.find_fleet_relays(vms),
+            _ => Vec::new(),
         };
     }
 
-    /// Returns the relay of the highest-ranked zone, unless that is this VM's zone.
-    fn find_fleet_relay(&self, vms: &[VmEntry]) -> Option<SocketAddr> {
+    /// Returns the relay of the highest-ranked zone and its deputies, unless that is
+    /// this VM's zone.
+    ///
+    /// A deputy reads the store itself when the relay has lost access to it.
+    fn find_fleet_relays(&self, vms: &[VmEntry]) -> Vec<SocketAddr> {
         let zone_rank = |zone: &ZoneName| hash_rank((FLEET_HASH_DOMAIN, zone));
         let zone = vms
             .iter()
             .map(|vm| &vm.zone)
             .max_by_key(|zone| zone_rank(zone));
-        let zone = zone.filter(|zone| **zone != self.zone)?;
-        let in_zone = vms.iter().filter(|vm| vm.zone == *zone);
-        let relay = in_zone.max_by_key(|vm| relay_rank(zone, &vm.name));
-        relay.map(|vm| vm.address)
+        let Some(zone) = zone.filter(|zone| **zone != self.zone) else {
+            return Vec::new();
+        };
+        let mut in_zone: Vec<&VmEntry> = vms.iter().filter(|vm| vm.zone == *zone).collect();
+        in_zone.sort_by_cached_key(|vm| Reverse(relay_rank(vm)));
+        in_zone.truncate(MAX_FLEET_RELAYS);
+        in_zone.iter().map(|vm| vm.address).collect()
     }
 
     /// Marks a peer that failed or had no fresh data.
@@ -148,6 +199,23 @@
         backoff.consecutive_failures += 1;
     }
 
+    /// Marks a peer that has no fresh rows, because it can't read the store either.
+    ///
+    /// Unless this VM is one of those that retry the store, it then leaves the store
+    /// alone for a while: a whole fleet that retries for itself makes hundreds of calls
+    /// within seconds, and learns nothing that those VMs don't learn.
+    pub fn mark_outdated(&mut self, peer: SocketAddr, now: ClockTime) {
+        self.mark_failed(peer, now);
+        if self.own_index >= RETRYING_VMS && now >= self.store_retry_at {
+            self.store_retry_at = now + DELEGATED_RETRY_DELAY;
+        }
+    }
+
+    /// Reports whether the store may be asked now.
+    pub fn may_ask_store(&self, now: ClockTime) -> bool {
+        now >= self.store_retry_at
+    }
+
     /// Marks a peer that has just started and has no data yet.
     pub fn mark_starting(&mut self, peer: SocketAddr, now: ClockTime) {
         self.peer_backoffs.entry(peer).or_default().retry_at = now + STARTING_PEER_DELAY;
@@ -175,25 +243,67 @@
         self.store_retry_at = now + ClockTime::from_millis(delay_ms);
     }
 
-    /// Returns the endpoints to read a whole table from, best first.
+    /// Records that no VM had a whole table.
+    pub fn mark_table_failed(&mut self) {
+        self.failed_table_reads += 1;
+    }
+
+    /// Records that a whole table was read.
+    pub fn mark_table_read(&mut self) {
+        self.failed_table_reads = 0;
+    }
+
+    /// Returns the endpoints to read a whole table from, best first; `random` spreads
+    /// the load over the VMs.
     ///
-    /// The store goes first here. When a hundred VMs of a zone start at once, a table
-    /// of thousands of rows for each of them would saturate the relay's link for a
-    /// minute; the store has hundreds of times the bandwidth.
-    pub fn snapshot_endpoints(&self, now: ClockTime) -> Vec<FeedEndpoint> {
-        let mut endpoints = self.endpoints(now);
-        endpoints.sort_by_key(|endpoint| *endpoint != FeedEndpoint::Store);
-        endpoints
+    /// Any VM that serves has the tables, so a VM that starts asks some VMs of its
+    /// zone, or the seeds if it knows no other VM yet. When the whole fleet starts at
+    /// once, only the seeds read the store; the others get the tables from them and
+    /// from each other.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_policy::{FeedEndpoint, FeedRoute};
+    ///
+    /// let seed = ([10, 1, 0, 19], 8_748).into();
+    /// let route = FeedRoute::new("vm-1".into(), "chag".into()).with_seeds(vec![seed], false);
+    /// assert_eq!(route.table_endpoints(ClockTime::ZERO, 7), vec![FeedEndpoint::Peer(seed)]);
+    /// ```
+    pub fn table_endpoints(&self, now: ClockTime, random: u64) -> Vec<FeedEndpoint> {
+        let in_random_order = |peers: &[SocketAddr]| {
+            let mut peers: Vec<SocketAddr> = peers.to_vec();
+            peers.retain(|peer| self.is_usable(peer, now));
+            peers.sort_by_cached_key(|peer| hash_rank((random, peer)));
+            peers
+        };
+        let mut peers = in_random_order(&self.zone_peers);
+        peers.truncate(MAX_TABLE_PEERS);
+        peers.extend(in_random_order(&self.seeds));
+        let knows_no_vm = self.zone_peers.is_empty() && self.seeds.is_empty();
+        let may_read_store =
+            self.is_seed || knows_no_vm || self.failed_table_reads >= TABLE_ROUNDS_WITHOUT_STORE;
+        let endpoints = peers.into_iter().map(FeedEndpoint::Peer);
+        let store = (may_read_store && now >= self.store_retry_at).then_some(FeedEndpoint::Store);
+        endpoints.chain(store).collect()
+    }
+
+    fn is_usable(&self, peer: &SocketAddr, now: ClockTime) -> bool {
+        let backoff = self.peer_backoffs.get(peer);
+        backoff.is_none_or(|backoff| now >= backoff.retry_at)
     }
 
     /// Returns the endpoints to read changes from, best first.
     pub fn endpoints(&self, now: ClockTime) -> Vec<FeedEndpoint> {
-        let is_usable = |address: &&SocketAddr| {
-            let backoff = self.peer_backoffs.get(*address);
-            backoff.is_none_or(|backoff| now >= backoff.retry_at)
-        };
+        let is_usable = |address: &&SocketAddr| self.is_usable(address, now);
         let (higher_ranked, lower_ranked) = self.zone_peers.split_at(self.own_index);
-        let preferred = higher_ranked.iter().chain(&self.fleet_relay);
+        // Before the VMs of a new fleet have listed themselves, the seeds are the relays.
+        let seeds: &[SocketAddr] = match self.is_listed || self.is_seed {
+            true => &[],
+            false => &self.seeds,
+        };
+        let preferred = higher_ranked.iter().chain(&self.fleet_relays).chain(seeds);
         let relay = preferred.clone().find(is_usable);
         let mut endpoints: Vec<FeedEndpoint> = relay
             .map(|peer| FeedEndpoint::Peer(*peer))
@@ -214,6 +324,9 @@
 }
 
 /// Returns the rank of a VM in its zone; the VM with the highest is the zone relay.
-fn relay_rank(zone: &ZoneName, vm: &VmName) -> u64 {
-    hash_rank((zone, vm))
+///
+/// A relay sends every change to all VMs of its zone, so VMs with fast links and
+/// processors are preferred.
+fn relay_rank(vm: &VmEntry) -> u64 {
+    weighted_rank((&vm.zone, &vm.name), vm.capacity)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,7 +24,8 @@
 //!   [`decide_recovery`] decides how a stream continues after a failure, and
 //!   [`decide_copy`] keeps the KV cache copy that it can continue from.
 //! - [`FeedCache`] caches what a VM has read from the platform's store, and
-//!   [`FeedRoute`] chooses the endpoints that it reads from.
+//!   [`FeedRoute`] chooses the endpoints that it reads from. [`TableServer`] limits
+//!   how fast a VM sends whole tables to VMs that start.
 //! - [`MembershipTable`] tracks which VMs are alive.
 
 mod admission;
@@ -52,6 +53,7 @@
 mod route_table;
 mod routing;
 mod stream_recovery;
+mod table_server;
 mod token_ledger;
 mod upstream_table;
 mod window_counter;
@@ -82,7 +84,7 @@
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
 pub use placement::{choose_candidate, PlacementQuery, UpstreamCandidate};
 pub use rate_limiter::RateLimiter;
-pub use rendezvous::{hash_rank, is_top_ranked};
+pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_plan::{
     decide_rollout, select_version_rule, RolloutDecision, RolloutState, VersionRule,
@@ -92,6 +94,7 @@
 pub use stream_recovery::{
     decide_recovery, silence_limit, LossCause, RecoveryDecision, StreamPhase, StreamState,
 };
+pub use table_server::TableServer;
 pub use token_ledger::{LedgerVerdict, TokenLedger};
 pub use upstream_table::{UpstreamChange, UpstreamTable};
 pub use work_budget::WorkBudget;
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -18,6 +18,30 @@
     hasher.finish()
 }
 
+/// Returns the rank of a candidate with a weight; the highest rank goes first.
+///
+/// A candidate goes first for a share of the subjects in proportion to its weight
+/// (weighted rendezvous hashing, Schindelhauer and Schomaker, 2005).
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::weighted_rank;
+///
+/// let is_first = |subject: &u32| weighted_rank(("a", subject), 9) > weighted_rank(("b", subject), 1);
+/// let share = (0..1_000).filter(is_first).count();
+/// assert!((850..950).contains(&share), "{share}");
+/// ```
+pub fn weighted_rank(value: impl Hash, weight: u64) -> u64 {
+    const MANTISSA_BITS: u32 = 53;
+    let hash = hash_rank(value) >> (u64::BITS - MANTISSA_BITS);
+    // Strictly between 0 and 1, so that the logarithm is finite and negative.
+    let uniform = (hash as f64 + 0.5) / (1_u64 << MANTISSA_BITS) as f64;
+    let score = weight.max(1) as f64 / -uniform.ln();
+    // The bits of positive floating-point numbers have the order of the numbers.
+    score.to_bits()
+}
+
 /// Reports whether `own` is among the `count` highest-ranked candidates for a
 /// subject.
 ///
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod copies;
 mod engines;
 mod feed;
+mod fleet_start;
 mod latency_estimator;
 mod placement;
 mod rollouts;
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -45,7 +45,8 @@
     history: Vec<ChangeEntry>,
     /// Changes up to this revision have been dropped from the history.
     compacted_revision: u64,
-    calls: u64,
+    /// The number of calls by path.
+    calls: HashMap<String, u64>,
 }
 
 /// A fake store that runs until it is dropped.
@@ -85,7 +86,7 @@
             rows: BTreeMap::new(),
             history: Vec::new(),
             compacted_revision: 0,
-            calls: 0,
+            calls: HashMap::new(),
         }));
         let (mode, mode_receiver) = watch::channel(StoreMode::Available);
         let (changed, _) = watch::channel(0);
@@ -145,7 +146,13 @@
 
     /// Returns the number of calls received.
     pub fn call_count(&self) -> u64 {
-        lock(&self.service.state).calls
+        lock(&self.service.state).calls.values().sum()
+    }
+
+    /// Returns the number of calls with this path.
+    pub fn call_count_of(&self, path: &str) -> u64 {
+        let state = lock(&self.service.state);
+        state.calls.get(path).copied().unwrap_or(0)
     }
 
     fn change(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
@@ -194,7 +201,8 @@
     service: StoreService,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    lock(&service.state).calls += 1;
+    let path = request.uri().path().to_owned();
+    *lock(&service.state).calls.entry(path).or_default() += 1;
     let mode = *service.mode.borrow();
     match mode {
         StoreMode::Available => {}
--- /dev/null
+++ b/tests/testsuite/tests/gateway/fleet_start.rs
@@ -0,0 +1,62 @@
+//! VMs that start while others run, and what they ask of the store.
+
+use skylarkshed_stand_ins::StoreMode;
+use skylarkshed_testsuite::{config_metric, wait_for_metric, GatewayHarness, HarnessBuilder};
+use std::time::Duration;
+
+const READ_PATH: &str = "/-/rows-get";
+const CHANGE_PATH: &str = "/-/rows-tx";
+
+/// Guards against a store that is flooded by a rolling restart of a large fleet: each
+/// start cost ten calls there.
+#[tokio::test]
+async fn vm_that_starts_reads_nothing_from_the_store_if_a_seed_runs() {
+    let harness = HarnessBuilder::default().start().await;
+    wait_for_entry(&harness, "vm-1").await;
+    let reads = harness.store.call_count_of(READ_PATH);
+    let other = harness
+        .start_other_with_seeds("vm-2", &[harness.seed_address])
+        .await;
+    wait_for_metric(other.metrics_address, &config_metric(1)).await;
+    wait_for_metric(
+        other.metrics_address,
+        "gateway_upstreams{state=\"present\"} 4",
+    )
+    .await;
+    wait_for_entry(&harness, "vm-2").await;
+    // Its entry comes back in the list of VMs, so it is not written again.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(harness.store.call_count_of(READ_PATH), reads);
+    assert_eq!(harness.store.call_count_of(CHANGE_PATH), 2);
+}
+
+/// Waits until a VM has written its entry.
+async fn wait_for_entry(harness: &GatewayHarness, name: &str) {
+    while harness.store.row("vms", name).is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn vm_that_starts_while_the_store_is_away_gets_the_tables_from_a_seed() {
+    let harness = HarnessBuilder::default().start().await;
+    harness.store.set_mode(StoreMode::Unresponsive);
+    let other = harness
+        .start_other_with_seeds("vm-2", &[harness.seed_address])
+        .await;
+    wait_for_metric(other.metrics_address, &config_metric(1)).await;
+    wait_for_metric(
+        other.metrics_address,
+        "gateway_upstreams{state=\"present\"} 4",
+    )
+    .await;
+}
+
+#[tokio::test]
+async fn vm_whose_seeds_are_down_reads_the_store() {
+    let harness = HarnessBuilder::default().start().await;
+    // Nothing listens on this port.
+    let seed = ([127, 0, 0, 1], 1).into();
+    let other = harness.start_other_with_seeds("vm-2", &[seed]).await;
+    wait_for_metric(other.metrics_address, &config_metric(1)).await;
+}
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod caller_disconnects;
 mod configuration;
 mod explain_command;
+mod fleet_start;
 mod framing;
 mod leaving;
 mod peers;
