--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -115,7 +115,11 @@
 }
 
 impl BootTimeClock {
-    /// Starts a clock at zero.
+    /// The time that a clock shows when it is started. Data from another VM can be
+    /// older than the process.
+    const START: ClockTime = ClockTime::from_millis(24 * 3_600 * 1_000);
+
+    /// Starts a clock at one day.
     ///
     /// # Examples
     ///
@@ -131,9 +135,9 @@
         }
     }
 
-    /// Returns the milliseconds since the clock started, suspension included.
+    /// Returns the time, which counts suspension.
     pub fn now(&self) -> ClockTime {
-        ClockTime::from(time_since_boot().saturating_sub(self.start))
+        Self::START + ClockTime::from(time_since_boot().saturating_sub(self.start))
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -208,7 +208,10 @@
             return response;
         }
         match self.run_tracker.proof() {
-            Some(proof) => refuse(proof, reason, RETRY_AFTER),
+            Some(proof) => match self.state.deferral_of(self.request) {
+                Some(delay) => refuse(proof, NotRunReason::UpstreamsDeferred, delay),
+                None => refuse(proof, reason, RETRY_AFTER),
+            },
             None => fail(FailureReason::UpstreamBroke),
         }
     }
--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -6,10 +6,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-/// The time that the clock shows when the process starts. Data from other VMs can
-/// be older than the process; a confirmation at time 0 would read as none.
-const CLOCK_START: ClockTime = ClockTime::from_millis(24 * 3_600 * 1_000);
-
 /// The active configuration and its age.
 pub(crate) struct ConfigState {
     clock: BootTimeClock,
@@ -29,7 +25,7 @@
 
     /// Returns the time on a clock that also counts while the VM is suspended.
     pub(crate) fn now(&self) -> ClockTime {
-        self.clock.now() + CLOCK_START
+        self.clock.now()
     }
 
     /// Activates a configuration if it is newer; reports whether it did.
--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -1,13 +1,13 @@
 //! Control calls to engines: load reports and KV cache copies.
 
+use crate::gateway_state::GatewayState;
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::UpstreamState;
 use bytes::Bytes;
 use http::StatusCode;
-use skylarkshed_core::{ClockTime, MonotonicClock};
+use skylarkshed_core::ClockTime;
 use skylarkshed_http_link::{BufferedRequest, HttpConnection};
 use skylarkshed_policy::{CopyKind, EngineLoad};
-use std::net::SocketAddr;
 
 /// A live engine reports within a round trip, and a request waits for the report.
 const REPORT_TIMEOUT: ClockTime = ClockTime::from_millis(40);
@@ -17,14 +17,14 @@
 
 /// Requests an engine's load report; none if it does not respond in time.
 pub(crate) async fn request_report<P: WireProtocol>(
+    state: &GatewayState,
     engine: &UpstreamState,
-    clock: MonotonicClock,
 ) -> Option<EngineLoad> {
     let request = P::write_report_request(&engine.record);
-    let body = call_engine(engine.record.address, request, REPORT_TIMEOUT).await;
+    let body = call_engine::<P>(state, engine, request, REPORT_TIMEOUT).await;
     let report = body.and_then(|body| P::read_report(&body));
     let report = report.map(|report| EngineLoad {
-        unreported: engine.unreported_prompts(clock.now()),
+        unreported: engine.unreported_prompts(state.clock.now()),
         ..report
     });
     report
@@ -36,14 +36,14 @@
 
 /// Makes an engine copy a running request's KV cache to another engine.
 pub(crate) async fn copy_kv_cache<P: WireProtocol>(
+    state: &GatewayState,
     engine: &UpstreamState,
     request: &str,
     holder: &UpstreamState,
-    clock: MonotonicClock,
 ) -> Option<KvCacheCopy> {
     let message = P::write_copy_request(&engine.record, request, holder.record.address);
-    let copied_at = clock.now();
-    let body = call_engine(engine.record.address, message, COPY_TIMEOUT).await;
+    let copied_at = state.clock.now();
+    let body = call_engine::<P>(state, engine, message, COPY_TIMEOUT).await;
     let handle = body.and_then(|body| P::read_copy_reply(&body));
     match handle {
         Ok(handle) => Some(KvCacheCopy {
@@ -65,27 +65,40 @@
 }
 
 /// Makes an engine drop a copy that is no longer needed.
-pub(crate) async fn drop_copy<P: WireProtocol>(engine: &UpstreamState, copy: &KvCacheCopy) {
+pub(crate) async fn drop_copy<P: WireProtocol>(
+    state: &GatewayState,
+    engine: &UpstreamState,
+    copy: &KvCacheCopy,
+) {
     let message = P::write_drop_request(&engine.record, &copy.handle);
-    if let Err(problem) = call_engine(engine.record.address, message, COPY_TIMEOUT).await {
+    if let Err(problem) = call_engine::<P>(state, engine, message, COPY_TIMEOUT).await {
         // The engine drops it by itself when its retention time ends.
         log::debug!(upstream:% = engine.name(); "KV cache copy not dropped: {problem}");
     }
 }
 
-async fn call_engine(
-    address: SocketAddr,
+async fn call_engine<P: WireProtocol>(
+    state: &GatewayState,
+    engine: &UpstreamState,
     request: BufferedRequest,
     timeout: ClockTime,
 ) -> Result<Bytes, String> {
+    if engine.is_deferred(state.config.now()) {
+        return Err("the engine asked for no requests for a while".to_owned());
+    }
     let exchange = async {
-        let mut connection = HttpConnection::connect(address, timeout).await?;
+        let mut connection = HttpConnection::connect(engine.record.address, timeout).await?;
         connection.exchange(request).await
     };
-    match tokio::time::timeout(timeout.to_duration(), exchange).await {
-        Ok(Ok((StatusCode::OK, body))) => Ok(body),
-        Ok(Ok((status, _))) => Err(format!("status {status}")),
-        Ok(Err(error)) => Err(error.to_string()),
-        Err(_) => Err(format!("no response within {} ms", timeout.as_millis())),
+    let response = match tokio::time::timeout(timeout.to_duration(), exchange).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err(format!("no response within {} ms", timeout.as_millis())),
+    };
+    let (parts, body) = response.into_parts();
+    engine.record_head(&P::read_response(&parts), state.config.now());
+    match parts.status {
+        StatusCode::OK => Ok(body),
+        status => Err(format!("status {status}")),
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -109,6 +109,10 @@
     upstream: &UpstreamState,
     options: &SendOptions<'_>,
 ) -> Result<UpstreamResponse, SendError> {
+    // It may have asked for a pause since it was chosen.
+    if upstream.is_deferred(state.config.now()) {
+        return Err(SendError::Unsent);
+    }
     let load = upstream.start_request();
     let limit = CONNECT_TIMEOUT.min(request.deadline.remaining());
     let connected = HttpConnection::connect(upstream.record.address, limit).await;
@@ -124,9 +128,7 @@
     let (mut parts, body) = response.into_parts();
     let head = P::read_response(&parts);
     strip_connection_headers(&mut parts.headers);
-    if head.is_misdirected {
-        upstream.retire();
-    }
+    upstream.record_head(&head, state.config.now());
     if head.request.as_ref().is_some_and(|id| id != request.id()) {
         counters::count_bad_response("crossed");
         return Err(SendError::Broken);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -1,13 +1,14 @@
 //! The state that all tasks of a gateway process share.
 
 use crate::config_state::ConfigState;
+use crate::exchange::CallerRequest;
 use crate::peers::{FeedCaches, VmRoster};
 use crate::rollouts::RolloutManager;
 use crate::settings::GatewaySettings;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
 use skylarkshed_peer::{PeerClient, PeerKey};
-use skylarkshed_policy::{LatencyEstimator, RetryBudget, TableServer};
+use skylarkshed_policy::{return_delay, LatencyEstimator, RetryBudget, TableServer};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -45,6 +46,7 @@
 impl GatewayState {
     pub(crate) fn new(settings: GatewaySettings, key: PeerKey) -> Self {
         let clock = MonotonicClock::start();
+        let boot_clock = BootTimeClock::start();
         GatewayState {
             feed_caches: FeedCaches::new(),
             table_server: Mutex::new(TableServer::new(settings.transfer_rate)),
@@ -52,8 +54,8 @@
             rollouts: RolloutManager::default(),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
-            config: ConfigState::new(BootTimeClock::start()),
-            upstreams: UpstreamDirectory::new(clock, settings.times.lapse),
+            config: ConfigState::new(boot_clock),
+            upstreams: UpstreamDirectory::new(clock, boot_clock, settings.times.lapse),
             connections: AtomicUsize::new(0),
             services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
@@ -89,6 +91,18 @@
         self.roster.count().unwrap_or(ASSUMED_VMS)
     }
 
+    /// Returns when the caller of a request should return, if all upstreams that could
+    /// serve it have asked for no requests for a while.
+    pub(crate) fn deferral_of(&self, request: &CallerRequest) -> Option<ClockTime> {
+        let now = self.config.now();
+        let rule = &request.version_rule;
+        let earliest = self
+            .upstreams
+            .earliest_release(&request.service, rule, now)?;
+        let time_left = request.deadline.remaining();
+        Some(return_delay(earliest, time_left, rand::random()))
+    }
+
     pub(crate) fn start_leaving(&self) {
         let now = self.clock.now().as_millis().max(1);
         self.leaving_ms.store(now, Ordering::Relaxed);
--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -211,13 +211,11 @@
         let now = self.state.clock.now();
         match error {
             None => self.route.mark_healthy(peer),
+            Some(_) if after.is_none() => self.route.mark_without_table(peer, now),
             Some(StoreError::NotKnownYet(_) | StoreError::HistoryLost | StoreError::Busy(_)) => {
                 self.route.mark_starting(peer, now)
             }
             Some(StoreError::Outdated(_)) => self.route.mark_outdated(peer, now),
-            // While the whole fleet starts, a VM that refuses connections will soon
-            // accept them.
-            Some(_) if after.is_none() => self.route.mark_starting(peer, now),
             Some(_) => self.route.mark_failed(peer, now),
         }
     }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -88,6 +88,10 @@
     pub is_not_run: bool,
     /// Whether the address belongs to another upstream than the expected one.
     pub is_misdirected: bool,
+    /// Whether the upstream announces that it leaves.
+    pub is_leaving: bool,
+    /// How long the upstream wants no requests, if it refused this one.
+    pub retry_after: Option<ClockTime>,
 }
 
 /// Parses and writes the messages of callers and upstreams.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -52,6 +52,7 @@
     Leaving,
     NoUpstream,
     UpstreamsBusy,
+    UpstreamsDeferred,
     RetryBudget,
     SlowRequest,
 }
@@ -64,6 +65,7 @@
             NotRunReason::Leaving => "leaving",
             NotRunReason::NoUpstream => "no_upstream",
             NotRunReason::UpstreamsBusy => "upstreams_busy",
+            NotRunReason::UpstreamsDeferred => "upstreams_deferred",
             NotRunReason::RetryBudget => "retry_budget",
             NotRunReason::SlowRequest => "slow_request",
         }
--- a/crates/gateway/src/stream/copy_manager.rs
+++ b/crates/gateway/src/stream/copy_manager.rs
@@ -68,21 +68,26 @@
         let Some(holder) = holder else {
             return;
         };
-        let (source, clock) = (attempt.upstream.clone(), state.clock);
+        let (state, source) = (state.clone(), attempt.upstream.clone());
         let request = request.to_owned();
         self.copying = Some(tokio::spawn(async move {
-            copy_kv_cache::<P>(&source, &request, &holder, clock).await
+            copy_kv_cache::<P>(&state, &source, &request, &holder).await
         }));
     }
 
     /// Drops the snapshot of an ended request. The upstream ends a continuous copy
     /// by itself.
-    pub(super) fn release<P: WireProtocol>(&mut self, attempt: &StreamAttempt) {
+    pub(super) fn release<P: WireProtocol>(
+        &mut self,
+        state: &Arc<GatewayState>,
+        attempt: &StreamAttempt,
+    ) {
         self.stop();
         let is_snapshot = |copy: &&KvCacheCopy| copy.kind != CopyKind::Continuous;
         if let Some(copy) = attempt.copy.as_ref().filter(is_snapshot) {
-            let (engine, copy) = (attempt.upstream.clone(), copy.clone());
-            tokio::spawn(async move { drop_copy::<P>(&engine, &copy).await });
+            let (state, engine) = (state.clone(), attempt.upstream.clone());
+            let copy = copy.clone();
+            tokio::spawn(async move { drop_copy::<P>(&state, &engine, &copy).await });
         }
     }
 
@@ -121,5 +126,5 @@
 ) -> Option<Arc<UpstreamState>> {
     let copy = attempt.copy.as_ref()?;
     let holder = state.upstreams.find(service, &copy.holder)?;
-    (!holder.is_retired() && !holder.record.is_leaving).then_some(holder)
+    (!holder.is_retired() && !holder.is_leaving()).then_some(holder)
 }
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -64,10 +64,9 @@
         if !self.state.config.table().is_some_and(is_engine) {
             return Vec::new();
         }
-        let clock = self.state.clock;
         let reports = queried[known..]
             .iter()
-            .map(|engine| request_report::<P>(engine, clock));
+            .map(|engine| request_report::<P>(&self.state, engine));
         futures::future::join_all(reports).await
     }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -11,7 +11,7 @@
 use crate::exchange::CallerRequest;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
-use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunTracker};
+use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
 use attempt::{AttemptStep, StreamAttempt};
 use copy_manager::CopyManager;
 use events::StreamEvent;
@@ -128,7 +128,7 @@
                     continue;
                 }
                 () = parts.closed() => {
-                    copies.release::<P>(&attempt);
+                    copies.release::<P>(&self.state, &attempt);
                     return self.log_end("caller_left");
                 }
                 () = tokio::time::sleep(remaining.to_duration()) => return self.log_end("timeout"),
@@ -139,7 +139,7 @@
                     Err(cause) => cause,
                 },
                 AttemptStep::End => {
-                    copies.release::<P>(&attempt);
+                    copies.release::<P>(&self.state, &attempt);
                     // A caller that has disconnected needs no end.
                     let _ = parts.send(BodyPart::End).await;
                     return self.log_end("served");
@@ -232,12 +232,19 @@
     /// Returns the response for a stream of which the caller received nothing.
     fn finish_unserved(&self) -> CallerResponse {
         match self.run_tracker.proof() {
-            Some(proof) => refuse(proof, NotRunReason::NoUpstream, RETRY_AFTER),
+            Some(proof) => self.refuse(proof),
             None if self.request.deadline.is_expired() => fail(FailureReason::Timeout),
             None => fail(FailureReason::UpstreamBroke),
         }
     }
 
+    fn refuse(&self, proof: NotRunProof) -> CallerResponse {
+        match self.state.deferral_of(&self.request) {
+            Some(delay) => refuse(proof, NotRunReason::UpstreamsDeferred, delay),
+            None => refuse(proof, NotRunReason::NoUpstream, RETRY_AFTER),
+        }
+    }
+
     fn log_end(&self, outcome: &'static str) {
         let kind = self.request.route.kind.label();
         let duration = self.request.deadline.elapsed();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,14 +1,15 @@
 //! The upstreams, and the load and failures that this VM has seen of each.
 
+use crate::platform_api::ResponseHead;
 use arc_swap::ArcSwap;
 use skylarkshed_core::{
-    ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
+    BootTimeClock, ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
 };
 use skylarkshed_policy::{
-    choose_candidate, PlacementQuery, UpstreamCandidate, UpstreamChange, UpstreamHealth,
-    UpstreamTable, VersionRule,
+    choose_candidate, deferred_until, PlacementQuery, UpstreamCandidate, UpstreamChange,
+    UpstreamHealth, UpstreamTable, VersionRule,
 };
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -17,6 +18,9 @@
 const SUSPICION_PERIOD: ClockTime = ClockTime::from_millis(2_000);
 /// Load reports of engines are up to a few hundred milliseconds old.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(250);
+/// The number of starts of upstreams that are remembered after their entries have
+/// vanished; a fleet replaces fewer within an hour.
+const MAX_UNLISTED_USAGES: usize = 4_096;
 /// The load of one request, in thousandths of a slot.
 const REQUEST_LOAD: u64 = 1_000;
 
@@ -38,6 +42,10 @@
     recent_prompts: AtomicU64,
     /// Its address turned out to belong to another upstream.
     is_retired: AtomicBool,
+    /// It announced in a response that it leaves.
+    is_leaving: AtomicBool,
+    /// Until when it wants no requests, on the clock that counts suspension.
+    deferred_until_ms: AtomicU64,
 }
 
 /// Counts a running request at an upstream until it is dropped.
@@ -91,7 +99,7 @@
 
     /// Excludes this incarnation of the upstream from new requests, because its address
     /// belongs to another upstream.
-    pub(crate) fn retire(&self) {
+    fn retire(&self) {
         self.usage.is_retired.store(true, Ordering::Relaxed);
     }
 
@@ -101,8 +109,49 @@
         self.usage.is_retired.load(Ordering::Relaxed)
     }
 
+    /// Reports whether the upstream is draining, by its entry or by its own responses.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.usage.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Records what a response's head tells about the upstream; `boot_now` is the time
+    /// on the clock that counts suspension.
+    pub(crate) fn record_head(&self, head: &ResponseHead, boot_now: ClockTime) {
+        if head.is_misdirected {
+            return self.retire();
+        }
+        if head.is_leaving && !self.usage.is_leaving.swap(true, Ordering::Relaxed) {
+            log::info!(upstream:% = self.name(); "upstream announced that it leaves");
+        }
+        if let Some(retry_after) = head.retry_after {
+            self.defer(deferred_until(boot_now, retry_after), boot_now);
+        }
+    }
+
+    fn defer(&self, until: ClockTime, boot_now: ClockTime) {
+        if !self.is_deferred(boot_now) {
+            let wait_ms = until.since(boot_now).as_millis();
+            log::info!(upstream:% = self.name(), wait_ms; "upstream wants no requests for a while");
+        }
+        let until_ms = until.as_millis();
+        self.usage
+            .deferred_until_ms
+            .fetch_max(until_ms, Ordering::Relaxed);
+    }
+
+    /// Reports whether the upstream wants no requests now.
+    pub(crate) fn is_deferred(&self, boot_now: ClockTime) -> bool {
+        self.deferred_for(boot_now) > ClockTime::ZERO
+    }
+
+    /// Returns for how long the upstream wants no requests.
+    fn deferred_for(&self, boot_now: ClockTime) -> ClockTime {
+        let until_ms = self.usage.deferred_until_ms.load(Ordering::Relaxed);
+        ClockTime::from_millis(until_ms).since(boot_now)
+    }
+
     pub(crate) fn health(&self, now: ClockTime) -> UpstreamHealth {
-        if self.record.is_leaving || self.is_retired() {
+        if self.is_leaving() || self.is_retired() {
             return UpstreamHealth::Leaving;
         }
         match self.usage.suspect_until_ms.load(Ordering::Relaxed) > now.as_millis() {
@@ -117,12 +166,24 @@
     }
 }
 
+/// Identifies one start of an upstream.
+type UpstreamStart = (UpstreamName, ClockTime);
+
+/// The upstreams and, for each start of one, what this VM knows of it.
+#[derive(Debug)]
+struct DirectoryTable {
+    table: UpstreamTable,
+    /// Entries may vanish and come back, so usages are kept without their entries.
+    usages: HashMap<UpstreamStart, Arc<UpstreamUsage>>,
+}
+
 type ServiceMap = HashMap<ServiceName, Vec<Arc<UpstreamState>>>;
 
 /// All upstreams, by service.
 pub(crate) struct UpstreamDirectory {
     clock: MonotonicClock,
-    table: Mutex<UpstreamTable>,
+    boot_clock: BootTimeClock,
+    table: Mutex<DirectoryTable>,
     services: ArcSwap<ServiceMap>,
 }
 
@@ -137,10 +198,18 @@
 }
 
 impl UpstreamDirectory {
-    pub(crate) fn new(clock: MonotonicClock, entry_grace: ClockTime) -> Self {
+    pub(crate) fn new(
+        clock: MonotonicClock,
+        boot_clock: BootTimeClock,
+        entry_grace: ClockTime,
+    ) -> Self {
         UpstreamDirectory {
             clock,
-            table: Mutex::new(UpstreamTable::new(entry_grace)),
+            boot_clock,
+            table: Mutex::new(DirectoryTable {
+                table: UpstreamTable::new(entry_grace),
+                usages: HashMap::new(),
+            }),
             services: ArcSwap::default(),
         }
     }
@@ -151,28 +220,27 @@
         change: impl FnOnce(&mut UpstreamTable, ClockTime) -> Vec<UpstreamChange>,
     ) -> Vec<UpstreamChange> {
         // The table is consistent between calls, so a poisoned lock is usable.
-        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        let changes = change(&mut table, self.clock.now());
+        let mut directory = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        let changes = change(&mut directory.table, self.clock.now());
         if !changes.is_empty() {
-            self.publish(&table);
+            self.publish(&mut directory);
         }
         changes
     }
 
-    fn publish(&self, table: &UpstreamTable) {
-        let known = self.services.load();
-        let known = known.values().flatten();
-        let known: HashMap<&UpstreamName, &Arc<UpstreamState>> =
-            known.map(|state| (state.name(), state)).collect();
+    fn publish(&self, directory: &mut DirectoryTable) {
+        let DirectoryTable { table, usages } = directory;
+        if usages.len() > MAX_UNLISTED_USAGES + table.records().count() {
+            let listed: HashSet<UpstreamStart> = table.records().map(upstream_start).collect();
+            usages.retain(|start, _| listed.contains(start));
+        }
         let mut services = ServiceMap::new();
         for record in table.records() {
             // A new incarnation under the same name starts with fresh usage.
-            let usage = known.get(&record.name);
-            let usage = usage.filter(|state| state.record.started == record.started);
-            let usage = usage.map(|state| state.usage.clone()).unwrap_or_default();
+            let usage = usages.entry(upstream_start(record)).or_default();
             let state = UpstreamState {
                 record: record.clone(),
-                usage,
+                usage: usage.clone(),
             };
             let states = services.entry(record.service.clone()).or_default();
             states.push(Arc::new(state));
@@ -201,11 +269,15 @@
         let now = self.clock.now();
         let states = states.iter().filter(|state| is_allowed(state));
         let states: Vec<&Arc<UpstreamState>> = states.collect();
+        let boot_now = self.boot_clock.now();
         let candidates = states.iter().map(|state| UpstreamCandidate {
             name: state.name(),
             zone: &state.record.zone,
             load: state.load(),
-            health: state.health(now),
+            health: match state.is_deferred(boot_now) {
+                true => state.health(now).max(UpstreamHealth::Deferred),
+                false => state.health(now),
+            },
         });
         let candidates: Vec<UpstreamCandidate<'_>> = candidates.collect();
         let placement = PlacementQuery {
@@ -217,6 +289,22 @@
         choose_candidate(&placement, &candidates).map(|index| states[index].clone())
     }
 
+    /// Returns the time until the first upstream of a service accepts requests again,
+    /// if all that don't leave have asked for no requests for a while.
+    pub(crate) fn earliest_release(
+        &self,
+        service: &ServiceName,
+        version_rule: &VersionRule,
+        boot_now: ClockTime,
+    ) -> Option<ClockTime> {
+        let services = self.services.load();
+        let states = services.get(service)?.iter();
+        let states = states.filter(|state| !state.is_leaving() && !state.is_retired());
+        let states = states.filter(|state| version_rule.allows(&state.record.version));
+        let earliest = states.map(|state| state.deferred_for(boot_now)).min();
+        earliest.filter(|earliest| *earliest > ClockTime::ZERO)
+    }
+
     /// Finds an upstream by name.
     pub(crate) fn find(
         &self,
@@ -232,10 +320,7 @@
     pub(crate) fn count(&self) -> (usize, usize) {
         let services = self.services.load();
         let states = services.values().flatten();
-        let leaving = states
-            .clone()
-            .filter(|state| state.record.is_leaving)
-            .count();
+        let leaving = states.clone().filter(|state| state.is_leaving()).count();
         (states.count(), leaving)
     }
 
@@ -244,3 +329,7 @@
         self.services.load().is_empty()
     }
 }
+
+fn upstream_start(record: &Arc<UpstreamRecord>) -> UpstreamStart {
+    (record.name.clone(), record.started)
+}
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::options::set_options;
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -103,7 +103,7 @@
         })
     }
 
-    /// Sends a request and returns the status and the complete body of its response.
+    /// Sends a request and returns its response with the complete body.
     ///
     /// # Errors
     ///
@@ -122,20 +122,18 @@
     /// # async fn request() -> Result<(), ConnectionError> {
     /// let address = ([127, 0, 0, 1], 8080).into();
     /// let mut connection = HttpConnection::connect(address, ClockTime::from_millis(500)).await?;
-    /// let (status, body) = connection.exchange(Request::new(Full::new(Bytes::new()))).await?;
-    /// println!("{status}: {} bytes", body.len());
+    /// let response = connection.exchange(Request::new(Full::new(Bytes::new()))).await?;
+    /// println!("{}: {} bytes", response.status(), response.body().len());
     /// # Ok(())
     /// # }
     /// ```
     pub async fn exchange(
         &mut self,
         request: BufferedRequest,
-    ) -> Result<(StatusCode, Bytes), ConnectionError> {
-        let response = self.send(request).await?;
-        let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(ConnectionError::Broken)?;
-        Ok((status, body.to_bytes()))
+    ) -> Result<Response<Bytes>, ConnectionError> {
+        let (parts, body) = self.send(request).await?.into_parts();
+        let body = body.collect().await.map_err(ConnectionError::Broken)?;
+        Ok(Response::from_parts(parts, body.to_bytes()))
     }
 
     /// Reports whether the connection can't be used for another request.
--- a/crates/policy/src/feed_route.rs
+++ b/crates/policy/src/feed_route.rs
@@ -28,6 +28,9 @@
 /// The time for which a peer without data is not asked again: it has just started
 /// and will have the data within moments.
 const STARTING_PEER_DELAY: ClockTime = ClockTime::from_millis(500);
+/// The time for which a VM without a whole table is not asked for it again. A VM that
+/// starts serves no caller until it has the tables.
+const TABLE_RETRY_DELAY: ClockTime = ClockTime::from_millis(100);
 /// The time for which a VM that is not a relay does not retry a failed store. It
 /// grows by [`STORE_RETRY_DELAY_STEP`] with the VM's position in its zone, so that the
 /// VMs of a zone do not retry together. The sum stays below the 3 s within which
@@ -221,6 +224,12 @@
         self.peer_backoffs.entry(peer).or_default().retry_at = now + STARTING_PEER_DELAY;
     }
 
+    /// Marks a peer that has no whole table or can't be reached yet: it may have been
+    /// started together with this VM.
+    pub fn mark_without_table(&mut self, peer: SocketAddr, now: ClockTime) {
+        self.peer_backoffs.entry(peer).or_default().retry_at = now + TABLE_RETRY_DELAY;
+    }
+
     /// Marks a peer that returned fresh data.
     pub fn mark_healthy(&mut self, peer: SocketAddr) {
         self.peer_backoffs.remove(&peer);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,8 @@
 //!   back; [`decide_rollout`] does so for a rollout with a time limit.
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamTable`]
 //!   holds the upstreams that can serve it, and [`choose_candidate`] selects one.
+//!   [`deferred_until`] and [`return_delay`] say when an upstream that refused, and a
+//!   caller that was refused, are heard again.
 //! - [`LatencyEstimator`] sets the attempt timeout of an application call.
 //! - [`EventLedger`] passes each event of a stream on exactly once.
 //!   [`decide_recovery`] decides how a stream continues after a failure, and
@@ -32,6 +34,7 @@
 mod claim;
 mod concurrency_limiter;
 mod copy_plan;
+mod deferral;
 mod engine_choice;
 mod event_ledger;
 mod evidence;
@@ -63,6 +66,7 @@
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredResponse};
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use copy_plan::{decide_copy, CopyDecision, CopyKind, CopyState};
+pub use deferral::{deferred_until, return_delay};
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -68,7 +68,7 @@
     let suspect_zones = suspect_zones(candidates);
     let usable = (0..candidates.len()).filter(|&index| {
         let candidate = &candidates[index];
-        candidate.health != UpstreamHealth::Leaving && !query.avoid.contains(candidate.name)
+        candidate.health < UpstreamHealth::Deferred && !query.avoid.contains(candidate.name)
     });
     let cost = |&index: &usize| {
         let candidate = &candidates[index];
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -19,6 +19,8 @@
     Healthy,
     /// It recently failed or became unresponsive.
     Suspect,
+    /// It asked for no requests for a while.
+    Deferred,
     /// It is draining and gets no new work.
     Leaving,
 }
--- a/crates/policy/tests/gateway/fleet_start.rs
+++ b/crates/policy/tests/gateway/fleet_start.rs
@@ -69,7 +69,7 @@
         assert!(!route.table_endpoints(NOW, 1).contains(&FeedEndpoint::Store));
         seeds()
             .iter()
-            .for_each(|seed| route.mark_starting(*seed, NOW));
+            .for_each(|seed| route.mark_without_table(*seed, NOW));
         route.mark_table_failed();
     }
     assert_eq!(route.table_endpoints(NOW, 1), [FeedEndpoint::Store]);
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod copies;
+mod deferral;
 mod engines;
 mod feed;
 mod fleet_start;
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -42,6 +42,14 @@
     WrongAttemptId,
     /// Reports that it did not run the request (`X-Not-Executed`).
     NotExecuted,
+    /// Responds with a status and this additional header line, without running the
+    /// request if the status is 503.
+    WithHeader {
+        /// The HTTP status.
+        status: u16,
+        /// The line, without its end.
+        header: &'static str,
+    },
     /// Reports that another instance now listens at this address (421).
     Misdirected,
     /// Resets the connection after it has read the request.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -324,6 +324,14 @@
             "answer",
         ),
         ScriptedResponse::NotExecuted => respond(503, "X-Not-Executed: 1\r\n", ""),
+        ScriptedResponse::WithHeader { status, header } => {
+            let not_run = match status {
+                503 => "X-Not-Executed: 1\r\n",
+                _ => "",
+            };
+            let headers = format!("{signed}{not_run}{header}\r\n");
+            respond(*status, &headers, "answer")
+        }
         ScriptedResponse::Misdirected => respond(421, "X-Instance-Id: other\r\n", ""),
         ScriptedResponse::Truncated => {
             let text = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 100\r\n\r\nonly");
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -283,6 +283,18 @@
         self.store.put("servers", &upstream.name(), &entry);
     }
 
+    /// Writes the entry of a later start of an application to the store.
+    pub fn register_restarted(&self, number: usize) {
+        let upstream = &self.applications[number];
+        let mut entry = self
+            .store
+            .row("servers", &upstream.name())
+            .expect("it is registered");
+        let started = entry["born"].as_u64().expect("the entry has a start");
+        entry["born"] = json!(started + 1);
+        self.store.put("servers", &upstream.name(), &entry);
+    }
+
     /// Writes an application's entry to the store, with the state `draining`.
     pub fn register_leaving(&self, number: usize) {
         self.register(&self.applications[number], APP_SERVICE, number, "draining");
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -12,3 +12,4 @@
 mod rollouts;
 mod routing;
 mod streams;
+mod upstream_notices;
