--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -55,7 +55,7 @@
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             config: ConfigState::new(boot_clock),
-            upstreams: UpstreamDirectory::new(clock, boot_clock, settings.times.lapse),
+            upstreams: UpstreamDirectory::new(clock, boot_clock, &settings.times),
             connections: AtomicUsize::new(0),
             services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
--- a/crates/gateway/src/peers/feed_caches.rs
+++ b/crates/gateway/src/peers/feed_caches.rs
@@ -4,7 +4,7 @@
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::FeedRowWire;
 use skylarkshed_peer::{pack_rows, PeerError};
-use skylarkshed_policy::{FeedBatch, FeedCache, FeedError, FeedRow};
+use skylarkshed_policy::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
@@ -12,7 +12,7 @@
 /// The part of a cached table that another VM requested.
 pub(crate) struct FeedChanges {
     pub(crate) rows: Vec<FeedRow>,
-    pub(crate) revision: u64,
+    pub(crate) position: FeedPosition,
     /// When the rows were last confirmed as current.
     pub(crate) fresh_at: ClockTime,
     /// The number of such confirmations.
@@ -21,8 +21,8 @@
 
 /// The most recently compressed part of a table.
 struct PackedChanges {
-    after: Option<u64>,
-    revision: u64,
+    after: Option<FeedPosition>,
+    position: FeedPosition,
     rows: Bytes,
 }
 
@@ -51,24 +51,31 @@
         batch: &FeedBatch,
         is_complete: bool,
         fresh_at: ClockTime,
+        version: fn(&FeedRow) -> Option<u64>,
     ) {
         let mut caches = self.caches.lock().unwrap_or_else(PoisonError::into_inner);
         let cache = caches.entry(source).or_default();
         match is_complete {
-            true => cache.replace(batch, fresh_at),
+            true => cache.replace(batch, fresh_at, version),
             false => cache.apply(batch, fresh_at),
         }
         drop(caches);
         self.changed.send_replace(());
     }
 
-    /// Waits, up to `wait`, for changes after a revision or a new freshness
-    /// confirmation. Without a revision it returns the whole table as soon as it is
+    /// Returns the era of a cached table; 0 if there is none.
+    pub(crate) fn era(&self, source: &str) -> u64 {
+        let caches = self.caches.lock().unwrap_or_else(PoisonError::into_inner);
+        caches.get(source).map_or(0, |cache| cache.position().era)
+    }
+
+    /// Waits, up to `wait`, for changes after a position or a new freshness
+    /// confirmation. Without a position it returns the whole table as soon as it is
     /// known.
     pub(crate) async fn wait(
         &self,
         source: &str,
-        after: Option<u64>,
+        after: Option<FeedPosition>,
         known_confirmations: u64,
         wait: ClockTime,
     ) -> Result<FeedChanges, FeedError> {
@@ -99,19 +106,19 @@
     pub(crate) fn pack(
         &self,
         source: &str,
-        after: Option<u64>,
+        after: Option<FeedPosition>,
         changes: &FeedChanges,
     ) -> Result<Bytes, PeerError> {
         let mut packed = self.lock_packed();
         let last = packed.get(source);
-        let last = last.filter(|last| last.after == after && last.revision == changes.revision);
+        let last = last.filter(|last| last.after == after && last.position == changes.position);
         if let Some(last) = last {
             return Ok(last.rows.clone());
         }
         let rows = pack_rows(changes.rows.iter().map(to_wire).collect())?;
         let changes = PackedChanges {
             after,
-            revision: changes.revision,
+            position: changes.position,
             rows: rows.clone(),
         };
         packed.insert(source.to_owned(), changes);
@@ -123,12 +130,16 @@
         self.packed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn changes_after(&self, source: &str, after: Option<u64>) -> Result<FeedChanges, FeedError> {
+    fn changes_after(
+        &self,
+        source: &str,
+        after: Option<FeedPosition>,
+    ) -> Result<FeedChanges, FeedError> {
         let caches = self.caches.lock().unwrap_or_else(PoisonError::into_inner);
         let cache = caches.get(source).ok_or(FeedError::Unknown)?;
         Ok(FeedChanges {
             rows: cache.changes(after)?,
-            revision: cache.revision(),
+            position: cache.position(),
             fresh_at: cache.fresh_at(),
             confirmations: cache.confirmations(),
         })
--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -6,7 +6,7 @@
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{FeedSource, StoreError};
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{FeedBatch, FeedEndpoint, FeedRoute, VmEntry};
+use skylarkshed_policy::{FeedBatch, FeedEndpoint, FeedPosition, FeedRoute, VmEntry};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,6 +42,8 @@
     confirmations: Option<(SocketAddr, u64)>,
     /// The endpoint that no longer has the requested changes; its table is the newest.
     history_lost_at: Option<FeedEndpoint>,
+    /// The newest era seen. A VM that has not heard of it yet has older rows.
+    era: u64,
 }
 
 impl<S: FeedSource> FeedReader<S> {
@@ -61,11 +63,15 @@
             vms: Arc::default(),
             confirmations: None,
             history_lost_at: None,
+            era: 0,
         }
     }
 
-    /// Returns the changes after a revision, or the whole table if `after` is none.
-    pub(crate) async fn next(&mut self, after: Option<u64>) -> Result<FeedBatch, StoreError> {
+    /// Returns the changes after a position, or the whole table if `after` is none.
+    pub(crate) async fn next(
+        &mut self,
+        after: Option<FeedPosition>,
+    ) -> Result<FeedBatch, StoreError> {
         let vms = self.state.roster.vms();
         if !Arc::ptr_eq(&vms, &self.vms) {
             self.route.set_vms(&vms);
@@ -77,7 +83,7 @@
         }
     }
 
-    async fn read_changes(&mut self, after: u64) -> Result<FeedBatch, StoreError> {
+    async fn read_changes(&mut self, after: FeedPosition) -> Result<FeedBatch, StoreError> {
         let endpoints = self.route.endpoints(self.state.clock.now());
         let mut last_error = None;
         for endpoint in endpoints {
@@ -146,15 +152,27 @@
     async fn query(
         &mut self,
         endpoint: FeedEndpoint,
-        after: Option<u64>,
+        after: Option<FeedPosition>,
     ) -> Result<FeedBatch, StoreError> {
-        match endpoint {
-            FeedEndpoint::Store => self.query_store(after).await,
-            FeedEndpoint::Peer(peer) => self.query_peer(peer, after).await,
+        let batch = match endpoint {
+            FeedEndpoint::Store => self.query_store(after).await?,
+            FeedEndpoint::Peer(peer) => self.query_peer(peer, after).await?,
+        };
+        if batch.position.era < self.era {
+            return Err(match endpoint {
+                FeedEndpoint::Store => StoreError::Unreachable("an older era".to_owned()),
+                FeedEndpoint::Peer(peer) => StoreError::NotKnownYet(peer),
+            });
+        }
+        self.era = batch.position.era;
+        match after {
+            // The rows are changes in a history that this VM does not know.
+            Some(after) if batch.position.is_in_later_era(after) => Err(StoreError::HistoryLost),
+            _ => Ok(batch),
         }
     }
 
-    async fn query_store(&mut self, after: Option<u64>) -> Result<FeedBatch, StoreError> {
+    async fn query_store(&mut self, after: Option<FeedPosition>) -> Result<FeedBatch, StoreError> {
         let requested = self.state.config.now();
         let batch = match after {
             None => self.source.read().await,
@@ -176,7 +194,7 @@
     async fn query_peer(
         &mut self,
         peer: SocketAddr,
-        after: Option<u64>,
+        after: Option<FeedPosition>,
     ) -> Result<FeedBatch, StoreError> {
         let confirmations = self.confirmations.filter(|(owner, _)| *owner == peer);
         let query = PeerQuery {
@@ -207,7 +225,12 @@
         batch
     }
 
-    fn record_peer(&mut self, peer: SocketAddr, after: Option<u64>, error: Option<&StoreError>) {
+    fn record_peer(
+        &mut self,
+        peer: SocketAddr,
+        after: Option<FeedPosition>,
+        error: Option<&StoreError>,
+    ) {
         let now = self.state.clock.now();
         match error {
             None => self.route.mark_healthy(peer),
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -7,7 +7,7 @@
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, PeerBody};
 use skylarkshed_peer::{unpack_rows, PeerError, PeerHandler};
-use skylarkshed_policy::{FeedBatch, FeedError, FeedRow};
+use skylarkshed_policy::{FeedBatch, FeedError, FeedPosition, FeedRow};
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
@@ -41,12 +41,17 @@
 async fn serve_feed(state: &GatewayState, request: &FeedRequest) -> FeedReply {
     let wait = ClockTime::from_millis(request.wait_ms).min(MAX_REPLY_TIMEOUT);
     let received = state.config.now();
+    // A VM that doesn't know eras reads by revision alone.
+    let era = request
+        .era
+        .unwrap_or_else(|| state.feed_caches.era(&request.source));
+    let after = request.after.map(|revision| FeedPosition { era, revision });
     let changes = state
         .feed_caches
-        .wait(&request.source, request.after, request.proof, wait);
+        .wait(&request.source, after, request.proof, wait);
     match changes.await {
         Ok(changes) => {
-            let (rows, packed_rows) = encode_rows(state, request, &changes);
+            let (rows, packed_rows) = encode_rows(state, request, after, &changes);
             if let Err(others) = admit_table(state, request, &changes, &packed_rows) {
                 return FeedReply {
                     outcome: FeedOutcome::Busy.into(),
@@ -58,7 +63,8 @@
                 outcome: FeedOutcome::Rows.into(),
                 rows,
                 packed_rows,
-                revision: changes.revision,
+                revision: changes.position.revision,
+                era: Some(changes.position.era),
                 age_ms: state.config.now().since(changes.fresh_at).as_millis(),
                 proof: changes.confirmations,
                 held_ms: state.config.now().since(received).as_millis(),
@@ -102,16 +108,14 @@
 fn encode_rows(
     state: &GatewayState,
     request: &FeedRequest,
+    after: Option<FeedPosition>,
     changes: &FeedChanges,
 ) -> (Vec<FeedRowWire>, Bytes) {
     let plain = || changes.rows.iter().map(to_wire).collect();
     if !request.accepts_packed || value_bytes(&changes.rows) < MIN_PACKED_BYTES {
         return (plain(), Bytes::new());
     }
-    match state
-        .feed_caches
-        .pack(&request.source, request.after, changes)
-    {
+    match state.feed_caches.pack(&request.source, after, changes) {
         Ok(packed) => (Vec::new(), packed),
         Err(error) => {
             log::warn!(source = request.source.as_str(); "can't compress rows, sending them as they are: {error}");
@@ -129,8 +133,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerQuery {
     pub(super) source: &'static str,
-    /// The known revision; without one, the whole table is requested.
-    pub(super) after: Option<u64>,
+    /// The known position; without one, the whole table is requested.
+    pub(super) after: Option<FeedPosition>,
     /// The number of freshness confirmations in the VM's last reply.
     pub(super) confirmations: u64,
     /// How long the VM waits for changes.
@@ -149,7 +153,8 @@
 ) -> Result<(FeedBatch, u64), StoreError> {
     let request = FeedRequest {
         source: query.source.to_owned(),
-        after: query.after,
+        after: query.after.map(|after| after.revision),
+        era: query.after.map(|after| after.era),
         proof: query.confirmations,
         wait_ms: query.wait.as_millis(),
         accepts_packed: true,
@@ -197,7 +202,10 @@
     });
     Ok(FeedBatch {
         rows: rows.collect(),
-        revision: reply.revision,
+        position: FeedPosition {
+            era: reply.era.unwrap_or(0),
+            revision: reply.revision,
+        },
         age,
     })
 }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -8,7 +8,9 @@
     UpstreamRecord, VersionName, VmName,
 };
 use skylarkshed_http_link::BufferedRequest;
-use skylarkshed_policy::{CopyKind, EngineLoad, FeedBatch, FeedRow, RolloutState, VmEntry};
+use skylarkshed_policy::{
+    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, RolloutState, VmEntry,
+};
 use std::future::Future;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -253,13 +255,19 @@
     /// The source's name in messages between VMs, in logs and in metrics.
     const NAME: &'static str;
 
+    /// Returns the version that a row's writer gave it, if rows of this table have one.
+    fn version(_row: &FeedRow) -> Option<u64> {
+        None
+    }
+
     /// Reads the whole table.
     fn read(&mut self) -> impl Future<Output = Result<FeedBatch, StoreError>> + Send;
 
-    /// Returns the changes after a revision; waits up to `wait` if there are none.
+    /// Returns the changes after a position; waits up to `wait` if there are none. After
+    /// the store has returned from an older copy, the history is reported as lost.
     fn watch(
         &mut self,
-        after: u64,
+        after: FeedPosition,
         wait: ClockTime,
     ) -> impl Future<Output = Result<FeedBatch, StoreError>> + Send;
 
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -9,6 +9,7 @@
     decide_rollout, select_version_rule, RolloutDecision, RolloutState, VersionCounts, VersionRule,
 };
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::task::AbortHandle;
 
@@ -38,6 +39,9 @@
     spec: RolloutSpec,
     progress: Mutex<RolloutProgress>,
     task: Mutex<Option<AbortHandle>>,
+    /// Whether the store has returned from an older copy. The operators then write the
+    /// order again, under another revision.
+    is_restored: AtomicBool,
 }
 
 impl Drop for RolloutRecord {
@@ -66,6 +70,30 @@
         }
     }
 
+    /// Starts polling the rollout, in place of the task that did so before.
+    fn start_polling<S: RoutingStore>(self: &Arc<Self>, state: &Arc<GatewayState>, store: &S) {
+        let watching = watch_rollout(state.clone(), store.clone(), Arc::downgrade(self));
+        let task = tokio::spawn(watching).abort_handle();
+        let mut current = self.task.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(previous) = current.replace(task) {
+            previous.abort();
+        }
+    }
+
+    /// Takes over from a record of the same order, which the operators had to write
+    /// again; a rollout that has ended is not begun again.
+    fn inherit(&self, previous: &RolloutRecord) -> bool {
+        let (spec, order) = (&self.spec, &previous.spec);
+        let is_same = spec.to == order.to && spec.duration == order.duration;
+        let is_inherited = is_same && previous.is_restored.swap(false, Ordering::Relaxed);
+        if is_inherited {
+            let mut progress = self.progress();
+            progress.state = previous.state();
+            progress.counts = previous.counts();
+        }
+        is_inherited
+    }
+
     fn counts(&self) -> RolloutCounts {
         self.progress().counts.clone()
     }
@@ -127,13 +155,6 @@
         if is_running {
             return;
         }
-        log::info!(
-            service:% = spec.service,
-            to:% = spec.to,
-            order = spec.revision,
-            duration_ms = spec.duration.as_millis();
-            "rollout started"
-        );
         let record = Arc::new(RolloutRecord {
             spec,
             progress: Mutex::new(RolloutProgress {
@@ -141,13 +162,30 @@
                 counts: RolloutCounts::default(),
             }),
             task: Mutex::default(),
+            is_restored: AtomicBool::new(false),
         });
+        let previous = active.get(&record.spec.service);
+        let is_inherited = previous.is_some_and(|previous| record.inherit(previous));
+        log::info!(
+            service:% = record.spec.service,
+            to:% = record.spec.to,
+            order = record.spec.revision,
+            duration_ms = record.spec.duration.as_millis(),
+            is_inherited;
+            "rollout started"
+        );
         let mut rollouts = (*active).clone();
         rollouts.insert(record.spec.service.clone(), record.clone());
         self.rollouts.store(Arc::new(rollouts));
-        let watching = watch_rollout(state.clone(), store.clone(), Arc::downgrade(&record));
-        let task = tokio::spawn(watching).abort_handle();
-        *record.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        record.start_polling(state, store);
+    }
+
+    /// Writes the states again that the store lost when it returned from an older copy.
+    pub(crate) fn mark_restored<S: RoutingStore>(&self, state: &Arc<GatewayState>, store: &S) {
+        for record in self.rollouts.load().values() {
+            record.is_restored.store(true, Ordering::Relaxed);
+            record.start_polling(state, store);
+        }
     }
 
     /// Stops a service's rollout.
@@ -196,15 +234,20 @@
     let spec = &record.spec;
     let snapshot = store.read_rollout(&spec.service).await?;
     let current = snapshot.status.as_ref();
+    let known = record.state();
     let Some(current) = current.filter(|status| status.spec_revision == spec.revision) else {
-        let status = make_status(spec, RolloutState::Running, snapshot.now);
+        let status = make_status(spec, known, snapshot.now);
         store.write_rollout(&status, snapshot.revision).await?;
-        return Ok(false);
+        return Ok(known != RolloutState::Running);
     };
     if current.state != RolloutState::Running {
         record_end(record, current.state);
         return Ok(true);
     }
+    // The store has lost the end, or this VM alone has rolled back.
+    if known != RolloutState::Running {
+        return write_end(store, record, &snapshot, current, known).await;
+    }
     let own = record.counts();
     let encoded = serde_json::to_vec(&own).unwrap_or_default();
     store
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     /// The grace period in which upstream entries that expired while the store was
     /// unavailable may come back.
     pub lapse: ClockTime,
+    /// How long the store takes to remove the entry of an upstream that no longer exists.
+    pub silence: ClockTime,
 }
 
 /// The settings of a gateway process. The `check` command prints the field names.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -7,7 +7,7 @@
     ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate, VmUpdate,
 };
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
-use skylarkshed_policy::{UpstreamChange, UpstreamTable};
+use skylarkshed_policy::{FeedPosition, UpstreamChange, UpstreamTable};
 use std::sync::Arc;
 
 /// A watch without changes returns after this time, which limits the age of the
@@ -49,6 +49,9 @@
 
     /// Records that the store is unavailable.
     fn mark_unavailable(&mut self);
+
+    /// Records that the store has returned from an older copy.
+    fn mark_restored(&mut self);
 }
 
 /// Keeps the configuration and the rollouts up to date.
@@ -84,34 +87,46 @@
     K: FeedSink<Update = S::Update>,
 {
     let mut reader = FeedReader::new(state.clone(), source, K::WAITS);
-    let mut known_revision: Option<u64> = None;
+    let mut known: Option<FeedPosition> = None;
+    let mut era: Option<u64> = None;
     let mut failures = 0;
     loop {
-        match reader.next(known_revision).await {
+        match reader.next(known).await {
             Ok(batch) => {
                 if failures > 0 {
                     log::info!(source = S::NAME, failures; "the store is available again");
                 }
                 failures = 0;
                 let fresh_at = state.config.now().since(batch.age);
+                let is_complete = known.is_none();
                 state
                     .feed_caches
-                    .record(S::NAME, &batch, known_revision.is_none(), fresh_at);
+                    .record(S::NAME, &batch, is_complete, fresh_at, S::version);
+                let new_era = batch.position.era;
+                if era.replace(new_era).is_some_and(|era| era < new_era) {
+                    log::warn!(source = S::NAME, era = new_era; "the store has returned from an older copy");
+                    sink.mark_restored();
+                }
                 let updates = batch.rows.iter().map(S::decode).collect();
                 let has_updates = !batch.rows.is_empty();
-                sink.apply(updates, known_revision.is_none(), fresh_at);
-                if known_revision.is_none() {
+                sink.apply(updates, is_complete, fresh_at);
+                if is_complete {
                     // The list of VMs tells where changes are read from.
                     state.roster.wait_until_read().await;
                 }
-                known_revision = Some(known_revision.unwrap_or(0).max(batch.revision));
+                let known_revision = known.map_or(0, |known| known.revision);
+                known = Some(FeedPosition {
+                    era: new_era,
+                    revision: known_revision.max(batch.position.revision),
+                });
                 if has_updates {
                     tokio::time::sleep(sink.batch_delay().to_duration()).await;
                 }
             }
             Err(StoreError::HistoryLost) => {
-                log::info!(source = S::NAME, revision = known_revision; "change history lost; reading the whole table again");
-                known_revision = None;
+                let revision = known.map(|known| known.revision);
+                log::info!(source = S::NAME, revision; "change history lost; reading the whole table again");
+                known = None;
             }
             Err(error) => {
                 if failures == 0 {
@@ -188,6 +203,10 @@
     }
 
     fn mark_unavailable(&mut self) {}
+
+    fn mark_restored(&mut self) {
+        self.state.rollouts.mark_restored(&self.state, &self.store);
+    }
 }
 
 struct UpstreamSink {
@@ -229,6 +248,13 @@
             table.expire(now)
         });
     }
+
+    fn mark_restored(&mut self) {
+        self.state.upstreams.update(|table, now| {
+            table.mark_store_restored(now);
+            Vec::new()
+        });
+    }
 }
 
 struct VmSink {
@@ -251,6 +277,9 @@
     }
 
     fn mark_unavailable(&mut self) {}
+
+    /// A VM whose entry is missing from the copy writes it again.
+    fn mark_restored(&mut self) {}
 }
 
 fn apply_changes(
@@ -261,7 +290,7 @@
 ) {
     for update in updates {
         match update {
-            UpstreamUpdate::Updated(record) => table.put(record, changes),
+            UpstreamUpdate::Updated(record) => table.put(record, now, changes),
             UpstreamUpdate::Removed(name) => table.remove(&name, now, changes),
             UpstreamUpdate::Unreadable { name, problem } => {
                 log_unreadable(&name, &problem);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstreams, and the load and failures that this VM has seen of each.
 
 use crate::platform_api::ResponseHead;
+use crate::settings::GatewayTimes;
 use arc_swap::ArcSwap;
 use skylarkshed_core::{
     BootTimeClock, ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
@@ -201,13 +202,13 @@
     pub(crate) fn new(
         clock: MonotonicClock,
         boot_clock: BootTimeClock,
-        entry_grace: ClockTime,
+        times: &GatewayTimes,
     ) -> Self {
         UpstreamDirectory {
             clock,
             boot_clock,
             table: Mutex::new(DirectoryTable {
-                table: UpstreamTable::new(entry_grace),
+                table: UpstreamTable::new(times.lapse, times.silence),
                 usages: HashMap::new(),
             }),
             services: ArcSwap::default(),
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -88,6 +88,10 @@
     /// The address on which the requester serves other VMs; empty if it serves none.
     #[prost(string, tag = "6")]
     pub requester: String,
+    /// The era of `after`; absent from VMs that don't know eras, which read by revision
+    /// alone.
+    #[prost(uint64, optional, tag = "7")]
+    pub era: Option<u64>,
 }
 
 /// A part of the change feed of a table of the platform's store.
@@ -118,6 +122,9 @@
     /// Addresses of VMs that have the table, if the outcome is `Busy`.
     #[prost(string, repeated, tag = "8")]
     pub alternatives: Vec<String>,
+    /// The era of `revision`; absent from VMs that don't know eras.
+    #[prost(uint64, optional, tag = "9")]
+    pub era: Option<u64>,
 }
 
 /// The rows of a reply, to be compressed.
--- a/crates/policy/src/feed_cache.rs
+++ b/crates/policy/src/feed_cache.rs
@@ -22,13 +22,42 @@
     pub value: Option<Bytes>,
 }
 
+/// A point in the history of the store's changes.
+///
+/// The store counts its revisions anew when it returns from an older copy; this
+/// begins a new era. Revisions of different eras can't be compared.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::FeedPosition;
+///
+/// let before = FeedPosition { era: 1, revision: 900 };
+/// let restored = FeedPosition { era: 2, revision: 850 };
+/// assert!(restored.is_in_later_era(before));
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FeedPosition {
+    /// How often the store has returned from an older copy.
+    pub era: u64,
+    /// The number of changes since then, and before in the copy.
+    pub revision: u64,
+}
+
+impl FeedPosition {
+    /// Reports whether the store returned from an older copy after `other`.
+    pub fn is_in_later_era(self, other: FeedPosition) -> bool {
+        self.era > other.era
+    }
+}
+
 /// Rows read from a table's change feed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FeedBatch {
     /// All rows of the table, or only the changed ones.
     pub rows: Vec<FeedRow>,
-    /// The highest revision of the store that these rows reflect.
-    pub revision: u64,
+    /// The newest point of the store's history that these rows reflect.
+    pub position: FeedPosition,
     /// How long before their arrival these rows were confirmed to be current.
     pub age: ClockTime,
 }
@@ -36,7 +65,7 @@
 /// Why a cache cannot return the requested changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FeedError {
-    /// The cache has not been filled yet.
+    /// The cache has not been filled yet, or not in the requested era.
     Unknown,
     /// The requested changes are no longer kept.
     HistoryLost,
@@ -48,15 +77,18 @@
 ///
 /// ```
 /// use skylarkshed_core::ClockTime;
-/// use skylarkshed_policy::{FeedCache, FeedBatch, FeedRow};
+/// use skylarkshed_policy::{FeedCache, FeedBatch, FeedPosition, FeedRow};
 ///
 /// let mut cache = FeedCache::default();
-/// assert!(cache.changes(Some(3)).is_err());
+/// let at = |revision| FeedPosition { era: 1, revision };
+/// assert!(cache.changes(Some(at(3))).is_err());
 /// let row = FeedRow { key: "a".into(), revision: 4, value: None };
 /// let age = ClockTime::ZERO;
-/// cache.replace(&FeedBatch { rows: vec![], revision: 3, age }, ClockTime::ZERO);
-/// cache.apply(&FeedBatch { rows: vec![row.clone()], revision: 4, age }, ClockTime::ZERO);
-/// assert_eq!(cache.changes(Some(3)), Ok(vec![row]));
+/// let table = FeedBatch { rows: vec![], position: at(3), age };
+/// cache.replace(&table, ClockTime::ZERO, |_| None);
+/// let changes = FeedBatch { rows: vec![row.clone()], position: at(4), age };
+/// cache.apply(&changes, ClockTime::ZERO);
+/// assert_eq!(cache.changes(Some(at(3))), Ok(vec![row]));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct FeedCache {
@@ -65,7 +97,7 @@
     /// The lowest revision after which all changes are known; older tombstones are
     /// discarded.
     min_revision: u64,
-    revision: u64,
+    position: FeedPosition,
     fresh_at: ClockTime,
     confirmations: u64,
 }
@@ -73,46 +105,93 @@
 impl FeedCache {
     /// Replaces the whole table, unless the cached one is newer; `fresh_at` is when it
     /// was confirmed to be current.
-    pub fn replace(&mut self, batch: &FeedBatch, fresh_at: ClockTime) {
-        if self.is_filled && batch.revision < self.revision {
+    ///
+    /// `version` returns the version that a row's writer gave it, if it did. When the
+    /// store has returned from an older copy, a row with a higher version than the
+    /// copy's is kept until its writer has written it again: other VMs that start in
+    /// the meantime must not begin with an older one.
+    pub fn replace(
+        &mut self,
+        batch: &FeedBatch,
+        fresh_at: ClockTime,
+        version: impl Fn(&FeedRow) -> Option<u64>,
+    ) {
+        let is_older_era = self.position.is_in_later_era(batch.position);
+        let is_later_era = batch.position.is_in_later_era(self.position);
+        let is_older =
+            is_older_era || (!is_later_era && batch.position.revision < self.position.revision);
+        if self.is_filled && is_older {
             return;
         }
-        self.rows.clear();
+        let previous = std::mem::take(&mut self.rows);
         self.insert(&batch.rows);
+        if is_later_era {
+            self.keep_newer_versions(previous, batch.position, version);
+        }
         self.is_filled = true;
-        self.min_revision = batch.revision;
-        self.revision = batch.revision;
+        self.min_revision = batch.position.revision;
+        self.position = batch.position;
         self.confirm(fresh_at);
     }
 
-    /// Applies changes; `fresh_at` is when they were confirmed to be current.
+    fn keep_newer_versions(
+        &mut self,
+        previous: BTreeMap<FastStr, FeedRow>,
+        position: FeedPosition,
+        version: impl Fn(&FeedRow) -> Option<u64>,
+    ) {
+        for (key, row) in previous {
+            let Some(known) = version(&row) else {
+                continue;
+            };
+            let restored = self.rows.get(&key).and_then(&version);
+            if restored.is_none_or(|restored| restored < known) {
+                let revision = position.revision;
+                self.rows.insert(key, FeedRow { revision, ..row });
+            }
+        }
+    }
+
+    /// Applies changes; `fresh_at` is when they were confirmed to be current. Changes
+    /// of another era are ignored.
     pub fn apply(&mut self, batch: &FeedBatch, fresh_at: ClockTime) {
+        if batch.position.era != self.position.era {
+            return;
+        }
         self.insert(&batch.rows);
-        self.revision = self.revision.max(batch.revision);
+        let revision = self.position.revision.max(batch.position.revision);
+        self.position.revision = revision;
         self.discard_tombstones();
         self.confirm(fresh_at);
     }
 
-    /// Returns the rows that changed after a revision, or all existing rows.
+    /// Returns the rows that changed after a position, or all existing rows.
     ///
     /// # Errors
     ///
-    /// Fails if changes after `after` may be missing.
-    pub fn changes(&self, after: Option<u64>) -> Result<Vec<FeedRow>, FeedError> {
+    /// Fails if changes after `after` may be missing, or if it is in a later era than
+    /// the cached rows.
+    pub fn changes(&self, after: Option<FeedPosition>) -> Result<Vec<FeedRow>, FeedError> {
         if !self.is_filled {
             return Err(FeedError::Unknown);
         }
         let rows = self.rows.values();
-        match after {
-            None => Ok(rows.filter(|row| row.value.is_some()).cloned().collect()),
-            Some(after) if after < self.min_revision => Err(FeedError::HistoryLost),
-            Some(after) => Ok(rows.filter(|row| row.revision > after).cloned().collect()),
+        let Some(after) = after else {
+            return Ok(rows.filter(|row| row.value.is_some()).cloned().collect());
+        };
+        if after.is_in_later_era(self.position) {
+            return Err(FeedError::Unknown);
+        }
+        if self.position.is_in_later_era(after) || after.revision < self.min_revision {
+            return Err(FeedError::HistoryLost);
         }
+        let is_later = |row: &&FeedRow| row.revision > after.revision;
+        Ok(rows.filter(is_later).cloned().collect())
     }
 
-    /// Returns the highest known revision of the store.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the newest known point of the store's history.
+    pub fn position(&self) -> FeedPosition {
+        self.position
     }
 
     /// Returns when the rows were last confirmed to be current.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -70,7 +70,7 @@
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
-pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedRow};
+pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
 pub use feed_route::{FeedEndpoint, FeedRoute, VmEntry};
 pub use generation::GenerationMachine;
 pub use generation_types::{
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -3,7 +3,7 @@
 //! The entries in the store may expire, arrive late and reappear.
 
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 #[derive(Clone, Debug)]
@@ -13,6 +13,16 @@
     drop_at: Option<ClockTime>,
 }
 
+/// An upstream whose entry was removed.
+#[derive(Clone, Copy, Debug)]
+struct DepartedUpstream {
+    started: ClockTime,
+    was_leaving: bool,
+}
+
+/// The number of removed upstreams that are remembered.
+const MAX_DEPARTED: usize = 4_096;
+
 /// The known upstreams by name.
 ///
 /// An entry that is missing right after an outage of the store may have expired
@@ -24,7 +34,8 @@
 /// use skylarkshed_core::ClockTime;
 /// use skylarkshed_policy::UpstreamTable;
 ///
-/// let mut table = UpstreamTable::new(ClockTime::from_millis(2_000));
+/// let grace = ClockTime::from_millis(2_000);
+/// let mut table = UpstreamTable::new(grace, ClockTime::from_millis(5_000));
 /// assert!(table.replace(Vec::new(), ClockTime::ZERO).is_empty());
 /// assert_eq!(table.records().count(), 0);
 /// ```
@@ -35,6 +46,12 @@
     grace: ClockTime,
     is_store_unavailable: bool,
     grace_ends_at: ClockTime,
+    departed: HashMap<UpstreamName, DepartedUpstream>,
+    /// How long entries that came back with an older copy of the store are not used.
+    quarantine: ClockTime,
+    quarantine_ends_at: ClockTime,
+    /// Upstreams that had gone and are listed again in the older copy.
+    quarantined: BTreeMap<UpstreamName, UpstreamRecord>,
 }
 
 /// A change of an upstream's entry.
@@ -52,16 +69,31 @@
 
 impl UpstreamTable {
     /// Creates an empty table; `grace` is how long entries may take to reappear after
-    /// an outage of the store.
-    pub fn new(grace: ClockTime) -> Self {
+    /// an outage of the store, and `quarantine` how long the store takes to remove
+    /// entries of upstreams that no longer exist.
+    pub fn new(grace: ClockTime, quarantine: ClockTime) -> Self {
         UpstreamTable {
             entries: BTreeMap::new(),
             grace,
             is_store_unavailable: false,
             grace_ends_at: ClockTime::ZERO,
+            departed: HashMap::new(),
+            quarantine,
+            quarantine_ends_at: ClockTime::ZERO,
+            quarantined: BTreeMap::new(),
         }
     }
 
+    /// Records that the store has returned from an older copy.
+    ///
+    /// Entries that the copy lacks have the grace period to reappear. Entries of
+    /// upstreams that had gone are not used until it is clear that they are renewed.
+    pub fn mark_store_restored(&mut self, now: ClockTime) {
+        self.is_store_unavailable = false;
+        self.grace_ends_at = now + self.grace;
+        self.quarantine_ends_at = now + self.quarantine;
+    }
+
     /// Records that the store does not respond.
     pub fn mark_store_unavailable(&mut self) {
         self.is_store_unavailable = true;
@@ -76,7 +108,28 @@
     }
 
     /// Inserts or updates an upstream's entry.
-    pub fn put(&mut self, mut record: UpstreamRecord, changes: &mut Vec<UpstreamChange>) {
+    pub fn put(
+        &mut self,
+        record: UpstreamRecord,
+        now: ClockTime,
+        changes: &mut Vec<UpstreamChange>,
+    ) {
+        let departed = self.departed.get(&record.name);
+        let departed = departed.filter(|departed| departed.started == record.started);
+        if departed.is_some() && now < self.quarantine_ends_at {
+            self.quarantined.insert(record.name.clone(), record);
+            return;
+        }
+        let was_leaving = departed.is_some_and(|departed| departed.was_leaving);
+        let is_leaving = record.is_leaving || was_leaving;
+        let record = UpstreamRecord {
+            is_leaving,
+            ..record
+        };
+        self.insert(record, changes);
+    }
+
+    fn insert(&mut self, mut record: UpstreamRecord, changes: &mut Vec<UpstreamChange>) {
         let known = self.entries.get(&record.name);
         // Leaving is final for one incarnation of an upstream.
         let was_leaving = known
@@ -120,6 +173,7 @@
         now: ClockTime,
         changes: &mut Vec<UpstreamChange>,
     ) {
+        self.quarantined.remove(name);
         let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
@@ -130,13 +184,27 @@
             }
             return;
         }
+        let record = entry.record.clone();
         self.entries.remove(name);
+        self.remember_departed(&record);
         changes.push(UpstreamChange::Removed(name.clone()));
     }
 
+    fn remember_departed(&mut self, record: &UpstreamRecord) {
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.clear();
+        }
+        let departed = DepartedUpstream {
+            started: record.started,
+            was_leaving: record.is_leaving,
+        };
+        self.departed.insert(record.name.clone(), departed);
+    }
+
     /// Replaces the whole table; upstreams without a record are removed.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: ClockTime) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
+        self.quarantined.clear();
         let is_listed = |name: &UpstreamName| records.iter().any(|record| record.name == *name);
         let missing = self.entries.keys().filter(|name| !is_listed(name));
         let missing: Vec<UpstreamName> = missing.cloned().collect();
@@ -144,21 +212,28 @@
             self.remove(name, now, &mut changes);
         }
         for record in records {
-            self.put(record, &mut changes);
+            self.put(record, now, &mut changes);
         }
         changes
     }
 
-    /// Drops the entries that did not reappear within the grace period.
+    /// Drops the entries that did not reappear within the grace period, and uses those
+    /// whose quarantine has ended.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
-        self.entries.retain(|name, entry| {
-            let is_kept = entry.drop_at.is_none_or(|at| now < at);
-            if !is_kept {
-                changes.push(UpstreamChange::Removed(name.clone()));
+        let is_expired = |entry: &&TableEntry| entry.drop_at.is_some_and(|at| now >= at);
+        let expired = self.entries.values().filter(is_expired);
+        let expired: Vec<Arc<UpstreamRecord>> = expired.map(|entry| entry.record.clone()).collect();
+        for record in expired {
+            self.entries.remove(&record.name);
+            self.remember_departed(&record);
+            changes.push(UpstreamChange::Removed(record.name.clone()));
+        }
+        if now >= self.quarantine_ends_at {
+            for record in std::mem::take(&mut self.quarantined).into_values() {
+                self.put(record, now, &mut changes);
             }
-            is_kept
-        });
+        }
         changes
     }
 
--- a/crates/policy/tests/gateway/feed.rs
+++ b/crates/policy/tests/gateway/feed.rs
@@ -2,7 +2,7 @@
 
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    FeedBatch, FeedCache, FeedEndpoint, FeedError, FeedRoute, FeedRow, VmEntry,
+    FeedBatch, FeedCache, FeedEndpoint, FeedError, FeedPosition, FeedRoute, FeedRow, VmEntry,
 };
 
 fn row(key: &'static str, revision: u64, value: Option<&'static str>) -> FeedRow {
@@ -13,10 +13,14 @@
     }
 }
 
+fn at(revision: u64) -> FeedPosition {
+    FeedPosition { era: 1, revision }
+}
+
 fn batch(rows: Vec<FeedRow>, revision: u64) -> FeedBatch {
     FeedBatch {
         rows,
-        revision,
+        position: at(revision),
         age: ClockTime::ZERO,
     }
 }
@@ -26,23 +30,23 @@
 #[test]
 fn changes_include_tombstones() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![row("a", 3, Some("x"))], 5), NOW);
+    cache.replace(&batch(vec![row("a", 3, Some("x"))], 5), NOW, |_| None);
     cache.apply(&batch(vec![row("a", 7, None)], 7), NOW);
-    assert_eq!(cache.changes(Some(5)), Ok(vec![row("a", 7, None)]));
+    assert_eq!(cache.changes(Some(at(5))), Ok(vec![row("a", 7, None)]));
     assert_eq!(cache.changes(None), Ok(vec![]));
 }
 
 #[test]
 fn changes_from_before_the_last_full_read_are_history_lost() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![], 5), NOW);
-    assert_eq!(cache.changes(Some(4)), Err(FeedError::HistoryLost));
+    cache.replace(&batch(vec![], 5), NOW, |_| None);
+    assert_eq!(cache.changes(Some(at(4))), Err(FeedError::HistoryLost));
 }
 
 #[test]
 fn an_older_row_does_not_replace_a_newer_one() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![row("a", 9, Some("new"))], 9), NOW);
+    cache.replace(&batch(vec![row("a", 9, Some("new"))], 9), NOW, |_| None);
     cache.apply(&batch(vec![row("a", 3, Some("old"))], 9), NOW);
     assert_eq!(cache.changes(None), Ok(vec![row("a", 9, Some("new"))]));
 }
@@ -50,16 +54,16 @@
 #[test]
 fn an_older_table_does_not_replace_a_newer_one() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![row("a", 9, Some("new"))], 9), NOW);
-    cache.replace(&batch(vec![], 4), NOW);
-    assert_eq!(cache.revision(), 9);
+    cache.replace(&batch(vec![row("a", 9, Some("new"))], 9), NOW, |_| None);
+    cache.replace(&batch(vec![], 4), NOW, |_| None);
+    assert_eq!(cache.position(), at(9));
     assert_eq!(cache.changes(None).unwrap().len(), 1);
 }
 
 #[test]
 fn an_older_confirmation_is_not_counted() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![], 5), NOW);
+    cache.replace(&batch(vec![], 5), NOW, |_| None);
     let confirmations = cache.confirmations();
     cache.apply(&batch(vec![], 5), ClockTime::from_millis(20));
     assert_eq!(
@@ -71,7 +75,7 @@
 #[test]
 fn discarded_tombstones_are_reported_as_history_lost() {
     let mut cache = FeedCache::default();
-    cache.replace(&batch(vec![], 0), NOW);
+    cache.replace(&batch(vec![], 0), NOW, |_| None);
     for revision in 1..=600 {
         let key = format!("upstream-{revision}");
         let tombstone = FeedRow {
@@ -81,8 +85,8 @@
         };
         cache.apply(&batch(vec![tombstone], revision), NOW);
     }
-    assert_eq!(cache.changes(Some(1)), Err(FeedError::HistoryLost));
-    assert!(cache.changes(Some(590)).is_ok());
+    assert_eq!(cache.changes(Some(at(1))), Err(FeedError::HistoryLost));
+    assert!(cache.changes(Some(at(590))).is_ok());
 }
 
 /// Guards against a full read after a large removal: the thousand engines of a zone
@@ -98,7 +102,7 @@
             value: Some("x".into()),
         }
     });
-    cache.replace(&batch(rows.collect(), 1), NOW);
+    cache.replace(&batch(rows.collect(), 1), NOW, |_| None);
     for number in 0..1_000 {
         let tombstone = FeedRow {
             key: format!("upstream-{number}").into(),
@@ -107,7 +111,7 @@
         };
         cache.apply(&batch(vec![tombstone], number + 2), NOW);
     }
-    assert_eq!(cache.changes(Some(1)).map(|rows| rows.len()), Ok(1_000));
+    assert_eq!(cache.changes(Some(at(1))).map(|rows| rows.len()), Ok(1_000));
 }
 
 fn vm(name: &str, zone: &str, port: u16) -> VmEntry {
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -10,5 +10,6 @@
 mod placement;
 mod rollouts;
 mod routes;
+mod store_eras;
 mod streams;
 mod upstream_table;
--- a/crates/policy/tests/gateway/upstream_table.rs
+++ b/crates/policy/tests/gateway/upstream_table.rs
@@ -4,6 +4,7 @@
 use skylarkshed_policy::{UpstreamChange, UpstreamTable};
 
 const GRACE: ClockTime = ClockTime::from_millis(2_000);
+const QUARANTINE: ClockTime = ClockTime::from_millis(5_000);
 
 fn at(millis: u64) -> ClockTime {
     ClockTime::from_millis(millis)
@@ -23,7 +24,7 @@
 }
 
 fn table_with(records: Vec<UpstreamRecord>) -> UpstreamTable {
-    let mut table = UpstreamTable::new(GRACE);
+    let mut table = UpstreamTable::new(GRACE, QUARANTINE);
     table.replace(records, at(0));
     table
 }
@@ -49,7 +50,7 @@
     let changes = table.replace(vec![], at(9_000));
     assert_eq!(changes.len(), 2, "both entries expired");
     let mut changes = Vec::new();
-    table.put(record("a", 1, 0), &mut changes);
+    table.put(record("a", 1, 0), at(10), &mut changes);
     assert!(table.expire(at(10_999)).is_empty());
     assert_eq!(
         table.expire(at(11_000)),
@@ -79,9 +80,9 @@
     };
     let mut table = table_with(vec![leaving]);
     let mut changes = Vec::new();
-    table.put(record("a", 1, 5), &mut changes);
+    table.put(record("a", 1, 5), at(10), &mut changes);
     assert!(table.records().all(|record| record.is_leaving));
-    table.put(record("a", 1, 6), &mut changes);
+    table.put(record("a", 1, 6), at(10), &mut changes);
     assert!(table.records().all(|record| !record.is_leaving));
 }
 
@@ -89,7 +90,7 @@
 fn a_new_upstream_removes_the_previous_one_at_its_address() {
     let mut table = table_with(vec![record("old", 1, 5), record("other", 2, 5)]);
     let mut changes = Vec::new();
-    table.put(record("new", 1, 6), &mut changes);
+    table.put(record("new", 1, 6), at(10), &mut changes);
     assert!(changes.contains(&UpstreamChange::Removed("old".into())));
     assert_eq!(names(&table), ["new", "other"]);
 }
@@ -98,6 +99,67 @@
 fn an_identical_entry_is_no_change() {
     let mut table = table_with(vec![record("a", 1, 0)]);
     let mut changes = Vec::new();
-    table.put(record("a", 1, 0), &mut changes);
+    table.put(record("a", 1, 0), at(10), &mut changes);
     assert!(changes.is_empty());
 }
+
+#[test]
+fn entries_that_the_older_copy_lacks_have_a_grace_period() {
+    let mut table = table_with(vec![record("a", 1, 0), record("b", 2, 0)]);
+    table.mark_store_restored(at(9_000));
+    table.replace(vec![record("b", 2, 0)], at(9_000));
+    assert_eq!(names(&table), ["a", "b"]);
+    table.expire(at(11_000));
+    assert_eq!(names(&table), ["b"]);
+}
+
+/// Guards against requests to an upstream that left before the store returned from a
+/// copy in which it was still ready.
+#[test]
+fn an_upstream_that_had_left_is_not_used_again_because_of_an_older_copy() {
+    let leaving = UpstreamRecord {
+        is_leaving: true,
+        ..record("a", 1, 5)
+    };
+    let mut table = table_with(vec![leaving]);
+    table.remove(&"a".into(), at(20), &mut Vec::new());
+    table.mark_store_restored(at(9_000));
+    table.replace(vec![record("a", 1, 5)], at(9_000));
+    assert!(names(&table).is_empty());
+    // Even if the copy is never corrected, leaving is final for this incarnation.
+    table.expire(at(14_000));
+    assert!(table.records().all(|record| record.is_leaving));
+}
+
+#[test]
+fn an_upstream_that_was_only_silent_is_used_again_after_the_quarantine() {
+    let mut table = table_with(vec![record("a", 1, 5)]);
+    table.remove(&"a".into(), at(20), &mut Vec::new());
+    table.mark_store_restored(at(9_000));
+    table.replace(vec![record("a", 1, 5)], at(9_000));
+    table.expire(at(13_999));
+    assert!(names(&table).is_empty());
+    table.expire(at(14_000));
+    assert_eq!(names(&table), ["a"]);
+    assert!(table.records().all(|record| !record.is_leaving));
+}
+
+#[test]
+fn a_removal_within_the_quarantine_is_final() {
+    let mut table = table_with(vec![record("a", 1, 5)]);
+    table.remove(&"a".into(), at(20), &mut Vec::new());
+    table.mark_store_restored(at(9_000));
+    table.replace(vec![record("a", 1, 5)], at(9_000));
+    table.remove(&"a".into(), at(10_000), &mut Vec::new());
+    table.expire(at(14_000));
+    assert!(names(&table).is_empty());
+}
+
+#[test]
+fn a_new_start_is_used_at_once_after_a_restore() {
+    let mut table = table_with(vec![record("a", 1, 5)]);
+    table.remove(&"a".into(), at(20), &mut Vec::new());
+    table.mark_store_restored(at(9_000));
+    table.replace(vec![record("a", 1, 6)], at(9_000));
+    assert_eq!(names(&table), ["a"]);
+}
--- a/crates/stand-ins/src/routing/mod.rs
+++ b/crates/stand-ins/src/routing/mod.rs
@@ -5,5 +5,5 @@
 mod upstream;
 
 pub use scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
-pub use store::{FakeStore, StoreMode};
+pub use store::{FakeStore, StoreCopy, StoreMode};
 pub use upstream::{FakeUpstream, ReceivedRequest};
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -47,6 +47,15 @@
     compacted_revision: u64,
     /// The number of calls by path.
     calls: HashMap<String, u64>,
+    /// How often the store has returned from an older copy.
+    era: u64,
+}
+
+/// A copy of the store's rows.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    revision: u64,
+    rows: BTreeMap<(String, String), (u64, Vec<u8>)>,
 }
 
 /// A fake store that runs until it is dropped.
@@ -87,6 +96,7 @@
             history: Vec::new(),
             compacted_revision: 0,
             calls: HashMap::new(),
+            era: 1,
         }));
         let (mode, mode_receiver) = watch::channel(StoreMode::Available);
         let (changed, _) = watch::channel(0);
@@ -139,6 +149,29 @@
         state.history.clear();
     }
 
+    /// Returns a copy of the store's rows.
+    pub fn copy(&self) -> StoreCopy {
+        let state = lock(&self.service.state);
+        StoreCopy {
+            revision: state.revision,
+            rows: state.rows.clone(),
+        }
+    }
+
+    /// Returns from an older copy: all later changes are lost, and their revisions are
+    /// given to other changes.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = lock(&self.service.state);
+        state.revision = copy.revision;
+        state.rows = copy.rows.clone();
+        state.history.clear();
+        state.compacted_revision = copy.revision;
+        state.era += 1;
+        let revision = state.revision;
+        drop(state);
+        self.service.changed.send_replace(revision);
+    }
+
     /// Sets how the store responds from now on.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.send_replace(mode);
@@ -201,23 +234,33 @@
     service: StoreService,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut response = respond_in_era(&service, request).await;
+    let era = lock(&service.state).era;
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn respond_in_era(
+    service: &StoreService,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let path = request.uri().path().to_owned();
     *lock(&service.state).calls.entry(path).or_default() += 1;
     let mode = *service.mode.borrow();
     match mode {
         StoreMode::Available => {}
-        StoreMode::Unavailable => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+        StoreMode::Unavailable => return reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
         StoreMode::Unresponsive => std::future::pending().await,
     }
     if request.uri().path() == "/-/rows-tx" {
-        return Ok(change_rows(&service, request).await);
+        return change_rows(service, request).await;
     }
     let fields = parse_query(&request);
     let table = fields.get("table").cloned().unwrap_or_default();
     match request.uri().path() {
-        "/-/rows-get" => Ok(get_rows(&lock(&service.state), &table, &fields)),
-        "/-/rows-feed" => Ok(feed_rows(&service, &table, &fields).await),
-        _ => Ok(reply(StatusCode::NOT_FOUND, &json!({}))),
+        "/-/rows-get" => get_rows(&lock(&service.state), &table, &fields),
+        "/-/rows-feed" => feed_rows(service, &table, &fields).await,
+        _ => reply(StatusCode::NOT_FOUND, &json!({})),
     }
 }
 
@@ -283,7 +326,7 @@
     loop {
         changed.borrow_and_update();
         let (rows, revision, compacted_revision) = changes(&lock(&service.state), table, after);
-        if after < compacted_revision {
+        if after < compacted_revision || after > revision {
             return reply(StatusCode::GONE, &json!({}));
         }
         let is_expired = tokio::time::Instant::now() >= deadline;
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod retries;
 mod rollouts;
 mod routing;
+mod store_restore;
 mod streams;
 mod upstream_notices;
