--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -101,6 +101,7 @@
             avoid: &self.tried,
             avoid_zones: &[],
             version_rule: &self.request.version_rule,
+            prompt_hash: None,
         })
     }
 
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -60,6 +60,11 @@
     gauge!("gateway_config_age_ms").set(age.as_millis() as f64);
 }
 
+/// Counts a silent engine that was not given up, because it reported progress.
+pub(crate) fn count_spared_engine() {
+    counter!("gateway_silent_engines_spared_total").increment(1);
+}
+
 /// Sets the number of listed upstreams, and of the draining ones among them.
 pub(crate) fn set_upstreams(present: usize, leaving: usize) {
     gauge!("gateway_upstreams", "state" => "present").set(present as f64);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -29,13 +29,6 @@
 /// The load balancer skips a VM without access to the store after two checks.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
 
-/// How long an event stream takes at most. The users' specifications name 140
-/// events of 32 ms after a prompt of 8,000 tokens, whose prefill takes a second.
-const MAX_STREAM_TIME: ClockTime = ClockTime::from_millis(6_500);
-/// How long an application call takes at most; the users' specifications allow
-/// 0.8 s.
-const MAX_CALL_TIME: ClockTime = ClockTime::from_millis(1_200);
-
 /// Why a request is not forwarded.
 enum RequestRefusal {
     NotRun(NotRunReason, ClockTime),
@@ -98,6 +91,9 @@
     }
     let response = serve_call::<P>(state, &request).await;
     let outcome = outcome_label(&response);
+    if response.status().is_success() {
+        state.call_time.record(request.deadline.elapsed());
+    }
     log::info!(
         request = request.id(),
         kind = kind.label(),
@@ -209,8 +205,8 @@
         return true;
     };
     let needed = match kind {
-        RequestKind::EventStream { .. } => MAX_STREAM_TIME,
-        RequestKind::Idempotent | RequestKind::NonIdempotent => MAX_CALL_TIME,
+        RequestKind::EventStream { .. } => state.stream_time.upper_bound(),
+        RequestKind::Idempotent | RequestKind::NonIdempotent => state.call_time.upper_bound(),
     };
     leaving_for + needed <= state.settings.times.grace
 }
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -8,7 +8,9 @@
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
 use skylarkshed_peer::{PeerClient, PeerKey};
-use skylarkshed_policy::{return_delay, LatencyEstimator, RetryBudget, TableServer};
+use skylarkshed_policy::{
+    return_delay, DurationEstimator, LatencyEstimator, PrefillEstimator, RetryBudget, TableServer,
+};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +19,11 @@
 /// known. The users' deployments have 8 and 9 VMs and can add 3.
 const ASSUMED_VMS: usize = 12;
 
+/// The least time that a draining VM allows for a request. A request that would have
+/// ended sooner is served by another VM.
+const MIN_STREAM_TIME: ClockTime = ClockTime::from_millis(6_500);
+const MIN_CALL_TIME: ClockTime = ClockTime::from_millis(1_200);
+
 /// Retry budget and latencies of one VM's traffic to one service.
 #[derive(Debug)]
 pub(crate) struct ServiceTraffic {
@@ -24,6 +31,8 @@
     pub(crate) budget: RetryBudget,
     /// The latencies of application calls.
     pub(crate) latency: LatencyEstimator,
+    /// The rate of prefills.
+    pub(crate) prefill: PrefillEstimator,
 }
 
 /// The state of one gateway process.
@@ -38,6 +47,9 @@
     pub(crate) rollouts: RolloutManager,
     pub(crate) peers: PeerClient,
     pub(crate) connections: AtomicUsize,
+    /// How long event streams and application calls last.
+    pub(crate) stream_time: DurationEstimator,
+    pub(crate) call_time: DurationEstimator,
     services: Mutex<HashMap<ServiceName, Arc<ServiceTraffic>>>,
     /// When draining began, in milliseconds on `clock`; 0 before that.
     leaving_ms: AtomicU64,
@@ -57,6 +69,8 @@
             config: ConfigState::new(boot_clock),
             upstreams: UpstreamDirectory::new(clock, boot_clock, &settings.times),
             connections: AtomicUsize::new(0),
+            stream_time: DurationEstimator::new(MIN_STREAM_TIME),
+            call_time: DurationEstimator::new(MIN_CALL_TIME),
             services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
             settings,
@@ -68,6 +82,7 @@
         let make = || ServiceTraffic {
             budget: RetryBudget::new(self.settings.retries, self.vm_count()),
             latency: LatencyEstimator::default(),
+            prefill: PrefillEstimator::default(),
         };
         let mut services = self.lock_services();
         let traffic = services.entry(service.clone());
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -30,6 +30,8 @@
     pub resume_after: Option<u64>,
     /// The number of prompt tokens; zero if unknown.
     pub prompt_tokens: u64,
+    /// Identifies the part of the prompt that belongs to the request or its session.
+    pub prompt_id: Option<FastStr>,
 }
 
 /// An error in the head of a request.
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -1,8 +1,9 @@
 //! One attempt to serve a stream, at one upstream.
 
 use super::events::{EventParser, StreamEvent};
+use super::prefill_watch::{watch_prefill, PrefillPatience, PrefillWatch};
 use crate::exchange::{SendError, UpstreamResponse};
-use crate::platform_api::KvCacheCopy;
+use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
@@ -26,6 +27,7 @@
     pub(super) response: UpstreamResponse,
     pub(super) phase: StreamPhase,
     pub(super) last_data_at: ClockTime,
+    patience: PrefillPatience,
     parser: EventParser,
 }
 
@@ -50,12 +52,14 @@
             response,
             phase,
             last_data_at: now,
+            patience: PrefillPatience::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
         }
     }
 
     /// Waits for the next event.
-    pub(super) async fn next(&mut self, clock: MonotonicClock) -> AttemptStep {
+    pub(super) async fn next<P: WireProtocol>(&mut self, watch: PrefillWatch<'_>) -> AttemptStep {
+        let clock = watch.state.clock;
         loop {
             match self.parser.next_event() {
                 Ok(Some(event)) => return AttemptStep::Event(event),
@@ -65,7 +69,15 @@
             let limit = silence_limit(self.phase, self.copy.is_some());
             let address = self.upstream.record.address;
             let bytes = self.response.next_bytes();
-            match watch_silence(bytes, self.last_data_at, limit, address, clock).await {
+            let bytes = match self.phase {
+                StreamPhase::Decoding => {
+                    watch_silence(bytes, self.last_data_at, limit, address, clock).await
+                }
+                StreamPhase::Prefill { .. } | StreamPhase::Resuming => {
+                    watch_prefill::<P, _>(bytes, watch, &self.upstream, &mut self.patience).await
+                }
+            };
+            match bytes {
                 Some(Ok(Some(bytes))) => {
                     self.record_bytes(clock.now());
                     self.parser.push(&bytes);
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -6,7 +6,9 @@
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
-use skylarkshed_policy::{are_all_busy, choose_engine, CopyKind, EngineLoad, RouteTable};
+use skylarkshed_policy::{
+    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable,
+};
 use std::sync::Arc;
 
 /// How many engines are queried for a load report before a prompt is sent. Each costs
@@ -29,14 +31,15 @@
 
     /// Chooses the upstream for the prefill by the load reports of a few engines.
     pub(super) async fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+        let usual_prompt = self.traffic.prefill.usual_prompt();
         let mut queried = Vec::new();
         let mut reports = self.query_engines(&mut queried, &self.failed_zones).await;
-        if !reports.is_empty() && are_all_busy(&reports) {
+        if !reports.is_empty() && are_all_busy(&reports, usual_prompt) {
             let mut avoid_zones = self.failed_zones.clone();
             avoid_zones.extend(queried.iter().map(|engine| engine.record.zone.clone()));
             reports.extend(self.query_engines(&mut queried, &avoid_zones).await);
         }
-        let index = choose_engine(&reports).unwrap_or(0);
+        let index = choose_engine(&reports, usual_prompt).unwrap_or(0);
         let upstream = queried.into_iter().nth(index)?;
         upstream.record_prompt(self.state.clock.now());
         Some(upstream)
@@ -70,6 +73,12 @@
         futures::future::join_all(reports).await
     }
 
+    /// Returns a hash that is the same for a request and for its caller's later attempts.
+    fn prompt_hash(&self) -> u64 {
+        let head = &self.request.head;
+        hash_rank(head.prompt_id.as_ref().unwrap_or(&head.request))
+    }
+
     fn next_candidate(
         &self,
         avoid: &[UpstreamName],
@@ -81,6 +90,7 @@
             avoid,
             avoid_zones,
             version_rule: &self.request.version_rule,
+            prompt_hash: Some(self.prompt_hash()),
         })
     }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -5,6 +5,7 @@
 mod engine_selection;
 mod events;
 mod opening;
+mod prefill_watch;
 
 use crate::caller_response::{BodyPart, CallerResponse, ResponseBody};
 use crate::counters;
@@ -17,6 +18,7 @@
 use events::StreamEvent;
 use http::{response, Response};
 use opening::OpenedStream;
+use prefill_watch::PrefillWatch;
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{EventLedger, EventVerdict, LossCause};
 use std::marker::PhantomData;
@@ -73,6 +75,7 @@
 ) -> CallerResponse {
     let traffic = state.traffic(&request.service);
     traffic.budget.record_request(state.clock.now());
+    traffic.prefill.record_prompt(request.head.prompt_tokens);
     let mut forwarder = StreamForwarder::<P> {
         ledger: EventLedger::resume_after(request.head.resume_after),
         state,
@@ -122,7 +125,7 @@
         loop {
             let remaining = self.request.deadline.remaining();
             let step = tokio::select! {
-                step = attempt.next(self.state.clock) => step,
+                step = attempt.next::<P>(self.prefill_watch()) => step,
                 copy = copies.next() => {
                     self.update_copy(&mut copies, &mut attempt, copy);
                     continue;
@@ -142,6 +145,10 @@
                     copies.release::<P>(&self.state, &attempt);
                     // A caller that has disconnected needs no end.
                     let _ = parts.send(BodyPart::End).await;
+                    if self.request.head.resume_after.is_none() {
+                        let duration = self.request.deadline.elapsed();
+                        self.state.stream_time.record(duration);
+                    }
                     return self.log_end("served");
                 }
                 AttemptStep::Lost(cause) => cause,
@@ -154,6 +161,14 @@
         }
     }
 
+    fn prefill_watch(&self) -> PrefillWatch<'_> {
+        PrefillWatch {
+            state: &self.state,
+            traffic: &self.traffic,
+            request: &self.request,
+        }
+    }
+
     /// Records a finished copy, and starts another if one is needed.
     fn update_copy(
         &self,
@@ -219,7 +234,7 @@
         };
         match verdict {
             EventVerdict::Accepted => {
-                self.timings.record_event(self.request.deadline.elapsed());
+                self.record_event();
                 // The main loop detects that the caller has disconnected.
                 let _ = parts.send(BodyPart::Bytes(event.bytes)).await;
                 Ok(())
@@ -229,6 +244,17 @@
         }
     }
 
+    fn record_event(&mut self) {
+        let elapsed = self.request.deadline.elapsed();
+        // Later attempts and resumed streams tell little of the rate of prefills.
+        let is_first_prefill = self.sends == 1 && self.request.head.resume_after.is_none();
+        if self.timings.first.is_none() && is_first_prefill {
+            let tokens = self.request.head.prompt_tokens;
+            self.traffic.prefill.record_first_event(tokens, elapsed);
+        }
+        self.timings.record_event(elapsed);
+    }
+
     /// Returns the response for a stream of which the caller received nothing.
     fn finish_unserved(&self) -> CallerResponse {
         match self.run_tracker.proof() {
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -1,6 +1,7 @@
 //! Opens a stream at an upstream, and tries others until one responds.
 
-use super::attempt::{watch_silence, AttemptFailure, StreamAttempt};
+use super::attempt::{AttemptFailure, StreamAttempt};
+use super::prefill_watch::{watch_prefill, PrefillPatience};
 use super::StreamForwarder;
 use crate::caller_response::{CallerResponse, ResponseBody};
 use crate::counters;
@@ -93,7 +94,10 @@
         let phase = match copy_from {
             Some(_) => StreamPhase::Resuming,
             None => StreamPhase::Prefill {
-                tokens: self.request.head.prompt_tokens,
+                usual_time: self
+                    .traffic
+                    .prefill
+                    .duration(self.request.head.prompt_tokens),
                 target_time_left: self.target_time_left(),
             },
         };
@@ -117,8 +121,9 @@
         let sending = send::<P>(&self.state, &self.request, &upstream, &options);
         let limit = silence_limit(phase, true).min(self.request.deadline.remaining());
         let clock = self.state.clock;
-        let address = upstream.record.address;
-        let response = watch_silence(sending, clock.now(), limit, address, clock).await;
+        let mut patience = PrefillPatience::start(clock.now(), limit);
+        let watch = self.prefill_watch();
+        let response = watch_prefill::<P, _>(sending, watch, &upstream, &mut patience).await;
         let response = response.ok_or(AttemptFailure(LossCause::Silence))??;
         if response.head.is_misdirected {
             return Err(AttemptFailure(LossCause::InstanceReplaced));
--- /dev/null
+++ b/crates/gateway/src/stream/prefill_watch.rs
@@ -0,0 +1,115 @@
+//! Waits for the first event of an attempt, and asks a silent engine for its progress.
+
+use super::attempt::watch_silence;
+use crate::counters;
+use crate::engine_calls::request_report;
+use crate::exchange::CallerRequest;
+use crate::gateway_state::{GatewayState, ServiceTraffic};
+use crate::platform_api::WireProtocol;
+use crate::upstreams::UpstreamState;
+use skylarkshed_core::ClockTime;
+use skylarkshed_policy::{judge_prefill, PrefillStatus, PrefillVerdict, WaitingPrefill};
+use std::future::Future;
+use std::pin::pin;
+
+/// What is needed to judge the prefill of a stream's request.
+#[derive(Clone, Copy)]
+pub(super) struct PrefillWatch<'a> {
+    pub(super) state: &'a GatewayState,
+    pub(super) traffic: &'a ServiceTraffic,
+    pub(super) request: &'a CallerRequest,
+}
+
+/// How long an attempt waits for its first event.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PrefillPatience {
+    since: ClockTime,
+    limit: ClockTime,
+    /// What the engine reported when it was last asked.
+    status: Option<PrefillStatus>,
+}
+
+impl PrefillPatience {
+    /// Starts the wait for the first event.
+    pub(super) fn start(now: ClockTime, limit: ClockTime) -> Self {
+        PrefillPatience {
+            since: now,
+            limit,
+            status: None,
+        }
+    }
+}
+
+/// Waits for a future that ends with the first event or the response's head; none if the
+/// engine is given up.
+///
+/// The function may be cancelled and called again with the same `patience`.
+pub(super) async fn watch_prefill<P, F>(
+    future: F,
+    watch: PrefillWatch<'_>,
+    upstream: &UpstreamState,
+    patience: &mut PrefillPatience,
+) -> Option<F::Output>
+where
+    P: WireProtocol,
+    F: Future,
+{
+    let clock = watch.state.clock;
+    let mut future = pin!(future);
+    loop {
+        let (since, limit) = (patience.since, patience.limit);
+        let address = upstream.record.address;
+        let output = watch_silence(&mut future, since, limit, address, clock).await;
+        if output.is_some() {
+            return output;
+        }
+        let waited = clock.now().since(since);
+        if waited < limit || watch.request.deadline.is_expired() {
+            // The host is down, or no time is left.
+            return None;
+        }
+        tokio::select! {
+            output = &mut future => return Some(output),
+            wait = ask_engine::<P>(watch, upstream, patience) => {
+                patience.limit = clock.now().since(since) + wait?;
+            }
+        }
+    }
+}
+
+/// Returns how long to wait on; none if the engine is given up.
+async fn ask_engine<P: WireProtocol>(
+    watch: PrefillWatch<'_>,
+    upstream: &UpstreamState,
+    patience: &mut PrefillPatience,
+) -> Option<ClockTime> {
+    let report = request_report::<P>(watch.state, upstream).await?;
+    let request = watch.request;
+    let estimator = &watch.traffic.prefill;
+    let status = report.prefill_status(request.id());
+    let target_latency = request.route.target_latency;
+    let waiting = WaitingPrefill {
+        prompt_tokens: request.head.prompt_tokens,
+        other_tokens: report.tokens_to_prefill(estimator.usual_prompt(), Some(request.id())),
+        status,
+        previous: patience.status.replace(status),
+        target_time_left: target_latency.since(request.deadline.elapsed()),
+    };
+    let verdict = judge_prefill(&waiting, estimator);
+    log::info!(
+        request = request.id(),
+        upstream:% = upstream.name(),
+        status:? = status,
+        other_tokens = waiting.other_tokens,
+        verdict:? = verdict,
+        after_ms = request.deadline.elapsed().as_millis();
+        "silent engine asked for its progress"
+    );
+    match verdict {
+        PrefillVerdict::Wait(wait) => {
+            counters::count_spared_engine();
+            Some(wait)
+        }
+        PrefillVerdict::Leave => None,
+    }
+}
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -19,6 +19,9 @@
 const SUSPICION_PERIOD: ClockTime = ClockTime::from_millis(2_000);
 /// Load reports of engines are up to a few hundred milliseconds old.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(250);
+/// The step in which this VM's load on an engine counts, in thousandths of its slots.
+/// The engines' own reports tell more.
+const PROMPT_LOAD_STEP: u64 = 250;
 /// The number of starts of upstreams that are remembered after their entries have
 /// vanished; a fleet replaces fewer within an hour.
 const MAX_UNLISTED_USAGES: usize = 4_096;
@@ -196,6 +199,9 @@
     pub(crate) avoid: &'a [UpstreamName],
     pub(crate) avoid_zones: &'a [ZoneName],
     pub(crate) version_rule: &'a VersionRule,
+    /// Which upstream is preferred among equals: the same one for the same prompt, or a
+    /// random one.
+    pub(crate) prompt_hash: Option<u64>,
 }
 
 impl UpstreamDirectory {
@@ -285,7 +291,11 @@
             zone: query.zone,
             avoid: query.avoid,
             avoid_zones: query.avoid_zones,
-            random: rand::random(),
+            tie_hash: query.prompt_hash.unwrap_or_else(rand::random),
+            load_step: match query.prompt_hash {
+                Some(_) => PROMPT_LOAD_STEP,
+                None => 1,
+            },
         };
         choose_candidate(&placement, &candidates).map(|index| states[index].clone())
     }
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -3,14 +3,35 @@
 //! While an engine prefills a long prompt, the events of all its generations are
 //! seven times slower. Each VM sees only its own requests, so it queries a few
 //! engines and uses the best one (the power of two choices, Mitzenmacher 2001).
+//!
+//! Load pattern: VMs lose power or are restarted while streams run, and all callers
+//! come back at other VMs. A prompt that is prefilled again elsewhere costs a second of
+//! an engine; at the engine that has it in its cache it costs almost nothing.
+
+use crate::prefill_patience::PrefillStatus;
+use faststr::FastStr;
 
-/// The assumed prompt length of a request that waits or is being prefilled.
-/// Deployments report 8,000 tokens as the usual length.
-const USUAL_PROMPT_TOKENS: u64 = 8_000;
-/// The cost of placing a new request beside a running generation, in prompt tokens.
-/// The running generation lengthens each step by one percent, and the prefill of the
-/// new prompt slows it down for a second.
-const RUNNING_COST: u64 = 800;
+/// The cost of placing a new request beside a running generation, as a percentage of
+/// the usual prompt. The running generation lengthens each step by one percent, and the
+/// prefill of the new prompt slows it down.
+const RUNNING_COST_PERCENT: u64 = 10;
+/// From this cost on, as a percentage of the usual prompt, engines of other zones are
+/// queried as well: most of another prompt has to be prefilled first.
+const BUSY_COST_PERCENT: u64 = 75;
+/// The additional cost, as a percentage of the usual prompt, at which an engine is
+/// preferred because a caller that returns would find its prompt there.
+const AFFINITY_PERCENT: u64 = 25;
+
+/// A request at an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineRun {
+    /// The request's identifier.
+    pub request: FastStr,
+    /// The tokens in the KV cache.
+    pub tokens: u64,
+    /// The events produced.
+    pub events: u64,
+}
 
 /// The load that an engine reports.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -19,39 +40,57 @@
     pub waiting: u64,
     /// Running requests.
     pub running: u64,
-    /// The prompt tokens already prefilled, for each request without an event.
-    pub prefill_progress: Vec<u64>,
+    /// The running requests that are listed one by one.
+    pub runs: Vec<EngineRun>,
     /// Prompts that this VM sent too recently to be included in the report.
     pub unreported: u64,
 }
 
 impl EngineLoad {
-    /// Returns the cost of placing a new request on this engine, in prompt tokens.
+    /// Returns the cost of placing a new request on this engine, in prompt tokens;
+    /// `usual_prompt` is the usual length of prompts.
     ///
     /// # Examples
     ///
     /// ```
-    /// use skylarkshed_policy::EngineLoad;
+    /// use skylarkshed_policy::{EngineLoad, EngineRun};
     ///
     /// let idle = EngineLoad::default();
-    /// let prefilling = EngineLoad { running: 1, prefill_progress: vec![2_000], ..idle.clone() };
-    /// assert!(idle.cost() < prefilling.cost());
+    /// let run = EngineRun { request: "r-1".into(), tokens: 2_000, events: 0 };
+    /// let prefilling = EngineLoad { running: 1, runs: vec![run], ..idle.clone() };
+    /// assert!(idle.cost(8_000) < prefilling.cost(8_000));
     /// ```
-    pub fn cost(&self) -> u64 {
-        let remaining = self.prefill_progress.iter().map(|prefilled| {
-            // A prompt that is longer than usual is assumed to be almost finished.
-            USUAL_PROMPT_TOKENS
-                .saturating_sub(*prefilled)
-                .max(RUNNING_COST)
-        });
-        let waiting = (self.waiting + self.unreported) * USUAL_PROMPT_TOKENS;
-        waiting + remaining.sum::<u64>() + self.running * RUNNING_COST
+    pub fn cost(&self, usual_prompt: u64) -> u64 {
+        let running_cost = usual_prompt * RUNNING_COST_PERCENT / 100;
+        self.tokens_to_prefill(usual_prompt, None) + self.running * running_cost
     }
-}
 
-/// From this cost on, engines of other zones are queried as well: most of
-/// another prompt has to be prefilled first.
-const BUSY_COST: u64 = 6_000;
+    /// Returns the number of prompt tokens that the engine has to prefill, except for
+    /// one request.
+    pub fn tokens_to_prefill(&self, usual_prompt: u64, except: Option<&str>) -> u64 {
+        let running_cost = usual_prompt * RUNNING_COST_PERCENT / 100;
+        let prefills = self.runs.iter().filter(|run| run.events == 0);
+        let prefills = prefills.filter(|run| except != Some(run.request.as_str()));
+        // A prompt that is longer than usual is assumed to be almost finished.
+        let remaining =
+            prefills.map(|run| usual_prompt.saturating_sub(run.tokens).max(running_cost));
+        let waiting = (self.waiting + self.unreported) * usual_prompt;
+        waiting + remaining.sum::<u64>()
+    }
+
+    /// Returns what the engine reports of a request without an event.
+    pub fn prefill_status(&self, request: &str) -> PrefillStatus {
+        let run = self.runs.iter().find(|run| run.request == request);
+        match run {
+            Some(run) if run.events > 0 => PrefillStatus::Started,
+            Some(run) => PrefillStatus::Running {
+                prefilled: run.tokens,
+            },
+            None if self.waiting > 0 => PrefillStatus::Queued,
+            None => PrefillStatus::Unknown,
+        }
+    }
+}
 
 /// Reports whether even the best of the reported engines is so busy that engines of
 /// other zones should be queried as well.
@@ -66,30 +105,40 @@
 /// use skylarkshed_policy::{are_all_busy, EngineLoad};
 ///
 /// let busy = EngineLoad { waiting: 1, ..EngineLoad::default() };
-/// assert!(are_all_busy(&[Some(busy.clone()), None]));
-/// assert!(!are_all_busy(&[Some(busy), Some(EngineLoad::default())]));
+/// assert!(are_all_busy(&[Some(busy.clone()), None], 8_000));
+/// assert!(!are_all_busy(&[Some(busy), Some(EngineLoad::default())], 8_000));
 /// ```
-pub fn are_all_busy(reports: &[Option<EngineLoad>]) -> bool {
-    let mut costs = reports.iter().flatten().map(EngineLoad::cost);
-    costs.all(|cost| cost >= BUSY_COST)
+pub fn are_all_busy(reports: &[Option<EngineLoad>], usual_prompt: u64) -> bool {
+    let busy_cost = usual_prompt * BUSY_COST_PERCENT / 100;
+    let mut costs = reports.iter().flatten().map(|load| load.cost(usual_prompt));
+    costs.all(|cost| cost >= busy_cost)
 }
 
 /// Returns the index of the engine to use among those that reported.
 ///
+/// The engines are in the order in which the prompt's last part ranks them, which is the
+/// same on all VMs. The first one whose cost is close to the lowest is used, so that a
+/// caller that returns at another VM after its own has failed probably finds its prompt
+/// in the engine's cache.
+///
 /// # Examples
 ///
 /// ```
 /// use skylarkshed_policy::{choose_engine, EngineLoad};
 ///
 /// let busy = EngineLoad { running: 3, ..EngineLoad::default() };
-/// assert_eq!(choose_engine(&[Some(busy), None, Some(EngineLoad::default())]), Some(2));
-/// assert_eq!(choose_engine(&[None]), None);
+/// assert_eq!(choose_engine(&[Some(busy), None, Some(EngineLoad::default())], 8_000), Some(2));
+/// assert_eq!(choose_engine(&[None], 8_000), None);
 /// ```
-pub fn choose_engine(reports: &[Option<EngineLoad>]) -> Option<usize> {
-    let reported = reports
-        .iter()
-        .enumerate()
-        .filter_map(|(index, report)| report.as_ref().map(|load| (index, load)));
-    let best = reported.min_by_key(|(_, load)| load.cost());
-    best.map(|(index, _)| index)
+pub fn choose_engine(reports: &[Option<EngineLoad>], usual_prompt: u64) -> Option<usize> {
+    let costs = reports.iter().enumerate();
+    let costs = costs.filter_map(|(index, report)| {
+        let load = report.as_ref()?;
+        Some((index, load.cost(usual_prompt)))
+    });
+    let costs: Vec<(usize, u64)> = costs.collect();
+    let lowest = costs.iter().map(|(_, cost)| *cost).min()?;
+    let limit = lowest + usual_prompt * AFFINITY_PERCENT / 100;
+    let first = costs.iter().find(|(_, cost)| *cost <= limit);
+    first.map(|(index, _)| *index)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,9 @@
 //! - [`EventLedger`] passes each event of a stream on exactly once.
 //!   [`decide_recovery`] decides how a stream continues after a failure, and
 //!   [`decide_copy`] keeps the KV cache copy that it can continue from.
+//!   [`judge_prefill`] decides whether to wait for a late first event, and
+//!   [`choose_engine`] selects the engine of a prompt.
+//! - [`DurationEstimator`] tells which requests end before a draining VM is killed.
 //! - [`FeedCache`] caches what a VM has read from the platform's store, and
 //!   [`FeedRoute`] chooses the endpoints that it reads from. [`TableServer`] limits
 //!   how fast a VM sends whole tables to VMs that start.
@@ -35,6 +38,7 @@
 mod concurrency_limiter;
 mod copy_plan;
 mod deferral;
+mod duration_estimator;
 mod engine_choice;
 mod event_ledger;
 mod evidence;
@@ -49,6 +53,7 @@
 mod minted_keys;
 mod move_plan;
 mod placement;
+mod prefill_patience;
 mod rate_limiter;
 mod rendezvous;
 mod retry_budget;
@@ -67,7 +72,8 @@
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use copy_plan::{decide_copy, CopyDecision, CopyKind, CopyState};
 pub use deferral::{deferred_until, return_delay};
-pub use engine_choice::{are_all_busy, choose_engine, EngineLoad};
+pub use duration_estimator::DurationEstimator;
+pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
 pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
@@ -87,6 +93,9 @@
 pub use minted_keys::{MintedKeys, MintedState, MintedVerdict};
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
 pub use placement::{choose_candidate, PlacementQuery, UpstreamCandidate};
+pub use prefill_patience::{
+    judge_prefill, PrefillEstimator, PrefillStatus, PrefillVerdict, WaitingPrefill,
+};
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -40,8 +40,11 @@
     pub avoid: &'a [UpstreamName],
     /// Zones that are used only if no other zone has an upstream.
     pub avoid_zones: &'a [ZoneName],
-    /// A random number that breaks ties.
-    pub random: u64,
+    /// A random number, or the hash of a prompt, that breaks ties.
+    pub tie_hash: u64,
+    /// Loads that differ by less than this, in thousandths of the slots, count as
+    /// equal.
+    pub load_step: u64,
 }
 
 /// Returns the index of the upstream to use, or `None` if none can take work.
@@ -55,7 +58,13 @@
 /// let (name, zone) = (UpstreamName::from("app-1"), ZoneName::from("chag"));
 /// let health = UpstreamHealth::Healthy;
 /// let candidate = UpstreamCandidate { name: &name, zone: &zone, load: 0, health };
-/// let query = PlacementQuery { zone: &zone, avoid: &[], avoid_zones: &[], random: 7 };
+/// let query = PlacementQuery {
+///     zone: &zone,
+///     avoid: &[],
+///     avoid_zones: &[],
+///     tie_hash: 7,
+///     load_step: 1,
+/// };
 /// assert_eq!(choose_candidate(&query, &[candidate]), Some(0));
 /// let avoid = [name.clone()];
 /// let query = PlacementQuery { avoid: &avoid, ..query };
@@ -79,12 +88,12 @@
             true => 0,
             false => CROSS_ZONE_LOAD,
         };
-        let tie = crate::rendezvous::hash_rank((query.random, candidate.name));
+        let tie = crate::rendezvous::hash_rank((query.tie_hash, candidate.name));
         (
             is_suspect,
             is_avoided,
             in_suspect_zone,
-            candidate.load + zone_penalty,
+            (candidate.load + zone_penalty) / query.load_step.max(1),
             tie,
         )
     };
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -6,15 +6,12 @@
 
 use skylarkshed_core::ClockTime;
 
-/// The prefill rate of an engine: the slowest that is reported from deployments.
-const PREFILL_TOKENS_PER_MS: u64 = 8;
 /// The time to the first event in addition to the prefill: queueing and one step.
 const FIRST_EVENT_OVERHEAD: ClockTime = ClockTime::from_millis(1_200);
 /// The maximum time to the first event is this multiple of the bare prefill, as
 /// other prompts may be queued at the engine, plus [`FIRST_EVENT_OVERHEAD`].
 const MAX_PREFILL_FACTOR: u64 = 2;
-/// The minimum time allowed for a prefill, as a percentage of the time at
-/// [`PREFILL_TOKENS_PER_MS`]: slower engines in use take 1.3 times as long.
+/// The minimum time allowed for a prefill, as a percentage of its usual time.
 const MIN_PREFILL_PERCENT: u64 = 130;
 /// The time that another upstream needs in addition to the prefill.
 const RESTART_OVERHEAD: ClockTime = ClockTime::from_millis(300);
@@ -130,8 +127,8 @@
 pub enum StreamPhase {
     /// The prompt is being prefilled.
     Prefill {
-        /// The number of tokens to prefill.
-        tokens: u64,
+        /// How long the prompt usually takes.
+        usual_time: ClockTime,
         /// The time left in which the first event still meets its target latency.
         target_time_left: ClockTime,
     },
@@ -153,20 +150,20 @@
 pub fn silence_limit(phase: StreamPhase, has_copy: bool) -> ClockTime {
     match phase {
         StreamPhase::Prefill {
-            tokens,
+            usual_time,
             target_time_left,
-        } => prefill_limit(tokens, target_time_left),
+        } => prefill_limit(usual_time, target_time_left),
         StreamPhase::Resuming => RESUME_TIMEOUT,
         StreamPhase::Decoding if has_copy => SILENCE_LIMIT_WITH_COPY,
         StreamPhase::Decoding => SILENCE_LIMIT_WITHOUT_COPY,
     }
 }
 
-/// Returns how long to wait for a first event: as long as another upstream can
-/// still send it in time, but no less than a slow prefill takes.
-fn prefill_limit(tokens: u64, target_time_left: ClockTime) -> ClockTime {
-    let prefill_ms = tokens / PREFILL_TOKENS_PER_MS;
-    let prefill = ClockTime::from_millis(prefill_ms);
+/// Returns how long to wait for a first event before the engine is asked for its
+/// progress: as long as another upstream can still send the event in time, but no less
+/// than a slow prefill takes.
+fn prefill_limit(prefill: ClockTime, target_time_left: ClockTime) -> ClockTime {
+    let prefill_ms = prefill.as_millis();
     let max = ClockTime::from_millis(prefill_ms * MAX_PREFILL_FACTOR) + FIRST_EVENT_OVERHEAD;
     let min = ClockTime::from_millis(prefill_ms * MIN_PREFILL_PERCENT / 100);
     let restart = prefill + RESTART_OVERHEAD;
--- a/crates/policy/tests/gateway/deferral.rs
+++ b/crates/policy/tests/gateway/deferral.rs
@@ -23,7 +23,8 @@
         zone: &zone,
         avoid: &[],
         avoid_zones: &[],
-        random: 1,
+        tie_hash: 1,
+        load_step: 1,
     };
     let choose = |health| choose_candidate(&query, &[candidate(health)]);
     assert_eq!(choose(UpstreamHealth::Suspect), Some(0));
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod fleet_start;
 mod latency_estimator;
 mod placement;
+mod prefill_patience;
 mod rollouts;
 mod routes;
 mod store_eras;
--- a/crates/policy/tests/gateway/placement.rs
+++ b/crates/policy/tests/gateway/placement.rs
@@ -43,7 +43,8 @@
         zone,
         avoid: &[],
         avoid_zones,
-        random,
+        tie_hash: random,
+        load_step: 1,
     };
     choose_candidate(&query, &candidates)
 }
--- a/crates/policy/tests/gateway/streams.rs
+++ b/crates/policy/tests/gateway/streams.rs
@@ -52,7 +52,7 @@
     let target_latency = ClockTime::from_millis(4_500);
     let prefill = ClockTime::from_millis(tokens / 8);
     let phase = StreamPhase::Prefill {
-        tokens,
+        usual_time: prefill,
         target_time_left: target_latency,
     };
     let limit = silence_limit(phase, true);
@@ -66,7 +66,7 @@
 #[test]
 fn first_event_limit_is_longer_if_the_target_cannot_be_met() {
     let phase = |left| StreamPhase::Prefill {
-        tokens: 8_000,
+        usual_time: ClockTime::from_millis(1_000),
         target_time_left: ClockTime::from_millis(left),
     };
     assert!(silence_limit(phase(0), true) > silence_limit(phase(3_200), true));
