--- a/crates/gateway/src/stream/prefill_watch.rs
+++ b/crates/gateway/src/stream/prefill_watch.rs
@@ -8,7 +8,7 @@
 use crate::platform_api::WireProtocol;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{judge_prefill, PrefillStatus, PrefillVerdict, WaitingPrefill};
+use skylarkshed_policy::{judge_prefill, PrefillVerdict, WaitingPrefill};
 use std::future::Future;
 use std::pin::pin;
 
@@ -25,18 +25,12 @@
 pub(super) struct PrefillPatience {
     since: ClockTime,
     limit: ClockTime,
-    /// What the engine reported when it was last asked.
-    status: Option<PrefillStatus>,
 }
 
 impl PrefillPatience {
     /// Starts the wait for the first event.
     pub(super) fn start(now: ClockTime, limit: ClockTime) -> Self {
-        PrefillPatience {
-            since: now,
-            limit,
-            status: None,
-        }
+        PrefillPatience { since: now, limit }
     }
 }
 
@@ -70,7 +64,7 @@
         }
         tokio::select! {
             output = &mut future => return Some(output),
-            wait = ask_engine::<P>(watch, upstream, patience) => {
+            wait = ask_engine::<P>(watch, upstream, waited) => {
                 patience.limit = clock.now().since(since) + wait?;
             }
         }
@@ -81,18 +75,19 @@
 async fn ask_engine<P: WireProtocol>(
     watch: PrefillWatch<'_>,
     upstream: &UpstreamState,
-    patience: &mut PrefillPatience,
+    waited: ClockTime,
 ) -> Option<ClockTime> {
     let report = request_report::<P>(watch.state, upstream).await?;
     let request = watch.request;
     let estimator = &watch.traffic.prefill;
-    let status = report.prefill_status(request.id());
+    let prompt_tokens = request.head.prompt_tokens;
+    let status = report.prefill_status(request.id(), prompt_tokens);
     let target_latency = request.route.target_latency;
     let waiting = WaitingPrefill {
-        prompt_tokens: request.head.prompt_tokens,
-        other_tokens: report.tokens_to_prefill(estimator.usual_prompt(), Some(request.id())),
+        prompt_tokens,
+        other_tokens: report.other_tokens(estimator.usual_prompt(), status, prompt_tokens),
         status,
-        previous: patience.status.replace(status),
+        waited,
         target_time_left: target_latency.since(request.deadline.elapsed()),
     };
     let verdict = judge_prefill(&waiting, estimator);
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -16,21 +16,23 @@
 /// prefill of the new prompt slows it down.
 const RUNNING_COST_PERCENT: u64 = 10;
 /// From this cost on, as a percentage of the usual prompt, engines of other zones are
-/// queried as well: most of another prompt has to be prefilled first.
-const BUSY_COST_PERCENT: u64 = 75;
+/// queried as well: another prompt has to be prefilled first.
+const BUSY_COST_PERCENT: u64 = 40;
 /// The additional cost, as a percentage of the usual prompt, at which an engine is
 /// preferred because a caller that returns would find its prompt there.
 const AFFINITY_PERCENT: u64 = 25;
 
-/// A request at an engine.
+/// A prompt is among those that are being prefilled if they are at least this
+/// percentage as long: parts of it may have been in the cache before.
+const MIN_ROOM_PERCENT: u64 = 80;
+
+/// A request at an engine that has produced events.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineRun {
     /// The request's identifier.
     pub request: FastStr,
     /// The tokens in the KV cache.
     pub tokens: u64,
-    /// The events produced.
-    pub events: u64,
 }
 
 /// The load that an engine reports.
@@ -38,10 +40,13 @@
 pub struct EngineLoad {
     /// Requests that wait for a slot.
     pub waiting: u64,
-    /// Running requests.
+    /// Running requests, with those whose prompt is being prefilled.
     pub running: u64,
-    /// The running requests that are listed one by one.
+    /// The running requests that have produced events.
     pub runs: Vec<EngineRun>,
+    /// The tokens of running requests in the KV cache. The room for a whole prompt is
+    /// taken when its prefill begins.
+    pub used_tokens: u64,
     /// Prompts that this VM sent too recently to be included in the report.
     pub unreported: u64,
 }
@@ -53,41 +58,55 @@
     /// # Examples
     ///
     /// ```
-    /// use skylarkshed_policy::{EngineLoad, EngineRun};
+    /// use skylarkshed_policy::EngineLoad;
     ///
     /// let idle = EngineLoad::default();
-    /// let run = EngineRun { request: "r-1".into(), tokens: 2_000, events: 0 };
-    /// let prefilling = EngineLoad { running: 1, runs: vec![run], ..idle.clone() };
+    /// let prefilling = EngineLoad { running: 1, used_tokens: 9_000, ..idle.clone() };
     /// assert!(idle.cost(8_000) < prefilling.cost(8_000));
     /// ```
     pub fn cost(&self, usual_prompt: u64) -> u64 {
-        let running_cost = usual_prompt * RUNNING_COST_PERCENT / 100;
-        self.tokens_to_prefill(usual_prompt, None) + self.running * running_cost
+        let queued = (self.waiting + self.unreported) * usual_prompt;
+        let running = self.running * (usual_prompt * RUNNING_COST_PERCENT / 100);
+        // A prefill of unknown progress is half done on average.
+        queued + self.prefilling_tokens() / 2 + running
+    }
+
+    /// Returns the number of requests whose prompt is being prefilled.
+    pub fn prefills(&self) -> u64 {
+        self.running.saturating_sub(self.runs.len() as u64)
     }
 
-    /// Returns the number of prompt tokens that the engine has to prefill, except for
-    /// one request.
-    pub fn tokens_to_prefill(&self, usual_prompt: u64, except: Option<&str>) -> u64 {
-        let running_cost = usual_prompt * RUNNING_COST_PERCENT / 100;
-        let prefills = self.runs.iter().filter(|run| run.events == 0);
-        let prefills = prefills.filter(|run| except != Some(run.request.as_str()));
-        // A prompt that is longer than usual is assumed to be almost finished.
-        let remaining =
-            prefills.map(|run| usual_prompt.saturating_sub(run.tokens).max(running_cost));
-        let waiting = (self.waiting + self.unreported) * usual_prompt;
-        waiting + remaining.sum::<u64>()
+    /// Returns the total length of the prompts that are being prefilled.
+    pub fn prefilling_tokens(&self) -> u64 {
+        let decoding: u64 = self.runs.iter().map(|run| run.tokens).sum();
+        match self.prefills() {
+            0 => 0,
+            _ => self.used_tokens.saturating_sub(decoding),
+        }
     }
 
     /// Returns what the engine reports of a request without an event.
-    pub fn prefill_status(&self, request: &str) -> PrefillStatus {
-        let run = self.runs.iter().find(|run| run.request == request);
-        match run {
-            Some(run) if run.events > 0 => PrefillStatus::Started,
-            Some(run) => PrefillStatus::Running {
-                prefilled: run.tokens,
-            },
-            None if self.waiting > 0 => PrefillStatus::Queued,
-            None => PrefillStatus::Unknown,
+    pub fn prefill_status(&self, request: &str, prompt_tokens: u64) -> PrefillStatus {
+        let has_room = self.prefilling_tokens() * 100 >= prompt_tokens * MIN_ROOM_PERCENT;
+        if self.runs.iter().any(|run| run.request == request) {
+            PrefillStatus::Started
+        } else if self.prefills() > 0 && has_room {
+            PrefillStatus::Running
+        } else if self.waiting > 0 {
+            PrefillStatus::Queued
+        } else {
+            PrefillStatus::Unknown
+        }
+    }
+
+    /// Returns the tokens that the engine has to prefill besides a request's own prompt.
+    pub fn other_tokens(&self, usual_prompt: u64, status: PrefillStatus, own_tokens: u64) -> u64 {
+        match status {
+            PrefillStatus::Started | PrefillStatus::Unknown => 0,
+            PrefillStatus::Running => self.prefilling_tokens().saturating_sub(own_tokens),
+            PrefillStatus::Queued => {
+                self.prefilling_tokens() + self.waiting.saturating_sub(1) * usual_prompt
+            }
         }
     }
 }
--- a/crates/policy/src/prefill_patience.rs
+++ b/crates/policy/src/prefill_patience.rs
@@ -4,8 +4,8 @@
 //! restarted or a burst began. Engines then prefill several prompts beside each other
 //! and first events come late. Giving such an engine up sends the same prompt to
 //! another one, which delays the prompts there as well. A silent engine is therefore
-//! asked what it is doing; only one that does not answer, has lost the request or makes
-//! no progress is given up.
+//! asked what it is doing; only one that does not answer, has lost the request or would
+//! take far too long is given up.
 
 use skylarkshed_core::ClockTime;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,6 +22,9 @@
 /// Prompts below this length take about as long as the steps around them.
 const MIN_SAMPLE_TOKENS: u64 = 1_000;
 
+/// A prompt that has taken this many times its usual time, and the time of the others
+/// beside it, has been lost by the engine.
+const MAX_PREFILL_FACTOR: u64 = 4;
 /// The time that another engine needs in addition to the prefill.
 const RESTART_OVERHEAD: ClockTime = ClockTime::from_millis(300);
 /// An engine is left for another one if its first event is this many times further
@@ -104,11 +107,8 @@
 /// What an engine reports of a request without an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PrefillStatus {
-    /// It prefills the prompt.
-    Running {
-        /// The tokens already prefilled.
-        prefilled: u64,
-    },
+    /// It probably prefills the prompt.
+    Running,
     /// It has sent an event, which is on its way.
     Started,
     /// It may be among the waiting requests.
@@ -126,8 +126,8 @@
     pub other_tokens: u64,
     /// What the engine reports of it.
     pub status: PrefillStatus,
-    /// What the engine reported before, if it was asked before.
-    pub previous: Option<PrefillStatus>,
+    /// The time since it was sent.
+    pub waited: ClockTime,
     /// The time left in which the first event still meets its target latency.
     pub target_time_left: ClockTime,
 }
@@ -155,8 +155,8 @@
 /// let waiting = WaitingPrefill {
 ///     prompt_tokens: 8_000,
 ///     other_tokens: 0,
-///     status: PrefillStatus::Running { prefilled: 6_000 },
-///     previous: None,
+///     status: PrefillStatus::Running,
+///     waited: ClockTime::from_millis(2_300),
 ///     target_time_left: ClockTime::from_millis(1_000),
 /// };
 /// assert!(matches!(judge_prefill(&waiting, &estimator), PrefillVerdict::Wait(_)));
@@ -164,17 +164,20 @@
 /// assert_eq!(judge_prefill(&lost, &estimator), PrefillVerdict::Leave);
 /// ```
 pub fn judge_prefill(waiting: &WaitingPrefill, estimator: &PrefillEstimator) -> PrefillVerdict {
-    let is_stuck = waiting.previous == Some(waiting.status)
-        && matches!(waiting.status, PrefillStatus::Running { .. });
-    let own_tokens = match waiting.status {
+    let own = estimator.duration(waiting.prompt_tokens);
+    let others = estimator.duration(waiting.other_tokens);
+    let expected = match waiting.status {
         PrefillStatus::Unknown => return PrefillVerdict::Leave,
-        _ if is_stuck => return PrefillVerdict::Leave,
-        PrefillStatus::Started => 0,
-        PrefillStatus::Running { prefilled } => waiting.prompt_tokens.saturating_sub(prefilled),
-        PrefillStatus::Queued => waiting.prompt_tokens,
+        PrefillStatus::Started => ClockTime::ZERO,
+        // The prompt is half done on average.
+        PrefillStatus::Running => ClockTime::from_millis(own.as_millis() / 2) + others,
+        PrefillStatus::Queued => own + others,
     };
-    let expected = estimator.duration(own_tokens + waiting.other_tokens);
-    let restart = estimator.duration(waiting.prompt_tokens) + RESTART_OVERHEAD;
+    let longest_wait = ClockTime::from_millis(own.as_millis() * MAX_PREFILL_FACTOR) + others;
+    if waiting.waited > longest_wait {
+        return PrefillVerdict::Leave;
+    }
+    let restart = own + RESTART_OVERHEAD;
     let longest = ClockTime::from_millis(restart.as_millis() * MAX_RESTART_FACTOR);
     // If no engine can meet the target, another one would only cost more.
     let can_meet_target_elsewhere = waiting.target_time_left > restart;
