--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName};
-use skylarkshed_policy::UpstreamHealth;
+use skylarkshed_policy::{outage_delay, UpstreamHealth};
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
@@ -82,7 +82,8 @@
         fallback: None,
     };
     loop {
-        let Some(upstream) = attempts.next_upstream() else {
+        let upstream = attempts.next_upstream();
+        let Some(upstream) = upstream.filter(|upstream| attempts.is_worth_trying(upstream)) else {
             return attempts.finish_unserved(NotRunReason::NoUpstream);
         };
         let outcome = attempts.send_to::<P>(&upstream).await;
@@ -105,6 +106,16 @@
         })
     }
 
+    /// Reports whether an upstream is tried. After failed connections, one that failed
+    /// recently is tried only while the target latency can still be met: in a zone that
+    /// is cut off, no upstream of others can be reached for seconds.
+    fn is_worth_trying(&self, upstream: &UpstreamState) -> bool {
+        let request = self.request;
+        let half_target = ClockTime::from_millis(request.route.target_latency.as_millis() / 2);
+        let is_healthy = upstream.health(self.state.clock.now()) == UpstreamHealth::Healthy;
+        is_healthy || self.unsent == 0 || request.deadline.elapsed() < half_target
+    }
+
     async fn send_to<P: WireProtocol>(&mut self, upstream: &UpstreamState) -> AttemptOutcome {
         self.tried.push(upstream.name().clone());
         let started = self.state.clock.now();
@@ -211,12 +222,23 @@
         match self.run_tracker.proof() {
             Some(proof) => match self.state.deferral_of(self.request) {
                 Some(delay) => refuse(proof, NotRunReason::UpstreamsDeferred, delay),
-                None => refuse(proof, reason, RETRY_AFTER),
+                None => refuse(proof, reason, self.retry_after(reason)),
             },
             None => fail(FailureReason::UpstreamBroke),
         }
     }
 
+    fn retry_after(&self, reason: NotRunReason) -> ClockTime {
+        let request = self.request;
+        match reason {
+            NotRunReason::NoUpstream => {
+                let time_left = request.deadline.remaining();
+                outage_delay(request.route.target_latency, time_left, rand::random())
+            }
+            _ => RETRY_AFTER,
+        }
+    }
+
     /// Logs the outcome of an attempt and counts it for its upstream's version.
     fn record_outcome(&self, upstream: &UpstreamState, outcome: &AttemptOutcome) {
         let elapsed = self.request.deadline.elapsed();
--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -3,7 +3,7 @@
 use arc_swap::ArcSwapOption;
 use skylarkshed_core::{BootTimeClock, ClockTime, RoutingConfig};
 use skylarkshed_policy::RouteTable;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 /// The active configuration and its age.
@@ -12,6 +12,8 @@
     table: ArcSwapOption<RouteTable>,
     /// When the configuration was last confirmed as current; 0 for never.
     confirmed_ms: AtomicU64,
+    /// Whether other VMs have no fresh configuration either.
+    is_fleet_stale: AtomicBool,
 }
 
 impl ConfigState {
@@ -20,6 +22,7 @@
             clock,
             table: ArcSwapOption::empty(),
             confirmed_ms: AtomicU64::new(0),
+            is_fleet_stale: AtomicBool::new(false),
         }
     }
 
@@ -40,6 +43,16 @@
         is_newer
     }
 
+    /// Records whether other VMs have no fresh configuration either.
+    pub(crate) fn set_fleet_stale(&self, is_stale: bool) {
+        self.is_fleet_stale.store(is_stale, Ordering::Relaxed);
+    }
+
+    /// Reports whether another VM, when it was last asked, had no fresh configuration.
+    pub(crate) fn is_fleet_stale(&self) -> bool {
+        self.is_fleet_stale.load(Ordering::Relaxed)
+    }
+
     /// Records that the configuration was current at a time.
     pub(crate) fn mark_confirmed(&self, confirmed_at: ClockTime) {
         self.confirmed_ms
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RequestKind, RouteConfig, UnsentCall};
-use skylarkshed_policy::{choose_service, hash_rank, RouteTable};
+use skylarkshed_policy::{choose_service, hash_rank, outage_delay, RouteTable};
 use std::convert::Infallible;
 use std::sync::Arc;
 
@@ -26,7 +26,8 @@
 /// checks; a caller that retries soon reaches another VM. Also used for a request
 /// whose body did not arrive in time.
 const RETRY_AFTER_LEAVING: ClockTime = ClockTime::from_millis(20);
-/// The load balancer skips a VM without access to the store after two checks.
+/// The load balancer skips a VM without access to the store after two checks. If no
+/// VM has access, [`outage_delay`] is used.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
 
 /// Why a request is not forwarded.
@@ -132,6 +133,7 @@
     })?;
     let id = Some(head.request.to_string());
     let refuse_with = |refusal| (id.clone(), refusal);
+    state.wait_until_started().await;
     let table = state.config.table();
     let table = table.ok_or_else(|| {
         refuse_with(RequestRefusal::NotRun(
@@ -180,6 +182,14 @@
 ) -> Result<(Arc<RouteConfig>, Option<CustomerName>), RequestRefusal> {
     let is_stale = state.config.age() >= state.settings.times.revocation;
     let stale = || RequestRefusal::NotRun(NotRunReason::StaleConfig, RETRY_AFTER_STALE);
+    let stale_route = |route: &RouteConfig| match state.config.is_fleet_stale() {
+        true => {
+            let time_left = head.time_left.unwrap_or(route.timeout);
+            let delay = outage_delay(route.target_latency, time_left, rand::random());
+            RequestRefusal::NotRun(NotRunReason::StaleConfig, delay)
+        }
+        false => stale(),
+    };
     let route = match table.find(&head.host, parts.uri.path()) {
         Some(route) => route.clone(),
         // A stale configuration may lack a new route.
@@ -190,7 +200,7 @@
         return Ok((route, None));
     }
     if is_stale {
-        return Err(stale());
+        return Err(stale_route(&route));
     }
     let customer = head.key.as_ref().and_then(|key| table.customer(key));
     match customer {
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
 
 /// The assumed number of VMs that share the retry budgets, until the actual number is
 /// known. The users' deployments have 8 and 9 VMs and can add 3.
@@ -24,6 +25,9 @@
 const MIN_STREAM_TIME: ClockTime = ClockTime::from_millis(6_500);
 const MIN_CALL_TIME: ClockTime = ClockTime::from_millis(1_200);
 
+/// How long after the start of the process requests wait for its tables.
+const START_TIMEOUT: ClockTime = ClockTime::from_millis(1_000);
+
 /// Retry budget and latencies of one VM's traffic to one service.
 #[derive(Debug)]
 pub(crate) struct ServiceTraffic {
@@ -50,6 +54,8 @@
     /// How long event streams and application calls last.
     pub(crate) stream_time: DurationEstimator,
     pub(crate) call_time: DurationEstimator,
+    /// Whether the process has the tables that it needs to serve.
+    has_tables: watch::Sender<bool>,
     services: Mutex<HashMap<ServiceName, Arc<ServiceTraffic>>>,
     /// When draining began, in milliseconds on `clock`; 0 before that.
     leaving_ms: AtomicU64,
@@ -71,6 +77,7 @@
             connections: AtomicUsize::new(0),
             stream_time: DurationEstimator::new(MIN_STREAM_TIME),
             call_time: DurationEstimator::new(MIN_CALL_TIME),
+            has_tables: watch::channel(false).0,
             services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
             settings,
@@ -106,6 +113,27 @@
         self.roster.count().unwrap_or(ASSUMED_VMS)
     }
 
+    /// Records that a table was read.
+    pub(crate) fn note_table(&self) {
+        let has_tables = self.config.table().is_some() && !self.upstreams.is_empty();
+        if has_tables && !*self.has_tables.borrow() {
+            self.has_tables.send_replace(true);
+        }
+    }
+
+    /// Waits for the tables of a process that has just started: it gets them within a
+    /// fraction of a second, and a refused caller would come back later.
+    pub(crate) async fn wait_until_started(&self) {
+        let remaining = START_TIMEOUT.since(self.clock.now());
+        if *self.has_tables.borrow() || remaining == ClockTime::ZERO {
+            return;
+        }
+        let mut has_tables = self.has_tables.subscribe();
+        let waiting = has_tables.wait_for(|has_tables| *has_tables);
+        // Without tables the request is refused.
+        let _ = tokio::time::timeout(remaining.to_duration(), waiting).await;
+    }
+
     /// Returns when the caller of a request should return, if all upstreams that could
     /// serve it have asked for no requests for a while.
     pub(crate) fn deferral_of(&self, request: &CallerRequest) -> Option<ClockTime> {
--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -103,12 +103,10 @@
                 // history is reported, so that the whole table is read again.
                 Err(error) => {
                     log::debug!(source = S::NAME, place:? = endpoint; "can't read the feed: {error}");
-                    if !matches!(last_error, Some(StoreError::HistoryLost)) {
-                        if matches!(error, StoreError::HistoryLost) {
-                            self.history_lost_at = Some(endpoint);
-                        }
-                        last_error = Some(error);
+                    if matches!(error, StoreError::HistoryLost) {
+                        self.history_lost_at = Some(endpoint);
                     }
+                    last_error = Some(more_telling(last_error, error));
                 }
             }
         }
@@ -244,6 +242,16 @@
     }
 }
 
+/// Returns the error that tells more: that changes are lost, or that other VMs have not
+/// reached the store either.
+fn more_telling(known: Option<StoreError>, next: StoreError) -> StoreError {
+    match known {
+        Some(StoreError::HistoryLost) => StoreError::HistoryLost,
+        Some(known @ StoreError::Outdated(_)) if !matches!(next, StoreError::HistoryLost) => known,
+        _ => next,
+    }
+}
+
 fn no_endpoint() -> StoreError {
     StoreError::Unreachable("no endpoint to read from".to_owned())
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -47,8 +47,8 @@
     /// they were last confirmed as current.
     fn apply(&mut self, updates: Vec<Self::Update>, is_complete: bool, fresh_at: ClockTime);
 
-    /// Records that the store is unavailable.
-    fn mark_unavailable(&mut self);
+    /// Records that the store is unavailable; `reason` is the last error.
+    fn mark_unavailable(&mut self, reason: &StoreError);
 
     /// Records that the store has returned from an older copy.
     fn mark_restored(&mut self);
@@ -138,7 +138,7 @@
                     );
                 }
                 failures += 1;
-                sink.mark_unavailable();
+                sink.mark_unavailable(&error);
                 tokio::time::sleep(retry_delay(failures).to_duration()).await;
             }
         }
@@ -200,9 +200,14 @@
             self.apply_update(update);
         }
         self.state.config.mark_confirmed(fresh_at);
+        self.state.config.set_fleet_stale(false);
+        self.state.note_table();
     }
 
-    fn mark_unavailable(&mut self) {}
+    fn mark_unavailable(&mut self, reason: &StoreError) {
+        let is_fleet_stale = matches!(reason, StoreError::Outdated(_));
+        self.state.config.set_fleet_stale(is_fleet_stale);
+    }
 
     fn mark_restored(&mut self) {
         self.state.rollouts.mark_restored(&self.state, &self.store);
@@ -240,9 +245,10 @@
             changes
         });
         log_changes(&changes);
+        self.state.note_table();
     }
 
-    fn mark_unavailable(&mut self) {
+    fn mark_unavailable(&mut self, _reason: &StoreError) {
         self.state.upstreams.update(|table, now| {
             table.mark_store_unavailable();
             table.expire(now)
@@ -276,7 +282,7 @@
         }
     }
 
-    fn mark_unavailable(&mut self) {}
+    fn mark_unavailable(&mut self, _reason: &StoreError) {}
 
     /// A VM whose entry is missing from the copy writes it again.
     fn mark_restored(&mut self) {}
--- a/crates/policy/src/deferral.rs
+++ b/crates/policy/src/deferral.rs
@@ -17,6 +17,36 @@
 /// The minimum time over which returns are spread: some calls' duration.
 const MIN_SPREAD_MS: u64 = 50;
 
+/// A caller of calls that last milliseconds still waits this long in an outage.
+const MIN_OUTAGE_WAIT: ClockTime = ClockTime::from_millis(300);
+/// The minimum wait in an outage, as a percentage of the longest one.
+const MIN_OUTAGE_PERCENT: u64 = 80;
+
+/// Returns when a caller should return that no VM can serve now, because the store is
+/// away for all of them or no upstream of the service can be reached.
+///
+/// Load pattern: an outage of seconds, in which every caller is refused. Callers return
+/// a few times at most, so one that returns at once is refused for good. The wait is as
+/// long as it leaves time to meet the target latency afterwards.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_policy::outage_delay;
+///
+/// let (target_latency, time_left) = (ClockTime::from_millis(4_500), ClockTime::from_millis(25_000));
+/// let delay = outage_delay(target_latency, time_left, 7_919);
+/// assert!((1_800..=2_250).contains(&delay.as_millis()));
+/// ```
+pub fn outage_delay(target_latency: ClockTime, time_left: ClockTime, random: u64) -> ClockTime {
+    let in_time = ClockTime::from_millis(target_latency.as_millis() / 2).max(MIN_OUTAGE_WAIT);
+    let longest_wait = ClockTime::from_millis(time_left.as_millis() / CALLER_WAIT_PART);
+    let longest_ms = in_time.min(longest_wait).as_millis();
+    let shortest_ms = longest_ms * MIN_OUTAGE_PERCENT / 100;
+    ClockTime::from_millis(shortest_ms + random % (longest_ms - shortest_ms + 1))
+}
+
 /// Returns until when an upstream gets no requests, if it stated `retry_after`.
 ///
 /// # Examples
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,7 +19,7 @@
 //!   back; [`decide_rollout`] does so for a rollout with a time limit.
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamTable`]
 //!   holds the upstreams that can serve it, and [`choose_candidate`] selects one.
-//!   [`deferred_until`] and [`return_delay`] say when an upstream that refused, and a
+//!   [`deferred_until`], [`return_delay`] and [`outage_delay`] say when an upstream that refused, and a
 //!   caller that was refused, are heard again.
 //! - [`LatencyEstimator`] sets the attempt timeout of an application call.
 //! - [`EventLedger`] passes each event of a stream on exactly once.
@@ -71,7 +71,7 @@
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredResponse};
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use copy_plan::{decide_copy, CopyDecision, CopyKind, CopyState};
-pub use deferral::{deferred_until, return_delay};
+pub use deferral::{deferred_until, outage_delay, return_delay};
 pub use duration_estimator::DurationEstimator;
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
 pub use event_ledger::{EventLedger, EventVerdict};
--- a/crates/policy/tests/gateway/deferral.rs
+++ b/crates/policy/tests/gateway/deferral.rs
@@ -2,8 +2,8 @@
 
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    choose_candidate, deferred_until, return_delay, PlacementQuery, UpstreamCandidate,
-    UpstreamHealth,
+    choose_candidate, deferred_until, outage_delay, return_delay, PlacementQuery,
+    UpstreamCandidate, UpstreamHealth,
 };
 
 fn millis(value: u64) -> ClockTime {
@@ -52,6 +52,36 @@
     assert!(return_delay(millis(2_000), millis(3_000), 3) >= millis(2_000));
 }
 
+/// Replays an outage of the store for 3 s in which generations are refused that come in
+/// its last two seconds. Their callers return once: those that return at once are lost.
+#[test]
+fn callers_that_return_after_an_outage_are_served_in_time() {
+    const OUTAGE_END_MS: u64 = 3_000;
+    const FIRST_EVENT_MS: u64 = 1_600;
+    let target_latency = millis(4_500);
+    let served_in_time = |delay: &dyn Fn(u64) -> u64| {
+        let callers = (0..100).filter(|caller| {
+            let came_ms = OUTAGE_END_MS - 1_800 + caller * 18;
+            let returns_ms = came_ms + delay(*caller);
+            returns_ms >= OUTAGE_END_MS
+                && returns_ms + FIRST_EVENT_MS <= came_ms + target_latency.as_millis()
+        });
+        callers.count()
+    };
+    let spread = |caller| outage_delay(target_latency, millis(25_000), caller * 7_919).as_millis();
+    assert_eq!(served_in_time(&spread), 100);
+    assert!(served_in_time(&|_| 100) < 10);
+}
+
+#[test]
+fn a_caller_of_a_quick_call_is_told_a_time_that_it_waits() {
+    for random in 0..200 {
+        let delay = outage_delay(millis(100), millis(900), random);
+        assert!((240..=300).contains(&delay.as_millis()));
+        assert!(outage_delay(millis(100), millis(300), random) <= millis(100));
+    }
+}
+
 #[test]
 fn absurd_times_are_bounded() {
     let now = millis(5_000);
--- a/tests/testsuite/tests/gateway/fleet_start.rs
+++ b/tests/testsuite/tests/gateway/fleet_start.rs
@@ -1,7 +1,9 @@
 //! VMs that start while others run, and what they ask of the store.
 
 use skylarkshed_stand_ins::StoreMode;
-use skylarkshed_testsuite::{config_metric, wait_for_metric, GatewayHarness, HarnessBuilder};
+use skylarkshed_testsuite::{
+    config_metric, wait_for_metric, GatewayHarness, HarnessBuilder, RawClient, DEPOT_KEY,
+};
 use std::time::Duration;
 
 const READ_PATH: &str = "/-/rows-get";
@@ -60,3 +62,19 @@
     let other = harness.start_other_with_seeds("vm-2", &[seed]).await;
     wait_for_metric(other.metrics_address, &config_metric(1)).await;
 }
+
+/// Guards against refusals in the moment after a restart: callers that a crash has cut
+/// off come back at once, and have no further attempt if they are refused.
+#[tokio::test]
+async fn request_that_arrives_before_the_tables_is_served() {
+    let harness = HarnessBuilder::default().start().await;
+    for number in 2..5 {
+        let name = format!("vm-{number}");
+        let seeds = [harness.seed_address];
+        let other = harness.start_other_with_seeds(&name, &seeds).await;
+        let mut client = RawClient::connect(other.caller_address).await;
+        let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
+        client.send(request.as_bytes()).await;
+        assert_eq!(client.read_response().await.unwrap().status, 200);
+    }
+}
