--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -34,6 +34,24 @@
         .ok()
 }
 
+/// Asks an engine whether its KV cache has a part of a prompt; false if it does not
+/// respond in time.
+pub(crate) async fn has_cached<P: WireProtocol>(
+    state: &GatewayState,
+    engine: &UpstreamState,
+    part: &str,
+) -> bool {
+    let request = P::write_cache_request(&engine.record);
+    let body = call_engine::<P>(state, engine, request, REPORT_TIMEOUT).await;
+    match body.and_then(|body| P::read_cache_reply(&body)) {
+        Ok(parts) => parts.iter().any(|cached| cached == part),
+        Err(problem) => {
+            log::debug!(upstream:% = engine.name(); "no list of the KV cache: {problem}");
+            false
+        }
+    }
+}
+
 /// Makes an engine copy a running request's KV cache to another engine.
 pub(crate) async fn copy_kv_cache<P: WireProtocol>(
     state: &GatewayState,
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -130,6 +130,16 @@
     /// Returns a description of the first problem in it.
     fn read_report(body: &[u8]) -> Result<EngineLoad, String>;
 
+    /// Writes a request for the list of the parts of prompts in an engine's KV cache.
+    fn write_cache_request(engine: &UpstreamRecord) -> BufferedRequest;
+
+    /// Parses the identifiers of the parts in an engine's KV cache.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of the first problem in the reply.
+    fn read_cache_reply(body: &[u8]) -> Result<Vec<FastStr>, String>;
+
     /// Writes the command to copy a running request's KV cache to another engine.
     fn write_copy_request(
         engine: &UpstreamRecord,
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -2,7 +2,7 @@
 //! copy.
 
 use super::StreamForwarder;
-use crate::engine_calls::request_report;
+use crate::engine_calls::{has_cached, request_report};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
@@ -39,12 +39,37 @@
             avoid_zones.extend(queried.iter().map(|engine| engine.record.zone.clone()));
             reports.extend(self.query_engines(&mut queried, &avoid_zones).await);
         }
-        let index = choose_engine(&reports, usual_prompt).unwrap_or(0);
+        let cached = self.find_cached_prompt(&queried).await;
+        let index = choose_engine(&reports, &cached, usual_prompt).unwrap_or(0);
         let upstream = queried.into_iter().nth(index)?;
         upstream.record_prompt(self.state.clock.now());
         Some(upstream)
     }
 
+    /// Returns which engines have the prompt of a caller that returns for the rest of a
+    /// stream. Others are not asked: their prompts are new.
+    async fn find_cached_prompt(&self, engines: &[Arc<UpstreamState>]) -> Vec<bool> {
+        let head = &self.request.head;
+        let part = head
+            .prompt_id
+            .as_ref()
+            .filter(|_| head.resume_after.is_some());
+        let Some(part) = part.filter(|_| self.sends == 0 && engines.len() > 1) else {
+            return Vec::new();
+        };
+        let asking = engines
+            .iter()
+            .map(|engine| has_cached::<P>(&self.state, engine, part));
+        let cached = futures::future::join_all(asking).await;
+        log::info!(
+            request = self.request.id(),
+            engines = cached.len(),
+            cached = cached.iter().filter(|is_cached| **is_cached).count();
+            "engines asked for the prompt of a caller that returns"
+        );
+        cached
+    }
+
     /// Adds a few more upstreams to `queried` and returns their load reports. There
     /// are none if the service's upstreams are not engines.
     async fn query_engines(
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -138,7 +138,8 @@
 /// The engines are in the order in which the prompt's last part ranks them, which is the
 /// same on all VMs. The first one whose cost is close to the lowest is used, so that a
 /// caller that returns at another VM after its own has failed probably finds its prompt
-/// in the engine's cache.
+/// in the engine's cache. `cached` tells which engines are known to have the prompt, if
+/// they were asked; that saves a prefill.
 ///
 /// # Examples
 ///
@@ -146,14 +147,22 @@
 /// use skylarkshed_policy::{choose_engine, EngineLoad};
 ///
 /// let busy = EngineLoad { running: 3, ..EngineLoad::default() };
-/// assert_eq!(choose_engine(&[Some(busy), None, Some(EngineLoad::default())], 8_000), Some(2));
-/// assert_eq!(choose_engine(&[None], 8_000), None);
+/// assert_eq!(choose_engine(&[Some(busy), None, Some(EngineLoad::default())], &[], 8_000), Some(2));
+/// assert_eq!(choose_engine(&[None], &[], 8_000), None);
 /// ```
-pub fn choose_engine(reports: &[Option<EngineLoad>], usual_prompt: u64) -> Option<usize> {
+pub fn choose_engine(
+    reports: &[Option<EngineLoad>],
+    cached: &[bool],
+    usual_prompt: u64,
+) -> Option<usize> {
+    let prefill = |index: usize| match cached.get(index) {
+        Some(true) => 0,
+        _ => usual_prompt,
+    };
     let costs = reports.iter().enumerate();
     let costs = costs.filter_map(|(index, report)| {
         let load = report.as_ref()?;
-        Some((index, load.cost(usual_prompt)))
+        Some((index, load.cost(usual_prompt) + prefill(index)))
     });
     let costs: Vec<(usize, u64)> = costs.collect();
     let lowest = costs.iter().map(|(_, cost)| *cost).min()?;
--- a/crates/policy/tests/gateway/engines.rs
+++ b/crates/policy/tests/gateway/engines.rs
@@ -36,7 +36,7 @@
         Some(decoding(2)),
         Some(prefilling(7_000)),
     ];
-    assert_eq!(choose_engine(&reports, USUAL_PROMPT), Some(1));
+    assert_eq!(choose_engine(&reports, &[], USUAL_PROMPT), Some(1));
 }
 
 #[test]
@@ -46,7 +46,7 @@
         ..EngineLoad::default()
     };
     assert_eq!(
-        choose_engine(&[Some(sent), Some(prefilling(6_000))], USUAL_PROMPT),
+        choose_engine(&[Some(sent), Some(prefilling(6_000))], &[], USUAL_PROMPT),
         Some(1)
     );
 }
@@ -54,10 +54,10 @@
 #[test]
 fn an_engine_that_does_not_report_is_not_chosen() {
     assert_eq!(
-        choose_engine(&[None, Some(prefilling(8_000))], USUAL_PROMPT),
+        choose_engine(&[None, Some(prefilling(8_000))], &[], USUAL_PROMPT),
         Some(1)
     );
-    assert_eq!(choose_engine(&[None, None], USUAL_PROMPT), None);
+    assert_eq!(choose_engine(&[None, None], &[], USUAL_PROMPT), None);
 }
 
 /// Reports don't tell how far a prefill is, only that there is one.
@@ -90,7 +90,7 @@
                 })
             });
             let reports: Vec<Option<EngineLoad>> = reports.collect();
-            let index = indices[choose_engine(&reports, USUAL_PROMPT).unwrap()];
+            let index = indices[choose_engine(&reports, &[], USUAL_PROMPT).unwrap()];
             busy_count += u32::from(busy_until[index] > now);
             busy_until[index] = busy_until[index].max(now) + 1_050;
         }
@@ -119,16 +119,32 @@
     for _ in 0..1_000 {
         let first: Vec<Option<EngineLoad>> = (0..3).map(|_| report(&mut rng)).collect();
         let second: Vec<Option<EngineLoad>> = (0..3).map(|_| report(&mut rng)).collect();
-        let same = choose_engine(&first, USUAL_PROMPT) == choose_engine(&second, USUAL_PROMPT);
+        let same =
+            choose_engine(&first, &[], USUAL_PROMPT) == choose_engine(&second, &[], USUAL_PROMPT);
         found += u32::from(same);
     }
     assert!(found >= 500, "{found} of 1000");
 }
 
+#[test]
+fn a_cached_prompt_is_worth_waiting_for_less_than_a_prefill() {
+    let reports = [
+        Some(decoding(0)),
+        Some(prefilling(8_000)),
+        Some(EngineLoad {
+            waiting: 2,
+            ..prefilling(8_000)
+        }),
+    ];
+    let choose = |cached: &[bool]| choose_engine(&reports, cached, USUAL_PROMPT);
+    assert_eq!(choose(&[false, true, false]), Some(1));
+    assert_eq!(choose(&[false, false, true]), Some(0));
+}
+
 #[test]
 fn a_shorter_wait_is_worth_more_than_the_cache_of_a_caller_that_may_return() {
     let reports = [Some(prefilling(8_000)), Some(EngineLoad::default())];
-    assert_eq!(choose_engine(&reports, USUAL_PROMPT), Some(1));
+    assert_eq!(choose_engine(&reports, &[], USUAL_PROMPT), Some(1));
 }
 
 /// The same reports mean less work where prompts are short.
