--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -21,6 +21,10 @@
 /// Fewer bytes are sent uncompressed; they fit in one packet.
 const MIN_PACKED_BYTES: usize = 1_200;
 
+/// The time for a whole table of thousands of rows on a slow link that serves several
+/// VMs. Giving up sooner would only send the table again.
+const MAX_TABLE_TRANSIT: ClockTime = ClockTime::from_millis(4_000);
+
 /// Handles the requests of other VMs.
 #[derive(Clone)]
 pub(crate) struct FeedHandler {
@@ -161,7 +165,10 @@
         requester: state.settings.listen.peers.to_string(),
     };
     let sent_at = state.config.now();
-    let timeout = query.wait + MAX_TRANSIT;
+    let timeout = match query.after {
+        None => query.wait + MAX_TABLE_TRANSIT,
+        Some(_) => query.wait + MAX_TRANSIT,
+    };
     let reply = state
         .peers
         .request(to, PeerBody::RequestFeed(request), timeout)
