--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -26,7 +26,7 @@
     pub(super) copy: Option<KvCacheCopy>,
     pub(super) response: UpstreamResponse,
     pub(super) phase: StreamPhase,
-    pub(super) last_data_at: ClockTime,
+    pub(super) last_event_at: ClockTime,
     patience: PrefillPatience,
     parser: EventParser,
 }
@@ -51,7 +51,7 @@
             copy,
             response,
             phase,
-            last_data_at: now,
+            last_event_at: now,
             patience: PrefillPatience::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
         }
@@ -62,7 +62,10 @@
         let clock = watch.state.clock;
         loop {
             match self.parser.next_event() {
-                Ok(Some(event)) => return AttemptStep::Event(event),
+                Ok(Some(event)) => {
+                    self.record_event(clock.now());
+                    return AttemptStep::Event(event);
+                }
                 Ok(None) => {}
                 Err(_) => return AttemptStep::Lost(LossCause::WrongEvent),
             }
@@ -71,7 +74,7 @@
             let bytes = self.response.next_bytes();
             let bytes = match self.phase {
                 StreamPhase::Decoding => {
-                    watch_silence(bytes, self.last_data_at, limit, address, clock).await
+                    watch_silence(bytes, self.last_event_at, limit, address, clock).await
                 }
                 StreamPhase::Prefill { .. } | StreamPhase::Resuming => {
                     watch_prefill::<P, _>(bytes, watch, &self.upstream, &mut self.patience).await
@@ -79,7 +82,6 @@
             };
             match bytes {
                 Some(Ok(Some(bytes))) => {
-                    self.record_bytes(clock.now());
                     self.parser.push(&bytes);
                 }
                 Some(Ok(None)) if self.parser.has_partial_event() => {
@@ -92,9 +94,11 @@
         }
     }
 
-    fn record_bytes(&mut self, now: ClockTime) {
+    /// Records a sign of life. Parts of an event are none: a stalled engine may send a
+    /// byte now and then.
+    fn record_event(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Decoding;
-        self.last_data_at = now;
+        self.last_event_at = now;
     }
 }
 
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -13,6 +13,8 @@
     ResetMidEvent,
     /// The connection stays open, but no further event is sent.
     Stall,
+    /// A byte of the next event is sent now and then, and the event never ends.
+    Trickle,
 }
 
 /// A scripted stream of server-sent events.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -374,6 +374,10 @@
     match script.end {
         StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
         StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
+        StreamEnd::Trickle => loop {
+            stream.write_all(b"1\r\n:\r\n").await?;
+            wait_unless_closed(stream, Duration::from_millis(50)).await?;
+        },
         StreamEnd::Reset => {
             // The events must arrive before the reset discards them.
             wait_unless_closed(stream, Duration::from_millis(50)).await?;
--- a/tests/testsuite/tests/gateway/streams.rs
+++ b/tests/testsuite/tests/gateway/streams.rs
@@ -17,6 +17,7 @@
 #[case::reset(StreamEnd::Reset)]
 #[case::reset_within_an_event(StreamEnd::ResetMidEvent)]
 #[case::stalled(StreamEnd::Stall)]
+#[case::stalled_with_single_bytes(StreamEnd::Trickle)]
 #[tokio::test]
 async fn broken_stream_is_resumed_from_the_kv_cache_copy(#[case] end: StreamEnd) {
     let harness = HarnessBuilder::default().engines(2).start().await;
