--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -115,7 +115,10 @@
 
     /// Records that a table was read.
     pub(crate) fn note_table(&self) {
-        let has_tables = self.config.table().is_some() && !self.upstreams.is_empty();
+        // The configuration is active a moment before its age is known, and without an
+        // age requests with a key are refused.
+        let has_config = self.config.table().is_some() && self.config.known_age().is_some();
+        let has_tables = has_config && !self.upstreams.is_empty();
         if has_tables && !*self.has_tables.borrow() {
             self.has_tables.send_replace(true);
         }
--- a/tests/testsuite/tests/gateway/fleet_start.rs
+++ b/tests/testsuite/tests/gateway/fleet_start.rs
@@ -75,6 +75,7 @@
         let mut client = RawClient::connect(other.caller_address).await;
         let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
         client.send(request.as_bytes()).await;
-        assert_eq!(client.read_response().await.unwrap().status, 200);
+        let response = client.read_response().await.unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
     }
 }
