--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -88,10 +88,6 @@
         let mut last_error = None;
         for endpoint in endpoints {
             let is_store = endpoint == FeedEndpoint::Store;
-            // A peer that was asked before may have told to leave the store alone.
-            if is_store && !self.route.may_ask_store(self.state.clock.now()) {
-                continue;
-            }
             match self.query(endpoint, Some(after)).await {
                 Ok(batch) => return Ok(batch),
                 Err(StoreError::HistoryLost) if is_store => {
@@ -236,7 +232,6 @@
             Some(StoreError::NotKnownYet(_) | StoreError::HistoryLost | StoreError::Busy(_)) => {
                 self.route.mark_starting(peer, now)
             }
-            Some(StoreError::Outdated(_)) => self.route.mark_outdated(peer, now),
             Some(_) => self.route.mark_failed(peer, now),
         }
     }
--- a/crates/policy/src/feed_route.rs
+++ b/crates/policy/src/feed_route.rs
@@ -38,12 +38,6 @@
 const STORE_RETRY_DELAY: ClockTime = ClockTime::from_millis(1_600);
 const STORE_RETRY_DELAY_STEP: ClockTime = ClockTime::from_millis(100);
 const MAX_DELAY_STEPS: usize = 10;
-/// The number of VMs of a zone that keep retrying a failed store; the others are told
-/// by these when it is available again.
-const RETRYING_VMS: usize = 3;
-/// The time for which the other VMs of a zone leave the store alone, unless no VM that
-/// retries it can be reached.
-const DELEGATED_RETRY_DELAY: ClockTime = ClockTime::from_millis(10_000);
 /// Distinguishes the hash that ranks the zones from the one that ranks the VMs of
 /// a zone.
 const FLEET_HASH_DOMAIN: &str = "fleet";
@@ -202,23 +196,6 @@
         backoff.consecutive_failures += 1;
     }
 
-    /// Marks a peer that has no fresh rows, because it can't read the store either.
-    ///
-    /// Unless this VM is one of those that retry the store, it then leaves the store
-    /// alone for a while: a whole fleet that retries for itself makes hundreds of calls
-    /// within seconds, and learns nothing that those VMs don't learn.
-    pub fn mark_outdated(&mut self, peer: SocketAddr, now: ClockTime) {
-        self.mark_failed(peer, now);
-        if self.own_index >= RETRYING_VMS && now >= self.store_retry_at {
-            self.store_retry_at = now + DELEGATED_RETRY_DELAY;
-        }
-    }
-
-    /// Reports whether the store may be asked now.
-    pub fn may_ask_store(&self, now: ClockTime) -> bool {
-        now >= self.store_retry_at
-    }
-
     /// Marks a peer that has just started and has no data yet.
     pub fn mark_starting(&mut self, peer: SocketAddr, now: ClockTime) {
         self.peer_backoffs.entry(peer).or_default().retry_at = now + STARTING_PEER_DELAY;
