--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -3,6 +3,7 @@
 use crate::connection_activity::{
     ConnectionActivity, TrackedBody, TrackedStream, BUSY_CHECK_INTERVAL,
 };
+use crate::counters;
 use crate::dispatch::handle;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::WireProtocol;
@@ -13,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use skylarkshed_core::{CallerLimits, ClockTime};
 use skylarkshed_http_link::set_options;
+use std::future::Future;
 use std::pin::{pin, Pin};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -89,7 +91,49 @@
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    drive(pin!(connection), &state, &activity, closing).await;
+    let end = drive(pin!(connection), &state, &activity, closing).await;
+    log_end(&end, &activity);
+}
+
+/// Why a caller's connection ended.
+enum ConnectionEnd {
+    /// Hyper closed it: the caller left, or it was closed gracefully.
+    Closed,
+    /// Reading or writing failed, or a response ended early.
+    Failed(hyper::Error),
+    /// The phase timed out, or the graceful close took too long.
+    TimedOut,
+}
+
+impl ConnectionEnd {
+    const fn label(&self) -> &'static str {
+        match self {
+            ConnectionEnd::Closed => "closed",
+            ConnectionEnd::Failed(_) => "failed",
+            ConnectionEnd::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// Logs the end of a connection that was cut: by an error, by a timeout, or during a
+/// response.
+fn log_end(end: &ConnectionEnd, activity: &ConnectionActivity) {
+    if matches!(end, ConnectionEnd::Closed) && !activity.is_busy() {
+        return;
+    }
+    let error = match end {
+        ConnectionEnd::Failed(error) => Some(error.to_string()),
+        ConnectionEnd::Closed | ConnectionEnd::TimedOut => None,
+    };
+    log::info!(
+        end = end.label(),
+        error = error.as_deref(),
+        phase = activity.phase_label(),
+        phase_ms = activity.phase_age().as_millis(),
+        requests = activity.requests();
+        "caller's connection ended"
+    );
+    counters::count_cut_connection(end.label(), activity.phase_label());
 }
 
 /// Runs a connection until it ends, times out, or is closed because the process
@@ -99,8 +143,9 @@
     state: &GatewayState,
     activity: &ConnectionActivity,
     mut closing: watch::Receiver<bool>,
-) where
-    C: GracefulConnection,
+) -> ConnectionEnd
+where
+    C: GracefulConnection + Future<Output = hyper::Result<()>>,
 {
     let mut is_closing = false;
     loop {
@@ -113,10 +158,12 @@
                 is_closing = true;
                 BUSY_CHECK_INTERVAL
             }
-            None => return,
+            None => return ConnectionEnd::TimedOut,
         };
         tokio::select! {
-            _ = connection.as_mut() => return,
+            result = connection.as_mut() => {
+                return result.map_or_else(ConnectionEnd::Failed, |()| ConnectionEnd::Closed);
+            }
             () = tokio::time::sleep(remaining.to_duration()) => {}
             changed = closing.wait_for(|closing| *closing), if !is_closing => {
                 // Without a sender the process is about to exit.
@@ -135,7 +182,7 @@
 }
 
 /// A connection that can be closed after its current response.
-trait GracefulConnection: std::future::Future {
+trait GracefulConnection {
     fn close_gracefully(self: Pin<&mut Self>);
 }
 
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -24,6 +24,8 @@
     clock: MonotonicClock,
     phase: AtomicU8,
     since_ms: AtomicU64,
+    /// The number of requests that were begun.
+    requests: AtomicU64,
 }
 
 impl ConnectionActivity {
@@ -33,12 +35,14 @@
             clock,
             phase: AtomicU8::new(IDLE),
             since_ms: AtomicU64::new(clock.now().as_millis()),
+            requests: AtomicU64::new(0),
         })
     }
 
     /// Marks the connection as busy until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> BusyGuard {
         self.enter(BUSY);
+        self.requests.fetch_add(1, Ordering::Relaxed);
         BusyGuard(self.clone())
     }
 
@@ -46,6 +50,30 @@
         self.phase.load(Ordering::Relaxed) == IDLE
     }
 
+    pub(crate) fn is_busy(&self) -> bool {
+        self.phase.load(Ordering::Relaxed) == BUSY
+    }
+
+    /// Returns the number of requests that were begun.
+    pub(crate) fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the phase as it is logged.
+    pub(crate) fn phase_label(&self) -> &'static str {
+        match self.phase.load(Ordering::Relaxed) {
+            IDLE => "idle",
+            READING_HEAD => "reading_head",
+            _ => "busy",
+        }
+    }
+
+    /// Returns the time since the phase began.
+    pub(crate) fn phase_age(&self) -> ClockTime {
+        let since = self.since_ms.load(Ordering::Relaxed);
+        self.clock.now().since(ClockTime::from_millis(since))
+    }
+
     fn enter(&self, phase: u8) {
         self.since_ms
             .store(self.clock.now().as_millis(), Ordering::Relaxed);
@@ -60,15 +88,12 @@
 
     /// Returns the time until the next check, or none if the phase has timed out.
     pub(crate) fn time_left(&self, limits: CallerLimits) -> Option<ClockTime> {
-        let elapsed = self.clock.now().since(ClockTime::from_millis(
-            self.since_ms.load(Ordering::Relaxed),
-        ));
         let limit = match self.phase.load(Ordering::Relaxed) {
             IDLE => limits.idle_timeout,
             READING_HEAD => limits.head_timeout,
             _ => return Some(BUSY_CHECK_INTERVAL),
         };
-        let remaining = limit.since(elapsed);
+        let remaining = limit.since(self.phase_age());
         (remaining > ClockTime::ZERO).then_some(remaining)
     }
 }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -24,6 +24,16 @@
     histogram!("gateway_request_ms", "kind" => kind).record(duration.as_millis() as f64);
 }
 
+/// Counts a caller's connection that ended while it was not idle, or with an error.
+pub(crate) fn count_cut_connection(end: &'static str, phase: &'static str) {
+    counter!("gateway_cut_connections_total", "end" => end, "phase" => phase).increment(1);
+}
+
+/// Counts a request whose connection ended before it had a response.
+pub(crate) fn count_unanswered_request() {
+    counter!("gateway_unanswered_requests_total").increment(1);
+}
+
 /// Counts a call to the store by its source and outcome.
 pub(crate) fn count_store_call(source: &'static str, outcome: &'static str) {
     counter!("gateway_store_calls_total", "source" => source, "outcome" => outcome).increment(1);
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::platform_api::{RequestHead, WireProtocol};
 use crate::refusal::{refuse, reject, BadRequestReason, NotRunReason};
 use crate::stream::serve_stream;
+use crate::unanswered_request::UnansweredRequest;
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
@@ -61,7 +62,8 @@
 ) -> Result<CallerResponse, Infallible> {
     let received = state.clock.now();
     let unsent = UnsentCall::for_new_request();
-    let mut response = match admit::<P>(&state, request, received).await {
+    let mut unanswered = UnansweredRequest::new(state.clock, received);
+    let mut response = match admit::<P>(&state, request, &mut unanswered).await {
         Ok(request) => serve::<P>(&state, request).await,
         Err((id, refusal)) => {
             log::info!(
@@ -79,6 +81,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
+    unanswered.finish();
     Ok(response)
 }
 
@@ -124,13 +127,14 @@
 async fn admit<P: WireProtocol>(
     state: &GatewayState,
     request: Request<Incoming>,
-    received: ClockTime,
+    unanswered: &mut UnansweredRequest,
 ) -> Result<CallerRequest, RefusedRequest> {
     let (parts, body) = request.into_parts();
     let head = P::read_request(&parts).map_err(|error| {
         log::debug!("malformed request: {error}");
         (None, RequestRefusal::Bad(BadRequestReason::Malformed))
     })?;
+    unanswered.id = head.request.clone();
     let id = Some(head.request.to_string());
     let refuse_with = |refusal| (id.clone(), refusal);
     state.wait_until_started().await;
@@ -146,7 +150,7 @@
         let refusal = RequestRefusal::NotRun(NotRunReason::Leaving, RETRY_AFTER_LEAVING);
         return Err(refuse_with(refusal));
     }
-    let deadline = RequestDeadline::new(state.clock, received, &route, head.time_left);
+    let deadline = RequestDeadline::new(state.clock, unanswered.received, &route, head.time_left);
     let limit = table.limits().max_body_bytes;
     let body = read_body(body, limit, &deadline)
         .await
