Try a failed copy of a KV cache again only at the next check

Cause: the copy manager starts a copy as soon as the last one has ended. A draining engine that no longer listens, or one that has ended the request, fails it at once. Ruled out: slow copies; each attempt took 0.7 ms. Change: a failed copy restarts the interval between checks.

--- a/crates/gateway/src/stream/copy_manager.rs
+++ b/crates/gateway/src/stream/copy_manager.rs
@@ -33,14 +33,18 @@
 
     /// Waits until a copy has been made or the next check is due.
     pub(super) async fn next(&mut self) -> Option<KvCacheCopy> {
-        let Some(copying) = &mut self.copying else {
-            self.ticks.tick().await;
-            return None;
-        };
-        // A task that was cancelled or panicked made no copy.
-        let copy = copying.await.unwrap_or(None);
-        self.copying = None;
-        copy
+        if let Some(copying) = &mut self.copying {
+            // A task that was cancelled or panicked made no copy.
+            let copy = copying.await.unwrap_or(None);
+            self.copying = None;
+            if copy.is_some() {
+                return copy;
+            }
+            // An engine that can't copy fails at once.
+            self.ticks.reset();
+        }
+        self.ticks.tick().await;
+        None
     }
 
     /// Starts making a copy if the attempt needs one.
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -9,6 +9,8 @@
     /// The bodies of the requests to copy a KV cache; each names the request whose cache
     /// is copied and the target.
     pub(super) kv_move_requests: Vec<String>,
+    /// Whether requests to copy a KV cache fail.
+    pub(super) refuses_kv_moves: bool,
     /// The parts of prompts in the KV cache.
     pub(super) cached_parts: Vec<String>,
 }
@@ -28,6 +30,9 @@
         } else if line.starts_with("POST /-/kv-move") {
             let body = String::from_utf8_lossy(&request.body).into_owned();
             self.kv_move_requests.push(body);
+            if self.refuses_kv_moves {
+                return Some("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n".to_owned());
+            }
             json!({"handle": "h-1", "created": 1})
         } else if line.starts_with("DELETE /-/") {
             json!({})
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -15,6 +15,14 @@
     Stall,
     /// A byte of the next event is sent now and then, and the event never ends.
     Trickle,
+    /// Nothing is sent for a while, then the events up to this one, and the stream ends
+    /// regularly.
+    Pause {
+        /// How long nothing is sent.
+        pause: Duration,
+        /// The identifier of the last event.
+        last_id: u64,
+    },
 }
 
 /// A scripted stream of server-sent events.
@@ -70,6 +78,13 @@
     NoResponse,
     /// Responds with a stream of events that starts after the request's `Last-Event-ID`.
     Stream(StreamScript),
+    /// Sends nothing for a while, then a whole stream of events.
+    LateStream {
+        /// The time before the head.
+        delay: Duration,
+        /// The identifier of the last event.
+        last_id: u64,
+    },
 }
 
 impl ScriptedResponse {
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -4,6 +4,7 @@
 use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -142,6 +143,11 @@
         self.lock().control.kv_move_requests.clone()
     }
 
+    /// Makes all requests to copy a KV cache fail.
+    pub fn refuse_kv_moves(&self) {
+        self.lock().control.refuses_kv_moves = true;
+    }
+
     /// Sets the parts of prompts in the KV cache.
     pub fn set_cached_parts(&self, parts: &[&str]) {
         let parts = parts.iter().map(|part| (*part).to_owned());
@@ -336,6 +342,15 @@
         ScriptedResponse::Stream(script) => {
             return send_events(stream, request, &signed, script).await
         }
+        ScriptedResponse::LateStream { delay, last_id } => {
+            wait_unless_closed(stream, *delay).await?;
+            let script = StreamScript {
+                last_id: *last_id,
+                interval: Duration::from_millis(5),
+                end: StreamEnd::Complete,
+            };
+            return send_events(stream, request, &signed, &script).await;
+        }
     };
     stream.write_all(text.as_bytes()).await
 }
@@ -353,14 +368,15 @@
     stream.write_all(head.as_bytes()).await?;
     let after = request.header("last-event-id");
     let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-    for id in after + 1..=script.last_id {
-        wait_unless_closed(stream, script.interval).await?;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-    }
+    send_pieces(stream, after + 1..=script.last_id, script.interval).await?;
     match script.end {
         StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
+        StreamEnd::Pause { pause, last_id } => {
+            wait_unless_closed(stream, pause).await?;
+            let rest = script.last_id.max(after) + 1..=last_id;
+            send_pieces(stream, rest, script.interval).await?;
+            stream.write_all(b"0\r\n\r\n").await
+        }
         StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
         StreamEnd::Trickle => loop {
             stream.write_all(b"1\r\n:\r\n").await?;
@@ -382,6 +398,20 @@
     }
 }
 
+async fn send_pieces(
+    stream: &mut TcpStream,
+    ids: RangeInclusive<u64>,
+    interval: Duration,
+) -> std::io::Result<()> {
+    for id in ids {
+        wait_unless_closed(stream, interval).await?;
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+    }
+    Ok(())
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_zero_linger()
--- a/tests/testsuite/src/gateway_config.rs
+++ b/tests/testsuite/src/gateway_config.rs
@@ -10,7 +10,8 @@
 /// The host of all routes.
 pub(crate) const HOST: &str = "stock.example";
 pub(crate) const APP_SERVICE: &str = "stores";
-pub(crate) const MODEL_SERVICE: &str = "ledger";
+/// The service of the model engines.
+pub const MODEL_SERVICE: &str = "ledger";
 
 /// Returns the default configuration, with this version number.
 pub(crate) fn default_config(version: u64) -> Value {
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -8,7 +8,7 @@
 mod running_generation;
 
 pub use fixture::{assert_complete_answer, generation_spec, BOOKING_PATH};
-pub use gateway_config::{DEPOT_KEY, VENDOR_KEY};
+pub use gateway_config::{DEPOT_KEY, MODEL_SERVICE, VENDOR_KEY};
 pub use gateway_harness::{GatewayHarness, HarnessBuilder, OtherVm};
 pub use gateway_process::{config_metric, program_path, wait_for_metric};
 pub use raw_client::{RawClient, RawResponse};
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod retries;
 mod rollouts;
 mod routing;
+mod silent_engines;
 mod store_restore;
 mod streams;
 mod upstream_notices;
--- /dev/null
+++ b/tests/testsuite/tests/gateway/silent_engines.rs
@@ -0,0 +1,143 @@
+//! A sound engine that is silent for a while loses no stream.
+
+use rstest::rstest;
+use serde_json::Value;
+use skylarkshed_stand_ins::{FakeUpstream, ScriptedResponse, StreamEnd};
+use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY};
+use std::time::Duration;
+
+/// Longer than the silence after which a stream without a copy is continued elsewhere.
+const PAUSE: Duration = Duration::from_millis(2_500);
+const COPY_TIME: Duration = Duration::from_millis(2_500);
+
+/// Returns a stream of nine events that pauses after the fifth.
+fn paused_stream() -> ScriptedResponse {
+    ScriptedResponse::stream(
+        5,
+        StreamEnd::Pause {
+            pause: PAUSE,
+            last_id: 9,
+        },
+    )
+}
+
+async fn activate(harness: &GatewayHarness, config: &Value) {
+    harness.put_config(config);
+    let version = config["version"].as_u64().unwrap();
+    harness.wait_for_config_version(version).await;
+}
+
+async fn assert_whole(harness: &GatewayHarness) {
+    let response = harness.send_request("POST", "/write/7", "prompt").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+}
+
+/// Returns a stream whose head comes late.
+fn late_stream() -> ScriptedResponse {
+    ScriptedResponse::LateStream {
+        delay: PAUSE,
+        last_id: 9,
+    }
+}
+
+/// Returns a stream whose first event comes long after its head.
+fn stream_with_late_event() -> ScriptedResponse {
+    ScriptedResponse::stream(
+        0,
+        StreamEnd::Pause {
+            pause: PAUSE,
+            last_id: 9,
+        },
+    )
+}
+
+#[rstest]
+#[tokio::test]
+async fn silence_ends_no_stream(
+    #[values(("stream_resumption", false.into()), ("attempts", 1.into()))] change: (&str, Value),
+    #[values(paused_stream(), late_stream(), stream_with_late_event())] response: ScriptedResponse,
+) {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let mut config = harness.next_config();
+    config["routes"][3][change.0] = change.1;
+    activate(&harness, &config).await;
+    for engine in &harness.engines {
+        engine.set_default_response(response.clone());
+    }
+    assert_whole(&harness).await;
+}
+
+#[tokio::test]
+async fn silence_ends_no_stream_while_no_other_engine_is_listed() {
+    let harness = HarnessBuilder::default().engines(1).start().await;
+    harness.engines[0].set_default_response(paused_stream());
+    assert_whole(&harness).await;
+}
+
+/// A draining engine may close its listener before its last stream ends.
+#[tokio::test]
+async fn silence_of_an_engine_that_no_longer_listens_ends_no_stream() {
+    let harness = HarnessBuilder::default().engines(1).start().await;
+    harness.engines[0].set_default_response(paused_stream());
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    client.send(request.as_bytes()).await;
+    harness.engines[0].wait_for_requests(1).await;
+    harness.engines[0].stop();
+    let response = client.read_response().await.unwrap();
+    assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+}
+
+/// Guards against a stream that ends because no engine was free at that moment.
+#[tokio::test]
+async fn broken_stream_waits_for_an_engine() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let (first, second) = (&harness.engines[0], &harness.engines[1]);
+    harness.store.remove("servers", &second.name());
+    harness
+        .wait_for_metric("gateway_upstreams{state=\"present\"} 3")
+        .await;
+    first.set_default_response(ScriptedResponse::stream(5, StreamEnd::Reset));
+    second.set_default_response(ScriptedResponse::stream(9, StreamEnd::Complete));
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    client.send(request.as_bytes()).await;
+    client.wait_for_text("piece 5\n").await;
+    harness.store.remove("servers", &first.name());
+    harness
+        .wait_for_metric("gateway_upstreams{state=\"present\"} 2")
+        .await;
+    harness.register(second, skylarkshed_testsuite::MODEL_SERVICE, 1, "ready");
+    client.wait_for_text("piece 9\n").await;
+}
+
+/// Guards against a VM that is kept busy by a copy that fails at once.
+#[tokio::test]
+async fn failed_copy_of_a_kv_cache_is_not_repeated_without_a_pause() {
+    let harness = HarnessBuilder::default().engines(3).start().await;
+    let stream = skylarkshed_stand_ins::StreamScript {
+        last_id: 1_000,
+        interval: Duration::from_millis(20),
+        end: StreamEnd::Complete,
+    };
+    harness.engines[0].set_default_response(ScriptedResponse::Stream(stream));
+    harness
+        .engines
+        .iter()
+        .for_each(FakeUpstream::refuse_kv_moves);
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    client.send(request.as_bytes()).await;
+    client.wait_for_text("piece 2\n").await;
+    let sent = &harness.engines[0].received_requests()[0];
+    let holder = sent.header("x-cache-backup").unwrap();
+    let is_holder = |engine: &&FakeUpstream| engine.address().to_string() == holder;
+    let removed = harness.engines.iter().find(is_holder).unwrap();
+    harness.store.remove("servers", &removed.name());
+    tokio::time::sleep(COPY_TIME).await;
+    let copies = harness.engines[0].kv_move_requests().len();
+    assert!((1..=6).contains(&copies), "{copies} requests for a copy");
+}
