Keep a begun stream while its upstream or another one may go on

Cause: the forwarder closes a silent attempt first and looks for another upstream afterwards. If the route allows no further attempt, the stream can't be resumed, the retry budget is spent or no other engine is listed, it ends the stream, though a sound upstream may be silent for a second or so and go on. A liveness check that was refused counted as death, although a draining engine may close its listener before its last stream ends. And a stream that had lost its engine ended if none was free at that moment. Class: an answer is given up while it could still be completed. Ruled out: calls; those that can't be retried wait until their deadline.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -75,6 +75,11 @@
     counter!("gateway_prefill_timeouts_extended_total").increment(1);
 }
 
+/// Counts a silent upstream that is waited for, because no other one can take over.
+pub(crate) fn count_extended_silence() {
+    counter!("gateway_silences_extended_total").increment(1);
+}
+
 /// Sets the number of listed upstreams, and of the draining ones among them.
 pub(crate) fn set_upstreams(present: usize, leaving: usize) {
     gauge!("gateway_upstreams", "state" => "present").set(present as f64);
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -8,6 +8,7 @@
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -28,6 +29,7 @@
     pub(super) phase: StreamPhase,
     pub(super) last_event_at: ClockTime,
     timeout: PrefillTimeout,
+    was_waited_for: bool,
     parser: EventParser,
 }
 
@@ -53,6 +55,7 @@
             phase,
             last_event_at: now,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
+            was_waited_for: false,
             parser: EventParser::default(),
         }
     }
@@ -94,10 +97,24 @@
         }
     }
 
+    /// Grants a silent upstream its time again.
+    pub(super) fn wait_on(&mut self, now: ClockTime) {
+        self.was_waited_for = true;
+        self.last_event_at = now;
+        self.timeout = PrefillTimeout::start(now, silence_limit(self.phase, true));
+    }
+
+    /// Reports whether the upstream was silent for too long since its last event, and was
+    /// waited for.
+    pub(super) fn was_waited_for(&self) -> bool {
+        self.was_waited_for
+    }
+
     /// Records a sign of life. Parts of an event are none: a stalled engine may send a
     /// byte now and then.
     fn record_event(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Decoding;
+        self.was_waited_for = false;
         self.last_event_at = now;
     }
 }
@@ -141,7 +158,13 @@
 async fn is_alive(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
     let connected = tokio::time::timeout(LIVENESS_CHECK_TIMEOUT.to_duration(), connecting).await;
-    matches!(connected, Ok(Ok(_)))
+    match connected {
+        Ok(Ok(_)) => true,
+        // The host is up. A draining upstream may close its listener before its last
+        // response ends, and one that has exited has reset the connection.
+        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+        Err(_) => false,
+    }
 }
 
 impl From<SendError> for AttemptFailure {
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -104,7 +104,7 @@
         hash_rank(head.prompt_id.as_ref().unwrap_or(&head.request))
     }
 
-    fn next_candidate(
+    pub(super) fn next_candidate(
         &self,
         avoid: &[UpstreamName],
         avoid_zones: &[ZoneName],
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod opening;
 mod prefill_watch;
+mod replacement;
 
 use crate::caller_response::{BodyPart, CallerResponse, ResponseBody};
 use crate::counters;
@@ -22,6 +23,7 @@
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{EventLedger, EventVerdict, LossCause};
 use std::marker::PhantomData;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -44,6 +46,10 @@
     unsent: u32,
     tried: Vec<UpstreamName>,
     failed_zones: Vec<ZoneName>,
+    /// Whether the caller has received the head of the response.
+    is_begun: bool,
+    /// Whether the next attempt has already been taken from the retry budget.
+    is_send_reserved: AtomicBool,
     timings: EventTimings,
     _protocol: PhantomData<P>,
 }
@@ -87,6 +93,8 @@
         unsent: 0,
         tried: Vec::new(),
         failed_zones: Vec::new(),
+        is_begun: false,
+        is_send_reserved: AtomicBool::new(false),
         timings: EventTimings::default(),
         _protocol: PhantomData,
     };
@@ -94,6 +102,7 @@
         OpenedStream::Running(attempt) => {
             let (parts, body) = mpsc::channel(MAX_BUFFERED_EVENTS);
             let response = begin_response(&attempt.response.parts, body);
+            forwarder.is_begun = true;
             tokio::spawn(forwarder.run(*attempt, parts));
             response
         }
@@ -153,6 +162,10 @@
                 }
                 AttemptStep::Lost(cause) => cause,
             };
+            if cause == LossCause::Silence && self.waits_for(&attempt) {
+                attempt.wait_on(self.state.clock.now());
+                continue;
+            }
             copies.stop();
             match self.replace(attempt, cause, &parts).await {
                 Some(next) => attempt = next,
@@ -194,35 +207,6 @@
         copies.check::<P>(&self.state, service, self.request.id(), attempt, choose);
     }
 
-    /// Continues the stream at another upstream.
-    async fn replace(
-        &mut self,
-        attempt: StreamAttempt,
-        cause: LossCause,
-        parts: &mpsc::Sender<BodyPart>,
-    ) -> Option<StreamAttempt> {
-        let copy = attempt.copy.clone();
-        let upstream = attempt.upstream.clone();
-        // Closing the connection stops the old upstream before the next one starts.
-        drop(attempt);
-        self.run_tracker.mark_may_have_run();
-        self.record_upstream_failure(&upstream, cause);
-        let opened = tokio::select! {
-            opened = self.open(copy) => opened,
-            () = parts.closed() => {
-                self.log_end("caller_left");
-                return None;
-            }
-        };
-        match opened {
-            OpenedStream::Running(next) => Some(*next),
-            OpenedStream::Plain(_) | OpenedStream::Stopped => {
-                self.log_end("broken_off");
-                None
-            }
-        }
-    }
-
     async fn forward_event(
         &mut self,
         event: StreamEvent,
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -13,6 +13,8 @@
 use skylarkshed_policy::{
     decide_recovery, silence_limit, LossCause, RecoveryDecision, StreamPhase, StreamState,
 };
+use std::pin::pin;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 /// How many upstreams may refuse a connection before the request is refused.
@@ -33,22 +35,35 @@
     pub(super) async fn open(&mut self, mut copy: Option<KvCacheCopy>) -> OpenedStream {
         loop {
             let holder = copy.take().and_then(|copy| self.usable_holder(copy));
-            let decision = decide_recovery(&StreamState {
-                sends: self.sends,
-                max_sends: self.request.route.max_attempts,
-                is_resumable: self.is_resumable,
-                may_have_run: self.run_tracker.may_have_run(),
+            let state = StreamState {
                 has_copy: holder.is_some(),
-            });
-            let has_attempts_left = self.unsent < MAX_UNSENT && !self.request.deadline.is_expired();
-            if decision == RecoveryDecision::Stop || !has_attempts_left || !self.may_send() {
+                ..self.recovery_state()
+            };
+            let is_stopped = decide_recovery(&state) == RecoveryDecision::Stop;
+            if is_stopped || self.request.deadline.is_expired() {
                 return OpenedStream::Stopped;
             }
+            if self.unsent >= MAX_UNSENT || !self.may_send() {
+                copy = holder.map(|(_, copy)| copy);
+                if !self.pause_before_retry().await {
+                    return OpenedStream::Stopped;
+                }
+                self.unsent = 0;
+                continue;
+            }
             let (upstream, copy_from) = match holder {
                 Some((upstream, copy)) => (upstream, Some(copy)),
                 None => match self.choose_upstream().await {
                     Some(upstream) => (upstream, None),
-                    None => return OpenedStream::Stopped,
+                    None => {
+                        self.refund_send();
+                        if !self.pause_before_retry().await {
+                            return OpenedStream::Stopped;
+                        }
+                        // An upstream that refused may have room by now.
+                        self.tried.clear();
+                        continue;
+                    }
                 },
             };
             let new_copy = self.plan_continuous_copy(&upstream);
@@ -62,9 +77,30 @@
         }
     }
 
+    /// Returns the state for the decision how the stream continues, without a copy.
+    pub(super) fn recovery_state(&self) -> StreamState {
+        StreamState {
+            sends: self.sends,
+            max_sends: self.request.route.max_attempts,
+            is_resumable: self.is_resumable,
+            may_have_run: self.run_tracker.may_have_run(),
+            has_copy: false,
+        }
+    }
+
+    /// Takes the next attempt from the retry budget, unless that was already done.
+    pub(super) fn reserve_send(&self) -> bool {
+        let is_reserved = self.may_send();
+        self.is_send_reserved.store(is_reserved, Ordering::Relaxed);
+        is_reserved
+    }
+
     /// Reports whether an attempt may be made. Once the request has been sent, each
     /// further attempt takes a retry from the budget.
     fn may_send(&self) -> bool {
+        if self.is_send_reserved.swap(false, Ordering::Relaxed) {
+            return true;
+        }
         let now = self.state.clock.now();
         match (self.sends, self.is_resumable) {
             (0, _) => true,
@@ -118,13 +154,7 @@
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream request sent"
         );
-        let sending = send::<P>(&self.state, &self.request, &upstream, &options);
-        let limit = silence_limit(phase, true).min(self.request.deadline.remaining());
-        let clock = self.state.clock;
-        let mut timeout = PrefillTimeout::start(clock.now(), limit);
-        let watch = self.prefill_watch();
-        let response = watch_prefill::<P, _>(sending, watch, &upstream, &mut timeout).await;
-        let response = response.ok_or(AttemptFailure(LossCause::Silence))??;
+        let response = self.send_and_wait(&upstream, phase, &options).await?;
         if response.head.is_misdirected {
             return Err(AttemptFailure(LossCause::InstanceReplaced));
         }
@@ -138,11 +168,37 @@
         if copy_from.is_none() {
             self.record_version_result(&upstream, Some(self.request.deadline.elapsed()));
         }
-        let now = clock.now();
+        let now = self.state.clock.now();
         let attempt = StreamAttempt::new(upstream, new_copy, response, phase, now);
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
+    /// Sends the request; fails if no head arrives and another upstream may respond.
+    async fn send_and_wait(
+        &self,
+        upstream: &UpstreamState,
+        phase: StreamPhase,
+        options: &SendOptions<'_>,
+    ) -> Result<UpstreamResponse, AttemptFailure> {
+        let clock = self.state.clock;
+        let limit = silence_limit(phase, true).min(self.request.deadline.remaining());
+        let mut sending = pin!(send::<P>(&self.state, &self.request, upstream, options));
+        let mut timeout = PrefillTimeout::start(clock.now(), limit);
+        let mut was_waited_for = false;
+        loop {
+            let watch = self.prefill_watch();
+            let response = watch_prefill::<P, _>(&mut sending, watch, upstream, &mut timeout);
+            if let Some(response) = response.await {
+                return response.map_err(AttemptFailure::from);
+            }
+            if !self.waits_for_response(upstream, was_waited_for) {
+                return Err(AttemptFailure(LossCause::Silence));
+            }
+            was_waited_for = true;
+            timeout = PrefillTimeout::start(clock.now(), limit);
+        }
+    }
+
     /// Counts the outcome of an attempt for its upstream's version.
     fn record_version_result(&self, upstream: &UpstreamState, time: Option<ClockTime>) {
         self.state.rollouts.record(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -105,7 +105,8 @@
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
-    decide_recovery, silence_limit, LossCause, RecoveryDecision, StreamPhase, StreamState,
+    decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
+    SilentUpstream, StreamPhase, StreamState,
 };
 pub use table_server::TableServer;
 pub use token_ledger::{LedgerVerdict, TokenLedger};
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -122,6 +122,56 @@
     }
 }
 
+/// What is known about replacing a silent upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct SilentUpstream {
+    /// Whether it has certainly stopped.
+    pub is_gone: bool,
+    /// Whether a working upstream could take over.
+    pub has_substitute: bool,
+}
+
+/// What to do about a silent upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SilenceDecision {
+    /// Keep the connection: the upstream may go on.
+    WaitOn,
+    /// Close the connection and continue elsewhere.
+    Replace,
+}
+
+/// Decides whether a stream leaves an upstream that has been silent for too long.
+///
+/// Load pattern: a sound upstream falls silent for a second or two while no other one
+/// can take over, because the route allows no further attempt, the stream can't be
+/// resumed, or all others are unreachable. Leaving the upstream would then end the
+/// stream.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{decide_silence, SilenceDecision, SilentUpstream, StreamState};
+///
+/// let state = StreamState {
+///     sends: 1,
+///     max_sends: 5,
+///     is_resumable: true,
+///     may_have_run: true,
+///     has_copy: false,
+/// };
+/// let silent = SilentUpstream { is_gone: false, has_substitute: true };
+/// assert_eq!(decide_silence(&state, silent), SilenceDecision::Replace);
+/// let state = StreamState { max_sends: 1, ..state };
+/// assert_eq!(decide_silence(&state, silent), SilenceDecision::WaitOn);
+/// ```
+pub fn decide_silence(state: &StreamState, silent: SilentUpstream) -> SilenceDecision {
+    let is_allowed = decide_recovery(state) != RecoveryDecision::Stop;
+    match silent.is_gone || (is_allowed && silent.has_substitute) {
+        true => SilenceDecision::Replace,
+        false => SilenceDecision::WaitOn,
+    }
+}
+
 /// The progress of a stream's attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StreamPhase {
