Keep calls away from an upstream that refuses many of them

What callers saw: with one of three applications shedding half of its calls, 0.045 of all requests were refused, though two applications had room. Cause: the choice of an upstream knows load and failures, but a refusal that says 'not run' counts as neither, and the health check passes. Ruled out: another send after a refusal; the protocol's page limits the upstreams that one request may be sent to, and we count refused ones. Change: refusals of the last four seconds add to an upstream's load; the log line of a call's end names the reason.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::exchange::CallerRequest;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RequestHead, WireProtocol};
-use crate::refusal::{refuse, reject, BadRequestReason, NotRunReason};
+use crate::refusal::{refuse, reject, BadRequestReason, NotRunReason, ProblemReason};
 use crate::stream::serve_stream;
 use crate::unanswered_request::UnansweredRequest;
 use bytes::Bytes;
@@ -105,6 +105,7 @@
         service:% = request.service,
         status = response.status().as_u16(),
         outcome,
+        reason = response.extensions().get::<ProblemReason>().map(|reason| reason.0),
         ms = request.deadline.elapsed().as_millis();
         "request ended"
     );
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -129,6 +129,7 @@
     let head = P::read_response(&parts);
     strip_connection_headers(&mut parts.headers);
     upstream.record_head(&head, state.config.now());
+    upstream.record_refusal(head.is_not_run, state.clock.now());
     if head.request.as_ref().is_some_and(|id| id != request.id()) {
         counters::count_bad_response("crossed");
         return Err(SendError::Broken);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -135,6 +135,10 @@
     }
 }
 
+/// Why a response is not an upstream's, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProblemReason(pub(crate) &'static str);
+
 /// Refuses a request that no upstream ran, with a `Retry-After` header.
 pub(crate) fn refuse(
     _proof: NotRunProof,
@@ -167,6 +171,7 @@
     });
     let mut response = Response::new(ResponseBody::complete(Bytes::from(body.to_string())));
     *response.status_mut() = status;
+    response.extensions_mut().insert(ProblemReason(reason));
     let value = HeaderValue::from_static(PROBLEM_TYPE);
     response.headers_mut().insert(CONTENT_TYPE, value);
     response
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -7,8 +7,8 @@
     BootTimeClock, ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
 };
 use skylarkshed_policy::{
-    choose_candidate, deferred_until, PlacementQuery, UpstreamCandidate, UpstreamChange,
-    UpstreamHealth, UpstreamTable, VersionRule,
+    choose_candidate, deferred_until, PlacementQuery, RefusalRate, UpstreamCandidate,
+    UpstreamChange, UpstreamHealth, UpstreamTable, VersionRule,
 };
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -48,6 +48,7 @@
     is_retired: AtomicBool,
     /// It announced in a response that it leaves.
     is_leaving: AtomicBool,
+    refusals: RefusalRate,
     /// Until when it wants no requests, on the clock that counts suspension.
     deferred_until_ms: AtomicU64,
 }
@@ -96,6 +97,11 @@
         self.usage.suspect_until_ms.store(until, Ordering::Relaxed);
     }
 
+    /// Records whether a response was a refusal.
+    pub(crate) fn record_refusal(&self, is_refused: bool, now: ClockTime) {
+        self.usage.refusals.record(is_refused, now);
+    }
+
     /// Clears the suspicion after a successful response.
     pub(crate) fn mark_healthy(&self) {
         self.usage.suspect_until_ms.store(0, Ordering::Relaxed);
@@ -281,6 +287,7 @@
             name: state.name(),
             zone: &state.record.zone,
             load: state.load(),
+            refusal_permille: state.usage.refusals.permille(now),
             health: match state.is_deferred(boot_now) {
                 true => state.health(now).max(UpstreamHealth::Deferred),
                 false => state.health(now),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -55,6 +55,7 @@
 mod placement;
 mod prefill_timeout;
 mod rate_limiter;
+mod refusal_rate;
 mod rendezvous;
 mod retry_budget;
 mod rollout_plan;
@@ -97,6 +98,7 @@
     judge_prefill, PrefillEstimator, PrefillStatus, PrefillVerdict, WaitingPrefill,
 };
 pub use rate_limiter::RateLimiter;
+pub use refusal_rate::RefusalRate;
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_plan::{
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -12,6 +12,9 @@
 /// another availability zone. If this VM alone uses half of the slots, the other
 /// VMs of the zone probably use the rest.
 const CROSS_ZONE_LOAD: u64 = 500;
+/// How much a refusal rate adds to the load, per thousandth. A call goes to another
+/// availability zone if more than a quarter of its requests would be refused.
+const REFUSAL_LOAD: u64 = 2;
 /// A zone is suspect if at least this percentage of its upstreams is: an ordinary
 /// crash affects single upstreams, the failure of a rack or zone most of them.
 const SUSPECT_ZONE_PERCENT: usize = 40;
@@ -27,6 +30,8 @@
     pub zone: &'a ZoneName,
     /// The load that this VM knows of, in thousandths of the upstream's slots.
     pub load: u64,
+    /// The share of requests that it refused recently, in thousandths.
+    pub refusal_permille: u64,
     /// Whether it can receive new work.
     pub health: UpstreamHealth,
 }
@@ -57,7 +62,13 @@
 ///
 /// let (name, zone) = (UpstreamName::from("app-1"), ZoneName::from("chag"));
 /// let health = UpstreamHealth::Healthy;
-/// let candidate = UpstreamCandidate { name: &name, zone: &zone, load: 0, health };
+/// let candidate = UpstreamCandidate {
+///     name: &name,
+///     zone: &zone,
+///     load: 0,
+///     refusal_permille: 0,
+///     health,
+/// };
 /// let query = PlacementQuery {
 ///     zone: &zone,
 ///     avoid: &[],
@@ -88,12 +99,13 @@
             true => 0,
             false => CROSS_ZONE_LOAD,
         };
+        let load = candidate.load + candidate.refusal_permille * REFUSAL_LOAD;
         let tie = crate::rendezvous::hash_rank((query.tie_hash, candidate.name));
         (
             is_suspect,
             is_avoided,
             in_suspect_zone,
-            (candidate.load + zone_penalty) / query.load_step.max(1),
+            (load + zone_penalty) / query.load_step.max(1),
             tie,
         )
     };
--- a/crates/policy/tests/gateway/deferral.rs
+++ b/crates/policy/tests/gateway/deferral.rs
@@ -17,6 +17,7 @@
         name: &name,
         zone: &zone,
         load: 0,
+        refusal_permille: 0,
         health,
     };
     let query = PlacementQuery {
--- a/crates/policy/tests/gateway/placement.rs
+++ b/crates/policy/tests/gateway/placement.rs
@@ -10,6 +10,7 @@
     name: UpstreamName,
     zone: ZoneName,
     load: u64,
+    refusal_permille: u64,
     health: UpstreamHealth,
 }
 
@@ -18,6 +19,7 @@
         name: UpstreamName::new(format!("up-{number}")),
         zone: ZoneName::new(format!("zone-{}", number % zones)),
         load: 0,
+        refusal_permille: 0,
         health: UpstreamHealth::Healthy,
     });
     all.collect()
@@ -38,6 +40,7 @@
         name: &upstream.name,
         zone: &upstream.zone,
         load: upstream.load,
+        refusal_permille: upstream.refusal_permille,
         health: upstream.health,
     });
     let candidates: Vec<UpstreamCandidate<'_>> = candidates.collect();
@@ -134,3 +137,17 @@
         target_latency
     ));
 }
+
+/// Guards against calls that are refused by one shedding upstream while others have room.
+#[test]
+fn an_upstream_that_refuses_much_is_avoided_until_all_do() {
+    let mut all = upstreams(3, 1);
+    all[0].refusal_permille = 240;
+    assert_eq!(choose(&all, 1), Some(0));
+    all[0].refusal_permille = 260;
+    assert_ne!(choose(&all, 1), Some(0));
+    for upstream in &mut all {
+        upstream.refusal_permille = 260;
+    }
+    assert_eq!(choose(&all, 1), Some(0));
+}
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -127,3 +127,27 @@
         assert_eq!(harness.send_request("GET", "/find/7", "").await.status, 200);
     }
 }
+
+/// Guards against calls that are refused by one shedding upstream while another has room.
+#[tokio::test]
+async fn shedding_upstream_is_avoided_and_tried_again_later() {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    let shedding = &harness.applications[0];
+    shedding.set_default_response(ScriptedResponse::NotExecuted);
+    let mut refused = 0;
+    for _ in 0..40 {
+        let response = harness.send_request("POST", "/book/7", "x").await;
+        refused += usize::from(response.status == 503);
+    }
+    assert!(refused <= 8, "{refused} of 40 calls were refused");
+    shedding.set_default_response(ScriptedResponse::success());
+    let count = shedding.received_requests().len();
+    let calling = async {
+        while shedding.received_requests().len() == count {
+            harness.send_request("POST", "/book/7", "x").await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let result = tokio::time::timeout(Duration::from_secs(10), calling).await;
+    assert!(result.is_ok(), "the upstream is used again");
+}
