Wait until a VM has a change before another one is sent to it

Cause: the test sent it as soon as the first VM had accepted its change. So the test has a race; the product does not. Change: the test waits until the second VM has the revision. It checks what it checked before, in the same order.

--- a/crates/bench/src/fleet/running.rs
+++ b/crates/bench/src/fleet/running.rs
@@ -246,12 +246,22 @@
     ///
     /// Returns an error if that takes too long.
     pub async fn wait_for_revision(&self, revision: u64) -> Result<(), FleetError> {
-        let deadline = Instant::now() + READY_TIMEOUT;
         for vm in 0..self.vms.len() {
-            while self.revision(vm).await.unwrap_or(0) < revision {
-                check_deadline(deadline, &format!("revision {revision} at vm-{vm}"))?;
-                tokio::time::sleep(POLL_INTERVAL).await;
-            }
+            self.wait_for_revision_at(vm, revision).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one VM has this revision of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_for_revision_at(&self, vm: usize, revision: u64) -> Result<(), FleetError> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while self.revision(vm).await.unwrap_or(0) < revision {
+            check_deadline(deadline, &format!("revision {revision} at vm-{vm}"))?;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
         Ok(())
     }
--- a/tests/testsuite/tests/suite/configuration.rs
+++ b/tests/testsuite/tests/suite/configuration.rs
@@ -176,6 +176,8 @@
     put_customer(&fleet.operator_client(0), "change-2", "van", 2)
         .await
         .unwrap();
+    // A VM that has not heard of the last change refuses another one to the same customer.
+    fleet.wait_for_revision_at(1, 2).await.unwrap();
     put_customer(&fleet.operator_client(1), "change-3", "van", 3)
         .await
         .unwrap();
