Wait before a connection is accepted again after a failure

What callers saw: nothing yet. Found when the class of the repeated copies, a failed operation that is tried again without a pause, was looked for elsewhere. Cause: without a free file descriptor the listeners for readiness checks and for other VMs tried to accept again at once and took a whole core, which delays every request of the VM until descriptors are free. Ruled out: the listener for callers, which already waits 20 ms. Change: both wait 20 ms, and the error of the peers' listener is logged.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -29,7 +29,7 @@
 /// request needs another one for its upstream.
 const CALLER_DESCRIPTORS_PERCENT: usize = 45;
 /// The delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
+pub(crate) const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn serve_callers<P: WireProtocol>(
--- a/crates/gateway/src/status_endpoints.rs
+++ b/crates/gateway/src/status_endpoints.rs
@@ -1,5 +1,6 @@
 //! The readiness and metrics endpoints.
 
+use crate::caller::ACCEPT_RETRY_DELAY;
 use crate::caller_response::{CallerResponse, ResponseBody};
 use crate::counters;
 use crate::gateway_state::GatewayState;
@@ -76,7 +77,7 @@
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("can't accept a connection: {error}");
-                tokio::task::yield_now().await;
+                tokio::time::sleep(ACCEPT_RETRY_DELAY.to_duration()).await;
                 continue;
             }
         };
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -13,6 +13,8 @@
 use tokio_util::codec::Framed;
 
 const CONNECT_TIMEOUT: ClockTime = ClockTime::from_millis(500);
+/// The delay after a connection could not be accepted, for lack of descriptors as a rule.
+const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 const MAX_QUEUED_FRAMES: usize = 256;
 
 /// Handles the requests of other VMs.
@@ -24,7 +26,7 @@
 /// Accepts and serves connections of other VMs until the process exits.
 ///
 /// A connection with a malformed frame or a wrong authentication code is closed;
-/// `on_error` gets the error.
+/// `on_error` gets the error, or the one of a connection that could not be accepted.
 pub async fn serve_peers<H: PeerHandler>(
     listener: TcpListener,
     key: PeerKey,
@@ -32,8 +34,13 @@
     on_error: fn(&PeerError),
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                on_error(&error.into());
+                tokio::time::sleep(ACCEPT_RETRY_DELAY.to_duration()).await;
+                continue;
+            }
         };
         let (key, handler) = (key.clone(), handler.clone());
         tokio::spawn(async move {
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -25,6 +25,7 @@
     grace_s: u64,
     revoke_ms: u64,
     is_output_read: bool,
+    max_files: Option<u64>,
 }
 
 impl Default for HarnessBuilder {
@@ -35,6 +36,7 @@
             grace_s: 8,
             revoke_ms: 5_000,
             is_output_read: true,
+            max_files: None,
         }
     }
 }
@@ -64,6 +66,12 @@
         self
     }
 
+    /// Limits the files that the process may have open, connections included.
+    pub fn max_files(mut self, count: u64) -> Self {
+        self.max_files = Some(count);
+        self
+    }
+
     /// Stops reading the process's output after the line with its addresses.
     pub fn unread_output(mut self) -> Self {
         self.is_output_read = false;
@@ -97,7 +105,8 @@
             engines.push(FakeUpstream::start(&format!("engine-{number}")).await);
         }
         let settings = self.render_settings("vm-1", store.address(), &[]);
-        let (process, settings_path, addresses, output) = start_process(&settings).await;
+        let (process, settings_path, addresses, output) =
+            start_process(&settings, self.max_files).await;
         let unread_output = match self.is_output_read {
             true => {
                 tokio::spawn(copy_output(output, settings_path.with_extension("log")));
@@ -226,7 +235,7 @@
     pub async fn start_other_with_seeds(&self, name: &str, seeds: &[SocketAddr]) -> OtherVm {
         let builder = HarnessBuilder::default();
         let settings = builder.render_settings(name, self.store.address(), seeds);
-        let (process, settings_path, addresses, output) = start_process(&settings).await;
+        let (process, settings_path, addresses, output) = start_process(&settings, None).await;
         tokio::spawn(copy_output(output, settings_path.with_extension("log")));
         OtherVm {
             process,
@@ -331,6 +340,19 @@
         self.wait_for_metric(&config_metric(version)).await;
     }
 
+    /// Returns the processor time that the process has used, in clock ticks.
+    pub fn processor_ticks(&self) -> u64 {
+        let id = self.process.id().expect("the process runs");
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"));
+        let stat = stat.expect("the process runs");
+        // The fields after the program's name; the user and system times are the 14th and
+        // 15th of the line.
+        let (_, fields) = stat.rsplit_once(')').expect("the name is in parentheses");
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks = fields[11..=12].iter().map(|field| field.parse::<u64>());
+        ticks.map(|ticks| ticks.expect("times are numbers")).sum()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.process.id().expect("the process runs");
--- a/tests/testsuite/src/gateway_process.rs
+++ b/tests/testsuite/src/gateway_process.rs
@@ -45,13 +45,13 @@
 /// and VMs that start (in this order), and the rest of its output.
 pub(crate) type StartedProcess = (Child, PathBuf, Vec<SocketAddr>, BufReader<ChildStdout>);
 
-pub(crate) async fn start_process(settings: &str) -> StartedProcess {
+/// Starts a gateway; `max_files` limits its open files.
+pub(crate) async fn start_process(settings: &str, max_files: Option<u64>) -> StartedProcess {
     let number = NEXT_FILE_NUMBER.fetch_add(1, Ordering::Relaxed);
     let file = format!("skylarkshed-gateway-{}-{number}.toml", std::process::id());
     let settings_path = std::env::temp_dir().join(file);
     std::fs::write(&settings_path, settings).expect("temporary files can be written");
-    let mut process = Command::new(program_path())
-        .arg("gateway")
+    let mut process = make_command(max_files)
         .env("SKYLARKSHED_NODE_FILE", &settings_path)
         .stdout(Stdio::piped())
         .kill_on_drop(true)
@@ -62,6 +62,22 @@
     (process, settings_path, addresses, output)
 }
 
+fn make_command(max_files: Option<u64>) -> Command {
+    let program = program_path();
+    let Some(max_files) = max_files else {
+        let mut command = Command::new(program);
+        command.arg("gateway");
+        return command;
+    };
+    // The shell becomes the program, so the process identifier stays the same.
+    let mut command = Command::new("sh");
+    command
+        .arg("-c")
+        .arg("ulimit -n \"$1\"; exec \"$0\" gateway");
+    command.arg(program).arg(max_files.to_string());
+    command
+}
+
 pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<RawResponse> {
     let mut client = RawClient::connect(address).await;
     let request = format!("GET {path} HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod fleet_start;
 mod framing;
 mod leaving;
+mod open_files;
 mod peers;
 mod responses;
 mod retries;
