Limit the bytes of a response head, with informational responses

What callers saw: an upstream that sends informational responses (103) without an end delays every other request of the VM by seconds, until the deadlines of the requests that it was sent.

Cause: the HTTP library parses all informational responses of its read buffer (400 KB) in one step, without a yield and without a limit on their number, so the threads of the process belong to the connections that receive them.

Ruled out: bytes that are not HTTP, empty lines, an endless header value and endless header lines end the attempt at once or when the buffer is full; the tests keep this. Memory was bounded in all these cases.

Change: a connection reads at most 128 KiB up to the end of a response head, and buffers 32 KiB. Beyond that the attempt fails as one that may have run, the upstream is suspect, and the answer is counted as `long_head`.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -149,6 +149,9 @@
     error: &ConnectionError,
 ) -> SendError {
     upstream.mark_suspect(state.clock.now());
+    if matches!(error, ConnectionError::LongHead) {
+        counters::count_bad_response("long_head");
+    }
     let failure = match error.is_unsent() {
         true => SendError::Unsent,
         false => SendError::Broken,
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -1,11 +1,12 @@
 //! A connection that carries one request at a time.
 
+use crate::head_limit::{HeadLimit, LimitedStream};
 use crate::options::set_options;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use skylarkshed_core::ClockTime;
 use std::net::SocketAddr;
@@ -13,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+/// The size of the read buffer, and so the maximum size of a response head.
+const BUFFER_BYTES: usize = 32 * 1024;
+
 /// A request with a buffered body.
 pub type BufferedRequest = Request<Full<Bytes>>;
 
@@ -31,12 +35,20 @@
     /// The connection failed, or the response is not valid HTTP.
     #[error("the connection failed: {0}")]
     Broken(hyper::Error),
+    /// The connection was closed because the response head did not end.
+    #[error("the response head is too long")]
+    LongHead,
 }
 
 impl ConnectionError {
     /// Reports whether the error proves that nothing of the request was sent.
     pub const fn is_unsent(&self) -> bool {
-        !matches!(self, ConnectionError::Broken(_))
+        match self {
+            ConnectionError::Connect(_)
+            | ConnectionError::ConnectTimeout(_)
+            | ConnectionError::Unsent => true,
+            ConnectionError::Broken(_) | ConnectionError::LongHead => false,
+        }
     }
 }
 
@@ -45,6 +57,7 @@
 pub struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    head_limit: HeadLimit,
 }
 
 impl HttpConnection {
@@ -74,21 +87,33 @@
             Err(_) => return Err(ConnectionError::ConnectTimeout(timeout)),
         };
         set_options(&stream).map_err(ConnectionError::Connect)?;
-        let made = handshake(TokioIo::new(stream)).await;
+        let head_limit = HeadLimit::new();
+        let stream = LimitedStream {
+            stream,
+            limit: head_limit.clone(),
+        };
+        let made = Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) = made.map_err(|_| ConnectionError::Unsent)?;
         let driver = tokio::spawn(async move {
             // The request fails with the same error.
             let _ = connection.await;
         });
-        Ok(HttpConnection { sender, driver })
+        Ok(HttpConnection {
+            sender,
+            driver,
+            head_limit,
+        })
     }
 
     /// Sends a request and returns the head of its response.
     ///
     /// # Errors
     ///
-    /// Fails if the connection is closed first; [`ConnectionError::is_unsent`] reports
-    /// whether the request may have been received.
+    /// Fails if the connection is closed first or the head is too long;
+    /// [`ConnectionError::is_unsent`] reports whether the request may have been received.
     pub async fn send(
         &mut self,
         request: BufferedRequest,
@@ -96,11 +121,15 @@
         if self.sender.ready().await.is_err() {
             return Err(ConnectionError::Unsent);
         }
+        self.head_limit.start_head();
         let sent = self.sender.try_send_request(request).await;
-        sent.map_err(|mut error| match error.take_message() {
+        let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => ConnectionError::Unsent,
+            None if self.head_limit.is_exceeded() => ConnectionError::LongHead,
             None => ConnectionError::Broken(error.into_error()),
-        })
+        })?;
+        self.head_limit.finish_head();
+        Ok(response)
     }
 
     /// Sends a request and returns its response with the complete body.
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -6,6 +6,7 @@
 //! work. Dropping it closes the connection.
 
 mod connection;
+mod head_limit;
 mod headers;
 mod options;
 
--- a/crates/stand-ins/src/routing/mod.rs
+++ b/crates/stand-ins/src/routing/mod.rs
@@ -1,10 +1,13 @@
 //! A fake store and fake upstreams for tests of the gateway.
 
 mod control_calls;
+mod endless_response;
+mod event_stream;
 mod scripted_response;
 mod store;
 mod upstream;
 
+pub use endless_response::EndlessResponse;
 pub use scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
 pub use store::{FakeStore, StoreCopy, StoreMode};
 pub use upstream::{FakeUpstream, ReceivedRequest};
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -1,5 +1,6 @@
 //! The responses that a fake upstream can be scripted to send.
 
+use super::endless_response::EndlessResponse;
 use std::time::Duration;
 
 /// How a stream of events ends.
@@ -15,6 +16,8 @@
     Stall,
     /// A byte of the next event is sent now and then, and the event never ends.
     Trickle,
+    /// A comment is sent now and then, but no further event.
+    Comments,
 }
 
 /// A scripted stream of server-sent events.
@@ -68,6 +71,8 @@
     Unparsable,
     /// Never responds.
     NoResponse,
+    /// Sends a response that does not end until the client closes the connection.
+    Endless(EndlessResponse),
     /// Responds with a stream of events that starts after the request's `Last-Event-ID`.
     Stream(StreamScript),
 }
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -1,7 +1,8 @@
 //! A fake upstream that sends scripted responses and records its requests.
 
 use super::control_calls::ControlCalls;
-use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
+use super::event_stream::{reset, send_events, wait_unless_closed};
+use super::scripted_response::ScriptedResponse;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -333,65 +334,10 @@
         ScriptedResponse::NoResponse => {
             return wait_unless_closed(stream, Duration::from_secs(600)).await
         }
+        ScriptedResponse::Endless(endless) => return endless.send(stream, &signed).await,
         ScriptedResponse::Stream(script) => {
             return send_events(stream, request, &signed, script).await
         }
     };
     stream.write_all(text.as_bytes()).await
 }
-
-async fn send_events(
-    stream: &mut TcpStream,
-    request: &ReceivedRequest,
-    signed: &str,
-    script: &StreamScript,
-) -> std::io::Result<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    let after = request.header("last-event-id");
-    let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-    for id in after + 1..=script.last_id {
-        wait_unless_closed(stream, script.interval).await?;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-    }
-    match script.end {
-        StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
-        StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
-        StreamEnd::Trickle => loop {
-            stream.write_all(b"1\r\n:\r\n").await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-        },
-        StreamEnd::Reset => {
-            // The events must arrive before the reset discards them.
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-        StreamEnd::ResetMidEvent => {
-            let next = script.last_id + 1;
-            let part = format!("id: {next}\nda");
-            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
-            stream.write_all(chunk.as_bytes()).await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-    }
-}
-
-/// Makes the connection end with a reset when it is dropped.
-fn reset(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_zero_linger()
-}
-
-/// Waits for `duration`; fails as soon as the client closes the connection.
-async fn wait_unless_closed(stream: &mut TcpStream, duration: Duration) -> std::io::Result<()> {
-    let mut byte = [0; 1];
-    match tokio::time::timeout(duration, stream.read(&mut byte)).await {
-        Err(_) => Ok(()),
-        Ok(_) => Err(std::io::ErrorKind::ConnectionAborted.into()),
-    }
-}
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway_config::{default_config, APP_SERVICE, DEPOT_KEY, HOST, MODEL_SERVICE};
 use crate::gateway_process::{
-    config_metric, copy_output, get, start_process, wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
+    config_metric, copy_output, get, peak_memory_kib, start_process, wait_for_metric,
+    POLL_INTERVAL, STATE_TIMEOUT,
 };
 use crate::raw_client::{RawClient, RawResponse};
 use nix::sys::signal::{kill, Signal};
@@ -331,6 +332,11 @@
         self.wait_for_metric(&config_metric(version)).await;
     }
 
+    /// Returns the peak of the process's resident memory.
+    pub fn peak_memory_kib(&self) -> u64 {
+        peak_memory_kib(self.process.id().expect("the process runs"))
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.process.id().expect("the process runs");
--- a/tests/testsuite/src/gateway_process.rs
+++ b/tests/testsuite/src/gateway_process.rs
@@ -79,6 +79,16 @@
     folder.join("skylarkshed")
 }
 
+/// Returns the peak of a process's resident memory.
+pub(crate) fn peak_memory_kib(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
+    let status = status.expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let value = line.and_then(|line| line.trim().strip_suffix(" kB"));
+    let value = value.and_then(|value| value.parse().ok());
+    value.expect("the kernel reports the peak in kB")
+}
+
 /// Reads log lines up to the one that contains the process's addresses.
 async fn read_addresses(output: ChildStdout) -> (Vec<SocketAddr>, BufReader<ChildStdout>) {
     let mut reader = BufReader::new(output);
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod caller_disconnects;
 mod configuration;
+mod endless_responses;
 mod explain_command;
 mod fleet_start;
 mod framing;
