Suspect an upstream whose response to a call breaks off in its body

What callers saw: a booking right after another one had failed with 502 was sent to the same broken upstream, and failed too, though a sound one was listed.

Cause: only a failure up to the head of the response made an upstream suspect. One in the body (cut, unreadable chunks, a trailer without an end) did not, nor did a response to another request. Streams already treat all of these alike.

Change: a call marks its upstream after each broken response.

Result: retries::broken_response_makes_its_upstream_suspect failed for the truncated response and the wrong identifier (502 instead of 200), and endless_responses::endless_response_to_a_retryable_call_is_replaced for an endless chunk extension and an endless trailer (the booking after it). After the change these pass, with the rest of retries:: and endless_responses:: (46 of 46).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -134,7 +134,10 @@
                 outcome
             }
             Some(Err(SendError::Unsent)) => AttemptOutcome::Unsent,
-            Some(Err(SendError::Broken)) => AttemptOutcome::Failed(FailureReason::UpstreamBroke),
+            Some(Err(SendError::Broken)) => {
+                upstream.mark_suspect(self.state.clock.now());
+                AttemptOutcome::Failed(FailureReason::UpstreamBroke)
+            }
             None => {
                 upstream.mark_suspect(self.state.clock.now());
                 AttemptOutcome::Failed(FailureReason::Timeout)
--- a/tests/testsuite/tests/gateway/endless_responses.rs
+++ b/tests/testsuite/tests/gateway/endless_responses.rs
@@ -80,6 +80,8 @@
 #[case::informational(EndlessResponse::Informational)]
 #[case::header_value(EndlessResponse::HeaderValue)]
 #[case::header_lines(EndlessResponse::HeaderLines)]
+#[case::chunk_extension(EndlessResponse::ChunkExtension)]
+#[case::trailer(EndlessResponse::Trailer)]
 #[tokio::test]
 async fn endless_response_to_a_retryable_call_is_replaced(#[case] endless: EndlessResponse) {
     let harness = HarnessBuilder::default().start().await;
@@ -114,6 +116,8 @@
 #[case::informational(EndlessResponse::Informational)]
 #[case::header_value(EndlessResponse::HeaderValue)]
 #[case::header_lines(EndlessResponse::HeaderLines)]
+#[case::chunk_extension(EndlessResponse::ChunkExtension)]
+#[case::trailer(EndlessResponse::Trailer)]
 #[tokio::test]
 async fn endless_response_to_a_booking_fails_it_once(#[case] endless: EndlessResponse) {
     let harness = HarnessBuilder::default().start().await;
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -127,3 +127,21 @@
         assert_eq!(harness.send_request("GET", "/find/7", "").await.status, 200);
     }
 }
+
+#[rstest]
+#[case::reset(ScriptedResponse::Reset)]
+#[case::unparsable(ScriptedResponse::Unparsable)]
+#[case::truncated(ScriptedResponse::Truncated)]
+#[case::wrong_attempt_id(ScriptedResponse::WrongAttemptId)]
+#[tokio::test]
+async fn broken_response_makes_its_upstream_suspect(#[case] response_script: ScriptedResponse) {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    let (broken, sound) = (&harness.applications[0], &harness.applications[1]);
+    broken.set_default_response(response_script);
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 502);
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(broken.received_requests().len(), 1);
+    assert_eq!(sound.received_requests().len(), 1);
+}
