Limit the size of a buffered response

What callers saw: an upstream whose response body does not end takes the memory of the VM until the request's deadline, and beyond it if the response is a client error to a stream, whose request then got no answer at all.

Cause: the bodies of responses to calls, and of client errors to streams, were collected without a limit.

Change: at most 1 MiB is buffered. Beyond that the attempt fails as one that may have run, and the answer is counted as `long_body`.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{request, response};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
 use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
@@ -24,6 +24,10 @@
 /// ten times as long. Beyond that the upstream is dead or a packet was lost.
 const CONNECT_TIMEOUT: ClockTime = ClockTime::from_millis(100);
 
+/// The maximum size of a response that is buffered, as those to calls are. A VM with
+/// 260 MB buffers a hundred of them.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
 /// A caller's request, authorized and with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) parts: request::Parts,
@@ -87,11 +91,16 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body.
+    /// Returns the rest of the body; fails if it exceeds the maximum size.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
-        let body = (&mut self.body).collect().await;
-        body.map(|body| body.to_bytes())
-            .map_err(|_| SendError::Broken)
+        let collecting = Limited::new(&mut self.body, MAX_BODY_BYTES).collect();
+        let body = collecting.await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                counters::count_bad_response("long_body");
+            }
+            SendError::Broken
+        })?;
+        Ok(body.to_bytes())
     }
 
     /// Reports whether this is a signed success without a content encoding.
--- a/crates/stand-ins/src/routing/endless_response.rs
+++ b/crates/stand-ins/src/routing/endless_response.rs
@@ -25,6 +25,8 @@
     AfterBody,
     /// A body without a content length.
     UndelimitedBody,
+    /// The body of a client error (404) without a content length.
+    ClientError,
     /// The chunks of a body.
     Chunks,
     /// The extension of a chunk.
@@ -60,14 +62,18 @@
             Self::HeaderValue => "X-Long: ".to_owned(),
             Self::HeaderLines => String::new(),
             Self::AfterBody => "Content-Length: 6\r\n\r\nanswer".to_owned(),
-            Self::UndelimitedBody => "\r\n".to_owned(),
+            Self::UndelimitedBody | Self::ClientError => "\r\n".to_owned(),
             Self::Chunks => CHUNKED.to_owned(),
             Self::ChunkExtension => format!("{CHUNKED}1;"),
             Self::Trailer => format!("{CHUNKED}6\r\nanswer\r\n0\r\nX-Long: "),
             Self::Event => format!("{EVENT_STREAM}{}", chunk("id: 1\n")),
             Self::CommentLines | Self::CommentBlocks | Self::BlankLines => EVENT_STREAM.to_owned(),
         };
-        format!("HTTP/1.1 200 OK\r\n{signed}{rest}")
+        let status = match self {
+            Self::ClientError => "404 Not Found",
+            _ => "200 OK",
+        };
+        format!("HTTP/1.1 {status}\r\n{signed}{rest}")
     }
 
     fn repeated_text(self) -> String {
@@ -84,6 +90,7 @@
             | Self::HeaderValue
             | Self::AfterBody
             | Self::UndelimitedBody
+            | Self::ClientError
             | Self::ChunkExtension
             | Self::Trailer => "x".to_owned(),
         }
