End a request whose upstream stops within an error's body

What callers saw: a stream's request that an engine answered with a client error, and whose body then stopped, ended neither with an answer nor with a refusal, not even at its deadline.

Cause: the body of a signed client error to a stream was collected without a time limit. Class: a wait for an upstream that the request's deadline does not bound. The other waits were read: calls collect within the deadline, the head of a stream's response and its events are watched for silence, and the stream's loop ends at the deadline.

Change: collecting a body ends at the request's deadline, for all callers of it. A call that breaks at its deadline stays a timeout (504).

Result: streams::stalled_client_error_ends_at_the_deadline had no answer after 30 s at a deadline of 1 s; it now has a 504 within 1.5 s.

Left: an engine's error that stops in its body is waited for until the deadline; another engine could be asked sooner.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -136,7 +136,10 @@
             Some(Err(SendError::Unsent)) => AttemptOutcome::Unsent,
             Some(Err(SendError::Broken)) => {
                 upstream.mark_suspect(self.state.clock.now());
-                AttemptOutcome::Failed(FailureReason::UpstreamBroke)
+                AttemptOutcome::Failed(match request.deadline.is_expired() {
+                    true => FailureReason::Timeout,
+                    false => FailureReason::UpstreamBroke,
+                })
             }
             None => {
                 upstream.mark_suspect(self.state.clock.now());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -66,6 +66,7 @@
     pub(crate) head: ResponseHead,
     pub(crate) parts: response::Parts,
     body: Incoming,
+    deadline: RequestDeadline,
     _connection: HttpConnection,
     _load: LoadGuard,
 }
@@ -91,10 +92,12 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body; fails if it exceeds the maximum size.
+    /// Returns the rest of the body; fails if it exceeds the maximum size or is
+    /// incomplete at the request's deadline.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
         let collecting = Limited::new(&mut self.body, MAX_BODY_BYTES).collect();
-        let body = collecting.await.map_err(|error| {
+        let collected = self.deadline.run_within(ClockTime::NEVER, collecting).await;
+        let body = collected.ok_or(SendError::Broken)?.map_err(|error| {
             if error.is::<LengthLimitError>() {
                 counters::count_bad_response("long_body");
             }
@@ -146,6 +149,7 @@
         head,
         parts,
         body,
+        deadline: request.deadline,
         _connection: connection,
         _load: load,
     })
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -61,6 +61,12 @@
     Reset,
     /// Closes the connection in the middle of the response body.
     Truncated,
+    /// Responds with this status, and stops in the middle of the body with the connection
+    /// open.
+    StalledBody {
+        /// The HTTP status.
+        status: u16,
+    },
     /// Responds without a content length; the body ends with the connection.
     NoContentLength,
     /// Sends the response twice.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -327,6 +327,11 @@
             stream.write_all(text.as_bytes()).await?;
             return stream.shutdown().await;
         }
+        ScriptedResponse::StalledBody { status } => {
+            let text = format!("HTTP/1.1 {status} Status\r\n{signed}Content-Length: 9\r\n\r\nhalf");
+            stream.write_all(text.as_bytes()).await?;
+            return wait_unless_closed(stream, Duration::from_secs(600)).await;
+        }
         ScriptedResponse::NoContentLength => format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer"),
         ScriptedResponse::Duplicated => respond(200, &signed, "answer").repeat(2),
         ScriptedResponse::Unparsable => "\0\0 no response\r\n\r\n".to_owned(),
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -13,6 +13,7 @@
 #[case::wrong_attempt_id(ScriptedResponse::WrongAttemptId, 502)]
 #[case::unsigned(ScriptedResponse::Unsigned, 502)]
 #[case::silent(ScriptedResponse::NoResponse, 504)]
+#[case::stalled_body(ScriptedResponse::StalledBody { status: 200 }, 504)]
 #[case::upstream_failure(ScriptedResponse::failure(), 500)]
 #[tokio::test]
 async fn booking_that_may_have_run_is_not_retried(
--- a/tests/testsuite/tests/gateway/streams.rs
+++ b/tests/testsuite/tests/gateway/streams.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 use skylarkshed_stand_ins::{FakeUpstream, ScriptedResponse, StreamEnd};
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY};
+use std::time::{Duration, Instant};
 
 /// Returns the two engines, starting with one that received a request.
 async fn first_and_second(harness: &GatewayHarness) -> (&FakeUpstream, &FakeUpstream) {
@@ -166,3 +167,18 @@
         assert_eq!(engine.received_requests().len(), 1);
     }
 }
+
+/// Guards against a request that gets no answer because an engine's error stops in the
+/// middle of its body.
+#[tokio::test]
+async fn stalled_client_error_ends_at_the_deadline() {
+    let harness = HarnessBuilder::default().engines(1).start().await;
+    let stalled = ScriptedResponse::StalledBody { status: 404 };
+    harness.engines[0].set_default_response(stalled);
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    let request = request.replace("Remaining: 20000", "Remaining: 1000");
+    let sent = Instant::now();
+    let response = harness.send_raw(&request).await.unwrap();
+    assert_eq!(response.status, 504);
+    assert!(sent.elapsed() < Duration::from_millis(1_500));
+}
