Give up a stream that sends comments instead of events

What callers saw: a stream whose engine stops making events but goes on sending comments or blank lines stalls until its deadline and is broken off there; with an engine that never sends anything else, it gets no event at all. Another engine is not tried.

Such a block is a comment, which the standard for server-sent events lets servers send to keep a connection open.

Change: a block without a field is no event. It is forwarded with the next event, within the limit of an event's size; blocks after the last event are dropped. Silence and too long events are handled as before.

Left: an endless series of events without an identifier is forwarded until the deadline.

--- a/crates/gateway/src/stream/events.rs
+++ b/crates/gateway/src/stream/events.rs
@@ -6,7 +6,7 @@
 /// The maximum size of an event; usual ones have a few hundred bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
-/// One event, including the blank line that ends it.
+/// One event, including the comments before it and the blank line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct StreamEvent {
     pub(crate) id: Option<u64>,
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventParser {
     buffer: BytesMut,
+    /// Where the event begins after blocks of comments, which are forwarded with it.
+    event_start: usize,
     /// The number of bytes already searched for the end of an event.
     searched_bytes: usize,
 }
@@ -31,28 +33,39 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Returns the next complete event, if any.
+    /// Returns the next complete event, if any. Comments are none: a stalled engine may
+    /// send them without an end.
     pub(crate) fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
-        let Some(end) = find_end(&self.buffer[self.searched_bytes..]) else {
-            // The last bytes may belong to the blank line that ends the event.
-            self.searched_bytes = self.buffer.len().saturating_sub(3);
-            return match self.buffer.len() > MAX_EVENT_BYTES {
-                true => Err(EventTooLong),
-                false => Ok(None),
-            };
-        };
-        let bytes = self.buffer.split_to(self.searched_bytes + end).freeze();
-        self.searched_bytes = 0;
-        let id = read_id(&bytes);
-        Ok(Some(StreamEvent { id, bytes }))
+        while let Some(length) = find_end(&self.buffer[self.searched_bytes..]) {
+            let end = self.searched_bytes + length;
+            if has_field(&self.buffer[self.event_start..end]) {
+                let bytes = self.buffer.split_to(end).freeze();
+                (self.event_start, self.searched_bytes) = (0, 0);
+                let id = read_id(&bytes);
+                return Ok(Some(StreamEvent { id, bytes }));
+            }
+            (self.event_start, self.searched_bytes) = (end, end);
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        // The last bytes may belong to the blank line that ends the event.
+        self.searched_bytes = self.event_start.max(self.buffer.len().saturating_sub(3));
+        Ok(None)
     }
 
     /// Reports whether bytes of an incomplete event are buffered.
     pub(crate) fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        has_field(&self.buffer[self.event_start..])
     }
 }
 
+/// Reports whether there is a line that is neither empty nor a comment.
+fn has_field(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| line.first().is_some_and(|first| *first != b':'))
+}
+
 /// Returns the index after the first blank line.
 fn find_end(bytes: &[u8]) -> Option<usize> {
     let mut line_is_empty = false;
--- a/crates/stand-ins/src/routing/event_stream.rs
+++ b/crates/stand-ins/src/routing/event_stream.rs
@@ -22,12 +22,21 @@
     let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
     for id in after + 1..=script.last_id {
         wait_unless_closed(stream, script.interval).await?;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        let comment = match script.end {
+            StreamEnd::Commented => ": comment\n\n",
+            _ => "",
+        };
+        let event = format!("{comment}id: {id}\ndata: piece {id}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         stream.write_all(chunk.as_bytes()).await?;
     }
     match script.end {
         StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
+        StreamEnd::Commented => {
+            stream
+                .write_all(b"4\r\n: x\n\r\n1\r\n\n\r\n0\r\n\r\n")
+                .await
+        }
         StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
         StreamEnd::Trickle => repeat_slowly(stream, b"1\r\n:\r\n").await,
         StreamEnd::Comments => repeat_slowly(stream, b"3\r\n:\n\n\r\n").await,
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -8,6 +8,9 @@
 pub enum StreamEnd {
     /// The stream ends regularly.
     Complete,
+    /// The stream ends regularly after a last comment; there is another one before each
+    /// event.
+    Commented,
     /// The connection is reset between two events.
     Reset,
     /// The connection is reset in the middle of an event.
--- a/tests/testsuite/tests/gateway/endless_responses.rs
+++ b/tests/testsuite/tests/gateway/endless_responses.rs
@@ -163,9 +163,15 @@
 #[case::informational(EndlessResponse::Informational)]
 #[case::header_value(EndlessResponse::HeaderValue)]
 #[case::header_lines(EndlessResponse::HeaderLines)]
+#[case::undelimited_body(EndlessResponse::UndelimitedBody)]
+#[case::chunks(EndlessResponse::Chunks)]
+#[case::chunk_extension(EndlessResponse::ChunkExtension)]
+#[case::trailer(EndlessResponse::Trailer)]
 #[case::client_error(EndlessResponse::ClientError)]
 #[case::event(EndlessResponse::Event)]
 #[case::comment_lines(EndlessResponse::CommentLines)]
+#[case::comment_blocks(EndlessResponse::CommentBlocks)]
+#[case::blank_lines(EndlessResponse::BlankLines)]
 #[tokio::test]
 async fn endless_response_to_a_stream_is_replaced(#[case] endless: EndlessResponse) {
     let harness = HarnessBuilder::default().start().await;
--- a/tests/testsuite/tests/gateway/streams.rs
+++ b/tests/testsuite/tests/gateway/streams.rs
@@ -19,6 +19,7 @@
 #[case::reset_within_an_event(StreamEnd::ResetMidEvent)]
 #[case::stalled(StreamEnd::Stall)]
 #[case::stalled_with_single_bytes(StreamEnd::Trickle)]
+#[case::stalled_with_comments(StreamEnd::Comments)]
 #[tokio::test]
 async fn broken_stream_is_resumed_from_the_kv_cache_copy(#[case] end: StreamEnd) {
     let harness = HarnessBuilder::default().engines(2).start().await;
@@ -182,3 +183,16 @@
     assert_eq!(response.status, 504);
     assert!(sent.elapsed() < Duration::from_millis(1_500));
 }
+
+/// Comments are no events: they neither start nor continue an answer, and a stream may end
+/// with some.
+#[tokio::test]
+async fn stream_with_comments_between_its_events_is_complete() {
+    let harness = HarnessBuilder::default().engines(1).start().await;
+    let commented = ScriptedResponse::stream(9, StreamEnd::Commented);
+    harness.engines[0].set_default_response(commented);
+    let response = harness.send_request("POST", "/write/7", "prompt").await;
+    assert!(response.is_complete);
+    assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
+    assert_eq!(harness.engines[0].received_requests().len(), 1);
+}
