--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -134,7 +134,13 @@
                 outcome
             }
             Some(Err(SendError::Unsent)) => AttemptOutcome::Unsent,
-            Some(Err(SendError::Broken)) => AttemptOutcome::Failed(FailureReason::UpstreamBroke),
+            Some(Err(SendError::Broken)) => {
+                upstream.mark_suspect(self.state.clock.now());
+                AttemptOutcome::Failed(match request.deadline.is_expired() {
+                    true => FailureReason::Timeout,
+                    false => FailureReason::UpstreamBroke,
+                })
+            }
             None => {
                 upstream.mark_suspect(self.state.clock.now());
                 AttemptOutcome::Failed(FailureReason::Timeout)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{request, response};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
 use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
@@ -24,6 +24,10 @@
 /// ten times as long. Beyond that the upstream is dead or a packet was lost.
 const CONNECT_TIMEOUT: ClockTime = ClockTime::from_millis(100);
 
+/// The maximum size of a response that is buffered, as those to calls are. A VM with
+/// 260 MB buffers a hundred of them.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
 /// A caller's request, authorized and with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) parts: request::Parts,
@@ -62,6 +66,7 @@
     pub(crate) head: ResponseHead,
     pub(crate) parts: response::Parts,
     body: Incoming,
+    deadline: RequestDeadline,
     _connection: HttpConnection,
     _load: LoadGuard,
 }
@@ -87,11 +92,18 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body.
+    /// Returns the rest of the body; fails if it exceeds the maximum size or is
+    /// incomplete at the request's deadline.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
-        let body = (&mut self.body).collect().await;
-        body.map(|body| body.to_bytes())
-            .map_err(|_| SendError::Broken)
+        let collecting = Limited::new(&mut self.body, MAX_BODY_BYTES).collect();
+        let collected = self.deadline.run_within(ClockTime::NEVER, collecting).await;
+        let body = collected.ok_or(SendError::Broken)?.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                counters::count_bad_response("long_body");
+            }
+            SendError::Broken
+        })?;
+        Ok(body.to_bytes())
     }
 
     /// Reports whether this is a signed success without a content encoding.
@@ -138,6 +150,7 @@
         head,
         parts,
         body,
+        deadline: request.deadline,
         _connection: connection,
         _load: load,
     })
@@ -150,6 +163,9 @@
     error: &ConnectionError,
 ) -> SendError {
     upstream.mark_suspect(state.clock.now());
+    if matches!(error, ConnectionError::LongHead) {
+        counters::count_bad_response("long_head");
+    }
     let failure = match error.is_unsent() {
         true => SendError::Unsent,
         false => SendError::Broken,
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -1,5 +1,6 @@
 //! The responses that a fake upstream can be scripted to send.
 
+use super::endless_response::EndlessResponse;
 use std::time::Duration;
 
 /// How a stream of events ends.
@@ -7,6 +8,9 @@
 pub enum StreamEnd {
     /// The stream ends regularly.
     Complete,
+    /// The stream ends regularly after a last comment; there is another one before each
+    /// event.
+    Commented,
     /// The connection is reset between two events.
     Reset,
     /// The connection is reset in the middle of an event.
@@ -23,6 +27,8 @@
         /// The identifier of the last event.
         last_id: u64,
     },
+    /// A comment is sent now and then, but no further event.
+    Comments,
 }
 
 /// A scripted stream of server-sent events.
@@ -66,6 +72,12 @@
     Reset,
     /// Closes the connection in the middle of the response body.
     Truncated,
+    /// Responds with this status, and stops in the middle of the body with the connection
+    /// open.
+    StalledBody {
+        /// The HTTP status.
+        status: u16,
+    },
     /// Responds without a content length; the body ends with the connection.
     NoContentLength,
     /// Sends the response twice.
@@ -76,6 +88,8 @@
     Unparsable,
     /// Never responds.
     NoResponse,
+    /// Sends a response that does not end until the client closes the connection.
+    Endless(EndlessResponse),
     /// Responds with a stream of events that starts after the request's `Last-Event-ID`.
     Stream(StreamScript),
     /// Sends nothing for a while, then a whole stream of events.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -1,10 +1,10 @@
 //! A fake upstream that sends scripted responses and records its requests.
 
 use super::control_calls::ControlCalls;
+use super::event_stream::{reset, send_events, wait_unless_closed};
 use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -332,6 +332,11 @@
             stream.write_all(text.as_bytes()).await?;
             return stream.shutdown().await;
         }
+        ScriptedResponse::StalledBody { status } => {
+            let text = format!("HTTP/1.1 {status} Status\r\n{signed}Content-Length: 9\r\n\r\nhalf");
+            stream.write_all(text.as_bytes()).await?;
+            return wait_unless_closed(stream, Duration::from_secs(600)).await;
+        }
         ScriptedResponse::NoContentLength => format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer"),
         ScriptedResponse::Duplicated => respond(200, &signed, "answer").repeat(2),
         ScriptedResponse::Unparsable => "\0\0 no response\r\n\r\n".to_owned(),
@@ -339,6 +344,7 @@
         ScriptedResponse::NoResponse => {
             return wait_unless_closed(stream, Duration::from_secs(600)).await
         }
+        ScriptedResponse::Endless(endless) => return endless.send(stream, &signed).await,
         ScriptedResponse::Stream(script) => {
             return send_events(stream, request, &signed, script).await
         }
@@ -354,74 +360,3 @@
     };
     stream.write_all(text.as_bytes()).await
 }
-
-async fn send_events(
-    stream: &mut TcpStream,
-    request: &ReceivedRequest,
-    signed: &str,
-    script: &StreamScript,
-) -> std::io::Result<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    let after = request.header("last-event-id");
-    let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-    send_pieces(stream, after + 1..=script.last_id, script.interval).await?;
-    match script.end {
-        StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
-        StreamEnd::Pause { pause, last_id } => {
-            wait_unless_closed(stream, pause).await?;
-            let rest = script.last_id.max(after) + 1..=last_id;
-            send_pieces(stream, rest, script.interval).await?;
-            stream.write_all(b"0\r\n\r\n").await
-        }
-        StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
-        StreamEnd::Trickle => loop {
-            stream.write_all(b"1\r\n:\r\n").await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-        },
-        StreamEnd::Reset => {
-            // The events must arrive before the reset discards them.
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-        StreamEnd::ResetMidEvent => {
-            let next = script.last_id + 1;
-            let part = format!("id: {next}\nda");
-            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
-            stream.write_all(chunk.as_bytes()).await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-    }
-}
-
-async fn send_pieces(
-    stream: &mut TcpStream,
-    ids: RangeInclusive<u64>,
-    interval: Duration,
-) -> std::io::Result<()> {
-    for id in ids {
-        wait_unless_closed(stream, interval).await?;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-    }
-    Ok(())
-}
-
-/// Makes the connection end with a reset when it is dropped.
-fn reset(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_zero_linger()
-}
-
-/// Waits for `duration`; fails as soon as the client closes the connection.
-async fn wait_unless_closed(stream: &mut TcpStream, duration: Duration) -> std::io::Result<()> {
-    let mut byte = [0; 1];
-    match tokio::time::timeout(duration, stream.read(&mut byte)).await {
-        Err(_) => Ok(()),
-        Ok(_) => Err(std::io::ErrorKind::ConnectionAborted.into()),
-    }
-}
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway_config::{default_config, APP_SERVICE, DEPOT_KEY, HOST, MODEL_SERVICE};
 use crate::gateway_process::{
-    config_metric, copy_output, get, start_process, wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
+    config_metric, copy_output, get, peak_memory_kib, start_process, wait_for_metric,
+    POLL_INTERVAL, STATE_TIMEOUT,
 };
 use crate::raw_client::{RawClient, RawResponse};
 use nix::sys::signal::{kill, Signal};
@@ -353,6 +354,11 @@
         ticks.map(|ticks| ticks.expect("times are numbers")).sum()
     }
 
+    /// Returns the peak of the process's resident memory.
+    pub fn peak_memory_kib(&self) -> u64 {
+        peak_memory_kib(self.process.id().expect("the process runs"))
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.process.id().expect("the process runs");
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -13,6 +13,7 @@
 #[case::wrong_attempt_id(ScriptedResponse::WrongAttemptId, 502)]
 #[case::unsigned(ScriptedResponse::Unsigned, 502)]
 #[case::silent(ScriptedResponse::NoResponse, 504)]
+#[case::stalled_body(ScriptedResponse::StalledBody { status: 200 }, 504)]
 #[case::upstream_failure(ScriptedResponse::failure(), 500)]
 #[tokio::test]
 async fn booking_that_may_have_run_is_not_retried(
@@ -151,3 +152,21 @@
     let result = tokio::time::timeout(Duration::from_secs(10), calling).await;
     assert!(result.is_ok(), "the upstream is used again");
 }
+
+#[rstest]
+#[case::reset(ScriptedResponse::Reset)]
+#[case::unparsable(ScriptedResponse::Unparsable)]
+#[case::truncated(ScriptedResponse::Truncated)]
+#[case::wrong_attempt_id(ScriptedResponse::WrongAttemptId)]
+#[tokio::test]
+async fn broken_response_makes_its_upstream_suspect(#[case] response_script: ScriptedResponse) {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    let (broken, sound) = (&harness.applications[0], &harness.applications[1]);
+    broken.set_default_response(response_script);
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 502);
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(broken.received_requests().len(), 1);
+    assert_eq!(sound.received_requests().len(), 1);
+}
