Pause between two reads of a table whose history is lost

What callers saw: nothing yet. Cause: a watch that finds its history dropped reads the whole table and watches again at once. A store that keeps dropping its history gets the whole table read hundreds of times a second by each VM, out of the reads that all VMs share. Ruled out: other errors of the store; they wait already. Change: two such reads are at least half a second apart.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -31,6 +31,9 @@
 /// The longest delay after the first failed call, which grows with each further one.
 /// It is short because changes have to take effect within 2 s.
 const RETRY_DELAY: ClockTime = ClockTime::from_millis(150);
+/// The minimum time between two reads of a whole table after lost history. A store may
+/// drop its history again at once.
+const MIN_RELOAD_INTERVAL: ClockTime = ClockTime::from_millis(500);
 /// The longest delay after repeated failures.
 const MAX_RETRY_DELAY: ClockTime = ClockTime::from_millis(600);
 
@@ -90,6 +93,7 @@
     let mut known: Option<FeedPosition> = None;
     let mut era: Option<u64> = None;
     let mut failures = 0;
+    let mut reloaded_at = ClockTime::ZERO;
     loop {
         match reader.next(known).await {
             Ok(batch) => {
@@ -127,6 +131,9 @@
                 let revision = known.map(|known| known.revision);
                 log::info!(source = S::NAME, revision; "change history lost; reading the whole table again");
                 known = None;
+                let elapsed = state.clock.now().since(reloaded_at);
+                tokio::time::sleep(MIN_RELOAD_INTERVAL.since(elapsed).to_duration()).await;
+                reloaded_at = state.clock.now();
             }
             Err(error) => {
                 if failures == 0 {
--- a/tests/testsuite/tests/gateway/store_restore.rs
+++ b/tests/testsuite/tests/gateway/store_restore.rs
@@ -5,7 +5,7 @@
 use skylarkshed_testsuite::{
     config_metric, wait_for_metric, GatewayHarness, HarnessBuilder, DEPOT_KEY,
 };
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Writes the next configuration and waits until it is active; returns it.
 async fn activate(harness: &GatewayHarness, change: impl FnOnce(&mut Value)) -> Value {
@@ -186,3 +186,22 @@
     assert_eq!(harness.applications[0].received_requests().len(), before);
     assert_eq!(state().as_deref(), Some("done"));
 }
+
+/// Guards against a VM that reads whole tables without a pause while the store drops its
+/// history again and again.
+#[tokio::test]
+async fn lost_history_is_read_again_only_now_and_then() {
+    let harness = HarnessBuilder::default().start().await;
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(2) {
+        let config = harness.next_config();
+        harness.put_config(&config);
+        harness.store.compact_history();
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let log = std::fs::read_to_string(&harness.log_path).unwrap();
+    let of_control = |line: &&str| line.contains("history lost") && line.contains("\"control\"");
+    let losses = log.lines().filter(of_control).count();
+    // One at once, then one every half second.
+    assert!((1..=5).contains(&losses), "{losses} losses");
+}
