Keep the budget, the deadline and the last attempt for silent engines

Cause: the first retry of a silent stream was not taken from the budget, because the attempt it replaces was not counted yet; a request without a response was waited for in whole rounds, past its deadline; a stream left a silent engine with its last attempt, which the other engine may refuse; a begun stream spent its attempts on full engines within 0.2 s; a stream stayed with a dead engine because the other one had refused earlier. Change: a reservation counts the current attempt and is refunded if it is not used; rounds end at the deadline; the last attempt is kept until the engine is unreachable or silent for 3 s; a begun stream pauses after a refusal, longer each time; a stream that has waited a round may go to an engine tried before.

--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -28,8 +28,10 @@
     pub(super) response: UpstreamResponse,
     pub(super) phase: StreamPhase,
     pub(super) last_event_at: ClockTime,
+    /// When the wait for the next event began; later than the last event if the
+    /// upstream was waited for.
+    waiting_since: ClockTime,
     timeout: PrefillTimeout,
-    was_waited_for: bool,
     parser: EventParser,
 }
 
@@ -54,8 +56,8 @@
             response,
             phase,
             last_event_at: now,
+            waiting_since: now,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
-            was_waited_for: false,
             parser: EventParser::default(),
         }
     }
@@ -77,49 +79,49 @@
             let bytes = self.response.next_bytes();
             let bytes = match self.phase {
                 StreamPhase::Decoding => {
-                    watch_silence(bytes, self.last_event_at, limit, address, clock).await
+                    watch_silence(bytes, self.waiting_since, limit, address, clock).await
                 }
                 StreamPhase::Prefill { .. } | StreamPhase::Resuming => {
                     watch_prefill::<P, _>(bytes, watch, &self.upstream, &mut self.timeout).await
                 }
             };
             match bytes {
-                Some(Ok(Some(bytes))) => {
+                Ok(Ok(Some(bytes))) => {
                     self.parser.push(&bytes);
                 }
-                Some(Ok(None)) if self.parser.has_partial_event() => {
+                Ok(Ok(None)) if self.parser.has_partial_event() => {
                     return AttemptStep::Lost(LossCause::Broken);
                 }
-                Some(Ok(None)) => return AttemptStep::End,
-                Some(Err(_)) => return AttemptStep::Lost(LossCause::Broken),
-                None => return AttemptStep::Lost(LossCause::Silence),
+                Ok(Ok(None)) => return AttemptStep::End,
+                Ok(Err(_)) => return AttemptStep::Lost(LossCause::Broken),
+                Err(cause) => return AttemptStep::Lost(cause),
             }
         }
     }
 
     /// Grants a silent upstream its time again.
     pub(super) fn wait_on(&mut self, now: ClockTime) {
-        self.was_waited_for = true;
-        self.last_event_at = now;
+        self.waiting_since = now;
         self.timeout = PrefillTimeout::start(now, silence_limit(self.phase, true));
     }
 
     /// Reports whether the upstream was silent for too long since its last event, and was
     /// waited for.
     pub(super) fn was_waited_for(&self) -> bool {
-        self.was_waited_for
+        self.waiting_since > self.last_event_at
     }
 
     /// Records a sign of life. Parts of an event are none: a stalled engine may send a
     /// byte now and then.
     fn record_event(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Decoding;
-        self.was_waited_for = false;
         self.last_event_at = now;
+        self.waiting_since = now;
     }
 }
 
-/// Waits for `future`, but at most until `limit` has passed since `since`.
+/// Waits for `future`, but at most until `limit` has passed since `since`; returns how the
+/// upstream is silent.
 ///
 /// The wait ends early if the upstream's host does not accept a connection: a host
 /// without power sends nothing, and a prefill of more than a second would hide
@@ -130,7 +132,7 @@
     limit: ClockTime,
     address: SocketAddr,
     clock: MonotonicClock,
-) -> Option<F::Output> {
+) -> Result<F::Output, LossCause> {
     let mut future = pin!(future);
     let mut checked_at = since;
     loop {
@@ -138,16 +140,16 @@
         let unchecked = clock.now().since(checked_at);
         let wait = remaining.min(LIVENESS_CHECK_INTERVAL.since(unchecked));
         if let Ok(output) = tokio::time::timeout(wait.to_duration(), &mut future).await {
-            return Some(output);
+            return Ok(output);
         }
         if clock.now().since(since) >= limit {
-            return None;
+            return Err(LossCause::Silence);
         }
         tokio::select! {
-            output = &mut future => return Some(output),
+            output = &mut future => return Ok(output),
             is_alive = is_alive(address) => {
                 if !is_alive {
-                    return None;
+                    return Err(LossCause::Unreachable);
                 }
                 checked_at = clock.now();
             }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -20,6 +20,7 @@
 use http::{response, Response};
 use opening::OpenedStream;
 use prefill_watch::PrefillWatch;
+use replacement::MIN_RETRY_PAUSE;
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{EventLedger, EventVerdict, LossCause};
 use std::marker::PhantomData;
@@ -50,6 +51,8 @@
     is_begun: bool,
     /// Whether the next attempt has already been taken from the retry budget.
     is_send_reserved: AtomicBool,
+    /// The next pause before another upstream is looked for.
+    retry_pause: ClockTime,
     timings: EventTimings,
     _protocol: PhantomData<P>,
 }
@@ -95,6 +98,7 @@
         failed_zones: Vec::new(),
         is_begun: false,
         is_send_reserved: AtomicBool::new(false),
+        retry_pause: MIN_RETRY_PAUSE,
         timings: EventTimings::default(),
         _protocol: PhantomData,
     };
@@ -162,7 +166,7 @@
                 }
                 AttemptStep::Lost(cause) => cause,
             };
-            if cause == LossCause::Silence && self.waits_for(&attempt) {
+            if cause.is_silence() && self.waits_for(&attempt, cause) {
                 attempt.wait_on(self.state.clock.now());
                 continue;
             }
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{AttemptFailure, StreamAttempt};
 use super::prefill_watch::{watch_prefill, PrefillTimeout};
+use super::replacement::MIN_RETRY_PAUSE;
 use super::StreamForwarder;
 use crate::caller_response::{CallerResponse, ResponseBody};
 use crate::counters;
@@ -71,8 +72,17 @@
                 .start(upstream.clone(), copy_from.as_ref(), new_copy)
                 .await
             {
-                Ok(opened) => return opened,
-                Err(AttemptFailure(cause)) => self.record_failed_opening(&upstream, cause),
+                Ok(opened) => {
+                    self.retry_pause = MIN_RETRY_PAUSE;
+                    return opened;
+                }
+                Err(AttemptFailure(cause)) => {
+                    self.record_failed_opening(&upstream, cause);
+                    // An upstream that is full has room again later.
+                    if cause == LossCause::NotRun {
+                        self.pause_before_retry().await;
+                    }
+                }
             }
         }
     }
@@ -89,8 +99,11 @@
     }
 
     /// Takes the next attempt from the retry budget, unless that was already done.
-    pub(super) fn reserve_send(&self) -> bool {
-        let is_reserved = self.may_send();
+    ///
+    /// `sends` counts the attempts that were made, with the current one.
+    pub(super) fn reserve_send(&self, sends: u32) -> bool {
+        let is_reserved =
+            self.is_send_reserved.load(Ordering::Relaxed) || self.take_from_budget(sends);
         self.is_send_reserved.store(is_reserved, Ordering::Relaxed);
         is_reserved
     }
@@ -101,8 +114,12 @@
         if self.is_send_reserved.swap(false, Ordering::Relaxed) {
             return true;
         }
+        self.take_from_budget(self.sends)
+    }
+
+    fn take_from_budget(&self, sends: u32) -> bool {
         let now = self.state.clock.now();
-        match (self.sends, self.is_resumable) {
+        match (sends, self.is_resumable) {
             (0, _) => true,
             (_, true) => self.traffic.budget.try_resume(now),
             (_, false) => self.traffic.budget.try_retry(now),
@@ -181,21 +198,20 @@
         options: &SendOptions<'_>,
     ) -> Result<UpstreamResponse, AttemptFailure> {
         let clock = self.state.clock;
-        let limit = silence_limit(phase, true).min(self.request.deadline.remaining());
         let mut sending = pin!(send::<P>(&self.state, &self.request, upstream, options));
-        let mut timeout = PrefillTimeout::start(clock.now(), limit);
-        let mut was_waited_for = false;
+        let sent_at = clock.now();
         loop {
+            let limit = silence_limit(phase, true).min(self.request.deadline.remaining());
+            let mut timeout = PrefillTimeout::start(clock.now(), limit);
             let watch = self.prefill_watch();
             let response = watch_prefill::<P, _>(&mut sending, watch, upstream, &mut timeout);
-            if let Some(response) = response.await {
-                return response.map_err(AttemptFailure::from);
-            }
-            if !self.waits_for_response(upstream, was_waited_for) {
-                return Err(AttemptFailure(LossCause::Silence));
+            let cause = match response.await {
+                Ok(response) => return response.map_err(AttemptFailure::from),
+                Err(cause) => cause,
+            };
+            if !self.waits_for_response(upstream, cause, clock.now().since(sent_at)) {
+                return Err(AttemptFailure(cause));
             }
-            was_waited_for = true;
-            timeout = PrefillTimeout::start(clock.now(), limit);
         }
     }
 
--- a/crates/gateway/src/stream/prefill_watch.rs
+++ b/crates/gateway/src/stream/prefill_watch.rs
@@ -8,7 +8,7 @@
 use crate::platform_api::WireProtocol;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{judge_prefill, PrefillVerdict, WaitingPrefill};
+use skylarkshed_policy::{judge_prefill, LossCause, PrefillVerdict, WaitingPrefill};
 use std::future::Future;
 use std::pin::pin;
 
@@ -34,7 +34,7 @@
     }
 }
 
-/// Waits for a future that ends with the first event or the response's head; none if the
+/// Waits for a future that ends with the first event or the response's head; fails if the
 /// engine is given up.
 ///
 /// The function may be cancelled and called again with the same `timeout`.
@@ -43,7 +43,7 @@
     watch: PrefillWatch<'_>,
     upstream: &UpstreamState,
     timeout: &mut PrefillTimeout,
-) -> Option<F::Output>
+) -> Result<F::Output, LossCause>
 where
     P: WireProtocol,
     F: Future,
@@ -53,19 +53,17 @@
     loop {
         let (since, limit) = (timeout.since, timeout.limit);
         let address = upstream.record.address;
-        let output = watch_silence(&mut future, since, limit, address, clock).await;
-        if output.is_some() {
-            return output;
+        match watch_silence(&mut future, since, limit, address, clock).await {
+            Err(LossCause::Silence) if !watch.request.deadline.is_expired() => {}
+            result => return result,
         }
         let waited = clock.now().since(since);
-        if waited < limit || watch.request.deadline.is_expired() {
-            // The host is down, or no time is left.
-            return None;
-        }
         tokio::select! {
-            output = &mut future => return Some(output),
+            output = &mut future => return Ok(output),
             wait = ask_engine::<P>(watch, upstream, waited) => {
-                timeout.limit = clock.now().since(since) + wait?;
+                let wait = wait.ok_or(LossCause::Silence)?;
+                let wait = wait.min(watch.request.deadline.remaining());
+                timeout.limit = clock.now().since(since) + wait;
             }
         }
     }
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -11,10 +11,14 @@
 use skylarkshed_policy::{
     decide_silence, LossCause, SilenceDecision, SilentUpstream, StreamState, UpstreamHealth,
 };
+use std::sync::atomic::Ordering;
 use tokio::sync::mpsc;
 
-/// The pause before a begun stream looks for an upstream again, if none could take it.
-const SUBSTITUTE_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(200);
+/// The first pause before a begun stream looks for an upstream again, if none could take it.
+pub(super) const MIN_RETRY_PAUSE: ClockTime = ClockTime::from_millis(200);
+/// The longest pause. The few attempts of a route are spread over some seconds, in which
+/// engines that are full have room again.
+const MAX_RETRY_PAUSE: ClockTime = ClockTime::from_millis(1_600);
 
 impl<P: WireProtocol> StreamForwarder<P> {
     /// Continues the stream at another upstream.
@@ -48,28 +52,32 @@
 
     /// Reports whether the stream stays with a silent upstream, because no other one can
     /// continue it. Otherwise the next attempt is taken from the retry budget.
-    pub(super) fn waits_for(&self, attempt: &StreamAttempt) -> bool {
-        let holder = attempt
-            .copy
-            .clone()
-            .and_then(|copy| self.usable_holder(copy));
+    pub(super) fn waits_for(&self, attempt: &StreamAttempt, cause: LossCause) -> bool {
+        let copy = attempt.copy.clone();
+        let holder = copy.and_then(|copy| self.usable_holder(copy));
         let state = StreamState {
             may_have_run: true,
             has_copy: holder.is_some(),
             ..self.recovery_state()
         };
+        let upstream = &attempt.upstream;
+        let has_substitute =
+            holder.is_some() || self.has_substitute(upstream, attempt.was_waited_for());
         let silent = SilentUpstream {
-            is_gone: attempt.upstream.is_retired(),
-            has_substitute: holder.is_some() || self.has_substitute(attempt.was_waited_for()),
+            is_gone: upstream.is_retired(),
+            is_unreachable: cause == LossCause::Unreachable,
+            has_substitute,
+            silent_for: self.state.clock.now().since(attempt.last_event_at),
         };
-        self.waits_for_upstream(&attempt.upstream, &state, silent)
+        self.waits_for_upstream(upstream, &state, silent)
     }
 
     /// Like [`Self::waits_for`], for an upstream whose response has not begun.
     pub(super) fn waits_for_response(
         &self,
         upstream: &UpstreamState,
-        was_waited_for: bool,
+        cause: LossCause,
+        silent_for: ClockTime,
     ) -> bool {
         let state = StreamState {
             // The attempt that is waited for is counted when it has ended.
@@ -79,7 +87,9 @@
         };
         let silent = SilentUpstream {
             is_gone: upstream.is_retired(),
-            has_substitute: self.has_substitute(was_waited_for),
+            is_unreachable: cause == LossCause::Unreachable,
+            has_substitute: self.has_substitute(upstream, false),
+            silent_for,
         };
         !self.request.deadline.is_expired() && self.waits_for_upstream(upstream, &state, silent)
     }
@@ -91,13 +101,15 @@
         silent: SilentUpstream,
     ) -> bool {
         let is_replaced = decide_silence(state, silent) == SilenceDecision::Replace;
-        if is_replaced && (silent.is_gone || self.reserve_send()) {
+        if is_replaced && (silent.is_gone || self.reserve_send(state.sends)) {
             return false;
         }
         log::info!(
             request = self.request.id(),
             upstream:% = upstream.name(),
             has_substitute = silent.has_substitute,
+            is_unreachable = silent.is_unreachable,
+            silent_ms = silent.silent_for.as_millis(),
             sends = state.sends,
             events = self.ledger.accepted(),
             after_ms = self.request.deadline.elapsed().as_millis();
@@ -107,22 +119,36 @@
         true
     }
 
-    /// Reports whether an upstream is left that was not tried yet. One that failed
-    /// recently counts only if `accepts_suspect` is set.
-    fn has_substitute(&self, accepts_suspect: bool) -> bool {
+    /// Reports whether another upstream could take over. One that was tried before or
+    /// failed recently counts only if the silent one was waited for already.
+    fn has_substitute(&self, silent: &UpstreamState, was_waited_for: bool) -> bool {
+        if was_waited_for {
+            let avoid = [silent.name().clone()];
+            return self.next_candidate(&avoid, &self.failed_zones).is_some();
+        }
         let now = self.state.clock.now();
         let other = self.next_candidate(&self.tried, &self.failed_zones);
-        other.is_some_and(|other| accepts_suspect || other.health(now) == UpstreamHealth::Healthy)
+        other.is_some_and(|other| other.health(now) == UpstreamHealth::Healthy)
     }
 
-    /// Waits before a begun stream looks for an upstream again; false if the stream has
-    /// not begun, so that its caller is better told at once.
-    pub(super) async fn pause_before_retry(&self) -> bool {
+    /// Waits before a begun stream looks for an upstream again, longer each time; false if
+    /// the stream has not begun, so that its caller is better told at once.
+    pub(super) async fn pause_before_retry(&mut self) -> bool {
         if !self.is_begun || self.request.deadline.is_expired() {
             return false;
         }
-        let pause = SUBSTITUTE_CHECK_INTERVAL.min(self.request.deadline.remaining());
+        let pause = self.retry_pause.min(self.request.deadline.remaining());
         tokio::time::sleep(pause.to_duration()).await;
+        let doubled = ClockTime::from_millis(self.retry_pause.as_millis() * 2);
+        self.retry_pause = doubled.min(MAX_RETRY_PAUSE);
         true
     }
 }
+
+impl<P> Drop for StreamForwarder<P> {
+    fn drop(&mut self) {
+        if self.is_send_reserved.load(Ordering::Relaxed) {
+            self.traffic.budget.refund(self.state.clock.now());
+        }
+    }
+}
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -23,6 +23,8 @@
 /// The silence limit between events without a copy: continuing means prefilling
 /// the prompt again, which takes more than a second.
 const SILENCE_LIMIT_WITHOUT_COPY: ClockTime = ClockTime::from_millis(1_500);
+/// A sound upstream is silent for no longer between events.
+const MAX_SOUND_SILENCE: ClockTime = ClockTime::from_millis(3_000);
 /// The time allowed for the first event after resuming from a copy. An engine
 /// that prefills another prompt sends an event in a third of a second; giving up
 /// the copy means prefilling the prompt again, which takes more than a second.
@@ -42,6 +44,8 @@
     Broken,
     /// The upstream sent nothing for too long.
     Silence,
+    /// The upstream sent nothing, and its host accepts no connection.
+    Unreachable,
     /// An event was missing or malformed.
     WrongEvent,
 }
@@ -55,10 +59,16 @@
             LossCause::InstanceReplaced => "replaced",
             LossCause::Broken => "broken",
             LossCause::Silence => "silence",
+            LossCause::Unreachable => "unreachable",
             LossCause::WrongEvent => "wrong_event",
         }
     }
 
+    /// Reports whether the upstream may still go on.
+    pub const fn is_silence(self) -> bool {
+        matches!(self, LossCause::Silence | LossCause::Unreachable)
+    }
+
     /// Reports whether the upstream cannot have run the request.
     pub const fn is_not_run(self) -> bool {
         matches!(
@@ -127,8 +137,12 @@
 pub struct SilentUpstream {
     /// Whether it has certainly stopped.
     pub is_gone: bool,
-    /// Whether a working upstream could take over.
+    /// Whether its host accepts no connection.
+    pub is_unreachable: bool,
+    /// Whether an upstream could take over that has not refused.
     pub has_substitute: bool,
+    /// The time since its last event, or since the request was sent.
+    pub silent_for: ClockTime,
 }
 
 /// What to do about a silent upstream.
@@ -144,12 +158,14 @@
 ///
 /// Load pattern: a sound upstream falls silent for a second or two while no other one
 /// can take over, because the route allows no further attempt, the stream can't be
-/// resumed, or all others are unreachable. Leaving the upstream would then end the
-/// stream.
+/// resumed, or all others are unreachable or busy. Leaving the upstream would then end
+/// the stream. The last attempt may be refused, so it is kept for an upstream that is
+/// down or has been silent for long.
 ///
 /// # Examples
 ///
 /// ```
+/// use skylarkshed_core::ClockTime;
 /// use skylarkshed_policy::{decide_silence, SilenceDecision, SilentUpstream, StreamState};
 ///
 /// let state = StreamState {
@@ -159,14 +175,24 @@
 ///     may_have_run: true,
 ///     has_copy: false,
 /// };
-/// let silent = SilentUpstream { is_gone: false, has_substitute: true };
+/// let silent = SilentUpstream {
+///     is_gone: false,
+///     is_unreachable: false,
+///     has_substitute: true,
+///     silent_for: ClockTime::from_millis(1_500),
+/// };
 /// assert_eq!(decide_silence(&state, silent), SilenceDecision::Replace);
-/// let state = StreamState { max_sends: 1, ..state };
+/// let state = StreamState { max_sends: 2, ..state };
 /// assert_eq!(decide_silence(&state, silent), SilenceDecision::WaitOn);
 /// ```
 pub fn decide_silence(state: &StreamState, silent: SilentUpstream) -> SilenceDecision {
+    if silent.is_gone {
+        return SilenceDecision::Replace;
+    }
     let is_allowed = decide_recovery(state) != RecoveryDecision::Stop;
-    match silent.is_gone || (is_allowed && silent.has_substitute) {
+    let has_spare_send = state.sends + 1 < state.max_sends;
+    let is_down = silent.is_unreachable || silent.silent_for >= MAX_SOUND_SILENCE;
+    match is_allowed && silent.has_substitute && (has_spare_send || is_down) {
         true => SilenceDecision::Replace,
         false => SilenceDecision::WaitOn,
     }
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -27,6 +27,8 @@
     revoke_ms: u64,
     is_output_read: bool,
     max_files: Option<u64>,
+    retry_ratio: f64,
+    retry_slack: u64,
 }
 
 impl Default for HarnessBuilder {
@@ -38,6 +40,8 @@
             revoke_ms: 5_000,
             is_output_read: true,
             max_files: None,
+            retry_ratio: 0.8,
+            retry_slack: 150,
         }
     }
 }
@@ -67,6 +71,13 @@
         self
     }
 
+    /// Sets the retries per request, and those allowed besides.
+    pub fn retry_budget(mut self, ratio: f64, slack: u64) -> Self {
+        self.retry_ratio = ratio;
+        self.retry_slack = slack;
+        self
+    }
+
     /// Limits the files that the process may have open, connections included.
     pub fn max_files(mut self, count: u64) -> Self {
         self.max_files = Some(count);
@@ -140,6 +151,7 @@
     /// process has to accept.
     fn render_settings(&self, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
         let (grace, revoke) = (self.grace_s, self.revoke_ms);
+        let (retry_ratio, retry_slack) = (self.retry_ratio, self.retry_slack);
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         format!(
             r#"
@@ -161,8 +173,8 @@
 [bounds]
 grace_s = {grace}
 revoke_ms = {revoke}
-retry_budget_ratio = 0.8
-retry_budget_slack = 150
+retry_budget_ratio = {retry_ratio:.1}
+retry_budget_slack = {retry_slack}
 retry_window_s = 10
 [platform]
 address = "{store}"
--- a/tests/testsuite/tests/gateway/silent_engines.rs
+++ b/tests/testsuite/tests/gateway/silent_engines.rs
@@ -3,11 +3,17 @@
 use rstest::rstest;
 use serde_json::Value;
 use skylarkshed_stand_ins::{FakeUpstream, ScriptedResponse, StreamEnd};
-use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY};
-use std::time::Duration;
+use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY, MODEL_SERVICE};
+use std::time::{Duration, Instant};
 
 /// Longer than the silence after which a stream without a copy is continued elsewhere.
 const PAUSE: Duration = Duration::from_millis(2_500);
+/// How long all engines refuse.
+const FULL_TIME: Duration = Duration::from_millis(1_800);
+const STREAMS: usize = 40;
+/// A tenth of the streams, and the four resumes that a VM may make besides; the budget
+/// always allows one more.
+const MAX_RESUMES: usize = 9;
 const COPY_TIME: Duration = Duration::from_millis(2_500);
 
 /// Returns a stream of nine events that pauses after the fifth.
@@ -76,22 +82,43 @@
     assert_whole(&harness).await;
 }
 
-/// A draining engine may close its listener before its last stream ends.
+/// Guards against a sound engine that is left for one that then refuses.
 #[tokio::test]
-async fn silence_of_an_engine_that_no_longer_listens_ends_no_stream() {
-    let harness = HarnessBuilder::default().engines(1).start().await;
+async fn last_attempt_is_kept_while_the_silent_engine_may_go_on() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let mut config = harness.next_config();
+    config["routes"][3]["attempts"] = 2.into();
+    activate(&harness, &config).await;
     harness.engines[0].set_default_response(paused_stream());
+    harness.engines[1].set_default_response(ScriptedResponse::NotExecuted);
+    assert_whole(&harness).await;
+}
+
+/// A draining engine may close its listener before its last stream ends.
+#[tokio::test]
+async fn engine_that_no_longer_listens_is_not_taken_for_dead() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let mut config = harness.next_config();
+    // Without copies, only the liveness check could end the attempt so soon.
+    config["services"][1]["engine"]["backups"] = false.into();
+    config["services"][1]["engine"]["moves"] = false.into();
+    activate(&harness, &config).await;
+    let (first, second) = (&harness.engines[0], &harness.engines[1]);
+    let pause = Duration::from_millis(1_000);
+    let end = StreamEnd::Pause { pause, last_id: 9 };
+    first.set_default_response(ScriptedResponse::stream(5, end));
     let mut client = harness.connect().await;
     let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
     client.send(request.as_bytes()).await;
-    harness.engines[0].wait_for_requests(1).await;
-    harness.engines[0].stop();
+    first.wait_for_requests(1).await;
+    first.stop();
     let response = client.read_response().await.unwrap();
     assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
     assert!(response.is_complete);
+    assert!(second.received_requests().is_empty());
 }
 
-/// Guards against a stream that ends because no engine was free at that moment.
+/// Guards against a stream that ends because no engine was listed at that moment.
 #[tokio::test]
 async fn broken_stream_waits_for_an_engine() {
     let harness = HarnessBuilder::default().engines(2).start().await;
@@ -102,16 +129,88 @@
         .await;
     first.set_default_response(ScriptedResponse::stream(5, StreamEnd::Reset));
     second.set_default_response(ScriptedResponse::stream(9, StreamEnd::Complete));
-    let mut client = harness.connect().await;
+    let (response, ()) = tokio::join!(harness.send_request("POST", "/write/7", "prompt"), async {
+        first.wait_for_requests(1).await;
+        harness.store.remove("servers", &first.name());
+        harness
+            .wait_for_metric("gateway_upstreams{state=\"present\"} 2")
+            .await;
+        harness.register(second, MODEL_SERVICE, 1, "ready");
+    });
+    assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+}
+
+/// Guards against a stream that ends because all engines were full for some seconds.
+#[tokio::test]
+async fn broken_stream_waits_for_room() {
+    let harness = HarnessBuilder::default().engines(3).start().await;
+    let (first, others) = harness.engines.split_first().unwrap();
+    first.enqueue_response(ScriptedResponse::stream(5, StreamEnd::Reset));
+    for engine in &harness.engines {
+        engine.set_default_response(ScriptedResponse::NotExecuted);
+    }
+    let (response, ()) = tokio::join!(harness.send_request("POST", "/write/7", "prompt"), async {
+        first.wait_for_requests(1).await;
+        tokio::time::sleep(FULL_TIME).await;
+        for engine in others {
+            engine.set_default_response(ScriptedResponse::stream(9, StreamEnd::Complete));
+        }
+    });
+    assert_eq!(response.event_ids(), (1..=9).collect::<Vec<u64>>());
+    assert!(response.is_complete);
+}
+
+/// Guards against a stream that waits for a dead engine because the other one refused
+/// earlier.
+#[tokio::test]
+async fn engine_that_refused_earlier_replaces_a_dead_one() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let (first, second) = (&harness.engines[0], &harness.engines[1]);
+    first.enqueue_response(ScriptedResponse::NotExecuted);
+    first.set_default_response(ScriptedResponse::stream(9, StreamEnd::Complete));
+    second.set_default_response(ScriptedResponse::stream(5, StreamEnd::Stall));
+    assert_whole(&harness).await;
+}
+
+/// Guards against a request that is held past its deadline.
+#[tokio::test]
+async fn engine_that_never_responds_is_waited_for_until_the_deadline() {
+    let harness = HarnessBuilder::default().engines(1).start().await;
+    harness.engines[0].set_default_response(ScriptedResponse::NoResponse);
     let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
-    client.send(request.as_bytes()).await;
-    client.wait_for_text("piece 5\n").await;
-    harness.store.remove("servers", &first.name());
-    harness
-        .wait_for_metric("gateway_upstreams{state=\"present\"} 2")
-        .await;
-    harness.register(second, skylarkshed_testsuite::MODEL_SERVICE, 1, "ready");
-    client.wait_for_text("piece 9\n").await;
+    let request = request.replace("Remaining: 20000", "Remaining: 2000");
+    let sent = Instant::now();
+    let response = harness.send_raw(&request).await.unwrap();
+    assert_eq!(response.status, 504);
+    assert!(sent.elapsed() < Duration::from_millis(2_500));
+}
+
+/// Guards against retries of silent streams that are not taken from the budget.
+#[tokio::test]
+async fn retries_of_silent_streams_stay_within_the_budget() {
+    let builder = HarnessBuilder::default().engines(3).retry_budget(0.0, 0);
+    let harness = builder.start().await;
+    for engine in &harness.engines {
+        engine.set_default_response(ScriptedResponse::NoResponse);
+    }
+    let mut clients = Vec::new();
+    for _ in 0..STREAMS {
+        let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+        let request = request.replace("Remaining: 20000", "Remaining: 4000");
+        let mut client = harness.connect().await;
+        client.send(request.as_bytes()).await;
+        clients.push(client);
+    }
+    for client in &mut clients {
+        assert!(client.read_response().await.is_some());
+    }
+    let engines = harness.engines.iter();
+    let arrivals: usize = engines.map(|engine| engine.received_requests().len()).sum();
+    assert!(
+        arrivals - STREAMS <= MAX_RESUMES,
+        "{arrivals} arrivals of {STREAMS} streams"
+    );
 }
 
 /// Guards against a VM that is kept busy by a copy that fails at once.
