Read a request that has arrived before a timeout closes its connection

What callers saw: a whole request on a kept connection ended with neither an answer nor a refusal after the process had been stopped for longer than the idle timeout, with the request waiting in the socket.

Cause: the loop of a connection chose at random between the connection and its timer when both were ready. Besides, a process that continues (SIGCONT) may handle its timers before it looks at its sockets. Class: a connection is closed although a request is, or may be, on it.

Change: the connection is polled first, and a connection that has timed out is read for another 10 ms before it is closed or dropped.

Left: bytes that arrive after the last read cross the close, as they may.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -26,6 +26,10 @@
 /// The percentage of file descriptors that callers' connections may use; each
 /// request needs another one for its upstream.
 const CALLER_DESCRIPTORS_PERCENT: usize = 45;
+/// How long a connection that has timed out is read again before it is closed. In a
+/// process that was suspended, timers may fire before the bytes that have arrived
+/// meanwhile are noticed.
+const CLOSE_DELAY: ClockTime = ClockTime::from_millis(10);
 /// The delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 
@@ -103,9 +107,17 @@
     C: GracefulConnection,
 {
     let mut is_closing = false;
+    let mut has_timed_out = false;
     loop {
         let remaining = match activity.time_left(current_limits(state)) {
-            Some(remaining) => remaining,
+            Some(remaining) => {
+                has_timed_out = false;
+                remaining
+            }
+            None if !has_timed_out => {
+                has_timed_out = true;
+                CLOSE_DELAY
+            }
             // Hyper closes an idle connection immediately. A connection that is slow
             // to send its head is dropped below.
             None if activity.is_idle() && !is_closing => {
@@ -116,8 +128,9 @@
             None => return,
         };
         tokio::select! {
+            // A request that has arrived is read before a timeout closes its connection.
+            biased;
             _ = connection.as_mut() => return,
-            () = tokio::time::sleep(remaining.to_duration()) => {}
             changed = closing.wait_for(|closing| *closing), if !is_closing => {
                 // Without a sender the process is about to exit.
                 if changed.is_ok() {
@@ -125,6 +138,7 @@
                 }
                 is_closing = true;
             }
+            () = tokio::time::sleep(remaining.to_duration()) => {}
         }
     }
 }
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -44,6 +44,11 @@
         /// The time before the response.
         delay: Duration,
     },
+    /// Responds with a body of this length.
+    LongBody {
+        /// The number of bytes.
+        bytes: usize,
+    },
     /// Responds without a signature.
     Unsigned,
     /// Responds with the attempt identifier of another request.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -306,6 +306,7 @@
             respond(*status, &signed, "answer")
         }
         ScriptedResponse::BeforeBody => respond(200, &signed, "answer"),
+        ScriptedResponse::LongBody { bytes } => respond(200, &signed, &"x".repeat(*bytes)),
         ScriptedResponse::Unsigned => respond(200, &format!("X-Attempt-Id: {id}\r\n"), "answer"),
         ScriptedResponse::WrongAttemptId => respond(
             200,
--- a/tests/testsuite/src/raw_client.rs
+++ b/tests/testsuite/src/raw_client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// A test fails if a response does not arrive within this time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +42,7 @@
 pub struct RawClient {
     stream: TcpStream,
     received: Vec<u8>,
+    read_pause: Duration,
 }
 
 impl RawClient {
@@ -55,9 +56,33 @@
         RawClient {
             stream,
             received: Vec::new(),
+            read_pause: Duration::ZERO,
         }
     }
 
+    /// Connects to a VM with a receive buffer of a few kilobytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM refuses the connection.
+    pub async fn connect_with_small_buffer(address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().expect("a descriptor is free");
+        socket
+            .set_recv_buffer_size(4_096)
+            .expect("the size is allowed");
+        let stream = socket.connect(address).await.expect("the VM listens");
+        RawClient {
+            stream,
+            received: Vec::new(),
+            read_pause: Duration::ZERO,
+        }
+    }
+
+    /// Sends raw bytes; returns false if the connection is closed.
+    pub async fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
     /// Sends raw bytes.
     ///
     /// # Panics
@@ -97,7 +122,29 @@
             .expect("the connection is closed in time");
     }
 
+    /// Reads a response with a pause before each read of a few kilobytes.
+    pub async fn read_response_slowly(&mut self, pause: Duration) -> Option<RawResponse> {
+        self.read_pause = pause;
+        self.read_response().await
+    }
+
+    /// Waits until the VM closes the connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection is reset.
+    pub async fn wait_for_close_without_reset(&mut self) {
+        let mut rest = Vec::new();
+        let reading = self.stream.read_to_end(&mut rest);
+        let read = tokio::time::timeout(RESPONSE_TIMEOUT, reading).await;
+        read.expect("the connection is closed in time")
+            .expect("the connection is not reset");
+    }
+
     async fn read_more(&mut self) -> bool {
+        if !self.read_pause.is_zero() {
+            tokio::time::sleep(self.read_pause).await;
+        }
         let mut part = [0; 4096];
         let read = tokio::time::timeout(RESPONSE_TIMEOUT, self.stream.read(&mut part)).await;
         let read = read.expect("data or the end arrives in time").unwrap_or(0);
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a gateway process with a fake store and fake upstreams.
 
+mod caller_connections;
 mod caller_disconnects;
 mod configuration;
 mod endless_responses;
