Keep the timeouts of open connections when a configuration shortens them

What callers saw: after a configuration with a shorter idle timeout, a request on a kept connection met a closed connection, although the connection had been idle for less than the timeout that the caller knew.

Cause: each check applied the timeouts of the newest configuration to connections that callers had opened before it. Class: a connection is closed although a request is, or may be, on it.

Change: a connection times out by the longer of the timeouts at its start and those in force. The limits on sizes are not concerned.

Left: a connection that is used all the time keeps the longer timeouts until it is closed.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -93,7 +93,7 @@
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    drive(pin!(connection), &state, &activity, closing).await;
+    drive(pin!(connection), &state, &activity, limits, closing).await;
 }
 
 /// Runs a connection until it ends, times out, or is closed because the process
@@ -102,6 +102,7 @@
     mut connection: Pin<&mut C>,
     state: &GatewayState,
     activity: &ConnectionActivity,
+    first_limits: CallerLimits,
     mut closing: watch::Receiver<bool>,
 ) where
     C: GracefulConnection,
@@ -109,7 +110,8 @@
     let mut is_closing = false;
     let mut has_timed_out = false;
     loop {
-        let remaining = match activity.time_left(current_limits(state)) {
+        let limits = longer_timeouts(first_limits, current_limits(state));
+        let remaining = match activity.time_left(limits) {
             Some(remaining) => {
                 has_timed_out = false;
                 remaining
@@ -148,6 +150,16 @@
     table.map_or_else(CallerLimits::default, |table| table.limits())
 }
 
+/// Returns the longer timeouts of both limits: a caller may learn later than this VM that
+/// they have become shorter.
+fn longer_timeouts(first: CallerLimits, current: CallerLimits) -> CallerLimits {
+    CallerLimits {
+        head_timeout: first.head_timeout.max(current.head_timeout),
+        idle_timeout: first.idle_timeout.max(current.idle_timeout),
+        ..current
+    }
+}
+
 /// A connection that can be closed after its current response.
 trait GracefulConnection: std::future::Future {
     fn close_gracefully(self: Pin<&mut Self>);
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -107,3 +107,24 @@
     assert_eq!(count_unanswered(idle).await, 0);
     assert_eq!(count_unanswered(reading).await, 0);
 }
+
+/// A caller learns later than the VM that the idle timeout has become shorter.
+#[tokio::test]
+async fn open_connection_keeps_its_idle_timeout_when_a_configuration_shortens_it() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut clients = open_used_connections(&harness, 2).await;
+    let mut config = harness.next_config();
+    config["limits"]["idle_timeout_ms"] = 300.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    for _ in 0..3 {
+        // Less than four fifths of the idle timeout that the caller knows.
+        tokio::time::sleep(IDLE_TIMEOUT * 2 / 3).await;
+        for client in &mut clients {
+            client.send(booking().as_bytes()).await;
+            let response = client.read_response().await;
+            assert_eq!(response.map(|response| response.status), Some(200));
+        }
+    }
+}
