Close callers' connections without a reset

What callers saw: a caller that still sent the body of a request when it was refused met a reset connection, which can discard the refusal; and a caller that had received the refusal of a request with a late body met a closed connection with its next request, though the response did not announce the close.

Cause: a request is refused before its body is read. The HTTP library then gives up the body, closes the socket with unread bytes, which resets it, and has already written a response that keeps the connection. Class: a connection is closed although a request is, or may be, on it.

Change: after its last response a connection is closed for writing first; what the caller still sends is discarded for at most 500 ms or until it closes its side. A refused request with a body lets the library read the rest of the body or announce the close before the response is written. An end of file no longer counts as the start of a head, and a response that is still being written keeps its connection from counting as idle.

Left: a connection that lingers counts as open for up to 500 ms.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,12 +1,13 @@
 //! Accepts callers' connections, enforces their timeouts and closes them.
 
-use crate::connection_activity::{
-    ConnectionActivity, TrackedBody, TrackedStream, BUSY_CHECK_INTERVAL,
-};
+use crate::connection_activity::{ConnectionActivity, TrackedBody, BUSY_CHECK_INTERVAL};
 use crate::dispatch::handle;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::WireProtocol;
+use crate::tracked_stream::TrackedStream;
+use http::Request;
 use http_body::Body;
+use hyper::body::Incoming;
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -71,17 +72,20 @@
     }
     let activity = ConnectionActivity::start(state.clock);
     let limits = current_limits(&state);
-    let io = TrackedStream {
-        stream: TokioIo::new(stream),
-        activity: activity.clone(),
-    };
+    let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
             let guard = activity.begin_request();
+            let has_body = !request.body().is_end_stream();
             let handling = handle::<P>(state.clone(), request);
             async move {
                 let response = handling.await?;
+                if has_body && !response.status().is_success() {
+                    // Hyper either reads the rest of the body or announces in the
+                    // response that it closes the connection.
+                    tokio::task::yield_now().await;
+                }
                 Ok::<_, std::convert::Infallible>(
                     response.map(|body| TrackedBody { body, _busy: guard }),
                 )
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -3,14 +3,11 @@
 use crate::caller_response::{IncompleteResponse, ResponseBody};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use skylarkshed_core::{CallerLimits, ClockTime, MonotonicClock};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
 
 /// How often the timeouts of a busy connection are checked.
 pub(crate) const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
@@ -52,12 +49,21 @@
         self.phase.store(phase, Ordering::Relaxed);
     }
 
-    fn record_bytes(&self) {
-        if self.phase.load(Ordering::Relaxed) == IDLE {
+    /// Records that bytes of the caller were read.
+    pub(crate) fn record_read(&self) {
+        if self.is_idle() {
             self.enter(READING_HEAD);
         }
     }
 
+    /// Records that bytes were written, which may be the rest of a response whose body
+    /// has ended.
+    pub(crate) fn record_write(&self) {
+        if self.is_idle() {
+            self.enter(IDLE);
+        }
+    }
+
     /// Returns the time until the next check, or none if the phase has timed out.
     pub(crate) fn time_left(&self, limits: CallerLimits) -> Option<ClockTime> {
         let elapsed = self.clock.now().since(ClockTime::from_millis(
@@ -107,47 +113,3 @@
         self.body.size_hint()
     }
 }
-
-/// A stream that records when the caller starts to send a request.
-pub(crate) struct TrackedStream {
-    pub(crate) stream: TokioIo<TcpStream>,
-    pub(crate) activity: Arc<ConnectionActivity>,
-}
-
-impl Read for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if matches!(result, Poll::Ready(Ok(()))) {
-            self.activity.record_bytes();
-        }
-        result
-    }
-}
-
-impl Write for TrackedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod status_endpoints;
 mod store_watch;
 mod stream;
+mod tracked_stream;
 mod upstreams;
 
 pub use log_writer::{start_logging, LogError};
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -2,6 +2,7 @@
 //! connection times out or the process leaves meanwhile.
 
 use nix::sys::signal::Signal;
+use skylarkshed_stand_ins::ScriptedResponse;
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, RawClient, DEPOT_KEY};
 use std::time::Duration;
 
@@ -10,6 +11,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 const SHORT: Duration = Duration::from_millis(150);
+/// A reader with this pause takes longer than twice the idle timeout for 900 kB.
+const READ_PAUSE: Duration = Duration::from_millis(20);
 
 fn booking() -> String {
     GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x")
@@ -128,3 +131,82 @@
         }
     }
 }
+
+#[tokio::test]
+async fn part_of_a_head_that_arrives_during_a_response_is_kept() {
+    let harness = HarnessBuilder::default().applications(1).start().await;
+    harness.applications[0].enqueue_response(ScriptedResponse::Status {
+        status: 200,
+        delay: 2 * SHORT,
+    });
+    let mut client = harness.connect().await;
+    let (first, rest) = split_request();
+    client.send(booking().as_bytes()).await;
+    harness.applications[0].wait_for_requests(1).await;
+    client.send(first.as_bytes()).await;
+    assert_eq!(client.read_response().await.unwrap().status, 200);
+    tokio::time::sleep(SHORT).await;
+    client.send(rest.as_bytes()).await;
+    assert_eq!(client.read_response().await.unwrap().status, 200);
+}
+
+/// A caller may use a connection again within four fifths of the idle timeout, unless a
+/// response has announced its end.
+#[tokio::test]
+async fn connection_with_a_refused_request_is_usable_after_the_head_timeout() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/book/7", "unknown", "0123456789");
+    let (head, body) = request.split_at(request.len() - 10);
+    client.send(head.as_bytes()).await;
+    tokio::time::sleep(SHORT).await;
+    client.try_send(body.as_bytes()).await;
+    let response = client.read_response().await.unwrap();
+    assert_eq!(response.status, 401);
+    if response.header("connection") == Some("close") {
+        return;
+    }
+    tokio::time::sleep(HEAD_TIMEOUT + SHORT).await;
+    client.send(booking().as_bytes()).await;
+    let response = client.read_response().await;
+    assert_eq!(response.map(|response| response.status), Some(200));
+}
+
+/// Closing a connection with unread bytes resets it, and the reset discards a response
+/// that is still on its way.
+#[tokio::test]
+async fn refusal_is_received_by_a_caller_that_still_sends_its_body() {
+    let harness = HarnessBuilder::default().start().await;
+    let body = "b".repeat(60_000);
+    for _ in 0..CONNECTIONS {
+        let request = GatewayHarness::build_request("POST", "/book/7", "unknown", &body);
+        let (first, rest) = request.split_at(request.len() - 30_000);
+        let mut client = harness.connect().await;
+        assert!(client.try_send(first.as_bytes()).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(client.try_send(rest.as_bytes()).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let response = client.read_response().await;
+        assert_eq!(response.map(|response| response.status), Some(401));
+        // The connection was not reset.
+        client.wait_for_close_without_reset().await;
+    }
+}
+
+#[tokio::test]
+async fn response_to_a_slow_reader_is_complete() {
+    let harness = HarnessBuilder::default().applications(1).start().await;
+    let bytes = 900_000;
+    harness.applications[0].set_default_response(ScriptedResponse::LongBody { bytes });
+    let mut client = RawClient::connect_with_small_buffer(harness.caller_address).await;
+    client.send(booking().as_bytes()).await;
+    let started = std::time::Instant::now();
+    let response = client.read_response_slowly(READ_PAUSE).await.unwrap();
+    assert!(
+        started.elapsed() > 2 * IDLE_TIMEOUT,
+        "{:?}",
+        started.elapsed()
+    );
+    assert!(response.is_complete, "{} bytes", response.body.len());
+    assert_eq!(response.body.len(), bytes);
+}
