Answer requests that arrive while a leaving process closes connections

What callers saw: from 2.2 s after SIGTERM, a request whose head was partly received, or that came on a new connection, ended without an answer although the process still ran.

Cause: at that time every connection was shut down, and the HTTP library closes a connection without a request in progress at once: one with a part of a head in its buffer, and a new one before anything was read from it, if the signal was looked at first. Class: a connection is closed although a request is, or may be, on it.

Change: a leaving process closes connections that are idle and have served a request. A connection with a request in progress closes after its response, as before.

Left: a part of a head that arrived while the last response was being written, and of which nothing more comes until the close, is not told from an idle connection.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections, enforces their timeouts and closes them.
 
-use crate::connection_activity::{ConnectionActivity, TrackedBody, BUSY_CHECK_INTERVAL};
+use crate::connection_activity::{ConnectionActivity, ConnectionMode, TrackedBody};
 use crate::dispatch::handle;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::WireProtocol;
@@ -111,11 +111,11 @@
 ) where
     C: GracefulConnection,
 {
-    let mut is_closing = false;
+    let mut mode = ConnectionMode::Open;
     let mut has_timed_out = false;
     loop {
         let limits = longer_timeouts(first_limits, current_limits(state));
-        let remaining = match activity.time_left(limits) {
+        let remaining = match activity.time_left(limits, mode) {
             Some(remaining) => {
                 has_timed_out = false;
                 remaining
@@ -124,12 +124,12 @@
                 has_timed_out = true;
                 CLOSE_DELAY
             }
-            // Hyper closes an idle connection immediately. A connection that is slow
-            // to send its head is dropped below.
-            None if activity.is_idle() && !is_closing => {
+            // A connection that is slow to send its head is dropped below.
+            None if activity.is_idle() && mode != ConnectionMode::Closing => {
                 connection.as_mut().close_gracefully();
-                is_closing = true;
-                BUSY_CHECK_INTERVAL
+                activity.record_write();
+                mode = ConnectionMode::Closing;
+                continue;
             }
             None => return,
         };
@@ -137,12 +137,15 @@
             // A request that has arrived is read before a timeout closes its connection.
             biased;
             _ = connection.as_mut() => return,
-            changed = closing.wait_for(|closing| *closing), if !is_closing => {
+            changed = closing.wait_for(|closing| *closing), if mode == ConnectionMode::Open => {
                 // Without a sender the process is about to exit.
-                if changed.is_ok() {
-                    connection.as_mut().close_gracefully();
-                }
-                is_closing = true;
+                mode = match changed.is_ok() && activity.is_busy() {
+                    true => {
+                        connection.as_mut().close_gracefully();
+                        ConnectionMode::Closing
+                    }
+                    false => ConnectionMode::Leaving,
+                };
             }
             () = tokio::time::sleep(remaining.to_duration()) => {}
         }
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -5,22 +5,36 @@
 use http_body::{Body, Frame, SizeHint};
 use skylarkshed_core::{CallerLimits, ClockTime, MonotonicClock};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
 /// How often the timeouts of a busy connection are checked.
-pub(crate) const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
+const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
+/// How long the rest of the last response may make no progress.
+const CLOSE_TIMEOUT: ClockTime = ClockTime::from_millis(2_000);
 
 const IDLE: u8 = 0;
 const READING_HEAD: u8 = 1;
 const BUSY: u8 = 2;
 
+/// How a connection is to be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionMode {
+    /// When it times out.
+    Open,
+    /// As soon as no request may be on it, because the process is draining.
+    Leaving,
+    /// After its last response.
+    Closing,
+}
+
 /// The phase of a connection, and when it began.
 pub(crate) struct ConnectionActivity {
     clock: MonotonicClock,
     phase: AtomicU8,
     since_ms: AtomicU64,
+    has_served: AtomicBool,
 }
 
 impl ConnectionActivity {
@@ -30,11 +44,13 @@
             clock,
             phase: AtomicU8::new(IDLE),
             since_ms: AtomicU64::new(clock.now().as_millis()),
+            has_served: AtomicBool::new(false),
         })
     }
 
     /// Marks the connection as busy until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> BusyGuard {
+        self.has_served.store(true, Ordering::Relaxed);
         self.enter(BUSY);
         BusyGuard(self.clone())
     }
@@ -43,6 +59,10 @@
         self.phase.load(Ordering::Relaxed) == IDLE
     }
 
+    pub(crate) fn is_busy(&self) -> bool {
+        self.phase.load(Ordering::Relaxed) == BUSY
+    }
+
     fn enter(&self, phase: u8) {
         self.since_ms
             .store(self.clock.now().as_millis(), Ordering::Relaxed);
@@ -65,18 +85,32 @@
     }
 
     /// Returns the time until the next check, or none if the phase has timed out.
-    pub(crate) fn time_left(&self, limits: CallerLimits) -> Option<ClockTime> {
+    pub(crate) fn time_left(
+        &self,
+        limits: CallerLimits,
+        mode: ConnectionMode,
+    ) -> Option<ClockTime> {
         let elapsed = self.clock.now().since(ClockTime::from_millis(
             self.since_ms.load(Ordering::Relaxed),
         ));
         let limit = match self.phase.load(Ordering::Relaxed) {
-            IDLE => limits.idle_timeout,
+            IDLE => self.idle_limit(limits, mode),
             READING_HEAD => limits.head_timeout,
             _ => return Some(BUSY_CHECK_INTERVAL),
         };
         let remaining = limit.since(elapsed);
         (remaining > ClockTime::ZERO).then_some(remaining)
     }
+
+    fn idle_limit(&self, limits: CallerLimits, mode: ConnectionMode) -> ClockTime {
+        match mode {
+            ConnectionMode::Open => limits.idle_timeout,
+            ConnectionMode::Leaving if self.has_served.load(Ordering::Relaxed) => ClockTime::ZERO,
+            // The first request of a new connection is on its way.
+            ConnectionMode::Leaving => limits.head_timeout,
+            ConnectionMode::Closing => CLOSE_TIMEOUT,
+        }
+    }
 }
 
 /// Marks a connection as idle when its response ends.
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -10,6 +10,8 @@
 /// The limits of the default configuration.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 const HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// After a termination signal, idle connections are closed this late.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_200);
 const SHORT: Duration = Duration::from_millis(150);
 /// A reader with this pause takes longer than twice the idle timeout for 900 kB.
 const READ_PAUSE: Duration = Duration::from_millis(20);
@@ -210,3 +212,57 @@
     assert!(response.is_complete, "{} bytes", response.body.len());
     assert_eq!(response.body.len(), bytes);
 }
+
+#[tokio::test]
+async fn head_that_is_on_its_way_is_answered_while_the_process_leaves() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut config = harness.next_config();
+    config["limits"]["header_timeout_ms"] = 3_000.into();
+    config["limits"]["idle_timeout_ms"] = 9_000.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    let mut used = open_used_connections(&harness, CONNECTIONS).await;
+    let mut new = Vec::new();
+    for _ in 0..CONNECTIONS {
+        new.push(harness.connect().await);
+    }
+    harness.signal(Signal::SIGTERM);
+    tokio::time::sleep(IDLE_CLOSE_DELAY - 2 * SHORT).await;
+    let mut rests = Vec::new();
+    for client in used.iter_mut().chain(&mut new) {
+        let (first, rest) = split_request();
+        client.send(first.as_bytes()).await;
+        rests.push(rest);
+    }
+    tokio::time::sleep(4 * SHORT).await;
+    for (client, rest) in used.iter_mut().chain(&mut new).zip(rests) {
+        client.try_send(rest.as_bytes()).await;
+    }
+    let unanswered = (count_unanswered(used).await, count_unanswered(new).await);
+    assert_eq!(unanswered, (0, 0));
+}
+
+#[tokio::test]
+async fn new_connection_is_served_until_the_process_ends() {
+    let harness = HarnessBuilder::default().applications(1).start().await;
+    harness.applications[0].enqueue_response(ScriptedResponse::Status {
+        status: 200,
+        delay: Duration::from_millis(900),
+    });
+    harness.signal(Signal::SIGTERM);
+    tokio::time::sleep(IDLE_CLOSE_DELAY - 2 * SHORT).await;
+    let mut busy = harness.connect().await;
+    busy.send(booking().as_bytes()).await;
+    harness.applications[0].wait_for_requests(1).await;
+    tokio::time::sleep(3 * SHORT).await;
+    // The process closes idle connections by now, and runs because of the busy one.
+    let mut clients = Vec::new();
+    for _ in 0..10 {
+        let mut client = harness.connect().await;
+        client.send(booking().as_bytes()).await;
+        clients.push(client);
+    }
+    assert_eq!(count_unanswered(clients).await, 0);
+    assert_eq!(busy.read_response().await.unwrap().status, 200);
+}
