Serve the kernel's accepted connections before a process ends

What callers saw: a request on a connection that the kernel had accepted, but the process had not, ended with a reset when the process ended after SIGTERM.

Cause: the process ended at the first check that counted no connection, which may come before its accept loop has run: for example when the process continues after a stop. Class: a connection is closed although a request is on it.

Change: a draining process ends after two checks in a row, 50 ms apart, without a connection.

Left: a connection that arrives between the second check and the end of the process is still reset.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -24,6 +24,8 @@
 /// How long before the kill the process exits by itself.
 const KILL_MARGIN: ClockTime = ClockTime::from_millis(350);
 const CHECK_INTERVAL: ClockTime = ClockTime::from_millis(50);
+/// After this many checks without connections a draining process ends.
+const FINAL_CHECKS: u32 = 2;
 
 /// An error that keeps a gateway from serving.
 #[derive(Debug, Error)]
@@ -168,15 +170,21 @@
 }
 
 /// Fails the readiness check, then closes idle connections and waits for the
-/// requests in progress.
+/// requests in progress. The process ends after two checks without connections, because
+/// the kernel may have accepted some that the first check does not count.
 async fn drain(state: &GatewayState, close: &watch::Sender<bool>) {
     let connections = || state.connections.load(Ordering::Relaxed);
     log::info!(connections = connections(); "the process shuts down: the readiness check fails from now on");
     let grace = state.settings.times.grace.since(KILL_MARGIN);
     let elapsed = || state.leaving_for().unwrap_or(grace);
-    while elapsed() < grace && (connections() > 0 || elapsed() < IDLE_CLOSE_DELAY) {
+    let mut unused_checks = 0;
+    while elapsed() < grace && unused_checks < FINAL_CHECKS {
         if elapsed() >= IDLE_CLOSE_DELAY {
             close.send_replace(true);
+            unused_checks = match connections() {
+                0 => unused_checks + 1,
+                _ => 0,
+            };
         }
         tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
     }
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -266,3 +266,21 @@
     assert_eq!(count_unanswered(clients).await, 0);
     assert_eq!(busy.read_response().await.unwrap().status, 200);
 }
+
+/// Connections that the kernel has accepted when the process is about to end.
+#[tokio::test]
+async fn connection_in_the_backlog_is_served_before_the_process_ends() {
+    let harness = HarnessBuilder::default().start().await;
+    harness.signal(Signal::SIGTERM);
+    harness.wait_for_readiness(503).await;
+    harness.signal(Signal::SIGSTOP);
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut client = harness.connect().await;
+        client.send(booking().as_bytes()).await;
+        clients.push(client);
+    }
+    tokio::time::sleep(IDLE_CLOSE_DELAY).await;
+    harness.signal(Signal::SIGCONT);
+    assert_eq!(count_unanswered(clients).await, 0);
+}
