Limit the size of replies of the store and of engines' control calls

What callers saw: a store that answers without an end takes the memory of the VM, which is killed at its limit; so does an engine that answers a command to copy a KV cache without an end.

Cause: the gateway's own calls collected their replies without a limit, within a time limit of 1 s and more (store) and 1.5 s (copies). Reports and lists of cached parts have 40 ms, in which too little arrives.

--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -15,6 +15,9 @@
 /// zones, but copies queue behind each other.
 const COPY_TIMEOUT: ClockTime = ClockTime::from_millis(1_500);
 
+/// A report of hundreds of requests and a list of thousands of cached parts fit in it.
+const MAX_REPLY_BYTES: usize = 1024 * 1024;
+
 /// Requests an engine's load report; none if it does not respond in time.
 pub(crate) async fn request_report<P: WireProtocol>(
     state: &GatewayState,
@@ -106,7 +109,7 @@
     }
     let exchange = async {
         let mut connection = HttpConnection::connect(engine.record.address, timeout).await?;
-        connection.exchange(request).await
+        connection.exchange(request, MAX_REPLY_BYTES).await
     };
     let response = match tokio::time::timeout(timeout.to_duration(), exchange).await {
         Ok(Ok(response)) => response,
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -4,7 +4,7 @@
 use crate::options::set_options;
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -38,6 +38,12 @@
     /// The connection was closed because the response head did not end.
     #[error("the response head is too long")]
     LongHead,
+    /// The connection was closed because the response body was too long.
+    #[error("the response body is longer than {0} bytes")]
+    LongBody(usize),
+    /// The connection failed within the response body.
+    #[error("the connection failed within the response body: {0}")]
+    BrokenBody(Box<dyn std::error::Error + Send + Sync>),
 }
 
 impl ConnectionError {
@@ -47,7 +53,10 @@
             ConnectionError::Connect(_)
             | ConnectionError::ConnectTimeout(_)
             | ConnectionError::Unsent => true,
-            ConnectionError::Broken(_) | ConnectionError::LongHead => false,
+            ConnectionError::Broken(_)
+            | ConnectionError::LongHead
+            | ConnectionError::LongBody(_)
+            | ConnectionError::BrokenBody(_) => false,
         }
     }
 }
@@ -132,12 +141,13 @@
         Ok(response)
     }
 
-    /// Sends a request and returns its response with the complete body.
+    /// Sends a request and returns its response with the complete body, which may have at
+    /// most `max_body_bytes`.
     ///
     /// # Errors
     ///
     /// Fails as [`HttpConnection::send`] does, or if the connection is closed within
-    /// the body.
+    /// the body or the body is too long. The connection can't be used any more then.
     ///
     /// # Examples
     ///
@@ -151,7 +161,7 @@
     /// # async fn request() -> Result<(), ConnectionError> {
     /// let address = ([127, 0, 0, 1], 8080).into();
     /// let mut connection = HttpConnection::connect(address, ClockTime::from_millis(500)).await?;
-    /// let response = connection.exchange(Request::new(Full::new(Bytes::new()))).await?;
+    /// let response = connection.exchange(Request::new(Full::new(Bytes::new())), 1024).await?;
     /// println!("{}: {} bytes", response.status(), response.body().len());
     /// # Ok(())
     /// # }
@@ -159,9 +169,14 @@
     pub async fn exchange(
         &mut self,
         request: BufferedRequest,
+        max_body_bytes: usize,
     ) -> Result<Response<Bytes>, ConnectionError> {
         let (parts, body) = self.send(request).await?.into_parts();
-        let body = body.collect().await.map_err(ConnectionError::Broken)?;
+        let collected = Limited::new(body, max_body_bytes).collect().await;
+        let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
+            true => ConnectionError::LongBody(max_body_bytes),
+            false => ConnectionError::BrokenBody(error),
+        })?;
         Ok(Response::from_parts(parts, body.to_bytes()))
     }
 
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -1,5 +1,6 @@
 //! The responses of a fake upstream to the gateway's own requests.
 
+use super::endless_response::EndlessResponse;
 use super::upstream::ReceivedRequest;
 use serde_json::json;
 
@@ -11,6 +12,8 @@
     pub(super) kv_move_requests: Vec<String>,
     /// The parts of prompts in the KV cache.
     pub(super) cached_parts: Vec<String>,
+    /// The response to all of these requests instead of the regular one.
+    pub(super) endless: Option<EndlessResponse>,
 }
 
 impl ControlCalls {
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -1,8 +1,10 @@
 //! A fake of the store that the gateway reads and watches.
 
+use super::endless_response::EndlessResponse;
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,6 +29,8 @@
     Unavailable,
     /// It never responds and executes nothing.
     Unresponsive,
+    /// It executes nothing and responds on new connections without an end.
+    Endless(EndlessResponse),
 }
 
 #[derive(Clone, Debug)]
@@ -219,8 +223,12 @@
 }
 
 async fn serve(listener: TcpListener, service: StoreService) {
-    while let Ok((stream, _)) = listener.accept().await {
+    while let Ok((mut stream, _)) = listener.accept().await {
         let service = service.clone();
+        if let StoreMode::Endless(endless) = *service.mode.borrow() {
+            tokio::spawn(async move { endless.send(&mut stream, "").await });
+            continue;
+        }
         let respond = service_fn(move |request| respond(service.clone(), request));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), respond);
         tokio::spawn(async move {
@@ -251,6 +259,12 @@
         StoreMode::Available => {}
         StoreMode::Unavailable => return reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
         StoreMode::Unresponsive => std::future::pending().await,
+        StoreMode::Endless(_) => {
+            let mut response = reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+            return response;
+        }
     }
     if request.uri().path() == "/-/rows-tx" {
         return change_rows(service, request).await;
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -1,6 +1,7 @@
 //! A fake upstream that sends scripted responses and records its requests.
 
 use super::control_calls::ControlCalls;
+use super::endless_response::EndlessResponse;
 use super::event_stream::{reset, send_events, wait_unless_closed};
 use super::scripted_response::ScriptedResponse;
 use std::collections::VecDeque;
@@ -143,6 +144,11 @@
         self.lock().control.kv_move_requests.clone()
     }
 
+    /// Sets an endless response to the gateway's own requests.
+    pub fn set_endless_control(&self, endless: EndlessResponse) {
+        self.lock().control.endless = Some(endless);
+    }
+
     /// Sets the parts of prompts in the KV cache.
     pub fn set_cached_parts(&self, parts: &[&str]) {
         let parts = parts.iter().map(|part| (*part).to_owned());
@@ -194,6 +200,12 @@
     }
     let reply = shared.lock().control.respond(&request);
     if let Some(reply) = reply {
+        let endless = shared.lock().control.endless;
+        if let Some(endless) = endless {
+            // It ends when the client closes the connection.
+            let _ = endless.send(&mut stream, "").await;
+            return;
+        }
         // The client sees the broken connection.
         let _ = stream.write_all(reply.as_bytes()).await;
         return;
--- a/tests/testsuite/tests/gateway/endless_responses.rs
+++ b/tests/testsuite/tests/gateway/endless_responses.rs
@@ -2,7 +2,9 @@
 //! other requests.
 
 use rstest::rstest;
-use skylarkshed_stand_ins::{EndlessResponse, FakeUpstream, ScriptedResponse, StreamEnd};
+use skylarkshed_stand_ins::{
+    EndlessResponse, FakeUpstream, ScriptedResponse, StoreMode, StreamEnd, StreamScript,
+};
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, RawResponse};
 use std::time::{Duration, Instant};
 
@@ -190,3 +192,87 @@
     assert_closed(broken, received).await;
     assert_memory_is_bounded(&harness);
 }
+
+#[rstest]
+#[case::informational(EndlessResponse::Informational)]
+#[case::undelimited_body(EndlessResponse::UndelimitedBody)]
+#[case::chunks(EndlessResponse::Chunks)]
+#[case::trailer(EndlessResponse::Trailer)]
+#[tokio::test]
+async fn endless_reports_and_cache_lists_delay_nothing(#[case] endless: EndlessResponse) {
+    let harness = HarnessBuilder::default().start().await;
+    serve_streams(&harness);
+    for engine in &harness.engines {
+        engine.set_endless_control(endless);
+    }
+    let (stream, other) = (("POST", "/write/7"), ("POST", "/book/7"));
+    let responses = send_concurrently::<CONCURRENT>(&harness, stream, other, STREAM_BOUND).await;
+    for response in responses {
+        assert!(response.is_complete);
+        assert_eq!(response.event_ids(), [1, 2, 3]);
+    }
+    let request = GatewayHarness::build_request("POST", "/write/7", "depot-key", "prompt");
+    let headers = "Last-Event-Id: 1\r\nX-Prompt-Prefix: 0f:200,ab0:8000\r\nX-Attempt-Id";
+    let request = request.replacen("X-Attempt-Id", headers, 1);
+    let response = harness.send_raw(&request).await.unwrap();
+    assert_eq!(response.event_ids(), [2, 3]);
+    assert_memory_is_bounded(&harness);
+}
+
+#[rstest]
+#[case::undelimited_body(EndlessResponse::UndelimitedBody)]
+#[case::chunks(EndlessResponse::Chunks)]
+#[tokio::test]
+async fn endless_reply_to_a_copy_request_is_bounded(#[case] endless: EndlessResponse) {
+    let harness = HarnessBuilder::default().engines(3).start().await;
+    harness.engines[0].set_default_response(ScriptedResponse::Stream(StreamScript {
+        last_id: 150,
+        interval: Duration::from_millis(20),
+        end: StreamEnd::Complete,
+    }));
+    let mut clients = Vec::new();
+    for _ in 0..CONCURRENT {
+        let request = GatewayHarness::build_request("POST", "/write/7", "depot-key", "prompt");
+        let mut client = harness.connect().await;
+        client.send(request.as_bytes()).await;
+        client.wait_for_text("piece 2\n").await;
+        clients.push(client);
+    }
+    harness.engines[0].set_endless_control(endless);
+    // A copy whose holder has been removed is made anew.
+    let sent = harness.engines[0].received_requests();
+    let holder = sent[0].header("x-cache-backup").unwrap();
+    let is_holder = |engine: &&FakeUpstream| engine.address().to_string() == holder;
+    let removed = harness.engines.iter().find(is_holder).unwrap();
+    harness.store.remove("servers", &removed.name());
+    for mut client in clients {
+        assert!(client.read_response().await.unwrap().is_complete);
+    }
+    assert!(!harness.engines[0].kv_move_requests().is_empty());
+    assert_memory_is_bounded(&harness);
+}
+
+#[rstest]
+#[case::informational(EndlessResponse::Informational)]
+#[case::header_value(EndlessResponse::HeaderValue)]
+#[case::undelimited_body(EndlessResponse::UndelimitedBody)]
+#[case::chunks(EndlessResponse::Chunks)]
+#[tokio::test]
+async fn endless_response_of_the_store_is_bounded(#[case] endless: EndlessResponse) {
+    let harness = HarnessBuilder::default().start().await;
+    harness.store.set_mode(StoreMode::Endless(endless));
+    let started = Instant::now();
+    while started.elapsed() < 2 * CALL_BOUND {
+        let sent = Instant::now();
+        let response = harness.send_request("POST", "/book/7", "x").await;
+        assert_eq!(response.status, 200);
+        assert!(sent.elapsed() < CALL_TARGET, "{:?}", sent.elapsed());
+        tokio::time::sleep(CALL_TARGET).await;
+    }
+    harness.store.set_mode(StoreMode::Available);
+    let config = harness.next_config();
+    harness.put_config(&config);
+    let version = config["version"].as_u64().unwrap();
+    harness.wait_for_config_version(version).await;
+    assert_memory_is_bounded(&harness);
+}
