--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -1,13 +1,14 @@
 //! Accepts callers' connections, enforces their timeouts and closes them.
 
-use crate::connection_activity::{
-    ConnectionActivity, TrackedBody, TrackedStream, BUSY_CHECK_INTERVAL,
-};
+use crate::connection_activity::{ConnectionActivity, ConnectionMode, TrackedBody};
 use crate::counters;
 use crate::dispatch::handle;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::WireProtocol;
+use crate::tracked_stream::TrackedStream;
+use http::Request;
 use http_body::Body;
+use hyper::body::Incoming;
 use hyper::rt::{Read, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +29,10 @@
 /// The percentage of file descriptors that callers' connections may use; each
 /// request needs another one for its upstream.
 const CALLER_DESCRIPTORS_PERCENT: usize = 45;
+/// How long a connection that has timed out is read again before it is closed. In a
+/// process that was suspended, timers may fire before the bytes that have arrived
+/// meanwhile are noticed.
+const CLOSE_DELAY: ClockTime = ClockTime::from_millis(10);
 /// The delay after a connection could not be accepted.
 pub(crate) const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 
@@ -69,17 +74,20 @@
     }
     let activity = ConnectionActivity::start(state.clock);
     let limits = current_limits(&state);
-    let io = TrackedStream {
-        stream: TokioIo::new(stream),
-        activity: activity.clone(),
-    };
+    let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
             let guard = activity.begin_request();
+            let has_body = !request.body().is_end_stream();
             let handling = handle::<P>(state.clone(), request);
             async move {
                 let response = handling.await?;
+                if has_body && !response.status().is_success() {
+                    // Hyper either reads the rest of the body or announces in the
+                    // response that it closes the connection.
+                    tokio::task::yield_now().await;
+                }
                 Ok::<_, std::convert::Infallible>(
                     response.map(|body| TrackedBody { body, _busy: guard }),
                 )
@@ -91,7 +99,7 @@
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    let end = drive(pin!(connection), &state, &activity, closing).await;
+    let end = drive(pin!(connection), &state, &activity, limits, closing).await;
     log_end(&end, &activity);
 }
 
@@ -142,36 +150,51 @@
     mut connection: Pin<&mut C>,
     state: &GatewayState,
     activity: &ConnectionActivity,
+    first_limits: CallerLimits,
     mut closing: watch::Receiver<bool>,
 ) -> ConnectionEnd
 where
     C: GracefulConnection + Future<Output = hyper::Result<()>>,
 {
-    let mut is_closing = false;
+    let mut mode = ConnectionMode::Open;
+    let mut has_timed_out = false;
     loop {
-        let remaining = match activity.time_left(current_limits(state)) {
-            Some(remaining) => remaining,
-            // Hyper closes an idle connection immediately. A connection that is slow
-            // to send its head is dropped below.
-            None if activity.is_idle() && !is_closing => {
+        let limits = longer_timeouts(first_limits, current_limits(state));
+        let remaining = match activity.time_left(limits, mode) {
+            Some(remaining) => {
+                has_timed_out = false;
+                remaining
+            }
+            None if !has_timed_out => {
+                has_timed_out = true;
+                CLOSE_DELAY
+            }
+            // A connection that is slow to send its head is dropped below.
+            None if activity.is_idle() && mode != ConnectionMode::Closing => {
                 connection.as_mut().close_gracefully();
-                is_closing = true;
-                BUSY_CHECK_INTERVAL
+                activity.record_write();
+                mode = ConnectionMode::Closing;
+                continue;
             }
             None => return ConnectionEnd::TimedOut,
         };
         tokio::select! {
+            // A request that has arrived is read before a timeout closes its connection.
+            biased;
             result = connection.as_mut() => {
                 return result.map_or_else(ConnectionEnd::Failed, |()| ConnectionEnd::Closed);
             }
-            () = tokio::time::sleep(remaining.to_duration()) => {}
-            changed = closing.wait_for(|closing| *closing), if !is_closing => {
+            changed = closing.wait_for(|closing| *closing), if mode == ConnectionMode::Open => {
                 // Without a sender the process is about to exit.
-                if changed.is_ok() {
-                    connection.as_mut().close_gracefully();
-                }
-                is_closing = true;
+                mode = match changed.is_ok() && activity.is_busy() {
+                    true => {
+                        connection.as_mut().close_gracefully();
+                        ConnectionMode::Closing
+                    }
+                    false => ConnectionMode::Leaving,
+                };
             }
+            () = tokio::time::sleep(remaining.to_duration()) => {}
         }
     }
 }
@@ -181,6 +204,16 @@
     table.map_or_else(CallerLimits::default, |table| table.limits())
 }
 
+/// Returns the longer timeouts of both limits: a caller may learn later than this VM that
+/// they have become shorter.
+fn longer_timeouts(first: CallerLimits, current: CallerLimits) -> CallerLimits {
+    CallerLimits {
+        head_timeout: first.head_timeout.max(current.head_timeout),
+        idle_timeout: first.idle_timeout.max(current.idle_timeout),
+        ..current
+    }
+}
+
 /// A connection that can be closed after its current response.
 trait GracefulConnection {
     fn close_gracefully(self: Pin<&mut Self>);
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -3,22 +3,32 @@
 use crate::caller_response::{IncompleteResponse, ResponseBody};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
 use skylarkshed_core::{CallerLimits, ClockTime, MonotonicClock};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
 
 /// How often the timeouts of a busy connection are checked.
-pub(crate) const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
+const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
+/// How long the rest of the last response may make no progress.
+const CLOSE_TIMEOUT: ClockTime = ClockTime::from_millis(2_000);
 
 const IDLE: u8 = 0;
 const READING_HEAD: u8 = 1;
 const BUSY: u8 = 2;
 
+/// How a connection is to be closed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionMode {
+    /// When it times out.
+    Open,
+    /// As soon as no request may be on it, because the process is draining.
+    Leaving,
+    /// After its last response.
+    Closing,
+}
+
 /// The phase of a connection, and when it began.
 pub(crate) struct ConnectionActivity {
     clock: MonotonicClock,
@@ -80,22 +90,45 @@
         self.phase.store(phase, Ordering::Relaxed);
     }
 
-    fn record_bytes(&self) {
-        if self.phase.load(Ordering::Relaxed) == IDLE {
+    /// Records that bytes of the caller were read.
+    pub(crate) fn record_read(&self) {
+        if self.is_idle() {
             self.enter(READING_HEAD);
         }
     }
 
+    /// Records that bytes were written, which may be the rest of a response whose body
+    /// has ended.
+    pub(crate) fn record_write(&self) {
+        if self.is_idle() {
+            self.enter(IDLE);
+        }
+    }
+
     /// Returns the time until the next check, or none if the phase has timed out.
-    pub(crate) fn time_left(&self, limits: CallerLimits) -> Option<ClockTime> {
+    pub(crate) fn time_left(
+        &self,
+        limits: CallerLimits,
+        mode: ConnectionMode,
+    ) -> Option<ClockTime> {
         let limit = match self.phase.load(Ordering::Relaxed) {
-            IDLE => limits.idle_timeout,
+            IDLE => self.idle_limit(limits, mode),
             READING_HEAD => limits.head_timeout,
             _ => return Some(BUSY_CHECK_INTERVAL),
         };
         let remaining = limit.since(self.phase_age());
         (remaining > ClockTime::ZERO).then_some(remaining)
     }
+
+    fn idle_limit(&self, limits: CallerLimits, mode: ConnectionMode) -> ClockTime {
+        match mode {
+            ConnectionMode::Open => limits.idle_timeout,
+            ConnectionMode::Leaving if self.requests() > 0 => ClockTime::ZERO,
+            // The first request of a new connection is on its way.
+            ConnectionMode::Leaving => limits.head_timeout,
+            ConnectionMode::Closing => CLOSE_TIMEOUT,
+        }
+    }
 }
 
 /// Marks a connection as idle when its response ends.
@@ -132,47 +165,3 @@
         self.body.size_hint()
     }
 }
-
-/// A stream that records when the caller starts to send a request.
-pub(crate) struct TrackedStream {
-    pub(crate) stream: TokioIo<TcpStream>,
-    pub(crate) activity: Arc<ConnectionActivity>,
-}
-
-impl Read for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if matches!(result, Poll::Ready(Ok(()))) {
-            self.activity.record_bytes();
-        }
-        result
-    }
-}
-
-impl Write for TrackedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod status_endpoints;
 mod store_watch;
 mod stream;
+mod tracked_stream;
 mod unanswered_request;
 mod upstreams;
 
