Answer calls that would outlast a draining process

What callers saw: nothing yet; measured in a review: a call of 1.0 s, sent 6.7 s after SIGTERM with a grace time of 8 s, ran and was cut without a byte when the process ended. Cause: a call is admitted if it ends within the grace time, but the process ends 350 ms earlier; and no deadline told the call of that end. Change: a draining process counts with its own end, and no deadline of a request that it admits is later than 100 ms before it.

--- a/crates/gateway/src/deadline.rs
+++ b/crates/gateway/src/deadline.rs
@@ -27,6 +27,12 @@
         }
     }
 
+    /// Returns the deadline, or the one after this time if that is earlier.
+    pub(crate) fn limit_to(self, remaining: ClockTime) -> Self {
+        let expires_at = self.expires_at.min(self.clock.now() + remaining);
+        RequestDeadline { expires_at, ..self }
+    }
+
     pub(crate) fn remaining(&self) -> ClockTime {
         self.expires_at.since(self.clock.now())
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RequestHead, WireProtocol};
 use crate::refusal::{refuse, reject, BadRequestReason, NotRunReason, ProblemReason};
+use crate::run::KILL_MARGIN;
 use crate::stream::serve_stream;
 use crate::unanswered_request::UnansweredRequest;
 use bytes::Bytes;
@@ -27,6 +28,8 @@
 /// checks; a caller that retries soon reaches another VM. Also used for a request
 /// whose body did not arrive in time.
 const RETRY_AFTER_LEAVING: ClockTime = ClockTime::from_millis(20);
+/// The time in which a draining process sends its last responses.
+const FINAL_RESPONSE_TIME: ClockTime = ClockTime::from_millis(100);
 /// The load balancer skips a VM without access to the store after two checks. If no
 /// VM has access, [`outage_delay`] is used.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
@@ -152,6 +155,10 @@
         return Err(refuse_with(refusal));
     }
     let deadline = RequestDeadline::new(state.clock, unanswered.received, &route, head.time_left);
+    let deadline = match state.leaving_for() {
+        Some(leaving_for) => deadline.limit_to(time_until_exit(state, leaving_for)),
+        None => deadline,
+    };
     let limit = table.limits().max_body_bytes;
     let body = read_body(body, limit, &deadline)
         .await
@@ -223,7 +230,13 @@
         RequestKind::EventStream { .. } => state.stream_time.upper_bound(),
         RequestKind::Idempotent | RequestKind::NonIdempotent => state.call_time.upper_bound(),
     };
-    leaving_for + needed <= state.settings.times.grace
+    needed <= time_until_exit(state, leaving_for)
+}
+
+/// Returns the time in which a draining process can still send a response.
+fn time_until_exit(state: &GatewayState, leaving_for: ClockTime) -> ClockTime {
+    let grace = state.settings.times.grace;
+    grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME + leaving_for)
 }
 
 async fn read_body(
--- a/tests/testsuite/tests/gateway/leaving.rs
+++ b/tests/testsuite/tests/gateway/leaving.rs
@@ -3,7 +3,7 @@
 use nix::sys::signal::Signal;
 use skylarkshed_stand_ins::ScriptedResponse;
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 #[tokio::test]
 async fn terminating_process_finishes_the_requests_it_read() {
@@ -72,3 +72,32 @@
     );
     harness.wait_for_ready().await;
 }
+
+/// Guards against a call that a draining process admits and that its exit then cuts.
+#[tokio::test]
+async fn call_that_would_outlast_the_process_gets_an_answer() {
+    let harness = HarnessBuilder::default().grace_s(4).start().await;
+    for application in &harness.applications {
+        application.set_default_response(ScriptedResponse::Status {
+            status: 200,
+            delay: Duration::from_millis(900),
+        });
+    }
+    harness.signal(Signal::SIGTERM);
+    let started = Instant::now();
+    // The first call keeps the process up until the second one has begun.
+    let mut clients = Vec::new();
+    for begin in [2_100, 2_900] {
+        let begin = Duration::from_millis(begin);
+        tokio::time::sleep(begin.saturating_sub(started.elapsed())).await;
+        let mut client = harness.connect().await;
+        let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
+        client.send(request.as_bytes()).await;
+        clients.push(client);
+    }
+    for client in &mut clients {
+        let response = client.read_response().await;
+        let response = response.expect("a call that was read gets an answer");
+        assert!([200, 503, 504].contains(&response.status), "{response:?}");
+    }
+}
