Give fake upstreams a faulty version

Process tests of rollouts could only script a version that fails always or never. A fake upstream can now be slow by a factor (before the first event and between events) or fail a share of its requests, on one route only, and from or until its n-th request; the choice of failing requests has a fixed seed. It records when each bad response ended and when each request arrived, so that a test can judge by what the upstreams saw.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -24,7 +24,7 @@
 pub use platform::{run_platform, PlatformControl, PlatformFaults};
 pub use proxy::{run_proxy, ProxyFaults};
 pub use routing::{
-    FakeStore, FakeUpstream, ReceivedRequest, ScriptedResponse, StoreCopy, StoreMode, StreamEnd,
-    StreamScript,
+    FakeStore, FakeUpstream, FaultEffect, ReceivedRequest, ScriptedResponse, StoreCopy, StoreMode,
+    StreamEnd, StreamScript, VersionFault,
 };
 pub use token_oracle::{check_answer, AnswerMismatch, TokenOracle};
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -97,4 +97,19 @@
             end,
         })
     }
+
+    /// Returns the response with all its waits multiplied by a factor.
+    pub(super) fn slowed_by(self, factor: u32) -> Self {
+        match self {
+            ScriptedResponse::Status { status, delay } => ScriptedResponse::Status {
+                status,
+                delay: delay * factor,
+            },
+            ScriptedResponse::Stream(script) => ScriptedResponse::Stream(StreamScript {
+                interval: script.interval * factor,
+                ..script
+            }),
+            other => other,
+        }
+    }
 }
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -1,12 +1,14 @@
 //! A fake upstream that sends scripted responses and records its requests.
 
+use super::connection::{read_body, read_head, send_response};
 use super::control_calls::ControlCalls;
-use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
+use super::scripted_response::ScriptedResponse;
+use super::version_fault::{FaultState, VersionFault};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::time::Instant;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -19,6 +21,8 @@
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// When the head had been read.
+    pub received_at: Instant,
 }
 
 impl ReceivedRequest {
@@ -37,6 +41,7 @@
     default_response: ScriptedResponse,
     received: Vec<ReceivedRequest>,
     control: ControlCalls,
+    fault: FaultState,
 }
 
 /// A fake upstream that runs until it is dropped or stopped.
@@ -94,6 +99,7 @@
             default_response: ScriptedResponse::success(),
             received: Vec::new(),
             control: ControlCalls::default(),
+            fault: FaultState::default(),
         }));
         let (received_count, _) = watch::channel(0);
         let (closed_count, _) = watch::channel(0);
@@ -132,6 +138,16 @@
         self.lock().default_response = response;
     }
 
+    /// Sets the fault that its version has from now on; `None` mends it.
+    pub fn set_version_fault(&self, fault: Option<VersionFault>) {
+        self.lock().fault.set(fault);
+    }
+
+    /// Returns when each response that the version's fault affected had ended.
+    pub fn bad_response_times(&self) -> Vec<Instant> {
+        self.lock().fault.bad_response_times.clone()
+    }
+
     /// Returns the requests received so far.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.lock().received.clone()
@@ -197,12 +213,13 @@
         let _ = stream.write_all(reply.as_bytes()).await;
         return;
     }
-    let (response, name) = {
+    let (response, is_bad, name) = {
         let mut state = shared.lock();
         state.received.push(request.clone());
         let response = state.script.pop_front();
         let response = response.unwrap_or_else(|| state.default_response.clone());
-        (response, state.name.clone())
+        let (response, is_bad) = state.fault.apply(&request, response);
+        (response, is_bad, state.name.clone())
     };
     shared.received_count.send_modify(|count| *count += 1);
     let is_misdirected = request
@@ -218,6 +235,10 @@
     {
         shared.closed_count.send_modify(|count| *count += 1);
     }
+    if is_bad {
+        let mut state = shared.lock();
+        state.fault.bad_response_times.push(Instant::now());
+    }
 }
 
 /// Responds, then reads the part of the body that the client still sends.
@@ -240,158 +261,3 @@
     drop(state);
     shared.received_count.send_modify(|count| *count += 1);
 }
-
-/// Reads a request head and the part of the body that arrived with it. Returns the
-/// content length as well.
-async fn read_head(stream: &mut TcpStream) -> Option<(ReceivedRequest, usize)> {
-    let mut bytes = Vec::new();
-    let end = loop {
-        let mut chunk = [0; 4096];
-        let read = stream.read(&mut chunk).await.ok()?;
-        if read == 0 {
-            return None;
-        }
-        bytes.extend_from_slice(&chunk[..read]);
-        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            break end + 4;
-        }
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let mut lines = head.split("\r\n");
-    let line = lines.next()?.to_owned();
-    let headers = lines.filter_map(|line| line.split_once(": "));
-    let headers: Vec<(String, String)> = headers
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
-        .collect();
-    let length = headers.iter().find(|(name, _)| name == "content-length");
-    let length: usize = length.and_then(|(_, text)| text.parse().ok()).unwrap_or(0);
-    let body = bytes.split_off(end);
-    let request = ReceivedRequest {
-        request_line: line,
-        headers,
-        body,
-    };
-    Some((request, length))
-}
-
-/// Reads until the body is complete; returns `None` if the connection ends first.
-async fn read_body(stream: &mut TcpStream, body: &mut Vec<u8>, length: usize) -> Option<()> {
-    while body.len() < length {
-        let mut chunk = [0; 4096];
-        let read = stream.read(&mut chunk).await.ok()?;
-        if read == 0 {
-            return None;
-        }
-        body.extend_from_slice(&chunk[..read]);
-    }
-    Some(())
-}
-
-/// Sends the scripted response; fails if the client closed the connection first.
-async fn send_response(
-    stream: &mut TcpStream,
-    request: &ReceivedRequest,
-    response: &ScriptedResponse,
-) -> std::io::Result<()> {
-    let id = request.header("x-attempt-id").unwrap_or("none").to_owned();
-    let signed = format!("X-Attempt-Id: {id}\r\nX-Server-Signature: sig-{id}\r\n");
-    let respond = |status: u16, headers: &str, body: &str| {
-        let length = body.len();
-        format!("HTTP/1.1 {status} Status\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
-    };
-    let text = match response {
-        ScriptedResponse::Status { status, delay } => {
-            wait_unless_closed(stream, *delay).await?;
-            respond(*status, &signed, "answer")
-        }
-        ScriptedResponse::BeforeBody => respond(200, &signed, "answer"),
-        ScriptedResponse::Unsigned => respond(200, &format!("X-Attempt-Id: {id}\r\n"), "answer"),
-        ScriptedResponse::WrongAttemptId => respond(
-            200,
-            "X-Attempt-Id: other\r\nX-Server-Signature: sig\r\n",
-            "answer",
-        ),
-        ScriptedResponse::NotExecuted => respond(503, "X-Not-Executed: 1\r\n", ""),
-        ScriptedResponse::WithHeader { status, header } => {
-            let not_run = match status {
-                503 => "X-Not-Executed: 1\r\n",
-                _ => "",
-            };
-            let headers = format!("{signed}{not_run}{header}\r\n");
-            respond(*status, &headers, "answer")
-        }
-        ScriptedResponse::Misdirected => respond(421, "X-Instance-Id: other\r\n", ""),
-        ScriptedResponse::Truncated => {
-            let text = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 100\r\n\r\nonly");
-            stream.write_all(text.as_bytes()).await?;
-            return stream.shutdown().await;
-        }
-        ScriptedResponse::NoContentLength => format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer"),
-        ScriptedResponse::Duplicated => respond(200, &signed, "answer").repeat(2),
-        ScriptedResponse::Unparsable => "\0\0 no response\r\n\r\n".to_owned(),
-        ScriptedResponse::Reset => return reset(stream),
-        ScriptedResponse::NoResponse => {
-            return wait_unless_closed(stream, Duration::from_secs(600)).await
-        }
-        ScriptedResponse::Stream(script) => {
-            return send_events(stream, request, &signed, script).await
-        }
-    };
-    stream.write_all(text.as_bytes()).await
-}
-
-async fn send_events(
-    stream: &mut TcpStream,
-    request: &ReceivedRequest,
-    signed: &str,
-    script: &StreamScript,
-) -> std::io::Result<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\
-         Transfer-Encoding: chunked\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    let after = request.header("last-event-id");
-    let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-    for id in after + 1..=script.last_id {
-        wait_unless_closed(stream, script.interval).await?;
-        let event = format!("id: {id}\ndata: piece {id}\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-    }
-    match script.end {
-        StreamEnd::Complete => stream.write_all(b"0\r\n\r\n").await,
-        StreamEnd::Stall => wait_unless_closed(stream, Duration::from_secs(600)).await,
-        StreamEnd::Trickle => loop {
-            stream.write_all(b"1\r\n:\r\n").await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-        },
-        StreamEnd::Reset => {
-            // The events must arrive before the reset discards them.
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-        StreamEnd::ResetMidEvent => {
-            let next = script.last_id + 1;
-            let part = format!("id: {next}\nda");
-            let chunk = format!("{:x}\r\n{part}\r\n", part.len());
-            stream.write_all(chunk.as_bytes()).await?;
-            wait_unless_closed(stream, Duration::from_millis(50)).await?;
-            reset(stream)
-        }
-    }
-}
-
-/// Makes the connection end with a reset when it is dropped.
-fn reset(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_zero_linger()
-}
-
-/// Waits for `duration`; fails as soon as the client closes the connection.
-async fn wait_unless_closed(stream: &mut TcpStream, duration: Duration) -> std::io::Result<()> {
-    let mut byte = [0; 1];
-    match tokio::time::timeout(duration, stream.read(&mut byte)).await {
-        Err(_) => Ok(()),
-        Ok(_) => Err(std::io::ErrorKind::ConnectionAborted.into()),
-    }
-}
