Add process tests of rollouts with each kind of bad version

Callers met bad versions that were completed. The new tests run one to five VMs and engines of two versions at a low rate of streams, and judge by the rows in the store and by what the engines received: the state in time, the requests of a bad version within exposure_share x requests + exposure_slack, and none later than rollback_ms after its 50th bad response.

The settings of the test VMs name these three bounds.

Cause: the share of a new version is so low that too few streams are seen, and a version that is not known to be bad is completed. The last test has another cause: a VM considers three engines for a stream, and three more if these seem busy. With fewer of the old version it fills the list with engines of the new one, and then chooses among all of them by load.

--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -5,6 +5,7 @@
     config_metric, copy_output, get, start_process, wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
 };
 use crate::raw_client::{RawClient, RawResponse};
+use crate::rollout_trial::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_TIME};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
@@ -131,6 +132,7 @@
     fn render_settings(&self, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
         let (grace, revoke) = (self.grace_s, self.revoke_ms);
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let rollback = ROLLBACK_TIME.as_millis();
         format!(
             r#"
 node_name = "{name}"
@@ -154,6 +156,9 @@
 retry_budget_ratio = 0.8
 retry_budget_slack = 150
 retry_window_s = 10
+exposure_share = {EXPOSURE_SHARE}
+exposure_slack = {EXPOSURE_SLACK}
+rollback_ms = {rollback}
 [platform]
 address = "{store}"
 "#
@@ -360,9 +365,20 @@
     /// Returns the text of a request with a unique identifier.
     pub fn build_request(method: &str, path: &str, key: &str, body: &str) -> String {
         let number = NEXT_REQUEST_NUMBER.fetch_add(1, Ordering::Relaxed);
+        Self::build_request_with_id(&format!("r{number}"), method, path, key, body)
+    }
+
+    /// Returns the text of a request with this identifier.
+    pub(crate) fn build_request_with_id(
+        id: &str,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> String {
         let length = body.len();
         format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: r{number}\r\n\
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
              X-Deadline-Remaining: 20000\r\nX-Token-Usage: 800,80\r\n\
              Authorization: Token {key}\r\nContent-Length: {length}\r\n\r\n{body}"
         )
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -5,6 +5,8 @@
 mod gateway_harness;
 mod gateway_process;
 mod raw_client;
+mod rollout_load;
+mod rollout_trial;
 mod running_generation;
 
 pub use fixture::{assert_complete_answer, generation_spec, BOOKING_PATH};
@@ -12,4 +14,6 @@
 pub use gateway_harness::{GatewayHarness, HarnessBuilder, OtherVm};
 pub use gateway_process::{config_metric, program_path, wait_for_metric};
 pub use raw_client::{RawClient, RawResponse};
+pub use rollout_load::CallerLoad;
+pub use rollout_trial::{RolloutTrial, DRAFT_PATH, ROLLBACK_TIME, WRITE_PATH};
 pub use running_generation::RunningGeneration;
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod peers;
 mod responses;
 mod retries;
+mod rollout_faults;
+mod rollout_fleet;
 mod rollouts;
 mod routing;
 mod store_restore;
--- /dev/null
+++ b/tests/testsuite/tests/gateway/rollout_faults.rs
@@ -0,0 +1,95 @@
+//! Rollouts of engine versions with each kind of fault, at a low rate of requests.
+
+use rstest::rstest;
+use skylarkshed_stand_ins::{FaultEffect, VersionFault};
+use skylarkshed_testsuite::{CallerLoad, RolloutTrial, DRAFT_PATH, WRITE_PATH};
+use std::time::Duration;
+
+const DURATION: Duration = Duration::from_secs(8);
+/// Some 96 streams in the time of a rollout.
+const STREAMS_PER_S: f64 = 12.0;
+const SLOW: VersionFault = VersionFault::new(FaultEffect::Slow(5));
+const FAILING: VersionFault = VersionFault::new(FaultEffect::Failing(30));
+
+/// Starts callers on two routes: most on the first, a quarter on the second.
+fn start_two_routes(trial: &RolloutTrial, seed: u64) -> [CallerLoad; 2] {
+    let vm = trial.vm_address(0);
+    [
+        CallerLoad::start(vm, WRITE_PATH, STREAMS_PER_S * 0.75, seed),
+        CallerLoad::start(vm, DRAFT_PATH, STREAMS_PER_S * 0.25, seed + 1),
+    ]
+}
+
+#[rstest]
+#[case::slow(SLOW)]
+#[case::failing(FAILING)]
+#[case::failing_on_one_route(VersionFault::new(FaultEffect::Failing(100)).on_route(DRAFT_PATH))]
+#[case::slow_later(SLOW.after(1))]
+#[case::failing_later(FAILING.after(1))]
+#[tokio::test]
+async fn bad_version_is_rolled_back_in_time(#[case] fault: VersionFault) {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.set_fault(Some(&fault));
+    trial.order(DURATION);
+    let _load = start_two_routes(&trial, 27);
+    trial.assert_rolled_back().await;
+}
+
+#[rstest]
+#[case::from_the_start(None)]
+#[case::with_cold_engines(Some(VersionFault::new(FaultEffect::Slow(3)).until(1)))]
+#[tokio::test]
+async fn good_version_is_completed_in_time_at_a_low_rate(#[case] cold: Option<VersionFault>) {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.set_fault(cold.as_ref());
+    trial.order(DURATION);
+    let _load = start_two_routes(&trial, 28);
+    trial.assert_completed().await;
+}
+
+/// The old engines are still there, so callers need not suffer.
+#[rstest]
+#[case::slow(SLOW)]
+#[case::failing(FAILING)]
+#[tokio::test]
+async fn version_that_turns_bad_after_its_completion_gets_no_more_requests(
+    #[case] fault: VersionFault,
+) {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.order(DURATION);
+    let load = start_two_routes(&trial, 29);
+    trial.assert_completed().await;
+    drop(load);
+    trial.set_fault(Some(&fault));
+    let load = trial.start_load(0, 60.0);
+    // Some ten seconds: 50 bad responses, the time to roll back, and more.
+    while load.sent_count() < 600 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let late = trial.late_requests();
+    assert_eq!(late, 0, "requests too long after the 50th bad response");
+}
+
+#[tokio::test]
+async fn order_that_is_written_again_begins_anew() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.set_fault(Some(&VersionFault::new(FaultEffect::Failing(100))));
+    trial.order(DURATION);
+    let _load = start_two_routes(&trial, 30);
+    trial.assert_rolled_back().await;
+    trial.set_fault(None);
+    trial.order(DURATION);
+    trial.wait_for_state("running").await;
+    trial.assert_completed().await;
+}
+
+/// More engines are considered for a stream than there are of the old version.
+#[tokio::test]
+async fn new_version_gets_its_share_only_while_there_are_few_old_engines() {
+    let mut trial = RolloutTrial::start_with_engines(1, 2).await;
+    trial.order(DURATION);
+    let _load = trial.start_load(0, 60.0);
+    trial.wait_for_end().await;
+    // It was not known to be good until now.
+    trial.assert_exposure();
+}
--- /dev/null
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -0,0 +1,131 @@
+//! Rollouts that several VMs take part in.
+
+use rstest::rstest;
+use skylarkshed_stand_ins::{FaultEffect, StoreMode, VersionFault};
+use skylarkshed_testsuite::{CallerLoad, RolloutTrial, ROLLBACK_TIME};
+use std::time::Duration;
+
+const DURATION: Duration = Duration::from_secs(8);
+/// The time after which all VMs have what the operators wrote.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(2);
+const SLOW: VersionFault = VersionFault::new(FaultEffect::Slow(5));
+const FAILING: VersionFault = VersionFault::new(FaultEffect::Failing(30));
+
+fn start_load(trial: &RolloutTrial, vms: usize, per_second: f64) -> Vec<CallerLoad> {
+    let vms = 0..vms;
+    vms.map(|vm| trial.start_load(vm, per_second)).collect()
+}
+
+#[rstest]
+#[case::slow(SLOW)]
+#[case::failing(FAILING)]
+#[tokio::test]
+async fn sum_over_all_vms_stays_within_what_a_bad_version_may_get(#[case] fault: VersionFault) {
+    let mut trial = RolloutTrial::start(5).await;
+    trial.set_fault(Some(&fault));
+    trial.order(DURATION);
+    let _load = start_load(&trial, 5, 8.0);
+    trial.assert_rolled_back().await;
+    // Streams that the rollback moves elsewhere count as well.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    trial.assert_exposure();
+}
+
+/// Either VM may be the one that evaluates the rollout.
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+#[tokio::test]
+async fn slow_version_is_rolled_back_after_a_vm_is_killed(#[case] killed: usize) {
+    let mut trial = RolloutTrial::start(2).await;
+    trial.set_fault(Some(&SLOW));
+    trial.order(DURATION);
+    let mut load = start_load(&trial, 2, 12.0);
+    trial.wait_for_state("running").await;
+    while trial.new_request_count() < 2 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // A closed connection of the killed VM must not look like a fault of the version.
+    drop(load.remove(killed));
+    trial.kill(killed).await;
+    trial.assert_rolled_back().await;
+}
+
+#[tokio::test]
+async fn failing_version_is_rolled_back_although_the_store_was_away() {
+    let mut trial = RolloutTrial::start(2).await;
+    trial.set_fault(Some(&FAILING));
+    trial.order(DURATION);
+    let _load = start_load(&trial, 2, 6.0);
+    trial.wait_for_state("running").await;
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(DURATION / 2).await;
+    trial.harness.store.set_mode(StoreMode::Available);
+    trial.assert_rolled_back().await;
+}
+
+#[tokio::test]
+async fn good_version_is_completed_although_the_store_was_away() {
+    let mut trial = RolloutTrial::start(2).await;
+    trial.order(DURATION);
+    let _load = start_load(&trial, 2, 6.0);
+    trial.wait_for_state("running").await;
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    tokio::time::sleep(DURATION / 2).await;
+    trial.harness.store.set_mode(StoreMode::Available);
+    trial.assert_completed().await;
+}
+
+#[tokio::test]
+async fn vms_that_start_during_a_rollout_add_no_exposure() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.set_fault(Some(&SLOW));
+    trial.order(DURATION);
+    let mut load = start_load(&trial, 1, 12.0);
+    trial.wait_for_state("running").await;
+    for vm in 1..4 {
+        trial.add_vm().await;
+        load.push(trial.start_load(vm, 12.0));
+    }
+    trial.assert_rolled_back().await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    trial.assert_exposure();
+}
+
+/// The VMs tell each other: the second one has seen no response of the bad version.
+#[tokio::test]
+async fn vm_learns_of_a_bad_version_from_another_one_while_the_store_is_away() {
+    let mut trial = RolloutTrial::start(2).await;
+    trial.set_fault(Some(&VersionFault::new(FaultEffect::Failing(100))));
+    trial.order(Duration::from_secs(30));
+    trial.wait_for_state("running").await;
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    let load = trial.start_load(0, 60.0);
+    wait_until_avoided(&trial, &load).await;
+    drop(load);
+    tokio::time::sleep(ROLLBACK_TIME).await;
+    let before = trial.new_request_count();
+    let load = trial.start_load(1, 60.0);
+    while load.sent_count() < 120 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let sent = trial.new_request_count() - before;
+    assert_eq!(sent, 0, "requests of the second VM to the bad version");
+}
+
+/// Waits until the new version has got some requests, but none of the last 120.
+async fn wait_until_avoided(trial: &RolloutTrial, load: &CallerLoad) {
+    let mut last = (0, 0);
+    loop {
+        let new = trial.new_request_count();
+        if new != last.0 {
+            last = (new, load.sent_count());
+        }
+        if new > 0 && load.sent_count() >= last.1 + 120 {
+            return;
+        }
+        assert!(load.sent_count() < 3_000, "the VM still sends to it");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
