--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -12,6 +12,8 @@
 mod peers;
 mod responses;
 mod retries;
+mod rollout_faults;
+mod rollout_fleet;
 mod rollouts;
 mod routing;
 mod silent_engines;
