--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,11 +7,12 @@
 use crate::gateway_state::{GatewayState, ServiceTraffic};
 use crate::platform_api::WireProtocol;
 use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunTracker};
+use crate::rollouts::{AttemptInfo, AttemptProbe, CanaryTicket};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use bytes::Bytes;
 use http::{response, Response};
 use skylarkshed_core::{ClockTime, UpstreamName};
-use skylarkshed_policy::{is_worth_attempt, outage_delay, UpstreamHealth};
+use skylarkshed_policy::{is_worth_attempt, outage_delay, UpstreamHealth, VersionRule};
 use std::future::Future;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
@@ -57,6 +58,10 @@
     tried: Vec<UpstreamName>,
     sends: u32,
     unsent: usize,
+    /// Which versions the next attempt may be sent to.
+    version_rule: VersionRule,
+    /// The permission to send it to the version under test.
+    ticket: Option<CanaryTicket>,
     /// Whether the next retry has already been taken from the budget.
     is_retry_reserved: bool,
     /// The response if no further attempt is made.
@@ -78,10 +83,13 @@
         tried: Vec::new(),
         sends: 0,
         unsent: 0,
+        version_rule: VersionRule::Any,
+        ticket: None,
         is_retry_reserved: false,
         fallback: None,
     };
     loop {
+        attempts.update_version_rule();
         let upstream = attempts.next_upstream();
         let Some(upstream) = upstream.filter(|upstream| attempts.is_worth_attempt(upstream)) else {
             return attempts.finish_unserved(NotRunReason::NoUpstream);
@@ -95,13 +103,35 @@
 }
 
 impl CallAttempts<'_> {
+    /// Determines which versions the next attempt may be sent to.
+    fn update_version_rule(&mut self) {
+        let request = self.request;
+        let is_first = self.tried.is_empty();
+        let rollouts = &self.state.rollouts;
+        let next = rollouts.attempt_rule(&request.service, &request.route.name, is_first);
+        (self.version_rule, self.ticket) = (next.rule, next.ticket);
+    }
+
+    /// Starts to observe an attempt for the comparison of versions.
+    fn observe(&mut self, upstream: &UpstreamState) -> AttemptProbe {
+        let request = self.request;
+        let info = AttemptInfo {
+            version: &upstream.record.version,
+            route: &request.route.name,
+            customer: request.customer.as_ref(),
+            is_timed: true,
+        };
+        let rollouts = &self.state.rollouts;
+        rollouts.start_attempt(&request.service, &info, self.ticket.take())
+    }
+
     fn next_upstream(&self) -> Option<Arc<UpstreamState>> {
         self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
             avoid: &self.tried,
             avoid_zones: &[],
-            version_rule: &self.request.version_rule,
+            version_rule: &self.version_rule,
             prompt_hash: None,
         })
     }
@@ -115,6 +145,7 @@
 
     async fn send_to<P: WireProtocol>(&mut self, upstream: &UpstreamState) -> AttemptOutcome {
         self.tried.push(upstream.name().clone());
+        let mut probe = self.observe(upstream);
         let started = self.state.clock.now();
         let options = self.request.send_options(upstream);
         let (state, request) = (self.state, self.request);
@@ -130,6 +161,7 @@
                 if matches!(outcome, AttemptOutcome::Response(..)) {
                     let time = self.state.clock.now().since(started);
                     self.traffic.latency.record(time);
+                    probe.record_event();
                 }
                 outcome
             }
@@ -239,20 +271,17 @@
     /// Logs the outcome of an attempt and counts it for its upstream's version.
     fn record_outcome(&self, upstream: &UpstreamState, outcome: &AttemptOutcome) {
         let elapsed = self.request.deadline.elapsed();
-        // A failure counts without a time; an attempt that did not run isn't counted.
-        let time = match outcome {
-            AttemptOutcome::Response(..) => Some(Some(elapsed)),
-            AttemptOutcome::UpstreamError(..) | AttemptOutcome::Failed(_) => Some(None),
-            AttemptOutcome::Unsent | AttemptOutcome::NotRun => None,
-        };
-        if let Some(time) = time {
+        let is_failure = matches!(
+            outcome,
+            AttemptOutcome::UpstreamError(..) | AttemptOutcome::Failed(_)
+        );
+        if is_failure {
             let request = self.request;
-            self.state.rollouts.record(
+            self.state.rollouts.record_failure(
                 &request.service,
                 &upstream.record.version,
                 &request.route.name,
                 request.customer.as_ref(),
-                time,
             );
         }
         if !matches!(outcome, AttemptOutcome::Response(..)) {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -159,7 +159,7 @@
             RETRY_AFTER_NOT_READY,
         ))
     })?;
-    let version_rule = state.rollouts.version_rule(&service, hash);
+    let version_rule = state.rollouts.version_rule(&service);
     Ok(CallerRequest {
         parts,
         body,
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -69,7 +69,7 @@
             feed_caches: FeedCaches::new(),
             table_server: Mutex::new(TableServer::new(settings.transfer_rate)),
             roster: VmRoster::default(),
-            rollouts: RolloutManager::default(),
+            rollouts: RolloutManager::new(clock),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             config: ConfigState::new(boot_clock),
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -37,6 +37,7 @@
             PeerBody::RequestFeed(request) => {
                 PeerBody::Feed(serve_feed(&self.state, &request).await)
             }
+            PeerBody::ReportRollout(report) => self.state.rollouts.receive_report(&report),
             _ => PeerBody::Done(false),
         }
     }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -349,18 +349,4 @@
         status: &RolloutStatus,
         expected: u64,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
-
-    /// Writes a VM's evidence on a rollout: its request statistics of both versions.
-    fn write_evidence(
-        &self,
-        spec: &RolloutSpec,
-        vm: &VmName,
-        evidence: Vec<u8>,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
-
-    /// Reads all VMs' evidence on a rollout.
-    fn read_evidence(
-        &self,
-        spec: &RolloutSpec,
-    ) -> impl Future<Output = Result<Vec<Vec<u8>>, StoreError>> + Send;
 }
--- /dev/null
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -0,0 +1,186 @@
+//! Exchanges evidence on rollouts between VMs.
+//!
+//! Two VMs of different zones are the hubs of a rollout. Each VM sends both its samples
+//! and learns from them what the fleet knows, so that a bad version is known to all
+//! within a second, also without the store. Only the hubs use the store.
+
+use super::record::{RolloutRecord, VmReport};
+use crate::gateway_state::GatewayState;
+use serde::{Deserialize, Serialize};
+use skylarkshed_core::{ClockTime, VmName};
+use skylarkshed_peer::wire::{PeerBody, RolloutReport};
+use skylarkshed_policy::{
+    compare_rollout, hash_rank, overdue_times, slow_paces, RolloutFindings, RolloutSamples,
+    RolloutState, VmEntry,
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The time for the round trip to a hub in another zone, and for a slow VM.
+const REPLY_TIMEOUT: ClockTime = ClockTime::from_millis(600);
+/// A VM that has not reported for this time is not heard.
+const REPORT_TTL: ClockTime = ClockTime::from_millis(2_000);
+/// The number of hubs of a rollout.
+const MAX_HUBS: usize = 2;
+
+/// What a hub knows of a rollout.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct RolloutWord {
+    pub(super) state: RolloutState,
+    pub(super) is_stored: bool,
+    /// Whether the hub hears from most VMs.
+    pub(super) has_quorum: bool,
+    /// The time since the rollout began.
+    pub(super) elapsed_ms: u64,
+    /// Requests sent to the new version, by route.
+    pub(super) sent: BTreeMap<String, u64>,
+    /// When a first event is overdue, by route; the empty name is for other routes.
+    overdue_ms: BTreeMap<String, u64>,
+    /// From which interval on events are slow, by route.
+    slow_pace_ms: BTreeMap<String, u64>,
+}
+
+impl Default for RolloutWord {
+    fn default() -> Self {
+        RolloutWord {
+            state: RolloutState::Running,
+            is_stored: false,
+            has_quorum: false,
+            elapsed_ms: 0,
+            sent: BTreeMap::new(),
+            overdue_ms: BTreeMap::new(),
+            slow_pace_ms: BTreeMap::new(),
+        }
+    }
+}
+
+impl RolloutWord {
+    /// Returns when a route's first event is overdue, if it is known.
+    pub(super) fn overdue(&self, route: &str) -> Option<ClockTime> {
+        let millis = self.overdue_ms.get(route).or(self.overdue_ms.get(""))?;
+        Some(ClockTime::from_millis(*millis))
+    }
+
+    /// Reports whether an interval between events is slow.
+    pub(super) fn is_slow_pace(&self, route: &str, interval: ClockTime) -> bool {
+        let millis = self.slow_pace_ms.get(route);
+        millis.is_some_and(|millis| interval >= ClockTime::from_millis(*millis))
+    }
+}
+
+/// Returns the other hubs of a rollout, and whether this VM is one.
+pub(super) fn find_hubs(state: &GatewayState, record: &RolloutRecord) -> (Vec<SocketAddr>, bool) {
+    let vms = state.roster.vms();
+    let spec = &record.spec;
+    let rank = |vm: &VmEntry| hash_rank((&vm.name, &spec.service, spec.revision));
+    let mut hubs: Vec<&VmEntry> = vms.iter().collect();
+    hubs.sort_by_key(|vm| std::cmp::Reverse(rank(vm)));
+    let first_zone = hubs.first().map(|hub| hub.zone.clone());
+    let is_elsewhere = |vm: &VmEntry| Some(&vm.zone) != first_zone.as_ref();
+    // The first one, then those of other zones.
+    if hubs.len() > 1 {
+        hubs[1..].sort_by_key(|vm| !is_elsewhere(vm));
+    }
+    hubs.truncate(MAX_HUBS);
+    let own = &state.settings.name;
+    let is_hub = hubs.is_empty() || hubs.iter().any(|hub| hub.name == *own);
+    let others = hubs.iter().filter(|hub| hub.name != *own);
+    (others.map(|hub| hub.address).collect(), is_hub)
+}
+
+/// Sends this VM's samples to a hub and returns what it knows.
+pub(super) async fn report_to(
+    state: &GatewayState,
+    record: &RolloutRecord,
+    hub: SocketAddr,
+    samples: &str,
+) -> Option<RolloutWord> {
+    let report = RolloutReport {
+        service: record.spec.service.to_string(),
+        revision: record.spec.revision,
+        vm: state.settings.name.to_string(),
+        is_rolled_back: record.state() == RolloutState::RolledBack,
+        samples: samples.to_owned(),
+    };
+    let body = PeerBody::ReportRollout(report);
+    let reply = state.peers.request(hub, body, REPLY_TIMEOUT).await;
+    match reply {
+        Ok(PeerBody::RolloutWord(word)) => parse_word(&word),
+        // It has not read the order yet.
+        Ok(_) => None,
+        Err(error) => {
+            log::debug!(hub:%; "can't report on a rollout: {error}");
+            None
+        }
+    }
+}
+
+fn parse_word(word: &str) -> Option<RolloutWord> {
+    serde_json::from_str(word)
+        .map_err(|error| log::warn!("can't parse a hub's word on a rollout: {error}"))
+        .ok()
+}
+
+/// Records the report of another VM and returns the reply, if the order is the same.
+pub(super) fn receive_report(record: &RolloutRecord, report: &RolloutReport) -> PeerBody {
+    if record.spec.revision != report.revision {
+        return PeerBody::Done(false);
+    }
+    match serde_json::from_str::<RolloutSamples>(&report.samples) {
+        Ok(samples) => record_report(record, VmName::from(report.vm.as_str()), samples),
+        Err(error) => {
+            log::warn!(vm = report.vm.as_str(); "can't parse the samples of a VM: {error}");
+        }
+    }
+    if report.is_rolled_back {
+        record.record_state(RolloutState::RolledBack);
+    }
+    let progress = record.progress();
+    let word = RolloutWord {
+        state: progress.state,
+        is_stored: progress.is_stored,
+        elapsed_ms: progress.elapsed(record.clock.now()).as_millis(),
+        ..progress.word.clone()
+    };
+    PeerBody::RolloutWord(serde_json::to_string(&word).unwrap_or_default())
+}
+
+pub(super) fn record_report(record: &RolloutRecord, vm: VmName, samples: RolloutSamples) {
+    let received_at = record.clock.now();
+    let report = VmReport {
+        samples,
+        received_at,
+    };
+    record.progress().reports.insert(vm, report);
+}
+
+/// Sums the reports of all VMs, as a hub, and updates what it tells them.
+pub(super) fn review_reports(state: &GatewayState, record: &RolloutRecord) -> RolloutFindings {
+    let now = record.clock.now();
+    let mut sum = RolloutSamples::default();
+    let mut heard = 0;
+    let progress = record.progress();
+    for report in progress.reports.values() {
+        sum.merge(&report.samples);
+        heard += usize::from(now.since(report.received_at) < REPORT_TTL);
+    }
+    let word = RolloutWord {
+        state: progress.state,
+        is_stored: progress.is_stored,
+        has_quorum: heard * 2 > state.roster.count().unwrap_or(1),
+        elapsed_ms: progress.elapsed(now).as_millis(),
+        sent: sum.sent_to_new(),
+        overdue_ms: to_millis(overdue_times(&sum)),
+        slow_pace_ms: to_millis(slow_paces(&sum)),
+    };
+    drop(progress);
+    record.apply_word(word);
+    compare_rollout(&sum)
+}
+
+fn to_millis(times: BTreeMap<String, ClockTime>) -> BTreeMap<String, u64> {
+    let times = times.into_iter();
+    times
+        .map(|(route, time)| (route, time.as_millis()))
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -0,0 +1,204 @@
+//! Runs the operators' rollouts and collects this VM's samples on them.
+
+mod exchange;
+mod probe;
+mod recent;
+mod record;
+mod task;
+
+use crate::gateway_state::GatewayState;
+use crate::platform_api::RoutingStore;
+use arc_swap::ArcSwap;
+pub(crate) use probe::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
+use recent::RecentSamples;
+use record::RolloutRecord;
+use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
+use skylarkshed_peer::wire::{PeerBody, RolloutReport};
+use skylarkshed_policy::{hash_rank, select_version_rule, CanaryAllowance, VersionRule};
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
+
+type RolloutMap = HashMap<ServiceName, Arc<RolloutRecord>>;
+
+/// All rollouts, by service.
+pub(crate) struct RolloutManager {
+    clock: MonotonicClock,
+    rollouts: ArcSwap<RolloutMap>,
+    recent: Arc<RecentSamples>,
+}
+
+impl RolloutManager {
+    pub(crate) fn new(clock: MonotonicClock) -> Self {
+        RolloutManager {
+            clock,
+            rollouts: ArcSwap::default(),
+            recent: Arc::default(),
+        }
+    }
+
+    fn find(&self, service: &ServiceName) -> Option<Arc<RolloutRecord>> {
+        self.rollouts.load().get(service).cloned()
+    }
+
+    /// Returns which versions of a service a request may be sent to if it isn't taken
+    /// for the version under test.
+    pub(crate) fn version_rule(&self, service: &ServiceName) -> VersionRule {
+        self.find(service).map_or(VersionRule::Any, |record| {
+            select_version_rule(&record.spec.to, record.state(), false)
+        })
+    }
+
+    /// Returns which versions the next attempt of a request may be sent to. Only the
+    /// first one is taken for the version under test.
+    pub(crate) fn attempt_rule(
+        &self,
+        service: &ServiceName,
+        route: &str,
+        is_first: bool,
+    ) -> AttemptRule {
+        let Some(record) = self.find(service) else {
+            return AttemptRule::default();
+        };
+        let is_canary = is_first && record.take_canary(route);
+        AttemptRule {
+            rule: select_version_rule(&record.spec.to, record.state(), is_canary),
+            ticket: is_canary.then(|| CanaryTicket {
+                record: Some(record),
+            }),
+        }
+    }
+
+    /// Starts to observe an attempt that is about to be sent.
+    pub(crate) fn start_attempt(
+        &self,
+        service: &ServiceName,
+        info: &AttemptInfo<'_>,
+        ticket: Option<CanaryTicket>,
+    ) -> AttemptProbe {
+        let record = self.find(service);
+        let is_running = record.as_ref().is_some_and(|record| record.is_running());
+        let recent = (!is_running).then(|| (self.recent.clone(), service.clone()));
+        AttemptProbe::start(self.clock, record, recent, info, ticket)
+    }
+
+    /// Records that an attempt failed.
+    pub(crate) fn record_failure(
+        &self,
+        service: &ServiceName,
+        version: &VersionName,
+        route: &str,
+        customer: Option<&CustomerName>,
+    ) {
+        let now = self.clock.now();
+        let record = self.find(service);
+        if !record.as_ref().is_some_and(|record| record.is_running()) {
+            self.recent.record_outcome(service, route, now, None);
+        }
+        if let Some(record) = record {
+            let is_new = *version == record.spec.to;
+            record.record_outcome(is_new, route, customer, now, None);
+        }
+    }
+
+    /// Handles another VM's report on a rollout.
+    pub(crate) fn receive_report(&self, report: &RolloutReport) -> PeerBody {
+        match self.find(&ServiceName::from(report.service.as_str())) {
+            Some(record) => exchange::receive_report(&record, report),
+            None => PeerBody::Done(false),
+        }
+    }
+
+    /// Starts a rollout, unless it is already running here. `is_initial` tells whether
+    /// the order was found in a whole table, so that this process may have been
+    /// restarted during the rollout.
+    pub(crate) fn start<S: RoutingStore>(
+        &self,
+        state: &Arc<GatewayState>,
+        store: &S,
+        spec: RolloutSpec,
+        is_initial: bool,
+    ) {
+        let active = self.rollouts.load_full();
+        let previous = active.get(&spec.service);
+        if previous.is_some_and(|previous| previous.spec.revision == spec.revision) {
+            return;
+        }
+        let allowance = make_allowance(state, &spec, is_initial);
+        let before = self.recent.of_service(&spec.service, self.clock.now());
+        let record = Arc::new(RolloutRecord::new(spec, self.clock, allowance, before));
+        let is_inherited = previous.is_some_and(|previous| inherit(&record, previous));
+        log::info!(
+            service:% = record.spec.service,
+            to:% = record.spec.to,
+            order = record.spec.revision,
+            duration_ms = record.spec.duration.as_millis(),
+            is_inherited,
+            is_initial;
+            "rollout started"
+        );
+        let mut rollouts = (*active).clone();
+        rollouts.insert(record.spec.service.clone(), record.clone());
+        self.rollouts.store(Arc::new(rollouts));
+        start_watching(&record, state, store);
+    }
+
+    /// Writes the states again that the store lost when it returned from an older copy.
+    pub(crate) fn mark_restored<S: RoutingStore>(&self, state: &Arc<GatewayState>, store: &S) {
+        for record in self.rollouts.load().values() {
+            record.is_restored.store(true, Ordering::Relaxed);
+            record.progress().is_stored = false;
+            start_watching(record, state, store);
+        }
+    }
+
+    /// Stops a service's rollout.
+    pub(crate) fn remove(&self, service: &ServiceName) {
+        let mut rollouts = (*self.rollouts.load_full()).clone();
+        if rollouts.remove(service).is_some() {
+            log::info!(service:%; "rollout removed");
+            self.rollouts.store(Arc::new(rollouts));
+        }
+    }
+}
+
+/// Returns this VM's part of what a bad version may receive.
+fn make_allowance(state: &GatewayState, spec: &RolloutSpec, is_initial: bool) -> CanaryAllowance {
+    let limits = state.settings.exposure;
+    let vms = state.roster.vms();
+    let rank = |name| hash_rank((name, &spec.service, spec.revision));
+    let own = &state.settings.name;
+    let is_listed = vms.iter().any(|vm| vm.name == *own);
+    if is_initial || !is_listed {
+        return CanaryAllowance::without_reserve(limits);
+    }
+    let own_rank = rank(own);
+    let index = vms.iter().filter(|vm| rank(&vm.name) > own_rank).count();
+    CanaryAllowance::new(limits, vms.len(), index)
+}
+
+/// Starts watching a rollout, in place of the task that did so before.
+fn start_watching<S: RoutingStore>(
+    record: &Arc<RolloutRecord>,
+    state: &Arc<GatewayState>,
+    store: &S,
+) {
+    let watching = task::watch_rollout(state.clone(), store.clone(), Arc::downgrade(record));
+    let task = tokio::spawn(watching).abort_handle();
+    let mut current = record.task.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(previous) = current.replace(task) {
+        previous.abort();
+    }
+}
+
+/// Takes over from a record of the same order, which the operators had to write again;
+/// a rollout that has ended is not begun again.
+fn inherit(record: &RolloutRecord, previous: &RolloutRecord) -> bool {
+    let (spec, order) = (&record.spec, &previous.spec);
+    let is_same = spec.to == order.to && spec.duration == order.duration;
+    let is_inherited = is_same && previous.is_restored.swap(false, Ordering::Relaxed);
+    if is_inherited {
+        record.take_over(previous);
+    }
+    is_inherited
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts/task.rs
@@ -0,0 +1,202 @@
+//! Watches one rollout until its end is stored.
+
+use super::exchange::{find_hubs, record_report, report_to, review_reports};
+use super::record::RolloutRecord;
+use crate::gateway_state::GatewayState;
+use crate::jitter::add_jitter;
+use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
+use skylarkshed_core::{ClockTime, RolloutSpec};
+use skylarkshed_policy::{
+    compare_rollout, decide_rollout, finish_time, RolloutDecision, RolloutFindings, RolloutState,
+};
+use std::sync::Weak;
+
+/// How often VMs report to the hubs: several times within the 5 s in which a bad version
+/// has to be rolled back.
+const REPORT_INTERVAL: ClockTime = ClockTime::from_millis(400);
+/// How often a hub reads the stored state. Each read is a billed call.
+const STORE_INTERVAL: ClockTime = ClockTime::from_millis(1_600);
+/// The number of VMs that report once per interval. A larger fleet reports less often,
+/// so that a hub is not overloaded.
+const VMS_PER_INTERVAL: u64 = 100;
+/// A VM without a word from a hub for this time uses the store itself.
+const HUB_TIMEOUT: ClockTime = ClockTime::from_millis(2_500);
+
+/// A VM's view of a rollout between two steps.
+struct RolloutWatch {
+    heard_at: ClockTime,
+    stored_at: Option<ClockTime>,
+}
+
+/// Watches a rollout until its end is stored.
+pub(super) async fn watch_rollout<S: RoutingStore>(
+    state: std::sync::Arc<GatewayState>,
+    store: S,
+    record: Weak<RolloutRecord>,
+) {
+    let mut watch = RolloutWatch {
+        heard_at: state.clock.now(),
+        stored_at: None,
+    };
+    while let Some(record) = record.upgrade() {
+        watch.step(&state, &store, &record).await;
+        if record.progress().is_stored {
+            return;
+        }
+        let wait = next_step(&state, &record);
+        drop(record);
+        tokio::time::sleep(wait.to_duration()).await;
+    }
+}
+
+/// Returns the time to the next step, which is not later than the end of the rollout.
+fn next_step(state: &GatewayState, record: &RolloutRecord) -> ClockTime {
+    let vms = state.roster.count().unwrap_or(1) as u64;
+    let interval_ms = REPORT_INTERVAL.as_millis() * (1 + vms / VMS_PER_INTERVAL);
+    let interval = add_jitter(ClockTime::from_millis(interval_ms));
+    match finish_time(&record.spec).since(record.elapsed()) {
+        ClockTime::ZERO => interval,
+        left => interval.min(left),
+    }
+}
+
+impl RolloutWatch {
+    async fn step<S: RoutingStore>(
+        &mut self,
+        state: &GatewayState,
+        store: &S,
+        record: &RolloutRecord,
+    ) {
+        let (hubs, is_hub) = find_hubs(state, record);
+        let samples = record.snapshot();
+        let encoded = serde_json::to_string(&samples).unwrap_or_default();
+        let reports = hubs
+            .iter()
+            .map(|hub| report_to(state, record, *hub, &encoded));
+        let words = futures::future::join_all(reports).await;
+        let now = state.clock.now();
+        for word in words.into_iter().flatten() {
+            self.heard_at = now;
+            record.apply_word(word);
+        }
+        let is_alone = now.since(self.heard_at) >= HUB_TIMEOUT;
+        let findings = match (is_hub, is_alone) {
+            (true, _) => {
+                record_report(record, state.settings.name.clone(), samples);
+                review_reports(state, record)
+            }
+            (false, true) => compare_rollout(&samples),
+            (false, false) => return,
+        };
+        let end = decide_end(record, &findings);
+        let is_due = self
+            .stored_at
+            .is_none_or(|at| now.since(at) >= STORE_INTERVAL);
+        if is_due || end != RolloutState::Running {
+            self.stored_at = Some(now);
+            if let Err(error) = synchronize(store, record, end).await {
+                log_store_error(record, &error);
+            }
+        }
+    }
+}
+
+/// Decides whether the rollout ends now. A rollback takes effect at once, the opposite
+/// only when it is stored.
+fn decide_end(record: &RolloutRecord, findings: &RolloutFindings) -> RolloutState {
+    let known = record.state();
+    if known != RolloutState::Running {
+        return known;
+    }
+    let elapsed = record.elapsed();
+    let (end, verdict) = match decide_rollout(&record.spec, findings, elapsed) {
+        RolloutDecision::Wait => return RolloutState::Running,
+        RolloutDecision::Finish => (RolloutState::Done, &findings.suspicion),
+        RolloutDecision::RollBack(_) => (RolloutState::RolledBack, &findings.suspicion),
+    };
+    log::info!(
+        service:% = record.spec.service,
+        to:% = record.spec.to,
+        order = record.spec.revision,
+        state:? = end,
+        is_proven = findings.is_proven(),
+        verdict:? = verdict,
+        strength = findings.strength,
+        old_requests = findings.old_total,
+        new_requests = findings.new_total,
+        new_failed = findings.new_failed,
+        elapsed_ms = elapsed.as_millis();
+        "rollout decided"
+    );
+    if end == RolloutState::RolledBack {
+        record.record_state(end);
+    }
+    end
+}
+
+/// Brings the stored state and the known one together.
+async fn synchronize<S: RoutingStore>(
+    store: &S,
+    record: &RolloutRecord,
+    end: RolloutState,
+) -> Result<(), StoreError> {
+    let spec = &record.spec;
+    let snapshot = store.read_rollout(&spec.service).await?;
+    let current = snapshot.status.as_ref();
+    let current = current.filter(|status| status.spec_revision == spec.revision);
+    let started_at = match current {
+        Some(current) if current.state != RolloutState::Running => {
+            record_stored(record, current.state);
+            return Ok(());
+        }
+        Some(current) => {
+            let elapsed = snapshot.now.since(current.started_at);
+            let now = record.clock.now();
+            record.progress().record_elapsed(now, elapsed);
+            current.started_at
+        }
+        None => snapshot.now.since(record.elapsed()),
+    };
+    if current.is_some() && end == RolloutState::Running {
+        return Ok(());
+    }
+    write_state(store, spec, &snapshot, started_at, end).await?;
+    if end != RolloutState::Running {
+        record_stored(record, end);
+    }
+    Ok(())
+}
+
+/// Writes the state if the row is unchanged: one VM writes it, and the others read it.
+async fn write_state<S: RoutingStore>(
+    store: &S,
+    spec: &RolloutSpec,
+    snapshot: &RolloutSnapshot,
+    started_at: ClockTime,
+    state: RolloutState,
+) -> Result<(), StoreError> {
+    let status = RolloutStatus {
+        service: spec.service.clone(),
+        to: spec.to.clone(),
+        state,
+        spec_revision: spec.revision,
+        started_at,
+    };
+    store.write_rollout(&status, snapshot.revision).await
+}
+
+fn record_stored(record: &RolloutRecord, end: RolloutState) {
+    record.record_state(end);
+    record.progress().is_stored = true;
+}
+
+fn log_store_error(record: &RolloutRecord, error: &StoreError) {
+    // Another VM has written the row first.
+    if !matches!(error, StoreError::Conflict) {
+        log::info!(
+            service:% = record.spec.service,
+            reason = error.label();
+            "can't store the state of a rollout: {error}"
+        );
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings of a gateway process.
 
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
-use skylarkshed_policy::RetryLimits;
+use skylarkshed_policy::{ExposureLimits, RetryLimits};
 use std::net::SocketAddr;
 
 /// The addresses that a gateway listens on.
@@ -58,6 +58,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The limits on retries of all VMs together.
     pub retries: RetryLimits,
+    /// How many requests a bad version may receive during a rollout, over all VMs.
+    pub exposure: ExposureLimits,
     /// The key with which the VMs authenticate to each other, in hexadecimal digits.
     pub peer_key: String,
 }
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -158,12 +158,12 @@
 }
 
 impl<S: RoutingStore> ControlSink<S> {
-    fn apply_update(&self, update: ControlUpdate) {
+    fn apply_update(&self, update: ControlUpdate, is_complete: bool) {
         match update {
             ControlUpdate::Config(config) => self.accept(*config),
             ControlUpdate::Rollout(spec) => {
                 let rollouts = &self.state.rollouts;
-                rollouts.start(&self.state, &self.store, spec);
+                rollouts.start(&self.state, &self.store, spec, is_complete);
             }
             ControlUpdate::RolloutRemoved(service) => self.state.rollouts.remove(&service),
             ControlUpdate::Unreadable { row, problem } => {
@@ -195,9 +195,9 @@
         ClockTime::ZERO
     }
 
-    fn apply(&mut self, updates: Vec<ControlUpdate>, _is_complete: bool, fresh_at: ClockTime) {
+    fn apply(&mut self, updates: Vec<ControlUpdate>, is_complete: bool, fresh_at: ClockTime) {
         for update in updates {
-            self.apply_update(update);
+            self.apply_update(update, is_complete);
         }
         self.state.config.mark_confirmed(fresh_at);
         self.state.config.set_fleet_stale(false);
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -4,6 +4,7 @@
 use super::prefill_watch::{watch_prefill, PrefillTimeout, PrefillWatch};
 use crate::exchange::{SendError, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
+use crate::rollouts::AttemptProbe;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
@@ -27,6 +28,7 @@
     pub(super) response: UpstreamResponse,
     pub(super) phase: StreamPhase,
     pub(super) last_event_at: ClockTime,
+    pub(super) probe: AttemptProbe,
     timeout: PrefillTimeout,
     parser: EventParser,
 }
@@ -44,6 +46,7 @@
         copy: Option<KvCacheCopy>,
         response: UpstreamResponse,
         phase: StreamPhase,
+        probe: AttemptProbe,
         now: ClockTime,
     ) -> Self {
         StreamAttempt {
@@ -52,6 +55,7 @@
             response,
             phase,
             last_event_at: now,
+            probe,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
         }
@@ -99,6 +103,7 @@
     fn record_event(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Decoding;
         self.last_event_at = now;
+        self.probe.record_event();
     }
 }
 
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -7,7 +7,7 @@
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable,
+    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable, VersionRule,
 };
 use std::sync::Arc;
 
@@ -26,7 +26,9 @@
     ) -> Option<(Arc<UpstreamState>, KvCacheCopy)> {
         let service = &self.request.service;
         let upstream = self.state.upstreams.find(service, &copy.holder)?;
-        (!upstream.is_retired()).then_some((upstream, copy))
+        // The version under test gets only the requests that are taken for it.
+        let is_preferred = self.request.version_rule.prefers(&upstream.record.version);
+        (!upstream.is_retired() && is_preferred).then_some((upstream, copy))
     }
 
     /// Chooses the upstream for the prefill by the load reports of a few engines.
@@ -81,7 +83,8 @@
         let mut avoid = self.tried.clone();
         avoid.extend(queried.iter().map(|engine| engine.name().clone()));
         while queried.len() < known + QUERIED_ENGINES {
-            let Some(engine) = self.next_candidate(&avoid, avoid_zones) else {
+            let rule = &self.request.version_rule;
+            let Some(engine) = self.next_candidate(&avoid, avoid_zones, rule) else {
                 break;
             };
             avoid.push(engine.name().clone());
@@ -108,24 +111,26 @@
         &self,
         avoid: &[UpstreamName],
         avoid_zones: &[ZoneName],
+        version_rule: &VersionRule,
     ) -> Option<Arc<UpstreamState>> {
         self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
             avoid,
             avoid_zones,
-            version_rule: &self.request.version_rule,
+            version_rule,
             prompt_hash: Some(self.prompt_hash()),
         })
     }
 
     /// Chooses the engine to hold a copy: not in the upstream's zone, and not in one
-    /// where an attempt failed.
+    /// where an attempt failed. A version under test holds none, if there is another.
     pub(super) fn choose_holder(&self, upstream: &UpstreamState) -> Option<Arc<UpstreamState>> {
         let avoid = [upstream.name().clone()];
         let mut avoid_zones = self.failed_zones.clone();
         avoid_zones.push(upstream.record.zone.clone());
-        self.next_candidate(&avoid, &avoid_zones)
+        let rule = self.state.rollouts.version_rule(&self.request.service);
+        self.next_candidate(&avoid, &avoid_zones, &rule)
     }
 
     /// Returns the continuous copy that an upstream will make, if it can make one.
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -128,7 +128,10 @@
                 step = attempt.next::<P>(self.prefill_watch()) => step,
                 copy = copies.next() => {
                     self.update_copy(&mut copies, &mut attempt, copy);
-                    continue;
+                    match self.is_resumable && attempt.probe.should_leave() {
+                        true => AttemptStep::Lost(LossCause::Overdue),
+                        false => continue,
+                    }
                 }
                 () = parts.closed() => {
                     copies.release::<P>(&self.state, &attempt);
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -7,6 +7,7 @@
 use crate::counters;
 use crate::exchange::{send, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, SendOptions, WireProtocol};
+use crate::rollouts::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use crate::upstreams::UpstreamState;
 use http::Response;
 use skylarkshed_core::ClockTime;
@@ -32,6 +33,8 @@
     /// Finds an upstream that responds; `copy` is the KV cache copy to resume from.
     pub(super) async fn open(&mut self, mut copy: Option<KvCacheCopy>) -> OpenedStream {
         loop {
+            let attempt_rule = self.next_rule();
+            self.request.version_rule = attempt_rule.rule;
             let holder = copy.take().and_then(|copy| self.usable_holder(copy));
             let decision = decide_recovery(&StreamState {
                 sends: self.sends,
@@ -51,9 +54,10 @@
                     None => return OpenedStream::Stopped,
                 },
             };
+            let probe = self.observe(&upstream, copy_from.is_none(), attempt_rule.ticket);
             let new_copy = self.plan_continuous_copy(&upstream);
             match self
-                .start(upstream.clone(), copy_from.as_ref(), new_copy)
+                .start(upstream.clone(), copy_from.as_ref(), new_copy, probe)
                 .await
             {
                 Ok(opened) => return opened,
@@ -89,6 +93,7 @@
         upstream: Arc<UpstreamState>,
         copy_from: Option<&KvCacheCopy>,
         new_copy: Option<KvCacheCopy>,
+        mut probe: AttemptProbe,
     ) -> Result<OpenedStream, AttemptFailure> {
         self.tried.push(upstream.name().clone());
         let phase = match copy_from {
@@ -123,7 +128,13 @@
         let clock = self.state.clock;
         let mut timeout = PrefillTimeout::start(clock.now(), limit);
         let watch = self.prefill_watch();
-        let response = watch_prefill::<P, _>(sending, watch, &upstream, &mut timeout).await;
+        let response = tokio::select! {
+            response = watch_prefill::<P, _>(sending, watch, &upstream, &mut timeout) => response,
+            () = probe.overdue(), if self.is_resumable => {
+                probe.record_overdue();
+                return Err(AttemptFailure(LossCause::Overdue));
+            }
+        };
         let response = response.ok_or(AttemptFailure(LossCause::Silence))??;
         if response.head.is_misdirected {
             return Err(AttemptFailure(LossCause::InstanceReplaced));
@@ -135,22 +146,44 @@
             return self.classify_failure(response).await;
         }
         self.sends += 1;
-        if copy_from.is_none() {
-            self.record_version_result(&upstream, Some(self.request.deadline.elapsed()));
-        }
         let now = clock.now();
-        let attempt = StreamAttempt::new(upstream, new_copy, response, phase, now);
+        let attempt = StreamAttempt::new(upstream, new_copy, response, phase, probe, now);
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
-    /// Counts the outcome of an attempt for its upstream's version.
-    fn record_version_result(&self, upstream: &UpstreamState, time: Option<ClockTime>) {
-        self.state.rollouts.record(
+    /// Returns which versions the next attempt may be sent to.
+    fn next_rule(&self) -> AttemptRule {
+        let request = &self.request;
+        let is_first = self.tried.is_empty() && self.ledger.last().is_none();
+        let rollouts = &self.state.rollouts;
+        rollouts.attempt_rule(&request.service, &request.route.name, is_first)
+    }
+
+    /// Starts to observe an attempt for the comparison of versions.
+    fn observe(
+        &self,
+        upstream: &UpstreamState,
+        is_timed: bool,
+        ticket: Option<CanaryTicket>,
+    ) -> AttemptProbe {
+        let request = &self.request;
+        let info = AttemptInfo {
+            version: &upstream.record.version,
+            route: &request.route.name,
+            customer: request.customer.as_ref(),
+            is_timed,
+        };
+        let rollouts = &self.state.rollouts;
+        rollouts.start_attempt(&request.service, &info, ticket)
+    }
+
+    /// Records that an attempt failed at its upstream's version.
+    fn record_version_failure(&self, upstream: &UpstreamState) {
+        self.state.rollouts.record_failure(
             &self.request.service,
             &upstream.record.version,
             &self.request.route.name,
             self.request.customer.as_ref(),
-            time,
         );
     }
 
@@ -204,8 +237,9 @@
                 self.failed_zones.push(upstream.record.zone.clone());
             }
         }
-        if !cause.is_not_run() {
-            self.record_version_result(upstream, None);
+        // An overdue attempt counts as slow.
+        if !cause.is_not_run() && cause != LossCause::Overdue {
+            self.record_version_failure(upstream);
         }
         counters::count_retry(cause.label());
         log::info!(
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -39,7 +39,9 @@
             | PeerBody::Done(_)
             | PeerBody::Evidence(_)
             | PeerBody::RequestFeed(_)
-            | PeerBody::Feed(_) => PeerBody::Done(false),
+            | PeerBody::Feed(_)
+            | PeerBody::ReportRollout(_)
+            | PeerBody::RolloutWord(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -23,7 +23,10 @@
     #[prost(uint64, tag = "1")]
     pub request: u64,
     /// What the frame carries.
-    #[prost(oneof = "PeerBody", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "PeerBody",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
     pub body: Option<PeerBody>,
 }
 
@@ -64,6 +67,33 @@
     /// Replies with rows of the platform's store.
     #[prost(message, tag = "12")]
     Feed(FeedReply),
+    /// Reports what a gateway sees of the versions of a rollout. Only a gateway that
+    /// knows the order replies with its word; others reply `Done(false)`.
+    #[prost(message, tag = "13")]
+    ReportRollout(RolloutReport),
+    /// Replies with what the fleet knows of a rollout, as JSON.
+    #[prost(string, tag = "14")]
+    RolloutWord(String),
+}
+
+/// What a gateway sees of the versions of a rollout.
+#[derive(Clone, PartialEq, Message)]
+pub struct RolloutReport {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The revision of the order.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The reporting VM.
+    #[prost(string, tag = "3")]
+    pub vm: String,
+    /// Whether the VM has rolled the version back.
+    #[prost(bool, tag = "4")]
+    pub is_rolled_back: bool,
+    /// The samples of all requests that it has sent since the order, as JSON.
+    #[prost(string, tag = "5")]
+    pub samples: String,
 }
 
 /// Requests the change feed of a table of the platform's store.
--- /dev/null
+++ b/crates/policy/examples/rollout_simulation/main.rs
@@ -0,0 +1,58 @@
+//! Prints how rollouts end, by fault, rate and number of VMs.
+
+mod simulation;
+
+use simulation::{play, Fault, Outcome};
+
+const PLAYS: u64 = 200;
+const FAULTS: [(&str, Fault); 9] = [
+    ("good", Fault::None),
+    ("slow x1.5", Fault::Slow(1.5)),
+    ("slow x2", Fault::Slow(2.0)),
+    ("slow x4", Fault::Slow(4.0)),
+    ("2% errors", Fault::Errors(0.02)),
+    ("10% errors", Fault::Errors(0.1)),
+    ("50% errors", Fault::Errors(0.5)),
+    ("one route", Fault::OneRoute),
+    ("late", Fault::Late),
+];
+/// Requests per second, and VMs.
+const FLEETS: [(f64, usize); 6] = [
+    (1.0, 1),
+    (6.0, 9),
+    (25.0, 87),
+    (100.0, 9),
+    (500.0, 30),
+    (500.0, 300),
+];
+
+fn main() {
+    println!("| fault | requests/s | VMs | rolled back | mean time to it | share of the allowed exposure, mean and largest |");
+    println!("|---|---|---|---|---|---|");
+    for (name, fault) in FAULTS {
+        for (per_s, vms) in FLEETS {
+            let outcomes: Vec<Outcome> = (0..PLAYS)
+                .map(|seed| play(fault, per_s, vms, seed))
+                .collect();
+            print_row(name, per_s, vms, &outcomes);
+        }
+    }
+}
+
+fn print_row(name: &str, per_s: f64, vms: usize, outcomes: &[Outcome]) {
+    let rolled_back = outcomes.iter().filter(|outcome| outcome.is_rolled_back);
+    let rolled_back: Vec<&Outcome> = rolled_back.collect();
+    let total_ms: u64 = rolled_back.iter().map(|outcome| outcome.ended_ms).sum();
+    let seconds = total_ms as f64 / 1_000.0 / rolled_back.len().max(1) as f64;
+    let shares = outcomes
+        .iter()
+        .map(|outcome| outcome.arrivals as f64 / outcome.allowed as f64);
+    let mean = shares.clone().sum::<f64>() / outcomes.len() as f64;
+    let largest = shares.fold(0.0, f64::max);
+    println!(
+        "| {name} | {per_s} | {vms} | {:.1}% | {seconds:.1} s | {:.0}%, {:.0}% |",
+        100.0 * rolled_back.len() as f64 / outcomes.len() as f64,
+        100.0 * mean,
+        100.0 * largest,
+    );
+}
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -259,14 +259,14 @@
 ///
 /// One hit and one miss are added (the rule of succession), so that the bound is
 /// not 0 if there was no hit.
-fn upper_rate(hits: u64, total: u64) -> f64 {
+pub(crate) fn upper_rate(hits: u64, total: u64) -> f64 {
     let total = total as f64 + 2.0;
     let rate = (hits as f64 + 1.0) / total;
     rate + UPPER_BOUND_STD_ERRORS * (rate * (1.0 - rate) / total).sqrt()
 }
 
 /// Returns the logarithm of the mixture likelihood ratio against the `null` rate.
-fn log_mixture(null: f64, hits: u64, total: u64) -> f64 {
+pub(crate) fn log_mixture(null: f64, hits: u64, total: u64) -> f64 {
     if null >= 1.0 {
         return f64::NEG_INFINITY;
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,7 +16,8 @@
 //! - [`ClaimMachine`] ensures that a non-idempotent call runs at most once;
 //!   [`MintedKeys`] does so without the platform.
 //! - [`compare_versions`] and [`decide_move`] shift traffic to a new version or
-//!   back; [`decide_rollout`] does so for a rollout with a time limit.
+//!   back. For a rollout with a time limit, [`CanaryAllowance`] bounds the requests of
+//!   the new version, and [`compare_rollout`] and [`decide_rollout`] judge it.
 //! - [`RouteTable`] finds the route of a plain HTTP request, [`UpstreamTable`]
 //!   holds the upstreams that can serve it, and [`choose_candidate`] selects one.
 //!   [`deferred_until`], [`return_delay`] and [`outage_delay`] say when an upstream that refused, and a
@@ -57,7 +58,10 @@
 mod rate_limiter;
 mod rendezvous;
 mod retry_budget;
+mod rollout_allowance;
+mod rollout_comparison;
 mod rollout_plan;
+mod rollout_samples;
 mod route_table;
 mod routing;
 mod stream_recovery;
@@ -99,8 +103,13 @@
 pub use rate_limiter::RateLimiter;
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use rollout_allowance::{route_priority, CanaryAllowance, ExposureLimits, RoutePriority};
+pub use rollout_comparison::{compare_rollout, overdue_times, slow_paces, RolloutFindings};
 pub use rollout_plan::{
-    decide_rollout, select_version_rule, RolloutDecision, RolloutState, VersionRule,
+    decide_rollout, finish_time, select_version_rule, RolloutDecision, RolloutState, VersionRule,
+};
+pub use rollout_samples::{
+    RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples, ROLLOUT_SLICES,
 };
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
--- /dev/null
+++ b/crates/policy/src/rollout_allowance.rs
@@ -0,0 +1,170 @@
+//! Bounds the requests that a version under test receives, over all VMs together.
+//!
+//! The bound is a share of the service's requests plus a reserve. Each VM owns the
+//! share of its own requests and a fixed part of the reserve, and needs no count of
+//! another VM: the bound holds also while VMs are cut off from each other, or restart.
+//! The VMs of a large fleet earn less than a whole request each, so they start to earn
+//! with offsets that are spread evenly; the unused part of the reserve is larger than
+//! what the sum of the rounded values differs by.
+
+use skylarkshed_core::ClockTime;
+
+const WHOLE_PERCENT: u64 = 100;
+/// The part of the share that is used, as a percentage. The rest covers requests that
+/// were counted here but did not reach the service.
+const USED_SHARE_PERCENT: u64 = 85;
+/// The part of the reserve that is used, as a percentage. The rest covers VMs that
+/// disagree on the number of VMs, and requests that are sent while no other version
+/// has an upstream.
+const USED_RESERVE_PERCENT: u64 = 70;
+/// The part of a VM's reserve that may be used at once, as a percentage. The rest is
+/// spread over the rollout, so that a fault that appears late is seen as well.
+const EARLY_PERCENT: u64 = 50;
+/// Each route may be ahead of the one tested least by this number of requests.
+const ROUTE_HEAD_START: u64 = 8;
+/// Each route may have this many times the requests of the one tested least.
+const ROUTE_RATIO: u64 = 2;
+
+/// How many requests a bad version may receive, over all VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ExposureLimits {
+    /// Requests per hundred requests of the service.
+    pub percent: u64,
+    /// Requests regardless of the service's number.
+    pub reserve: u64,
+}
+
+/// The requests that one VM may send to a version under test.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_policy::{CanaryAllowance, ExposureLimits, RoutePriority};
+///
+/// let limits = ExposureLimits { percent: 10, reserve: 40 };
+/// let mut allowance = CanaryAllowance::new(limits, 2, 0);
+/// let duration = ClockTime::from_millis(10_000);
+/// let mut take = || allowance.try_take(RoutePriority::Due, ClockTime::ZERO, duration);
+/// let taken = (0..100).filter(|_| take()).count();
+/// assert_eq!(taken, 7);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CanaryAllowance {
+    percent: u64,
+    /// This VM's part of the reserve.
+    reserve: u64,
+    /// What is earned already, in hundredths of a request.
+    offset: u64,
+    requests: u64,
+    arrivals: u64,
+}
+
+impl CanaryAllowance {
+    /// Creates the allowance of one of `vms` VMs, whose index among them is `index`.
+    pub fn new(limits: ExposureLimits, vms: usize, index: usize) -> Self {
+        let used = limits.reserve * USED_RESERVE_PERCENT / WHOLE_PERCENT;
+        let (vms, index) = (vms.max(1) as u64, index as u64);
+        CanaryAllowance {
+            reserve: used / vms + u64::from(index < used % vms),
+            // The VMs without a part of the reserve are the first to earn.
+            offset: index * WHOLE_PERCENT / vms,
+            ..CanaryAllowance::without_reserve(limits)
+        }
+    }
+
+    /// Creates the allowance of a VM that does not know how many VMs share the reserve,
+    /// or may have used its part before it was restarted.
+    pub fn without_reserve(limits: ExposureLimits) -> Self {
+        CanaryAllowance {
+            percent: limits.percent,
+            ..CanaryAllowance::default()
+        }
+    }
+
+    /// Records a request that this VM sent to the service, to any version.
+    pub fn record_request(&mut self) {
+        self.requests += 1;
+    }
+
+    /// Records a request that arrives at the version without having been taken.
+    pub fn record_arrival(&mut self) {
+        self.arrivals += 1;
+    }
+
+    /// Takes a request for the version and reports whether it is allowed; `elapsed` is
+    /// the time since the rollout began, of its whole `duration`.
+    pub fn try_take(
+        &mut self,
+        priority: RoutePriority,
+        elapsed: ClockTime,
+        duration: ClockTime,
+    ) -> bool {
+        let used_percent = match priority {
+            RoutePriority::Sufficient => return false,
+            RoutePriority::Due => early_percent(elapsed, duration),
+            RoutePriority::Least => WHOLE_PERCENT,
+        };
+        // A VM of a large fleet owns a single request: it is rounded up.
+        let reserve = (self.reserve * used_percent).div_ceil(WHOLE_PERCENT);
+        let is_allowed = self.arrivals < self.earned() + reserve;
+        self.arrivals += u64::from(is_allowed);
+        is_allowed
+    }
+
+    /// Refunds a request that was taken but not sent.
+    pub fn refund(&mut self) {
+        self.arrivals = self.arrivals.saturating_sub(1);
+    }
+
+    /// Returns the number of requests that arrived at the version, or are on the way.
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals
+    }
+
+    fn earned(&self) -> u64 {
+        let percent = self.percent * USED_SHARE_PERCENT / WHOLE_PERCENT;
+        (self.requests * percent + self.offset) / WHOLE_PERCENT
+    }
+}
+
+/// Returns the part of the reserve that may be used by now, as a percentage.
+fn early_percent(elapsed: ClockTime, duration: ClockTime) -> u64 {
+    let duration_ms = duration.as_millis().max(1);
+    let elapsed_ms = elapsed.as_millis().min(duration_ms);
+    EARLY_PERCENT + (WHOLE_PERCENT - EARLY_PERCENT) * elapsed_ms / duration_ms
+}
+
+/// Whether a route's next request may go to the version under test. A route that the
+/// version has not served says nothing about it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RoutePriority {
+    /// It is far ahead of the route tested least.
+    Sufficient,
+    /// It may be tested like the others.
+    Due,
+    /// It is tested least, and may use the reserve that is kept for later.
+    Least,
+}
+
+/// Returns the priority of a route by the number of its requests to the version under
+/// test, and those of the routes tested least and most.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{route_priority, RoutePriority};
+///
+/// assert_eq!(route_priority(0, 0, 8), RoutePriority::Least);
+/// assert_eq!(route_priority(7, 0, 8), RoutePriority::Due);
+/// assert_eq!(route_priority(8, 0, 8), RoutePriority::Sufficient);
+/// ```
+pub fn route_priority(sent: u64, least: u64, most: u64) -> RoutePriority {
+    if sent <= least && sent < most {
+        RoutePriority::Least
+    } else if sent < ROUTE_HEAD_START + ROUTE_RATIO * least {
+        RoutePriority::Due
+    } else {
+        RoutePriority::Sufficient
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rollout_comparison.rs
@@ -0,0 +1,285 @@
+//! Compares the versions of a rollout while it runs.
+//!
+//! Each test is a mixture of likelihood ratios (Robbins, 1970): if the new version is
+//! no worse than the old one by more than a margin, the probability that the statistic
+//! ever exceeds 1/a is at most a (Ville's inequality), however often it is evaluated.
+//! A test is started in each time slice, as in a Shiryaev-Roberts procedure, so that
+//! a fault that appears late is not hidden by the good requests before it. The
+//! probability of a false alarm is divided among all tests (Bonferroni).
+
+use crate::evidence::{log_mixture, upper_rate, VersionVerdict};
+use crate::rollout_samples::{
+    buckets_of_factor, time_above, RolloutSamples, RouteSamples, TimeHistogram, VersionSamples,
+    ROLLOUT_SLICES,
+};
+use skylarkshed_core::ClockTime;
+use std::collections::BTreeMap;
+
+/// The probability of finding a fault in a good version: half of it in all tests by
+/// route, half in those by customer.
+const FALSE_ALARM_PROBABILITY: f64 = 0.02;
+const PARTS: f64 = 2.0;
+/// How much worse the failure rate may be.
+const FAILURE_MARGIN: f64 = 0.01;
+/// With fewer requests of the old version, a route is compared with all routes.
+const MIN_OLD_REQUESTS: u64 = 20;
+const ALL_ROUTES: &str = "";
+/// A time is slow if it is above this quantile of the old version, times the factor of
+/// a [`SlowLimit`].
+const SLOW_QUANTILE: f64 = 0.9;
+
+/// When the share of slow requests is too large.
+struct SlowLimit {
+    factor: f64,
+    /// How much larger the share of slow requests may be.
+    margin: f64,
+}
+
+/// Times that are a little longer have to be frequent, much longer ones rare.
+const SLOW_LIMITS: [SlowLimit; 3] = [
+    SlowLimit {
+        factor: 1.0,
+        margin: 0.12,
+    },
+    SlowLimit {
+        factor: OVERDUE_FACTOR,
+        margin: 0.04,
+    },
+    SlowLimit {
+        factor: 2.0,
+        margin: 0.02,
+    },
+];
+/// A first event is overdue after this many times the usual longest wait: early enough
+/// that another upstream can send it within the target latency.
+const OVERDUE_FACTOR: f64 = 1.25;
+/// The number of tests of a route in each slice: failures, and all limits for the times
+/// to first events and for the paces.
+const ROUTE_TESTS: f64 = 7.0;
+
+/// What the comparison found.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutFindings {
+    /// A fault that is proven, or [`VersionVerdict::NoFault`].
+    pub verdict: VersionVerdict,
+    /// The strongest evidence of a fault, proven or not, as the logarithm of a
+    /// likelihood ratio.
+    pub strength: f64,
+    /// Its kind.
+    pub suspicion: VersionVerdict,
+    /// The requests of the old version that ended.
+    pub old_total: u64,
+    /// The requests of the new version that ended.
+    pub new_total: u64,
+    /// The failed requests of the new version.
+    pub new_failed: u64,
+}
+
+impl RolloutFindings {
+    /// Reports whether a fault is proven.
+    pub fn is_proven(&self) -> bool {
+        self.verdict != VersionVerdict::NoFault
+    }
+
+    fn note(&mut self, verdict: VersionVerdict, strength: f64, threshold: f64) {
+        if strength >= threshold && self.verdict == VersionVerdict::NoFault {
+            self.verdict = verdict.clone();
+        }
+        if strength > self.strength {
+            self.strength = strength;
+            self.suspicion = verdict;
+        }
+    }
+}
+
+/// Compares the new version of a rollout with the old one.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{compare_rollout, RolloutSamples, VersionVerdict};
+///
+/// let mut samples = RolloutSamples::default();
+/// for _ in 0..60 {
+///     samples.slice(0).old.route("ask").total += 1;
+/// }
+/// assert_eq!(compare_rollout(&samples).verdict, VersionVerdict::NoFault);
+/// for _ in 0..8 {
+///     let new = samples.slice(0).new.route("ask");
+///     new.total += 1;
+///     new.failed += 1;
+/// }
+/// assert!(matches!(compare_rollout(&samples).verdict, VersionVerdict::Fails { .. }));
+/// ```
+pub fn compare_rollout(samples: &RolloutSamples) -> RolloutFindings {
+    let all = samples.since(0);
+    let (old_sum, new_sum) = (all.old.sum(), all.new.sum());
+    let mut findings = RolloutFindings {
+        verdict: VersionVerdict::NoFault,
+        strength: 0.0,
+        suspicion: VersionVerdict::NoFault,
+        old_total: old_sum.total,
+        new_total: new_sum.total,
+        new_failed: new_sum.failed,
+    };
+    let routes = all.new.routes.len() as f64 + 1.0;
+    let tests = ROUTE_TESTS * routes * ROLLOUT_SLICES as f64;
+    let threshold = (tests * PARTS / FALSE_ALARM_PROBABILITY).ln();
+    for slice in samples.tested_slices() {
+        let pair = samples.since(slice);
+        let reference = Reference::new(&pair.old, samples.before());
+        compare_failures(&reference, &pair.new, threshold, &mut findings);
+        compare_times(&reference, &pair.new, threshold, &mut findings);
+    }
+    compare_customers(samples, &old_sum, &mut findings);
+    findings
+}
+
+/// Returns the time after which a first event is overdue, by route, and for all other
+/// routes under the empty name.
+pub fn overdue_times(samples: &RolloutSamples) -> BTreeMap<String, ClockTime> {
+    time_limits(samples, |samples| &samples.first)
+}
+
+/// Returns the interval from which on the events of a stream are slow, by route, and for
+/// all other routes under the empty name.
+pub fn slow_paces(samples: &RolloutSamples) -> BTreeMap<String, ClockTime> {
+    time_limits(samples, |samples| &samples.pace)
+}
+
+fn time_limits(
+    samples: &RolloutSamples,
+    times: impl Fn(&RouteSamples) -> &TimeHistogram,
+) -> BTreeMap<String, ClockTime> {
+    let all = samples.since(0);
+    let reference = Reference::new(&all.old, samples.before());
+    let routes = all.old.routes.keys().chain(all.new.routes.keys());
+    let routes = routes.map(String::as_str).chain([ALL_ROUTES]);
+    let limits = routes.filter_map(|route| {
+        let histogram = reference.times(route, &times)?;
+        let bucket = histogram.quantile_bucket(SLOW_QUANTILE) + buckets_of_factor(OVERDUE_FACTOR);
+        Some((route.to_owned(), time_above(bucket)))
+    });
+    limits.collect()
+}
+
+/// The requests of the old version that the new one is compared with.
+struct Reference {
+    /// Those at the same time as the new version's, with those just before.
+    routes: VersionSamples,
+    sum: RouteSamples,
+}
+
+impl Reference {
+    fn new(old: &VersionSamples, before: &VersionSamples) -> Self {
+        let mut routes = old.clone();
+        for (route, samples) in &before.routes {
+            let known = routes.route(route);
+            if known.total < MIN_OLD_REQUESTS {
+                known.merge(samples);
+            }
+        }
+        let sum = routes.sum();
+        Reference { routes, sum }
+    }
+
+    /// Returns an upper bound of the failure rate. A route with few requests is
+    /// compared with the worst of the others.
+    fn failure_rate(&self, route: &str) -> Option<f64> {
+        let rate = |samples: &RouteSamples| {
+            let is_known = samples.total >= MIN_OLD_REQUESTS;
+            is_known.then(|| upper_rate(samples.failed, samples.total))
+        };
+        let own = self.routes.routes.get(route).and_then(rate);
+        let all = self.routes.routes.values().chain([&self.sum]);
+        own.or_else(|| all.filter_map(rate).max_by(f64::total_cmp))
+    }
+
+    /// Returns the old version's times on a route, or on the slowest route if it has
+    /// too few.
+    fn times(
+        &self,
+        route: &str,
+        times: impl Fn(&RouteSamples) -> &TimeHistogram,
+    ) -> Option<&TimeHistogram> {
+        let is_known = |times: &&TimeHistogram| times.total() >= MIN_OLD_REQUESTS;
+        let own = self.routes.routes.get(route).map(&times).filter(is_known);
+        let all = self.routes.routes.values().chain([&self.sum]);
+        let all = all.map(&times).filter(is_known);
+        own.or_else(|| all.max_by_key(|times| times.quantile_bucket(SLOW_QUANTILE)))
+    }
+}
+
+fn compare_failures(
+    reference: &Reference,
+    new: &VersionSamples,
+    threshold: f64,
+    findings: &mut RolloutFindings,
+) {
+    let sum = new.sum();
+    let routes = new
+        .routes
+        .iter()
+        .map(|(route, samples)| (route.as_str(), samples));
+    for (route, samples) in routes.chain([(ALL_ROUTES, &sum)]) {
+        let Some(rate) = reference.failure_rate(route) else {
+            continue;
+        };
+        let strength = log_mixture(rate + FAILURE_MARGIN, samples.failed, samples.total);
+        let route = route.to_owned();
+        findings.note(VersionVerdict::Fails { route }, strength, threshold);
+    }
+}
+
+/// Compares the times to first events and the paces by route. A request on one route
+/// takes another time than on another, so routes are not added up.
+fn compare_times(
+    reference: &Reference,
+    new: &VersionSamples,
+    threshold: f64,
+    findings: &mut RolloutFindings,
+) {
+    for (route, samples) in &new.routes {
+        let first = reference.times(route, |samples| &samples.first);
+        let pace = reference.times(route, |samples| &samples.pace);
+        let pairs = [(first, &samples.first), (pace, &samples.pace)];
+        for (old, new) in pairs {
+            let Some(old) = old else {
+                continue;
+            };
+            for limit in &SLOW_LIMITS {
+                let strength = slow_evidence(limit, old, new);
+                let route = route.clone();
+                findings.note(VersionVerdict::Slow { route }, strength, threshold);
+            }
+        }
+    }
+}
+
+fn slow_evidence(limit: &SlowLimit, old: &TimeHistogram, new: &TimeHistogram) -> f64 {
+    let bucket = old.quantile_bucket(SLOW_QUANTILE) + buckets_of_factor(limit.factor);
+    let rate = upper_rate(old.count_above(bucket), old.total()) + limit.margin;
+    log_mixture(rate, new.count_above(bucket), new.total())
+}
+
+/// Looks for a customer for which the new version fails more often.
+fn compare_customers(
+    samples: &RolloutSamples,
+    old_sum: &RouteSamples,
+    findings: &mut RolloutFindings,
+) {
+    if old_sum.total < MIN_OLD_REQUESTS {
+        return;
+    }
+    let customers = samples.new_customers.len().max(1) as f64;
+    let threshold = (customers * PARTS / FALSE_ALARM_PROBABILITY).ln();
+    let all = upper_rate(old_sum.failed, old_sum.total);
+    for (customer, new) in &samples.new_customers {
+        let old = samples.old_customers.get(customer);
+        let old = old.filter(|old| old.total >= MIN_OLD_REQUESTS);
+        let rate = old.map_or(all, |old| upper_rate(old.failed, old.total).max(all));
+        let strength = log_mixture(rate + FAILURE_MARGIN, new.failed, new.total);
+        let customer = customer.clone();
+        findings.note(VersionVerdict::FailsFor { customer }, strength, threshold);
+    }
+}
--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -1,23 +1,27 @@
 //! Decides how a rollout shifts a service's traffic to another version.
 //!
-//! A bad version may fail only late, so the new version gets a small canary share
-//! until most of the time has elapsed. By then it has received fewer requests than
-//! a bad version may get. A rollback needs no coordination: each VM stops sending
-//! to the new version at once on its own evidence.
+//! The new version gets the requests of a [`CanaryAllowance`](crate::CanaryAllowance)
+//! until shortly before the time limit. It is rolled back as soon as it is shown to be
+//! worse. It is not finished sooner if it is shown to be as good: a fault may appear
+//! late, and the old version's upstreams stop at the end. A VM stops sending to the new
+//! version at once on its own evidence.
 
-use crate::evidence::{compare_versions, VersionCounts, VersionVerdict};
+use crate::evidence::VersionVerdict;
+use crate::rollout_comparison::RolloutFindings;
+use serde::{Deserialize, Serialize};
 use skylarkshed_core::{ClockTime, RolloutSpec, VersionName};
 
-const WHOLE_PPM: u64 = 1_000_000;
-/// The new version's share in the canary phase. It is below the tenth of all
-/// requests that a bad version may get.
-const CANARY_SHARE_PPM: u64 = 80_000;
-/// The length of the canary phase, as a percentage of the rollout's time. The
-/// rest is kept for a store that is slow to accept the result.
-const CANARY_TIME_PERCENT: u64 = 70;
+/// The last part of a rollout's time, as a percentage, and its maximum: the time that
+/// the store may take to accept the result.
+const FINISH_PERCENT: u64 = 20;
+const MAX_FINISH_TIME: ClockTime = ClockTime::from_millis(1_200);
+/// The likelihood ratio from which a version is rolled back at the end if no fault was
+/// proven. A bad version that is kept harms all requests, and a good one that is rolled
+/// back can be rolled out again.
+const END_LIKELIHOOD_RATIO: f64 = 4.0;
 
 /// The progress of a rollout.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum RolloutState {
     /// The new version is in its canary phase.
     Running,
@@ -71,23 +75,20 @@
     RollBack(VersionVerdict),
 }
 
-/// Selects the versions that may receive a request.
-///
-/// `random` is a random value or hash that is evenly distributed over requests.
+/// Selects the versions that may receive a request; `is_canary` tells whether the
+/// version that is rolled out may receive it while the rollout is running.
 ///
 /// # Examples
 ///
 /// ```
 /// use skylarkshed_policy::{select_version_rule, RolloutState, VersionRule};
 ///
-/// let rule = select_version_rule(&"v2".into(), RolloutState::RolledBack, 7);
+/// let rule = select_version_rule(&"v2".into(), RolloutState::RolledBack, true);
 /// assert_eq!(rule, VersionRule::Except("v2".into()));
 /// ```
-pub fn select_version_rule(to: &VersionName, state: RolloutState, random: u64) -> VersionRule {
+pub fn select_version_rule(to: &VersionName, state: RolloutState, is_canary: bool) -> VersionRule {
     match state {
-        RolloutState::Running if random % WHOLE_PPM < CANARY_SHARE_PPM => {
-            VersionRule::Prefer(to.clone())
-        }
+        RolloutState::Running if is_canary => VersionRule::Prefer(to.clone()),
         // The new version is not excluded: a restarted VM does not know yet whether the
         // rollout is done and the old version no longer has an upstream.
         RolloutState::Running => VersionRule::Avoid(to.clone()),
@@ -96,13 +97,20 @@
     }
 }
 
+/// Returns when a rollout that has not been rolled back is finished, as the time since
+/// it began.
+pub fn finish_time(spec: &RolloutSpec) -> ClockTime {
+    let last = ClockTime::from_millis(spec.duration.as_millis() * FINISH_PERCENT / 100);
+    spec.duration.since(last.min(MAX_FINISH_TIME))
+}
+
 /// Decides the next step of a running rollout; `elapsed` is the time since it began.
 ///
 /// # Examples
 ///
 /// ```
 /// use skylarkshed_core::{ClockTime, RolloutSpec};
-/// use skylarkshed_policy::{decide_rollout, RolloutDecision, VersionCounts};
+/// use skylarkshed_policy::{compare_rollout, decide_rollout, RolloutDecision, RolloutSamples};
 ///
 /// let spec = RolloutSpec {
 ///     service: "stores".into(),
@@ -110,24 +118,25 @@
 ///     duration: ClockTime::from_millis(10_000),
 ///     revision: 3,
 /// };
-/// let none = VersionCounts::default();
-/// let decide = |ms| decide_rollout(&spec, &none, &none, ClockTime::from_millis(ms));
-/// assert_eq!(decide(6_900), RolloutDecision::Wait);
-/// assert_eq!(decide(7_000), RolloutDecision::Finish);
+/// let findings = compare_rollout(&RolloutSamples::default());
+/// let decide = |ms| decide_rollout(&spec, &findings, ClockTime::from_millis(ms));
+/// assert_eq!(decide(8_700), RolloutDecision::Wait);
+/// assert_eq!(decide(8_800), RolloutDecision::Finish);
 /// ```
 pub fn decide_rollout(
     spec: &RolloutSpec,
-    old: &VersionCounts,
-    new: &VersionCounts,
+    findings: &RolloutFindings,
     elapsed: ClockTime,
 ) -> RolloutDecision {
-    let verdict = compare_versions(old, new);
-    if verdict != VersionVerdict::NoFault {
-        return RolloutDecision::RollBack(verdict);
+    if findings.verdict != VersionVerdict::NoFault {
+        return RolloutDecision::RollBack(findings.verdict.clone());
+    }
+    if elapsed < finish_time(spec) {
+        return RolloutDecision::Wait;
     }
-    let canary_ms = spec.duration.as_millis() * CANARY_TIME_PERCENT / 100;
-    match elapsed >= ClockTime::from_millis(canary_ms) {
-        true => RolloutDecision::Finish,
-        false => RolloutDecision::Wait,
+    let has_only_failed = findings.new_failed > 0 && findings.new_failed == findings.new_total;
+    match findings.strength >= END_LIKELIHOOD_RATIO.ln() || has_only_failed {
+        true => RolloutDecision::RollBack(findings.suspicion.clone()),
+        false => RolloutDecision::Finish,
     }
 }
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -44,6 +44,8 @@
     Silence,
     /// An event was missing or malformed.
     WrongEvent,
+    /// The upstream's version is under test, and its first event is overdue.
+    Overdue,
 }
 
 impl LossCause {
@@ -56,6 +58,7 @@
             LossCause::Broken => "broken",
             LossCause::Silence => "silence",
             LossCause::WrongEvent => "wrong_event",
+            LossCause::Overdue => "overdue",
         }
     }
 
--- a/crates/policy/tests/gateway/rollouts.rs
+++ b/crates/policy/tests/gateway/rollouts.rs
@@ -1,26 +1,92 @@
-//! Which versions receive requests during a rollout.
+//! Which versions receive requests during a rollout, and how it ends.
+
+#[path = "../../examples/rollout_simulation/simulation.rs"]
+mod simulation;
 
 use rstest::rstest;
+use simulation::{play, Fault, LIMITS};
 use skylarkshed_core::{ClockTime, RolloutSpec, VersionName};
 use skylarkshed_policy::{
-    decide_rollout, select_version_rule, RolloutDecision, RolloutState, VersionCounts, VersionRule,
+    compare_rollout, decide_rollout, finish_time, select_version_rule, CanaryAllowance,
+    RolloutDecision, RolloutSamples, RolloutState, RoutePriority, RouteSamples, VersionRule,
 };
 
-/// The share of all requests that a bad version may get.
-const MAX_EXPOSURE: f64 = 0.1;
+const DURATION: ClockTime = ClockTime::from_millis(15_000);
 
 fn to() -> VersionName {
     "v2".into()
 }
 
+fn spec() -> RolloutSpec {
+    RolloutSpec {
+        service: "stores".into(),
+        to: to(),
+        duration: DURATION,
+        revision: 1,
+    }
+}
+
+/// Takes all requests that are allowed among `requests` of each VM; returns the sum.
+fn take_all(vms: &mut [CanaryAllowance], requests: u64) -> u64 {
+    for vm in vms.iter_mut() {
+        for _ in 0..requests {
+            vm.record_request();
+            vm.try_take(RoutePriority::Least, DURATION, DURATION);
+        }
+    }
+    vms.iter().map(CanaryAllowance::arrivals).sum()
+}
+
+#[rstest]
+fn the_allowances_of_all_vms_stay_below_the_limit(
+    #[values(1, 2, 9, 34, 35, 36, 87, 300)] vms: usize,
+    #[values(0, 1, 7, 12, 100)] requests: u64,
+) {
+    let mut allowances: Vec<CanaryAllowance> = (0..vms)
+        .map(|index| CanaryAllowance::new(LIMITS, vms, index))
+        .collect();
+    let taken = take_all(&mut allowances, requests);
+    let all = requests * vms as u64;
+    assert!(
+        taken * 100 <= all * LIMITS.percent + LIMITS.reserve * 100,
+        "{taken} of {all}"
+    );
+}
+
 #[test]
-fn a_canary_gets_less_than_the_allowed_exposure() {
-    let rules = (0..1_000_000).step_by(100);
-    let rules = rules.map(|random| select_version_rule(&to(), RolloutState::Running, random));
-    let new = rules
-        .filter(|rule| *rule == VersionRule::Prefer(to()))
-        .count();
-    assert!(new > 0 && (new as f64) < MAX_EXPOSURE * 10_000.0);
+fn vms_that_start_during_a_rollout_stay_within_the_limit() {
+    let known = (0..9).map(|index| CanaryAllowance::new(LIMITS, 9, index));
+    let restarted = (0..9).map(|_| CanaryAllowance::without_reserve(LIMITS));
+    let mut allowances: Vec<CanaryAllowance> = known.chain(restarted).collect();
+    let taken = take_all(&mut allowances, 40);
+    assert!(taken * 100 <= 18 * 40 * LIMITS.percent + LIMITS.reserve * 100);
+    let mut alone = [CanaryAllowance::without_reserve(LIMITS)];
+    assert_eq!(take_all(&mut alone, 12), 0);
+}
+
+#[test]
+fn a_part_of_the_reserve_is_kept_for_faults_that_appear_late() {
+    let mut allowance = CanaryAllowance::new(LIMITS, 1, 0);
+    let mut take = |elapsed| {
+        let take = |_: &u64| allowance.try_take(RoutePriority::Due, elapsed, DURATION);
+        (0..100).filter(take).count()
+    };
+    let early = take(ClockTime::ZERO);
+    assert!(early > 0);
+    assert!(take(DURATION) >= early - 1);
+}
+
+#[test]
+fn a_refunded_request_can_be_taken_again() {
+    let mut allowance = CanaryAllowance::new(LIMITS, 1, 0);
+    let mut take = || allowance.try_take(RoutePriority::Least, ClockTime::ZERO, DURATION);
+    while take() {}
+    allowance.refund();
+    assert!(allowance.try_take(RoutePriority::Least, ClockTime::ZERO, DURATION));
+    // An arrival while no other version has an upstream counts as well.
+    allowance.refund();
+    allowance.record_arrival();
+    assert!(!allowance.try_take(RoutePriority::Least, ClockTime::ZERO, DURATION));
 }
 
 #[rstest]
@@ -31,39 +97,116 @@
     #[case] state: RolloutState,
     #[case] is_allowed: bool,
 ) {
-    // A random value beyond the canary share.
     assert_eq!(
-        select_version_rule(&to(), state, 999_999).allows(&to()),
+        select_version_rule(&to(), state, false).allows(&to()),
         is_allowed
     );
 }
 
 #[test]
-fn the_old_version_is_preferred_outside_the_canary_share() {
-    let rule = select_version_rule(&to(), RolloutState::Running, 999_999);
+fn the_old_version_is_preferred_for_requests_that_are_not_canaries() {
+    let rule = select_version_rule(&to(), RolloutState::Running, false);
     assert!(rule.prefers(&"v1".into()) && !rule.prefers(&to()));
+    let rule = select_version_rule(&to(), RolloutState::Running, true);
+    assert_eq!(rule, VersionRule::Prefer(to()));
+}
+
+fn record(samples: &mut RouteSamples, count: u64, first_ms: u64) {
+    samples.total += count;
+    for _ in 0..count {
+        samples.first.record(ClockTime::from_millis(first_ms));
+    }
 }
 
 #[test]
 fn a_bad_version_is_rolled_back_whenever_its_fault_appears() {
-    let spec = RolloutSpec {
-        service: "stores".into(),
-        to: to(),
-        duration: ClockTime::from_millis(12_000),
-        revision: 1,
-    };
-    let (mut old, mut new) = (VersionCounts::default(), VersionCounts::default());
-    for _ in 0..200 {
-        old.record("book", &"depot".into(), Some(ClockTime::from_millis(30)));
-    }
-    for _ in 0..30 {
-        new.record("book", &"depot".into(), None);
-    }
-    for elapsed_ms in [100, 8_400, 11_900] {
-        let decision = decide_rollout(&spec, &old, &new, ClockTime::from_millis(elapsed_ms));
+    let mut samples = RolloutSamples::default();
+    record(samples.slice(0).old.route("book"), 200, 30);
+    samples.slice(0).new.route("book").total += 30;
+    samples.slice(0).new.route("book").failed += 30;
+    let findings = compare_rollout(&samples);
+    for elapsed_ms in [100, 8_400, 11_900, 14_900] {
+        let decision = decide_rollout(&spec(), &findings, ClockTime::from_millis(elapsed_ms));
         assert!(
             matches!(decision, RolloutDecision::RollBack(_)),
             "at {elapsed_ms} ms"
         );
     }
 }
+
+#[test]
+fn good_requests_do_not_hide_a_fault_that_appears_later() {
+    let mut samples = RolloutSamples::default();
+    for slice in 0..8 {
+        record(samples.slice(slice).old.route("book"), 200, 30);
+        record(samples.slice(slice).new.route("book"), 100, 30);
+    }
+    assert!(!compare_rollout(&samples).is_proven());
+    let new = samples.slice(7).new.route("book");
+    new.total += 20;
+    new.failed += 20;
+    assert!(compare_rollout(&samples).is_proven());
+}
+
+#[test]
+fn requests_that_are_overdue_are_evidence() {
+    let mut samples = RolloutSamples::default();
+    record(samples.slice(3).old.route("ask"), 40, 1_200);
+    record(samples.slice(3).new.route("ask"), 8, 9_000);
+    assert!(compare_rollout(&samples).is_proven());
+}
+
+#[test]
+fn a_version_that_only_failed_is_not_kept() {
+    let mut samples = RolloutSamples::default();
+    record(samples.slice(0).old.route("ask"), 3, 1_200);
+    samples.slice(0).new.route("ask").total += 1;
+    samples.slice(0).new.route("ask").failed += 1;
+    let findings = compare_rollout(&samples);
+    let end = finish_time(&spec());
+    assert!(matches!(
+        decide_rollout(&spec(), &findings, end),
+        RolloutDecision::RollBack(_)
+    ));
+}
+
+/// The rate and the number of VMs of the users' deployments.
+#[rstest]
+#[case::small(6.0, 9)]
+#[case::grown(25.0, 87)]
+#[case::busy(100.0, 9)]
+fn good_versions_are_finished_and_bad_ones_rolled_back(#[case] per_s: f64, #[case] vms: usize) {
+    const PLAYS: u64 = 20;
+    let rolled_back = |fault| {
+        let outcomes = (0..PLAYS).map(|seed| play(fault, per_s, vms, seed));
+        outcomes.filter(|outcome| outcome.is_rolled_back).count() as u64
+    };
+    assert_eq!(rolled_back(Fault::None), 0);
+    assert!(rolled_back(Fault::Errors(0.5)) >= PLAYS - 1);
+    assert!(rolled_back(Fault::Slow(4.0)) >= PLAYS * 4 / 5);
+}
+
+#[rstest]
+#[case::small(6.0, 9)]
+#[case::grown(25.0, 87)]
+#[case::large(500.0, 300)]
+fn a_bad_version_that_is_rolled_back_gets_less_than_it_may(#[case] per_s: f64, #[case] vms: usize) {
+    for seed in 0..5 {
+        for fault in [Fault::Errors(0.5), Fault::Slow(4.0), Fault::OneRoute] {
+            let outcome = play(fault, per_s, vms, seed);
+            assert!(
+                !outcome.is_rolled_back || outcome.arrivals <= outcome.allowed,
+                "{fault:?}, seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_late_fault_is_found_before_the_end_at_a_high_rate() {
+    for seed in 0..10 {
+        let outcome = play(Fault::Late, 100.0, 9, seed);
+        let is_in_time = outcome.ended_ms < DURATION.as_millis();
+        assert!(outcome.is_rolled_back && is_in_time, "{outcome:?}");
+    }
+}
