--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -4,6 +4,7 @@
 use super::prefill_watch::{watch_prefill, PrefillTimeout, PrefillWatch};
 use crate::exchange::{SendError, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
+use crate::rollouts::AttemptProbe;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
@@ -31,6 +32,7 @@
     /// When the wait for the next event began; later than the last event if the
     /// upstream was waited for.
     waiting_since: ClockTime,
+    pub(super) probe: AttemptProbe,
     timeout: PrefillTimeout,
     parser: EventParser,
 }
@@ -48,6 +50,7 @@
         copy: Option<KvCacheCopy>,
         response: UpstreamResponse,
         phase: StreamPhase,
+        probe: AttemptProbe,
         now: ClockTime,
     ) -> Self {
         StreamAttempt {
@@ -57,6 +60,7 @@
             phase,
             last_event_at: now,
             waiting_since: now,
+            probe,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
         }
@@ -117,6 +121,7 @@
         self.phase = StreamPhase::Decoding;
         self.last_event_at = now;
         self.waiting_since = now;
+        self.probe.record_event();
     }
 }
 
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -141,7 +141,10 @@
                 step = attempt.next::<P>(self.prefill_watch()) => step,
                 copy = copies.next() => {
                     self.update_copy(&mut copies, &mut attempt, copy);
-                    continue;
+                    match self.is_resumable && attempt.probe.should_leave() {
+                        true => AttemptStep::Lost(LossCause::Overdue),
+                        false => continue,
+                    }
                 }
                 () = parts.closed() => {
                     copies.release::<P>(&self.state, &attempt);
@@ -166,8 +169,10 @@
                 }
                 AttemptStep::Lost(cause) => cause,
             };
-            if cause.is_silence() && self.waits_for(&attempt, cause) {
-                attempt.wait_on(self.state.clock.now());
+            if cause.may_go_on() && self.waits_for(&attempt, cause) {
+                if cause != LossCause::Overdue {
+                    attempt.wait_on(self.state.clock.now());
+                }
                 continue;
             }
             copies.stop();
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -8,6 +8,7 @@
 use crate::counters;
 use crate::exchange::{send, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, SendOptions, WireProtocol};
+use crate::rollouts::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use crate::upstreams::UpstreamState;
 use http::Response;
 use skylarkshed_core::ClockTime;
@@ -35,6 +36,8 @@
     /// Finds an upstream that responds; `copy` is the KV cache copy to resume from.
     pub(super) async fn open(&mut self, mut copy: Option<KvCacheCopy>) -> OpenedStream {
         loop {
+            let attempt_rule = self.next_rule();
+            self.request.version_rule = attempt_rule.rule;
             let holder = copy.take().and_then(|copy| self.usable_holder(copy));
             let state = StreamState {
                 has_copy: holder.is_some(),
@@ -67,9 +70,10 @@
                     }
                 },
             };
+            let probe = self.observe(&upstream, copy_from.is_none(), attempt_rule.ticket);
             let new_copy = self.plan_continuous_copy(&upstream);
             match self
-                .start(upstream.clone(), copy_from.as_ref(), new_copy)
+                .start(upstream.clone(), copy_from.as_ref(), new_copy, probe)
                 .await
             {
                 Ok(opened) => {
@@ -142,6 +146,7 @@
         upstream: Arc<UpstreamState>,
         copy_from: Option<&KvCacheCopy>,
         new_copy: Option<KvCacheCopy>,
+        mut probe: AttemptProbe,
     ) -> Result<OpenedStream, AttemptFailure> {
         self.tried.push(upstream.name().clone());
         let phase = match copy_from {
@@ -171,7 +176,14 @@
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream request sent"
         );
-        let response = self.send_and_wait(&upstream, phase, &options).await?;
+        let has_attempts_left = self.sends + 1 < self.request.route.max_attempts;
+        let response = tokio::select! {
+            response = self.send_and_wait(&upstream, phase, &options) => response?,
+            () = probe.overdue(), if self.is_resumable && has_attempts_left => {
+                probe.record_overdue();
+                return Err(AttemptFailure(LossCause::Overdue));
+            }
+        };
         if response.head.is_misdirected {
             return Err(AttemptFailure(LossCause::InstanceReplaced));
         }
@@ -182,11 +194,8 @@
             return self.classify_failure(response).await;
         }
         self.sends += 1;
-        if copy_from.is_none() {
-            self.record_version_result(&upstream, Some(self.request.deadline.elapsed()));
-        }
         let now = self.state.clock.now();
-        let attempt = StreamAttempt::new(upstream, new_copy, response, phase, now);
+        let attempt = StreamAttempt::new(upstream, new_copy, response, phase, probe, now);
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
@@ -215,14 +224,39 @@
         }
     }
 
-    /// Counts the outcome of an attempt for its upstream's version.
-    fn record_version_result(&self, upstream: &UpstreamState, time: Option<ClockTime>) {
-        self.state.rollouts.record(
+    /// Returns which versions the next attempt may be sent to.
+    fn next_rule(&self) -> AttemptRule {
+        let request = &self.request;
+        let is_first = self.tried.is_empty() && self.ledger.last().is_none();
+        let rollouts = &self.state.rollouts;
+        rollouts.attempt_rule(&request.service, &request.route.name, is_first)
+    }
+
+    /// Starts to observe an attempt for the comparison of versions.
+    fn observe(
+        &self,
+        upstream: &UpstreamState,
+        is_timed: bool,
+        ticket: Option<CanaryTicket>,
+    ) -> AttemptProbe {
+        let request = &self.request;
+        let info = AttemptInfo {
+            version: &upstream.record.version,
+            route: &request.route.name,
+            customer: request.customer.as_ref(),
+            is_timed,
+        };
+        let rollouts = &self.state.rollouts;
+        rollouts.start_attempt(&request.service, &info, ticket)
+    }
+
+    /// Records that an attempt failed at its upstream's version.
+    fn record_version_failure(&self, upstream: &UpstreamState) {
+        self.state.rollouts.record_failure(
             &self.request.service,
             &upstream.record.version,
             &self.request.route.name,
             self.request.customer.as_ref(),
-            time,
         );
     }
 
@@ -276,8 +310,9 @@
                 self.failed_zones.push(upstream.record.zone.clone());
             }
         }
-        if !cause.is_not_run() {
-            self.record_version_result(upstream, None);
+        // An overdue attempt counts as slow.
+        if !cause.is_not_run() && cause != LossCause::Overdue {
+            self.record_version_failure(upstream);
         }
         counters::count_retry(cause.label());
         log::info!(
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -122,12 +122,14 @@
     /// Reports whether another upstream could take over. One that was tried before or
     /// failed recently counts only if the silent one was waited for already.
     fn has_substitute(&self, silent: &UpstreamState, was_waited_for: bool) -> bool {
+        let rule = self.state.rollouts.version_rule(&self.request.service);
         if was_waited_for {
             let avoid = [silent.name().clone()];
-            return self.next_candidate(&avoid, &self.failed_zones).is_some();
+            let other = self.next_candidate(&avoid, &self.failed_zones, &rule);
+            return other.is_some();
         }
         let now = self.state.clock.now();
-        let other = self.next_candidate(&self.tried, &self.failed_zones);
+        let other = self.next_candidate(&self.tried, &self.failed_zones, &rule);
         other.is_some_and(|other| other.health(now) == UpstreamHealth::Healthy)
     }
 
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -48,6 +48,8 @@
     Unreachable,
     /// An event was missing or malformed.
     WrongEvent,
+    /// The upstream's version is under test, and its first event is overdue.
+    Overdue,
 }
 
 impl LossCause {
@@ -61,12 +63,16 @@
             LossCause::Silence => "silence",
             LossCause::Unreachable => "unreachable",
             LossCause::WrongEvent => "wrong_event",
+            LossCause::Overdue => "overdue",
         }
     }
 
     /// Reports whether the upstream may still go on.
-    pub const fn is_silence(self) -> bool {
-        matches!(self, LossCause::Silence | LossCause::Unreachable)
+    pub const fn may_go_on(self) -> bool {
+        matches!(
+            self,
+            LossCause::Silence | LossCause::Unreachable | LossCause::Overdue
+        )
     }
 
     /// Reports whether the upstream cannot have run the request.
