Compare the failures of each route with its own rate, also in the sum

Cause: a few requests on a route end in a timeout at every version. The old version had fewer than twenty of them, so the new one was compared with other routes; and because the route tested least goes first, the new version got more of them than the old one, which also shifts the failures of all routes together. Ruled out: a different rate of the new version, the route failed on both.

Change: a route with few requests is compared with no less than its own rate, and the sum with the rate expected from the shares of the routes.

--- a/crates/policy/src/rollout_comparison.rs
+++ b/crates/policy/src/rollout_comparison.rs
@@ -183,16 +183,20 @@
         Reference { routes, sum }
     }
 
-    /// Returns an upper bound of the failure rate. A route with few requests is
-    /// compared with the worst of the others.
+    /// Returns an upper bound of the failure rate. A route with few requests is compared
+    /// with the worst of the others, but not with less than its own rate: some routes
+    /// always fail.
     fn failure_rate(&self, route: &str) -> Option<f64> {
-        let rate = |samples: &RouteSamples| {
+        let bound = |samples: &RouteSamples| {
             let is_known = samples.total >= MIN_OLD_REQUESTS;
             is_known.then(|| upper_rate(samples.failed, samples.total))
         };
-        let own = self.routes.routes.get(route).and_then(rate);
+        let own = self.routes.routes.get(route);
+        let known = own.and_then(bound);
+        let own_rate = own.map_or(0.0, |own| own.failed as f64 / own.total.max(1) as f64);
         let all = self.routes.routes.values().chain([&self.sum]);
-        own.or_else(|| all.filter_map(rate).max_by(f64::total_cmp))
+        let worst = all.filter_map(bound).max_by(f64::total_cmp);
+        known.or_else(|| worst.map(|worst| worst.max(own_rate)))
     }
 
     /// Returns the old version's times on a route, or on the slowest route if it has
@@ -216,18 +220,24 @@
     threshold: f64,
     findings: &mut RolloutFindings,
 ) {
-    let sum = new.sum();
-    let routes = new
-        .routes
-        .iter()
-        .map(|(route, samples)| (route.as_str(), samples));
-    for (route, samples) in routes.chain([(ALL_ROUTES, &sum)]) {
+    let (mut failed, mut total, mut expected) = (0, 0, 0.0);
+    let mut compare = |route: &str, rate: f64, failed, total| {
+        let strength = log_mixture(rate + FAILURE_MARGIN, failed, total);
+        let route = route.to_owned();
+        findings.note(VersionVerdict::Fails { route }, strength, threshold);
+    };
+    for (route, samples) in &new.routes {
         let Some(rate) = reference.failure_rate(route) else {
             continue;
         };
-        let strength = log_mixture(rate + FAILURE_MARGIN, samples.failed, samples.total);
-        let route = route.to_owned();
-        findings.note(VersionVerdict::Fails { route }, strength, threshold);
+        compare(route, rate, samples.failed, samples.total);
+        failed += samples.failed;
+        total += samples.total;
+        expected += rate * samples.total as f64;
+    }
+    if total > 0 {
+        // The versions get different shares of the routes.
+        compare(ALL_ROUTES, expected / total as f64, failed, total);
     }
 }
 
--- a/crates/policy/tests/gateway/rollouts.rs
+++ b/crates/policy/tests/gateway/rollouts.rs
@@ -210,3 +210,22 @@
         assert!(outcome.is_rolled_back && is_in_time, "{outcome:?}");
     }
 }
+
+#[test]
+fn a_route_that_always_fails_is_no_fault_of_the_new_version() {
+    let mut samples = RolloutSamples::default();
+    let pair = samples.slice(1);
+    record(pair.old.route("book"), 400, 30);
+    record(pair.new.route("book"), 60, 30);
+    pair.old.route("broken").total += 6;
+    pair.old.route("broken").failed += 6;
+    pair.new.route("broken").total += 20;
+    pair.new.route("broken").failed += 20;
+    let findings = compare_rollout(&samples);
+    let end = finish_time(&spec());
+    assert_eq!(
+        decide_rollout(&spec(), &findings, end),
+        RolloutDecision::Finish,
+        "{findings:?}"
+    );
+}
