Ask engines of one version only before a prompt is sent

What callers saw: with few engines of the old version a new one got 197 of 412 requests during its rollout, where 91 are allowed (process test). Cause: three engines are asked for reports, and three more if these are busy. When the engines of the old version are all among them, the search goes on with those of the new one, and the least loaded is taken. Change: once an engine of the preferred version is asked, no other is. Result: new_version_gets_its_share_only_while_there_are_few_old_engines failed before and passes now.

--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -87,6 +87,11 @@
             let Some(engine) = self.next_candidate(&avoid, avoid_zones, rule) else {
                 break;
             };
+            // Reports do not tell the versions apart, so one version is asked only.
+            let prefers = |engine: &UpstreamState| rule.prefers(&engine.record.version);
+            if !prefers(&engine) && queried.iter().any(|engine| prefers(engine)) {
+                break;
+            }
             avoid.push(engine.name().clone());
             queried.push(engine);
         }
