Add a randomized soak of the gateway

crates/soak starts gateway processes with the fake store and recording upstreams, puts loopback proxies between them, draws faults, callers and responses from a seed and checks each request from what its caller and the upstreams saw. The test harness's configuration, settings file and upstream entries move to the stand-ins, which both use. The proxy can silence open connections; the fake store can replace the addresses that VMs announce, so that peers connect through proxies.

Ruled out: one proxy per VM in front of the store, because the VMs' common key is derived from the store's address; connections are told apart by the process that opened them. Upstreams' proxies read the request's id instead, as each send has a connection of its own.

--- /dev/null
+++ b/crates/soak/src/bounds.rs
@@ -0,0 +1,35 @@
+//! The figures of the soak's deployment, as its settings state them, and the
+//! allowances of the platform's rules.
+
+use skylarkshed_core::ClockTime;
+
+/// How long a VM must have been undisturbed before rules with a time bound hold for it.
+pub const SETTLE_WINDOW: ClockTime = ClockTime::from_millis(3_000);
+/// How long a leaving upstream may still get requests.
+pub const DRAIN: ClockTime = ClockTime::from_millis(2_000);
+/// The time from a termination signal to the kill.
+pub const GRACE: ClockTime = ClockTime::from_millis(8_000);
+/// How long a request may be handled as an older configuration says.
+pub const CONFIGURATION: ClockTime = ClockTime::from_millis(2_000);
+/// How long requests may still be handled as an older configuration says after the
+/// first request was handled as a newer one says, by one process.
+pub const ROLLBACK_SLACK: ClockTime = ClockTime::from_millis(250);
+/// How long a revoked API key may still be accepted, also by a VM that is cut off.
+pub const REVOCATION: ClockTime = ClockTime::from_millis(5_000);
+/// A connection that is closed this soon after a request was sent may have crossed it.
+pub const LOSS_SLACK: ClockTime = ClockTime::from_millis(200);
+/// How long after its route's timeout a request must be answered.
+pub const TIMEOUT_SLACK: ClockTime = ClockTime::from_millis(500);
+/// How long a VM may report that it is ready after a termination signal.
+pub const READY_AFTER_SIGNAL: ClockTime = ClockTime::from_millis(4_000);
+/// The window over which repeated sends are counted.
+pub const RETRY_WINDOW: ClockTime = ClockTime::from_millis(10_000);
+/// Repeated sends of a window as a share of the service's requests.
+pub const RETRY_RATIO: f64 = 0.2;
+/// Repeated sends of a window beyond this share.
+pub const RETRY_SLACK: usize = 40;
+/// Requests that may reach more upstreams than their route's limit.
+pub const EXCESS_ATTEMPTS: usize = 3;
+/// The maximum time that a caller leaves a connection idle before it uses it again: four
+/// fifths of the idle timeout.
+pub const IDLE_REUSE: ClockTime = ClockTime::from_millis(1_200);
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,321 @@
+//! Callers that keep connections open, leave early, read slowly and come back.
+
+use crate::bounds::IDLE_REUSE;
+use crate::observer::Observer;
+use crate::operators::{Operators, RouteKind};
+use crate::records::{CallKind, CallerRequest, Outcome, SeenResponse};
+use crate::vms::SoakVm;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use skylarkshed_core::ClockTime;
+use skylarkshed_stand_ins::{headers, HOST};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// A new connection is given up after this time.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIME_LIMIT: ClockTime = ClockTime::from_millis(4_000);
+const STREAM_TIME_LIMIT: ClockTime = ClockTime::from_millis(15_000);
+/// The usual pause of a caller that goes on with its connection.
+const PAUSE_MS: std::ops::Range<u64> = 0..60;
+/// The pause of a caller after a failure.
+const FAILURE_PAUSE_MS: std::ops::Range<u64> = 20..200;
+
+/// What all callers share.
+pub(crate) struct CallerContext {
+    pub(crate) seed: u64,
+    pub(crate) observer: Arc<Observer>,
+    pub(crate) operators: Arc<Operators>,
+    pub(crate) vms: Vec<Arc<SoakVm>>,
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+/// An open connection to a process of a VM.
+struct CallerConnection {
+    sender: SendRequest<Full<Bytes>>,
+    vm: usize,
+    boot: u32,
+}
+
+/// How a caller behaves.
+struct CallerHabits {
+    keeps_connections: bool,
+    leaves_early: bool,
+    reads_slowly: bool,
+    streams: bool,
+}
+
+struct Caller {
+    number: usize,
+    sent: u64,
+    rng: SmallRng,
+    habits: CallerHabits,
+    context: Arc<CallerContext>,
+    connection: Option<CallerConnection>,
+}
+
+/// Sends requests until the soak ends.
+pub(crate) async fn run_caller(number: usize, context: Arc<CallerContext>) {
+    let mut rng = SmallRng::seed_from_u64(context.seed ^ ((number as u64 + 1) << 32));
+    let habits = CallerHabits {
+        keeps_connections: rng.random_ratio(3, 4),
+        leaves_early: rng.random_ratio(1, 6),
+        reads_slowly: rng.random_ratio(1, 6),
+        streams: number.is_multiple_of(4),
+    };
+    let mut stop = context.stop.clone();
+    let mut caller = Caller {
+        number,
+        sent: 0,
+        rng,
+        habits,
+        context,
+        connection: None,
+    };
+    while !*stop.borrow() {
+        let pause = caller.call().await;
+        let pause = tokio::time::sleep(Duration::from_millis(pause));
+        tokio::select! {
+            () = pause => {}
+            // The sender lives as long as the soak.
+            _ = stop.wait_for(|stop| *stop) => {}
+        }
+    }
+}
+
+impl Caller {
+    /// Sends a request; returns the pause before the next one in milliseconds.
+    async fn call(&mut self) -> u64 {
+        if !self.habits.keeps_connections {
+            self.connection = None;
+        }
+        if self.connection.is_none() {
+            self.connection = self.connect().await;
+        }
+        let Some(mut connection) = self.connection.take() else {
+            return self.rng.random_range(FAILURE_PAUSE_MS);
+        };
+        if connection.sender.ready().await.is_err() {
+            return 0;
+        }
+        let request = self.draw_request(&connection);
+        let message = to_message(&request);
+        let observer = self.context.observer.clone();
+        let id = request.id.clone();
+        observer.begin_request(request.clone());
+        let leave_after = self.habits.leaves_early && self.rng.random_ratio(1, 4);
+        let limit = match leave_after {
+            true => ClockTime::from_millis(self.rng.random_range(1..400)),
+            false => request.time_limit,
+        };
+        let exchange = exchange(&mut connection.sender, message, self.habits.reads_slowly);
+        let result = tokio::time::timeout(limit.to_duration(), exchange).await;
+        let (outcome, is_usable, wait) = match result {
+            Ok(ExchangeEnd::NotSent) => {
+                observer.forget_request(&id);
+                return 0;
+            }
+            Ok(ExchangeEnd::Ended(outcome, is_usable, wait)) => (outcome, is_usable, wait),
+            Err(_) if leave_after => (Outcome::Left, false, None),
+            Err(_) => (Outcome::TimedOut, false, None),
+        };
+        observer.end_request(&id, outcome);
+        if is_usable {
+            self.connection = Some(connection);
+        }
+        self.pause(is_usable, wait)
+    }
+
+    fn pause(&mut self, is_usable: bool, wait: Option<f64>) -> u64 {
+        match wait {
+            // One in four callers does not wait as it was told.
+            Some(seconds) if !self.number.is_multiple_of(4) => {
+                self.connection = None;
+                ((seconds * 1_000.0) as u64).min(CALL_TIME_LIMIT.as_millis() / 3)
+            }
+            _ if is_usable && self.rng.random_ratio(1, 6) => {
+                self.rng.random_range(0..IDLE_REUSE.as_millis())
+            }
+            _ if is_usable => self.rng.random_range(PAUSE_MS),
+            _ => self.rng.random_range(FAILURE_PAUSE_MS),
+        }
+    }
+
+    async fn connect(&mut self) -> Option<CallerConnection> {
+        let vms = &self.context.vms;
+        let zone = crate::vms::zone(self.number);
+        let mut choices: Vec<&Arc<SoakVm>> = vms.iter().filter(|vm| vm.zone == zone).collect();
+        if choices.iter().any(|vm| vm.is_in_rotation()) {
+            choices.retain(|vm| vm.is_in_rotation());
+        } else {
+            choices = vms.iter().filter(|vm| vm.is_in_rotation()).collect();
+        }
+        if choices.is_empty() {
+            return None;
+        }
+        let vm = choices[self.rng.random_range(0..choices.len())];
+        let boot = vm.boot.load(Ordering::Relaxed);
+        let connecting = TcpStream::connect(vm.callers);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let stream = stream.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
+        let (observer, index) = (self.context.observer.clone(), vm.index);
+        tokio::spawn(async move {
+            let error = driver.await.err().map(|error| error.to_string());
+            // Hyper has no other way to tell this error apart.
+            if let Some(error) = error.filter(|error| error.contains("unexpected")) {
+                let detail = format!("vm-{index} sent bytes that nobody asked for: {error}");
+                observer.report("answers matched to requests", detail);
+            }
+        });
+        Some(CallerConnection {
+            sender,
+            vm: index,
+            boot,
+        })
+    }
+
+    fn draw_request(&mut self, connection: &CallerConnection) -> CallerRequest {
+        let (number, sent) = (self.number, self.sent);
+        self.sent += 1;
+        let rng = &mut self.rng;
+        let operators = &self.context.operators;
+        let route = operators.draw_route(rng, self.habits.streams);
+        let key = match route.is_public {
+            true => None,
+            false => Some(operators.draw_key(rng)),
+        };
+        let (kind, method, events) = match route.kind {
+            RouteKind::Safe => (CallKind::Safe, "GET", 0),
+            RouteKind::Unsafe => (CallKind::Unsafe, "POST", 0),
+            RouteKind::Resumable => (
+                CallKind::Stream { is_resumable: true },
+                "POST",
+                rng.random_range(5..60),
+            ),
+            RouteKind::Single => (
+                CallKind::Stream {
+                    is_resumable: false,
+                },
+                "POST",
+                rng.random_range(5..40),
+            ),
+        };
+        let id = format!("s{}c{number}n{sent}", self.context.seed);
+        let single = match route.kind {
+            RouteKind::Single => "single ",
+            _ => "",
+        };
+        let body = match (events, method) {
+            (0, "GET") => String::new(),
+            (0, _) => format!("order of {id} ").repeat(rng.random_range(1..60)),
+            _ => format!("events={events} {single}prompt of {id}"),
+        };
+        CallerRequest {
+            vm: connection.vm,
+            boot: connection.boot,
+            kind,
+            method: method.to_owned(),
+            path: format!("{}{}", route.prefix, rng.random_range(0..1_000)),
+            body,
+            key,
+            events,
+            last_event: 0,
+            sent_at: self.context.observer.now(),
+            time_limit: if events > 0 {
+                STREAM_TIME_LIMIT
+            } else {
+                CALL_TIME_LIMIT
+            },
+            timeout: route.timeout,
+            attempts: route.attempts,
+            id,
+        }
+    }
+}
+
+fn to_message(request: &CallerRequest) -> Request<Full<Bytes>> {
+    let mut message = Request::builder()
+        .method(request.method.as_str())
+        .uri(&request.path)
+        .header(http::header::HOST, HOST)
+        .header(headers::REQUEST_ID, &request.id)
+        .header(headers::TIME_LEFT, request.time_limit.as_millis());
+    if request.events > 0 {
+        message = message.header(headers::TOKENS, format!("800,{}", request.events));
+    }
+    if let Some(key) = &request.key {
+        message = message.header(http::header::AUTHORIZATION, format!("Token {key}"));
+    }
+    let body = Full::new(Bytes::from(request.body.clone()));
+    message.body(body).expect("the request is well-formed")
+}
+
+enum ExchangeEnd {
+    /// The connection was closed before the request was sent.
+    NotSent,
+    /// The outcome, whether the connection may be used again, and the time after which
+    /// the caller was told to come back, in seconds.
+    Ended(Outcome, bool, Option<f64>),
+}
+
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    message: Request<Full<Bytes>>,
+    reads_slowly: bool,
+) -> ExchangeEnd {
+    let response = match sender.send_request(message).await {
+        Ok(response) => response,
+        Err(error) if error.is_canceled() => return ExchangeEnd::NotSent,
+        Err(error) if error.is_parse() => {
+            let outcome = Outcome::Unparsable(error.to_string());
+            return ExchangeEnd::Ended(outcome, false, None);
+        }
+        Err(_) => return ExchangeEnd::Ended(Outcome::Closed, false, None),
+    };
+    let text = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let wait = text("retry-after").and_then(|wait| wait.parse().ok());
+    let closes = text("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let mut seen = SeenResponse {
+        status: response.status().as_u16(),
+        signature: text(headers::SIGNATURE),
+        request_id: text(headers::REQUEST_ID),
+        ..SeenResponse::default()
+    };
+    (seen.body, seen.is_complete) = read_body(response, reads_slowly).await;
+    let is_usable = seen.is_complete && !closes;
+    ExchangeEnd::Ended(Outcome::Response(seen), is_usable, wait)
+}
+
+/// Returns what arrived of the body and whether it is complete.
+async fn read_body(mut response: Response<Incoming>, reads_slowly: bool) -> (String, bool) {
+    let mut body = Vec::new();
+    let mut is_complete = true;
+    while let Some(frame) = response.body_mut().frame().await {
+        match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => body.extend_from_slice(&data),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                is_complete = false;
+                break;
+            }
+        }
+        if reads_slowly {
+            tokio::time::sleep(Duration::from_millis(15)).await;
+        }
+    }
+    (String::from_utf8_lossy(&body).into_owned(), is_complete)
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,30 @@
+//! A randomized soak of the gateway.
+//!
+//! It starts real gateway processes with fakes of their store and upstreams, injects
+//! faults drawn from a seed, and checks what callers and upstreams see.
+
+mod bounds;
+mod callers;
+mod checks;
+mod configs;
+mod faults;
+mod heartbeat;
+mod links;
+mod observer;
+mod operators;
+mod records;
+mod registry;
+mod report;
+mod run;
+mod timeline;
+mod upstreams;
+mod vms;
+
+pub use checks::{check_request, check_totals, ReadinessRecord, World};
+pub use configs::{ConfigHistory, ConfigVersion, Handling, RouteRule};
+pub use records::{
+    CallKind, CallerRequest, Outcome, RequestStory, SeenResponse, UpstreamRun, Violation,
+};
+pub use report::SoakReport;
+pub use run::{run_soak, SoakOptions};
+pub use timeline::{Disturbance, Part, Timeline};
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,212 @@
+//! The report of a soak: the broken promises, each with the lines of one request.
+
+use crate::observer::Observer;
+use crate::records::{Outcome, RequestStory, Violation};
+use crate::run::SoakOptions;
+use crate::timeline::{Part, Timeline};
+use crate::vms::SoakVm;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// The log lines of one request that are printed at most.
+const MAX_LOG_LINES: usize = 40;
+/// Violations of one promise that are printed in full.
+const MAX_EXAMPLES: usize = 3;
+
+/// What a soak found.
+#[derive(Debug)]
+pub struct SoakReport {
+    seed: u64,
+    folder: PathBuf,
+    requests: usize,
+    outcomes: BTreeMap<String, usize>,
+    starved: Vec<String>,
+    violations: Vec<(Violation, Vec<String>)>,
+}
+
+impl SoakReport {
+    pub(crate) fn new(
+        options: SoakOptions,
+        folder: PathBuf,
+        observer: &Observer,
+        vms: &[Arc<SoakVm>],
+    ) -> Self {
+        let state = observer.lock();
+        let mut outcomes = BTreeMap::new();
+        for story in state.stories.values() {
+            *outcomes.entry(outcome_name(story)).or_default() += 1;
+        }
+        let explain = |violation: &Violation| {
+            let id = violation.request.as_ref();
+            let story = id.and_then(|id| state.stories.get(id));
+            let lines = story.map(|story| {
+                let mut lines = describe_story(story);
+                lines.extend(describe_disturbances(story, &state.world.timeline));
+                lines.extend(read_log_lines(&story.request.id, vms));
+                lines
+            });
+            (violation.clone(), lines.unwrap_or_default())
+        };
+        SoakReport {
+            seed: options.seed,
+            folder,
+            requests: state.stories.len(),
+            outcomes,
+            starved: starved_spans(&state.world.timeline),
+            violations: state.violations.iter().map(explain).collect(),
+        }
+    }
+
+    /// Reports whether all promises were kept.
+    pub fn is_passed(&self) -> bool {
+        self.violations.is_empty()
+    }
+
+    /// Removes the logs if all promises were kept.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder can't be removed.
+    pub fn clean_up(&self) -> std::io::Result<()> {
+        match self.is_passed() {
+            true => std::fs::remove_dir_all(&self.folder),
+            false => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        for (violation, lines) in &self.violations {
+            let count = seen.entry(violation.promise).or_default();
+            *count += 1;
+            let request = violation.request.as_deref().unwrap_or("-");
+            let (promise, detail) = (violation.promise, &violation.detail);
+            writeln!(formatter, "BROKEN {promise}: request {request}: {detail}")?;
+            if *count <= MAX_EXAMPLES {
+                for line in lines {
+                    writeln!(formatter, "    {line}")?;
+                }
+            }
+        }
+        let (seed, requests) = (self.seed, self.requests);
+        writeln!(
+            formatter,
+            "seed {seed}: {requests} requests, {:?}",
+            self.outcomes
+        )?;
+        let spans = self.starved.len();
+        writeln!(
+            formatter,
+            "starved by the machine: {spans} spans {:?}",
+            self.starved
+        )?;
+        if self.is_passed() {
+            return writeln!(formatter, "seed {seed}: PASSED");
+        }
+        let promises: Vec<String> = seen
+            .iter()
+            .map(|(promise, count)| format!("{promise} ({count})"))
+            .collect();
+        let (promises, folder) = (promises.join(", "), self.folder.display());
+        writeln!(
+            formatter,
+            "seed {seed}: FAILED: {promises}; logs in {folder}"
+        )
+    }
+}
+
+fn outcome_name(story: &RequestStory) -> String {
+    match &story.outcome {
+        Some((_, Outcome::Response(response))) if response.is_complete => {
+            response.status.to_string()
+        }
+        Some((_, Outcome::Response(response))) => format!("{} cut off", response.status),
+        Some((_, Outcome::Closed)) => "closed".to_owned(),
+        Some((_, Outcome::Unparsable(_))) => "unparsable".to_owned(),
+        Some((_, Outcome::Left)) => "left".to_owned(),
+        Some((_, Outcome::TimedOut)) => "timed out".to_owned(),
+        None => "open".to_owned(),
+    }
+}
+
+fn describe_story(story: &RequestStory) -> Vec<String> {
+    let request = &story.request;
+    let mut lines = vec![format!(
+        "{:>6} ms  caller sent {} {} to vm-{} (process {}), {:?}, key {:?}",
+        request.sent_at.as_millis(),
+        request.method,
+        request.path,
+        request.vm,
+        request.boot,
+        request.kind,
+        request.key
+    )];
+    lines.extend(story.runs.iter().map(|run| {
+        format!(
+            "{:>6} ms  arrived at {}, executed: {}, status {}, ended at {} ms, broke off: {}, \
+             customer {:?}, time left {:?}",
+            run.at.as_millis(),
+            run.upstream,
+            run.is_executed,
+            run.status,
+            run.ended_at.as_millis(),
+            run.is_broken_off,
+            run.customer,
+            run.time_left
+        )
+    }));
+    if let Some((at, outcome)) = &story.outcome {
+        let at_ms = at.as_millis();
+        let mut text = format!("{outcome:?}");
+        text.truncate(400);
+        lines.push(format!("{at_ms:>6} ms  caller saw {text}"));
+    }
+    lines
+}
+
+fn describe_disturbances(story: &RequestStory, timeline: &Timeline) -> Vec<String> {
+    let ended_at = story.ended_at(skylarkshed_core::ClockTime::NEVER);
+    let near = timeline.disturbances.iter().filter(|disturbance| {
+        let is_of_vm = disturbance.part == Part::Vm(story.request.vm);
+        let is_common = matches!(disturbance.part, Part::Store | Part::Machine);
+        let names = story.runs.iter().map(|run| &run.upstream);
+        let is_of_upstream = names
+            .cloned()
+            .any(|name| disturbance.part == Part::Upstream(name));
+        disturbance.from <= ended_at && (is_of_vm || is_common || is_of_upstream)
+    });
+    near.map(|disturbance| {
+        let (from, until) = (disturbance.from.as_millis(), disturbance.until.as_millis());
+        let (part, cause) = (&disturbance.part, disturbance.cause);
+        format!("disturbed: {part:?} {cause} from {from} ms to {until} ms")
+    })
+    .collect()
+}
+
+fn read_log_lines(id: &str, vms: &[Arc<SoakVm>]) -> Vec<String> {
+    let mut lines = Vec::new();
+    let quoted = format!("\"{id}\"");
+    for vm in vms {
+        // A VM whose process never started has no log.
+        let log = std::fs::read_to_string(&vm.log).unwrap_or_default();
+        let matching = log.lines().filter(|line| line.contains(&quoted));
+        lines.extend(matching.map(|line| format!("vm-{}: {line}", vm.index)));
+    }
+    lines.truncate(MAX_LOG_LINES);
+    lines
+}
+
+fn starved_spans(timeline: &Timeline) -> Vec<String> {
+    let starved = timeline.disturbances.iter();
+    let starved = starved.filter(|disturbance| disturbance.cause == "starved");
+    starved
+        .map(|span| {
+            let (from, until) = (span.from.as_millis(), span.until.as_millis());
+            format!("{:?} {from}..{until} ms", span.part)
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,133 @@
+//! Runs a soak from its start to its report.
+
+use crate::callers::{run_caller, CallerContext};
+use crate::faults::{draw_schedule, inject, FaultTargets};
+use crate::heartbeat::{watch_machine, watch_vm};
+use crate::links::LinkFaults;
+use crate::observer::Observer;
+use crate::operators::{ConfigChange, Operators};
+use crate::registry::UpstreamRegistry;
+use crate::report::SoakReport;
+use crate::vms::{check_readiness, create_vms, keep_running, SoakVm, VmContext};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use skylarkshed_core::ClockTime;
+use skylarkshed_stand_ins::FakeStore;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Callers for each VM.
+const CALLERS_PER_VM: usize = 5;
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The time after the callers have stopped, in which refused requests may still run.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// What a soak is asked to do.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Draws the faults, the callers' behaviour and the upstreams' responses.
+    pub seed: u64,
+    /// How long callers send requests.
+    pub length: ClockTime,
+    /// The number of VMs.
+    pub vms: usize,
+    /// The path of the `skylarkshed` program.
+    pub program: PathBuf,
+}
+
+/// Runs a soak and returns its report.
+///
+/// # Errors
+///
+/// Fails if a file can't be written or an address can't be bound.
+pub async fn run_soak(options: SoakOptions) -> std::io::Result<SoakReport> {
+    let folder = format!("skylarkshed-soak-{}-{}", options.seed, std::process::id());
+    let folder = std::env::temp_dir().join(folder);
+    std::fs::create_dir_all(&folder)?;
+    let observer = Arc::new(Observer::start());
+    let store = Arc::new(FakeStore::start().await);
+    let links = Arc::new(LinkFaults::new(options.vms));
+    let operators = Arc::new(Operators::new(observer.clone(), store.clone()));
+    operators.change(
+        ConfigChange::Nothing,
+        &mut SmallRng::seed_from_u64(options.seed),
+    );
+    let registry = UpstreamRegistry::start(options.seed, &observer, &links, &store).await?;
+    let context = Arc::new(VmContext {
+        program: options.program.clone(),
+        folder: folder.clone(),
+        observer: observer.clone(),
+        links,
+    });
+    let vms = create_vms(&context, &store, options.vms).await?;
+    let targets = Arc::new(FaultTargets {
+        observer: observer.clone(),
+        operators,
+        store,
+        vms: vms.clone(),
+        upstreams: Arc::new(registry),
+        context: context.clone(),
+    });
+    let mut tasks = start_tasks(&vms, &context);
+    run_load(&options, &targets).await;
+    observer.check_all();
+    tasks.shutdown().await;
+    Ok(SoakReport::new(options, folder, &observer, &vms))
+}
+
+/// Starts the processes and what watches them. The processes are killed when the tasks
+/// are ended.
+fn start_tasks(vms: &[Arc<SoakVm>], context: &Arc<VmContext>) -> JoinSet<()> {
+    let mut tasks = JoinSet::new();
+    let observer = &context.observer;
+    tasks.spawn(watch_machine(observer.clone()));
+    for vm in vms {
+        tasks.spawn(keep_running(vm.clone(), context.clone()));
+        tasks.spawn(check_readiness(vm.clone(), observer.clone()));
+        tasks.spawn(watch_vm(vm.clone(), observer.clone()));
+    }
+    let observer = observer.clone();
+    tasks.spawn(async move {
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            observer.check_changed();
+        }
+    });
+    tasks
+}
+
+/// Runs the callers and the schedule of faults to the end.
+async fn run_load(options: &SoakOptions, targets: &Arc<FaultTargets>) {
+    let (stop, stopping) = watch::channel(false);
+    let callers = Arc::new(CallerContext {
+        seed: options.seed,
+        observer: targets.observer.clone(),
+        operators: targets.operators.clone(),
+        vms: targets.vms.clone(),
+        stop: stopping,
+    });
+    let mut calling = JoinSet::new();
+    for number in 0..options.vms * CALLERS_PER_VM {
+        calling.spawn(run_caller(number, callers.clone()));
+    }
+    let mut injecting = JoinSet::new();
+    let observer = &targets.observer;
+    for fault in draw_schedule(options.seed, options.length) {
+        tokio::time::sleep(fault.at.since(observer.now()).to_duration()).await;
+        let at_ms = observer.now().as_millis();
+        println!(
+            "{at_ms:>6} ms  {:?} for {} ms",
+            fault.kind,
+            fault.duration.as_millis()
+        );
+        injecting.spawn(inject(fault, targets.clone()));
+    }
+    tokio::time::sleep(options.length.since(observer.now()).to_duration()).await;
+    stop.send_replace(true);
+    while calling.join_next().await.is_some() {}
+    while injecting.join_next().await.is_some() {}
+    tokio::time::sleep(SETTLE_TIME).await;
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -22,9 +22,11 @@
 pub use engine::run_engine;
 pub use engine_batch::{EngineConfig, EngineFaults};
 pub use platform::{run_platform, PlatformControl, PlatformFaults};
-pub use proxy::{run_proxy, ProxyFaults};
+pub use proxy::{forward_connection, run_proxy, ProxyFaults};
+pub use routing::headers;
 pub use routing::{
-    FakeStore, FakeUpstream, ReceivedRequest, ScriptedResponse, StoreCopy, StoreMode, StreamEnd,
-    StreamScript,
+    default_config, route, upstream_row, ControlCalls, FakeStore, FakeUpstream, GatewayFile,
+    ReceivedRequest, ScriptedResponse, StoreCopy, StoreMode, StreamEnd, StreamScript, APP_SERVICE,
+    DEPOT_KEY, HOST, MODEL_SERVICE, VENDOR_KEY,
 };
 pub use token_oracle::{check_answer, AnswerMismatch, TokenOracle};
--- a/crates/stand-ins/src/proxy.rs
+++ b/crates/stand-ins/src/proxy.rs
@@ -26,6 +26,9 @@
     pub hold_from_target: bool,
     /// Delay of each chunk of data, in milliseconds.
     pub delay_ms: u64,
+    /// Connections opened while this number was lower are held back for good, in both
+    /// directions.
+    pub silence_count: u64,
     /// Source addresses whose traffic is held back in both directions; their datagrams
     /// are dropped.
     pub blocked_sources: Vec<IpAddr>,
@@ -65,11 +68,27 @@
 
 async fn accept_connections(listener: TcpListener, target: SocketAddr, faults: FaultWatch) {
     while let Ok((inbound, source)) = listener.accept().await {
-        tokio::spawn(forward(inbound, source.ip(), target, faults.clone()));
+        tokio::spawn(forward_connection(
+            inbound,
+            source.ip(),
+            target,
+            faults.clone(),
+        ));
     }
 }
 
-async fn forward(inbound: TcpStream, source: IpAddr, target: SocketAddr, mut faults: FaultWatch) {
+/// Forwards an accepted connection to the target, with the faults that the watch
+/// channel holds at each moment.
+pub async fn forward_connection(
+    inbound: TcpStream,
+    source: IpAddr,
+    target: SocketAddr,
+    mut faults: watch::Receiver<ProxyFaults>,
+) {
+    let silence_count = faults.borrow().silence_count;
+    let is_silent = move |faults: &ProxyFaults| {
+        faults.silence_count > silence_count || faults.blocked_sources.contains(&source)
+    };
     if faults.borrow().reset {
         return reset(&inbound);
     }
@@ -81,10 +100,10 @@
     let (from_client, to_client) = inbound.into_split();
     let (from_target, to_target) = outbound.into_split();
     let copy_to_target = copy_bytes(from_client, to_target, faults.clone(), move |faults| {
-        faults.hold_to_target || faults.blocked_sources.contains(&source)
+        faults.hold_to_target || is_silent(faults)
     });
     let copy_from_target = copy_bytes(from_target, to_client, faults.clone(), move |faults| {
-        faults.hold_from_target || faults.blocked_sources.contains(&source)
+        faults.hold_from_target || is_silent(faults)
     });
     tokio::select! {
         () = async { tokio::join!(copy_to_target, copy_from_target); } => {}
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -1,11 +1,11 @@
 //! The responses of a fake upstream to the gateway's own requests.
 
-use super::upstream::ReceivedRequest;
+use super::received_request::ReceivedRequest;
 use serde_json::json;
 
 /// What a fake upstream knows for the gateway's own requests.
 #[derive(Debug, Default)]
-pub(super) struct ControlCalls {
+pub struct ControlCalls {
     /// The bodies of the requests to copy a KV cache; each names the request whose cache
     /// is copied and the target.
     pub(super) kv_move_requests: Vec<String>,
@@ -17,7 +17,7 @@
     /// Returns the response to a request that the gateway itself makes of an engine (load
     /// report, list or copy of the KV cache, release of a copy); `None` for a request
     /// forwarded for a caller.
-    pub(super) fn respond(&mut self, request: &ReceivedRequest) -> Option<String> {
+    pub fn respond(&mut self, request: &ReceivedRequest) -> Option<String> {
         let line = &request.request_line;
         let body = if line.starts_with("GET /-/report") {
             json!({"waiting": 0, "running": 0, "runs": []})
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -1,5 +1,6 @@
 //! A fake of the store that the gateway reads and watches.
 
+use super::store_messages::{parse_query, reply, row, substitute};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -49,6 +50,8 @@
     calls: HashMap<String, u64>,
     /// How often the store has returned from an older copy.
     era: u64,
+    /// The addresses that replace others in the entries that VMs write.
+    substitutes: HashMap<String, String>,
 }
 
 /// A copy of the store's rows.
@@ -97,6 +100,7 @@
             compacted_revision: 0,
             calls: HashMap::new(),
             era: 1,
+            substitutes: HashMap::new(),
         }));
         let (mode, mode_receiver) = watch::channel(StoreMode::Available);
         let (changed, _) = watch::channel(0);
@@ -172,6 +176,14 @@
         self.service.changed.send_replace(revision);
     }
 
+    /// Replaces an address in the entries that VMs write from now on, so that other VMs
+    /// connect to a proxy.
+    pub fn substitute_address(&self, address: SocketAddr, proxy: SocketAddr) {
+        let mut state = lock(&self.service.state);
+        let (address, proxy) = (address.to_string(), proxy.to_string());
+        state.substitutes.insert(address, proxy);
+    }
+
     /// Sets how the store responds from now on.
     pub fn set_mode(&self, mode: StoreMode) {
         self.mode.send_replace(mode);
@@ -282,8 +294,9 @@
         return reply(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
     }
     for row in entries("put") {
-        let value = BASE64_STANDARD.decode(text(&row, "value"));
-        service.write(&text(&row, "table"), &text(&row, "key"), value.ok());
+        let value = BASE64_STANDARD.decode(text(&row, "value")).ok();
+        let value = value.map(|value| substitute(&lock(&service.state).substitutes, value));
+        service.write(&text(&row, "table"), &text(&row, "key"), value);
     }
     for row in entries("remove") {
         service.write(&text(&row, "table"), &text(&row, "key"), None);
@@ -351,35 +364,7 @@
     (rows.collect(), state.revision, state.compacted_revision)
 }
 
-fn row(table: &str, key: &str, revision: u64, value: Option<&[u8]>) -> Value {
-    let mut row = json!({
-        "table": table,
-        "part": "",
-        "key": key,
-        "schema_version": revision,
-    });
-    match value {
-        Some(value) => row["value"] = json!(BASE64_STANDARD.encode(value)),
-        None => row["removed"] = json!(true),
-    }
-    row
-}
-
 /// Returns the milliseconds since the store started, from a monotonic clock.
 fn now_ms(state: &StoreState) -> u64 {
     u64::try_from(state.started.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
-
-fn parse_query(request: &Request<Incoming>) -> HashMap<String, String> {
-    let query = request.uri().query().unwrap_or("");
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect()
-}
-
-fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
-    *response.status_mut() = status;
-    response
-}
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -1,6 +1,5 @@
 //! A gateway process with fakes of its store and its upstreams.
 
-use crate::gateway_config::{default_config, APP_SERVICE, DEPOT_KEY, HOST, MODEL_SERVICE};
 use crate::gateway_process::{
     config_metric, copy_output, get, start_process, wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
 };
@@ -8,7 +7,10 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
-use skylarkshed_stand_ins::{FakeStore, FakeUpstream};
+use skylarkshed_stand_ins::{
+    default_config, upstream_row, FakeStore, FakeUpstream, GatewayFile, APP_SERVICE, DEPOT_KEY,
+    HOST, MODEL_SERVICE,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -126,38 +128,15 @@
         harness
     }
 
-    /// Returns the text of the settings file. It contains an unknown key, which the
-    /// process has to accept.
+    /// Returns the text of the settings file.
     fn render_settings(&self, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
-        let (grace, revoke) = (self.grace_s, self.revoke_ms);
-        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
-        format!(
-            r#"
-node_name = "{name}"
-role = "gateway"
-ip_address = "127.0.0.1"
-zone = "zone-0"
-region = "region"
-internal_port_range = [0, 0]
-heartbeat_interval_ms = 1200
-unknown_to_us = ["later"]
-seed_nodes = {seeds:?}
-[listen_addresses]
-frontend = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-control = "127.0.0.1:0"
-[limits]
-file_descriptors = 4100
-[bounds]
-grace_s = {grace}
-revoke_ms = {revoke}
-retry_budget_ratio = 0.8
-retry_budget_slack = 150
-retry_window_s = 10
-[platform]
-address = "{store}"
-"#
-        )
+        let file = GatewayFile {
+            grace_s: self.grace_s,
+            revoke_ms: self.revoke_ms,
+            seeds: seeds.to_vec(),
+            ..GatewayFile::new(name, store)
+        };
+        file.render()
     }
 }
 
@@ -270,16 +249,8 @@
         state: &str,
         version: &str,
     ) {
-        let entry = json!({
-            "service": service,
-            "address": upstream.address(),
-            "zone": format!("zone-{zone}"),
-            "version": version,
-            "slots": 6,
-            "state": state,
-            "born": 1_000,
-            "sequence": 1,
-        });
+        let zone = format!("zone-{zone}");
+        let entry = upstream_row(service, upstream.address(), &zone, version, state);
         self.store.put("servers", &upstream.name(), &entry);
     }
 
