--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,10 @@
-//! Developer tasks: `cargo xtask demo`, `cargo xtask test` and `cargo xtask generate`.
+//! Developer tasks: `cargo xtask demo`, `cargo xtask test`, `cargo xtask soak` and
+//! `cargo xtask generate`.
 
 mod demo;
 mod generate;
 mod run;
+mod soak;
 mod test;
 
 use clap::Command;
@@ -14,11 +16,13 @@
         .subcommand_required(true)
         .subcommand(demo::make_subcommand())
         .subcommand(generate::make_subcommand())
+        .subcommand(soak::make_subcommand())
         .subcommand(test::make_subcommand())
         .get_matches();
-    let result = match matches.subcommand_name() {
-        Some("generate") => generate::execute(),
-        Some("test") => test::execute(),
+    let result = match matches.subcommand() {
+        Some(("generate", _)) => generate::execute(),
+        Some(("soak", matches)) => soak::execute(matches),
+        Some(("test", _)) => test::execute(),
         _ => demo::execute(),
     };
     match result {
--- a/xtask/src/test.rs
+++ b/xtask/src/test.rs
@@ -1,4 +1,4 @@
-//! `cargo xtask test`: builds all programs and runs all tests.
+//! `cargo xtask test`: builds all programs, runs all tests and a short soak.
 
 use crate::run::{cargo, run, workspace_root};
 use clap::Command;
@@ -33,6 +33,7 @@
         PROCESS_TEST_THREADS,
     ];
     run(cargo().args(process_tests).args(skip_args(&known_failures)))?;
+    crate::soak::run_test_seed()?;
     for test in &known_failures {
         println!("known failure, skipped: {test}");
     }
