Count a soak without answers as failed, and name seeds by their real addresses

The seeds' addresses are the VMs' own now, and a soak without a served request fails.

The report states how many requests were at VMs in touch. A signal to the soak ends its processes as well.

--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -22,6 +22,7 @@
 /// Checks the sums over all requests so far.
 pub fn check_totals(stories: &[&RequestStory], world: &World, now: ClockTime) -> Vec<Violation> {
     let mut found = Vec::new();
+    check_served(stories, &mut found);
     check_retry_budget(stories, &mut found);
     check_attempts(stories, &mut found);
     check_timeouts(stories, world, now, &mut found);
@@ -39,6 +40,16 @@
     }
 }
 
+/// Some request is served.
+fn check_served(stories: &[&RequestStory], found: &mut Vec<Violation>) {
+    let responses = stories.iter().filter_map(|story| story.response());
+    let mut served = responses.filter(|response| response.status == 200);
+    if served.next().is_none() {
+        let detail = format!("none of {} requests got an answer", stories.len());
+        found.push(total("requests are served", detail));
+    }
+}
+
 /// In each window, a service gets no more repeated sends than the budget allows of
 /// the requests for it, in the window, the one before or the one half a window before.
 fn check_retry_budget(stories: &[&RequestStory], found: &mut Vec<Violation>) {
--- a/crates/soak/src/heartbeat.rs
+++ b/crates/soak/src/heartbeat.rs
@@ -11,8 +11,8 @@
 /// A heartbeat that is this late shows that the soak itself was starved: what it saw is
 /// late as well.
 const MAX_LATENESS: Duration = Duration::from_millis(100);
-/// Threads that waited this long for a processor in one interval were starved.
-const MAX_WAIT_MS: u64 = 100;
+/// Threads that waited this long for a processor, half of the interval, were starved.
+const MAX_WAIT_MS: u64 = 125;
 const VM_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Records the spans in which this process was starved.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,6 +5,7 @@
 use skylarkshed_soak::{run_soak, SoakOptions};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
 
 #[tokio::main]
 async fn main() -> std::io::Result<ExitCode> {
@@ -27,13 +28,19 @@
         .get_matches();
     let value = |name: &str| *matches.get_one::<u64>(name).expect("it has a default");
     let program = matches.get_one::<PathBuf>("program");
-    let report = run_soak(SoakOptions {
+    let running = run_soak(SoakOptions {
         seed: value("seed"),
         length: ClockTime::from_millis(value("seconds") * 1_000),
         vms: usize::try_from(value("vms")).unwrap_or(usize::MAX),
         program: program.expect("it is required").clone(),
-    })
-    .await?;
+    });
+    let mut terminate = signal(SignalKind::terminate())?;
+    let report = tokio::select! {
+        report = running => report?,
+        // The processes are killed as their tasks are dropped.
+        _ = terminate.recv() => return Ok(ExitCode::FAILURE),
+        _ = tokio::signal::ctrl_c() => return Ok(ExitCode::FAILURE),
+    };
     print!("{report}");
     report.clean_up()?;
     Ok(match report.is_passed() {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,6 +1,6 @@
 //! The report of a soak: the broken promises, each with the lines of one request.
 
-use crate::observer::Observer;
+use crate::observer::{Observer, ObserverState};
 use crate::records::{Outcome, RequestStory, Violation};
 use crate::run::SoakOptions;
 use crate::timeline::{Part, Timeline};
@@ -21,6 +21,8 @@
     seed: u64,
     folder: PathBuf,
     requests: usize,
+    /// The requests whose VM was in touch from their begin to their end.
+    in_touch: usize,
     outcomes: BTreeMap<String, usize>,
     starved: Vec<String>,
     violations: Vec<(Violation, Vec<String>)>,
@@ -53,6 +55,7 @@
             seed: options.seed,
             folder,
             requests: state.stories.len(),
+            in_touch: count_in_touch(&state),
             outcomes,
             starved: starved_spans(&state.world.timeline),
             violations: state.violations.iter().map(explain).collect(),
@@ -93,9 +96,10 @@
             }
         }
         let (seed, requests) = (self.seed, self.requests);
+        let in_touch = self.in_touch;
         writeln!(
             formatter,
-            "seed {seed}: {requests} requests, {:?}",
+            "seed {seed}: {requests} requests, {in_touch} at VMs in touch, {:?}",
             self.outcomes
         )?;
         let spans = self.starved.len();
@@ -200,6 +204,17 @@
     lines
 }
 
+fn count_in_touch(state: &ObserverState) -> usize {
+    let timeline = &state.world.timeline;
+    let stories = state.stories.values();
+    let in_touch = stories.filter(|story| {
+        let request = &story.request;
+        let ended_at = story.ended_at(request.sent_at);
+        timeline.is_in_touch(request.vm, request.sent_at, ended_at)
+    });
+    in_touch.count()
+}
+
 fn starved_spans(timeline: &Timeline) -> Vec<String> {
     let starved = timeline.disturbances.iter();
     let starved = starved.filter(|disturbance| disturbance.cause == "starved");
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -79,8 +79,8 @@
         let proxy = start_link(links.clone(), LinkKind::Vms, free_port, peers).await?;
         store.substitute_address(peers, proxy);
         if index < ZONES {
-            let seed = SocketAddr::new(address(index), PORTS[2]);
-            seeds.push(start_link(links.clone(), LinkKind::Vms, free_port, seed).await?);
+            // Not a proxy's address: a VM recognizes itself in the list.
+            seeds.push(SocketAddr::new(address(index), PORTS[2]));
         }
     }
     let mut vms = Vec::new();
