Find the VM of a connection only when a fault needs it

For each connection the proxies read the kernel's table of sockets, which held 41,904 rows beside other work on the machine. The table is read when a fault begins or a connection opens during one; faults of the store need no owners.

Each reserves a network now.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -213,17 +213,12 @@
 async fn disturb_store(targets: &FaultTargets, fault: StoreFault, duration: ClockTime) {
     let disturbance = targets.observer.disturb(Part::Store, "store", false);
     let links = &targets.context.links;
-    let change_links = |change: &dyn Fn(&mut ProxyFaults)| {
-        for vm in &targets.vms {
-            links.change(vm.index, LinkKind::Store, change);
-        }
-    };
     let delay_ms = duration.as_millis() / 4;
     match fault {
         StoreFault::Mode(mode) => targets.store.set_mode(mode),
-        StoreFault::Reset => change_links(&|faults| faults.reset = true),
-        StoreFault::Slow => change_links(&|faults| faults.delay_ms = delay_ms),
-        StoreFault::RepliesLost => change_links(&|faults| faults.hold_from_target = true),
+        StoreFault::Reset => links.change_store(|faults| faults.reset = true),
+        StoreFault::Slow => links.change_store(|faults| faults.delay_ms = delay_ms),
+        StoreFault::RepliesLost => links.change_store(|faults| faults.hold_from_target = true),
         StoreFault::Restored => {
             let copy = targets.store.copy();
             tokio::time::sleep(duration.to_duration()).await;
@@ -236,7 +231,7 @@
     tokio::time::sleep(duration.to_duration()).await;
     targets.store.set_mode(StoreMode::Available);
     // A connection on which a reply was lost delivers nothing more.
-    change_links(&|faults| {
+    links.change_store(|faults| {
         faults.silence_count += u64::from(faults.hold_from_target);
         faults.hold_from_target = false;
         faults.delay_ms = 0;
@@ -322,11 +317,15 @@
     let disturbance = targets.observer.disturb(Part::Vm(vm), "link", false);
     let faults = &targets.context.links;
     for link in &links {
-        faults.change(vm, *link, |faults| change(faults, true));
+        faults
+            .change(vm, *link, |faults| change(faults, true))
+            .await;
     }
     tokio::time::sleep(fault.duration.to_duration()).await;
     for link in &links {
-        faults.change(vm, *link, |faults| change(faults, false));
+        faults
+            .change(vm, *link, |faults| change(faults, false))
+            .await;
     }
     targets.observer.end_disturbance(disturbance);
 }
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -2,8 +2,10 @@
 
 use crate::observer::Observer;
 use skylarkshed_stand_ins::{forward_connection, headers, ProxyFaults};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -25,10 +27,21 @@
     pub(crate) const ALL: [LinkKind; 3] = [LinkKind::Store, LinkKind::Upstreams, LinkKind::Vms];
 }
 
+/// A connection that a VM keeps open to the store or to another VM.
+struct OpenConnection {
+    link: LinkKind,
+    source: SocketAddr,
+    /// The VM, once it has been found.
+    vm: Option<usize>,
+    faults: watch::Sender<ProxyFaults>,
+}
+
 /// The faults of every VM's links.
 pub(crate) struct LinkFaults {
     faults: Vec<[watch::Sender<ProxyFaults>; 3]>,
     process_ids: Mutex<Vec<Option<u32>>>,
+    connections: Mutex<BTreeMap<u64, OpenConnection>>,
+    next_number: AtomicU64,
 }
 
 impl LinkFaults {
@@ -36,60 +49,121 @@
         LinkFaults {
             faults: (0..vms).map(|_| Default::default()).collect(),
             process_ids: Mutex::new(vec![None; vms]),
+            connections: Mutex::default(),
+            next_number: AtomicU64::new(0),
+        }
+    }
+
+    /// Changes the faults of one link of a VM.
+    pub(crate) async fn change(
+        self: &Arc<Self>,
+        vm: usize,
+        link: LinkKind,
+        change: impl Fn(&mut ProxyFaults),
+    ) {
+        self.find_vms().await;
+        self.faults[vm][link as usize].send_modify(&change);
+        let connections = lock(&self.connections);
+        let of_vm = connections.values().filter(|open| open.vm == Some(vm));
+        for open in of_vm.filter(|open| open.link == link) {
+            open.faults.send_modify(&change);
         }
     }
 
-    /// Changes the faults of one link.
-    pub(crate) fn change(&self, vm: usize, link: LinkKind, change: impl FnOnce(&mut ProxyFaults)) {
-        self.faults[vm][link as usize].send_modify(change);
+    /// Changes the faults of all VMs' links to the store.
+    pub(crate) fn change_store(&self, change: impl Fn(&mut ProxyFaults)) {
+        for faults in &self.faults {
+            faults[LinkKind::Store as usize].send_modify(&change);
+        }
+        let connections = lock(&self.connections);
+        for open in connections.values() {
+            if open.link == LinkKind::Store {
+                open.faults.send_modify(&change);
+            }
+        }
     }
 
     /// Sets the id of a VM's process, by which its connections are found.
     pub(crate) fn set_process_id(&self, vm: usize, id: Option<u32>) {
-        self.lock_ids()[vm] = id;
+        lock(&self.process_ids)[vm] = id;
     }
 
-    fn watch(&self, vm: Option<usize>, link: LinkKind) -> watch::Receiver<ProxyFaults> {
+    fn watch(&self, vm: Option<usize>) -> watch::Receiver<ProxyFaults> {
         match vm {
-            Some(vm) => self.faults[vm][link as usize].subscribe(),
-            // The process that opened the connection has ended.
+            Some(vm) => self.faults[vm][LinkKind::Upstreams as usize].subscribe(),
+            // A request that no caller sent, such as a health check.
             None => watch::channel(ProxyFaults::default()).1,
         }
     }
 
-    fn lock_ids(&self) -> std::sync::MutexGuard<'_, Vec<Option<u32>>> {
-        self.process_ids
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn is_disturbed(&self, link: LinkKind) -> bool {
+        let mut faults = self.faults.iter();
+        faults.any(|faults| current(&faults[link as usize]) != ProxyFaults::default())
     }
 
-    /// Returns the VM whose process opened a connection.
-    fn find_vm(&self, source: SocketAddr) -> Option<usize> {
-        let socket = format!("socket:[{}]", socket_number(source)?);
-        let ids = self.lock_ids().clone();
-        ids.iter()
-            .position(|id| id.is_some_and(|id| has_socket(id, &socket)))
+    /// Finds the VMs of the connections whose VM is not known yet. The kernel's table of
+    /// sockets is long, so it is read only when a fault needs it.
+    async fn find_vms(self: &Arc<Self>) {
+        let is_known = |open: &OpenConnection| open.vm.is_some();
+        if lock(&self.connections).values().all(is_known) {
+            return;
+        }
+        let ids = lock(&self.process_ids).clone();
+        let finding = tokio::task::spawn_blocking(move || find_ports(&ids));
+        let ports = finding.await.unwrap_or_default();
+        for open in lock(&self.connections).values_mut() {
+            if open.vm.is_some() {
+                continue;
+            }
+            open.vm = ports.get(&open.source.port()).copied();
+            if let Some(vm) = open.vm {
+                let faults = current(&self.faults[vm][open.link as usize]);
+                open.faults.send_replace(faults);
+            }
+        }
+    }
+}
+
+/// Returns a link's faults as a new connection gets them.
+fn current(faults: &watch::Sender<ProxyFaults>) -> ProxyFaults {
+    ProxyFaults {
+        silence_count: 0,
+        ..faults.borrow().clone()
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Starts a proxy on a free port for connections that VMs keep open; they are told
 /// apart by their processes.
 pub(crate) async fn start_link(
     faults: Arc<LinkFaults>,
     link: LinkKind,
-    listen: SocketAddr,
     target: SocketAddr,
 ) -> std::io::Result<SocketAddr> {
-    let listener = TcpListener::bind(listen).await?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
         while let Ok((inbound, source)) = listener.accept().await {
+            let number = faults.next_number.fetch_add(1, Ordering::Relaxed);
+            let (sender, watch) = watch::channel(ProxyFaults::default());
+            let open = OpenConnection {
+                link,
+                source,
+                vm: None,
+                faults: sender,
+            };
+            lock(&faults.connections).insert(number, open);
             let faults = faults.clone();
             tokio::spawn(async move {
-                let finder = faults.clone();
-                let finding = tokio::task::spawn_blocking(move || finder.find_vm(source));
-                let vm = finding.await.ok().flatten();
-                forward_connection(inbound, source.ip(), target, faults.watch(vm, link)).await;
+                if faults.is_disturbed(link) {
+                    let finder = faults.clone();
+                    tokio::spawn(async move { finder.find_vms().await });
+                }
+                forward_connection(inbound, source.ip(), target, watch).await;
+                lock(&faults.connections).remove(&number);
             });
         }
     });
@@ -111,7 +185,7 @@
             tokio::spawn(async move {
                 let id = peek_request_id(&inbound).await;
                 let vm = id.and_then(|id| observer.vm_of(&id));
-                let watch = faults.watch(vm, LinkKind::Upstreams);
+                let watch = faults.watch(vm);
                 forward_connection(inbound, source.ip(), target, watch).await;
             });
         }
@@ -138,23 +212,32 @@
     tokio::time::timeout(HEAD_TIMEOUT, peeking).await.ok()?
 }
 
-/// Returns the number of the socket that is bound to a loopback address.
-fn socket_number(address: SocketAddr) -> Option<String> {
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let port = format!(":{:04X}", address.port());
-    let mut rows = table.lines().map(str::split_whitespace);
-    rows.find_map(|mut row| {
-        let is_match = row.nth(1)?.ends_with(&port);
-        let number = row.nth(7)?;
-        (is_match && number != "0").then(|| number.to_owned())
-    })
+/// Returns the VMs by the ports of their processes' sockets.
+fn find_ports(process_ids: &[Option<u32>]) -> HashMap<u16, usize> {
+    // Without the table, the faults reach no connection of this kind.
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let mut owners = HashMap::new();
+    for (vm, id) in process_ids.iter().enumerate() {
+        let sockets = id.map(socket_numbers).unwrap_or_default();
+        owners.extend(sockets.into_iter().map(|socket| (socket, vm)));
+    }
+    let rows = table.lines().filter_map(|row| {
+        let mut fields = row.split_whitespace();
+        let port = fields.nth(1)?.rsplit_once(':')?.1;
+        let owner = owners.get(fields.nth(7)?)?;
+        Some((u16::from_str_radix(port, 16).ok()?, *owner))
+    });
+    rows.collect()
 }
 
-fn has_socket(process_id: u32, socket: &str) -> bool {
+fn socket_numbers(process_id: u32) -> Vec<String> {
     let Ok(files) = std::fs::read_dir(format!("/proc/{process_id}/fd")) else {
-        return false;
+        return Vec::new();
     };
-    files
-        .filter_map(|file| std::fs::read_link(file.ok()?.path()).ok())
-        .any(|target| target.as_os_str() == socket)
+    let targets = files.filter_map(|file| std::fs::read_link(file.ok()?.path()).ok());
+    let numbers = targets.filter_map(|target| {
+        let number = target.to_str()?.strip_prefix("socket:[")?;
+        Some(number.strip_suffix(']')?.to_owned())
+    });
+    numbers.collect()
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,7 +8,7 @@
 use crate::operators::{ConfigChange, Operators};
 use crate::registry::UpstreamRegistry;
 use crate::report::SoakReport;
-use crate::vms::{check_readiness, create_vms, keep_running, SoakVm, VmContext};
+use crate::vms::{check_readiness, create_vms, keep_running, SoakNetwork, SoakVm, VmContext};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use skylarkshed_core::ClockTime;
@@ -61,6 +61,7 @@
         folder: folder.clone(),
         observer: observer.clone(),
         links,
+        network: SoakNetwork::reserve()?,
     });
     let vms = create_vms(&context, &store, options.vms).await?;
     let targets = Arc::new(FaultTargets {
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -23,6 +23,8 @@
 const PORTS: [u16; 3] = [8740, 8749, 8748];
 const INTERNAL_PORTS: [u16; 2] = [7200, 7201];
 const ZONES: usize = 3;
+/// The second numbers of the loopback addresses.
+const NETWORKS: std::ops::Range<u8> = 2..200;
 /// The delay before the platform starts a process again that ended.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// The load balancer checks each VM this often and gives it no new connection after two
@@ -62,6 +64,7 @@
     pub(crate) folder: PathBuf,
     pub(crate) observer: Arc<Observer>,
     pub(crate) links: Arc<LinkFaults>,
+    pub(crate) network: SoakNetwork,
 }
 
 /// Creates the VMs with their settings files and the proxies between them.
@@ -71,12 +74,13 @@
     count: usize,
 ) -> std::io::Result<Vec<Arc<SoakVm>>> {
     let links = &context.links;
-    let free_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let store_link = start_link(links.clone(), LinkKind::Store, free_port, store.address()).await?;
+    let store_link = start_link(links.clone(), LinkKind::Store, store.address()).await?;
+    let network = context.network.number;
+    let address = |index| address(network, index);
     let mut seeds = Vec::new();
     for index in 0..count {
         let peers = SocketAddr::new(address(index), INTERNAL_PORTS[1]);
-        let proxy = start_link(links.clone(), LinkKind::Vms, free_port, peers).await?;
+        let proxy = start_link(links.clone(), LinkKind::Vms, peers).await?;
         store.substitute_address(peers, proxy);
         if index < ZONES {
             // Not a proxy's address: a VM recognizes itself in the list.
@@ -120,11 +124,37 @@
     format!("zone-{}", index % ZONES)
 }
 
-/// Returns a VM's loopback address. Soaks that run at the same time use different ones.
-fn address(index: usize) -> IpAddr {
-    let own = u8::try_from(std::process::id() % 250).unwrap_or(0) + 2;
+/// Returns a VM's loopback address.
+fn address(network: u8, index: usize) -> IpAddr {
     let index = u8::try_from(index).expect("there are fewer than 200 VMs");
-    IpAddr::V4(Ipv4Addr::new(127, own, index, 1))
+    IpAddr::V4(Ipv4Addr::new(127, network, index, 1))
+}
+
+/// A part of the loopback network that no other soak uses at the same time.
+pub(crate) struct SoakNetwork {
+    number: u8,
+    /// Keeps the part reserved.
+    _reservation: std::net::TcpListener,
+}
+
+impl SoakNetwork {
+    /// Reserves a part.
+    pub(crate) fn reserve() -> std::io::Result<Self> {
+        let mut last_error = None;
+        for number in NETWORKS {
+            let address = Ipv4Addr::new(127, number, u8::MAX, 1);
+            match std::net::TcpListener::bind((address, PORTS[0])) {
+                Ok(reservation) => {
+                    return Ok(SoakNetwork {
+                        number,
+                        _reservation: reservation,
+                    })
+                }
+                Err(error) => last_error = Some(error),
+            }
+        }
+        Err(last_error.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
+    }
 }
 
 impl SoakVm {
