--- a/crates/stand-ins/src/proxy.rs
+++ b/crates/stand-ins/src/proxy.rs
@@ -106,7 +106,8 @@
         faults.hold_from_target || is_silent(faults)
     });
     tokio::select! {
-        () = async { tokio::join!(copy_to_target, copy_from_target); } => {}
+        // A reset of one side ends both.
+        _ = async { tokio::try_join!(copy_to_target, copy_from_target) } => {}
         _ = faults.wait_for(|faults| faults.reset) => {}
     }
 }
@@ -117,30 +118,32 @@
     let _ = stream.set_linger(Some(Duration::ZERO));
 }
 
+/// Copies bytes until `from` ends. An error of `from` is passed on as a reset.
 async fn copy_bytes(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut faults: FaultWatch,
     is_held: impl Fn(&ProxyFaults) -> bool,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = match from.read(&mut buffer).await {
-            Ok(0) | Err(_) => break,
+            Ok(0) => return to.shutdown().await,
             Ok(count) => count,
+            Err(error) => {
+                reset(to.as_ref());
+                return Err(error);
+            }
         };
         if faults.wait_for(|faults| !is_held(faults)).await.is_err() {
-            return;
+            return Ok(());
         }
         let delay_ms = faults.borrow().delay_ms;
         if delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            break;
-        }
+        to.write_all(&buffer[..count]).await?;
     }
-    let _ = to.shutdown().await;
 }
 
 /// Forwards datagrams to the target; nothing is forwarded back.
