State what excuses each cut request, and reset without a regular end

The report counts the cut requests by the rule that excuses them, so that an allowance that hides too much is seen.

The proxy keeps the half until the whole connection is dropped.

--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -13,6 +13,7 @@
 use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
 
+pub(crate) use answers::excuse_cut;
 pub use totals::check_totals;
 
 /// A termination signal to a VM that went on running.
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,5 +1,6 @@
 //! The report of a soak: the broken promises, each with the lines of one request.
 
+use crate::checks::excuse_cut;
 use crate::observer::{Observer, ObserverState};
 use crate::records::{Outcome, RequestStory, Violation};
 use crate::run::SoakOptions;
@@ -24,6 +25,8 @@
     /// The requests whose VM was in touch from their begin to their end.
     in_touch: usize,
     outcomes: BTreeMap<String, usize>,
+    /// The requests that were cut off, by what excuses it.
+    cuts: BTreeMap<&'static str, usize>,
     starved: Vec<String>,
     violations: Vec<(Violation, Vec<String>)>,
 }
@@ -40,6 +43,12 @@
         for story in state.stories.values() {
             *outcomes.entry(outcome_name(story)).or_default() += 1;
         }
+        let mut cuts = BTreeMap::new();
+        for story in state.stories.values() {
+            if let Some(excuse) = excuse_cut(story, &state.world) {
+                *cuts.entry(excuse.unwrap_or("nothing")).or_default() += 1;
+            }
+        }
         let explain = |violation: &Violation| {
             let id = violation.request.as_ref();
             let story = id.and_then(|id| state.stories.get(id));
@@ -57,6 +66,7 @@
             requests: state.stories.len(),
             in_touch: count_in_touch(&state),
             outcomes,
+            cuts,
             starved: starved_spans(&state.world.timeline),
             violations: state.violations.iter().map(explain).collect(),
         }
@@ -102,6 +112,7 @@
             "seed {seed}: {requests} requests, {in_touch} at VMs in touch, {:?}",
             self.outcomes
         )?;
+        writeln!(formatter, "cut off, excused by: {:?}", self.cuts)?;
         let spans = self.starved.len();
         writeln!(
             formatter,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,8 +19,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-/// Callers for each VM.
-const CALLERS_PER_VM: usize = 5;
+/// Callers beside one for each VM. A large fleet gets little more load than a small one, so
+/// that the machine can bear it.
+const COMMON_CALLERS: usize = 32;
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The time after the callers have stopped, in which refused requests may still run.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -111,7 +112,7 @@
         stop: stopping,
     });
     let mut calling = JoinSet::new();
-    for number in 0..options.vms * CALLERS_PER_VM {
+    for number in 0..options.vms + COMMON_CALLERS {
         calling.spawn(run_caller(number, callers.clone()));
     }
     let mut injecting = JoinSet::new();
--- a/crates/stand-ins/src/proxy.rs
+++ b/crates/stand-ins/src/proxy.rs
@@ -132,6 +132,8 @@
             Ok(count) => count,
             Err(error) => {
                 reset(to.as_ref());
+                // A dropped half would end the stream regularly before the reset.
+                to.forget();
                 return Err(error);
             }
         };
