--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -57,12 +57,14 @@
         &mut SmallRng::seed_from_u64(options.seed),
     );
     let registry = UpstreamRegistry::start(options.seed, &observer, &links, &store).await?;
+    let (end, ending) = watch::channel(false);
     let context = Arc::new(VmContext {
         program: options.program.clone(),
         folder: folder.clone(),
         observer: observer.clone(),
         links,
         network: SoakNetwork::reserve()?,
+        end: ending,
     });
     let vms = create_vms(&context, &store, options.vms).await?;
     let targets = Arc::new(FaultTargets {
@@ -73,21 +75,24 @@
         upstreams: Arc::new(registry),
         context: context.clone(),
     });
-    let mut tasks = start_tasks(&vms, &context);
+    let mut processes = JoinSet::new();
+    for vm in &vms {
+        processes.spawn(keep_running(vm.clone(), context.clone()));
+    }
+    let mut tasks = start_watching(&vms, &observer);
     run_load(&options, &targets).await;
     observer.check_all();
     tasks.shutdown().await;
+    end.send_replace(true);
+    while processes.join_next().await.is_some() {}
     Ok(SoakReport::new(options, folder, &observer, &vms))
 }
 
-/// Starts the processes and what watches them. The processes are killed when the tasks
-/// are ended.
-fn start_tasks(vms: &[Arc<SoakVm>], context: &Arc<VmContext>) -> JoinSet<()> {
+/// Starts the tasks that watch the machine and the VMs and check what was seen.
+fn start_watching(vms: &[Arc<SoakVm>], observer: &Arc<Observer>) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
-    let observer = &context.observer;
     tasks.spawn(watch_machine(observer.clone()));
     for vm in vms {
-        tasks.spawn(keep_running(vm.clone(), context.clone()));
         tasks.spawn(check_readiness(vm.clone(), observer.clone()));
         tasks.spawn(watch_vm(vm.clone(), observer.clone()));
     }
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -18,6 +18,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::process::{Child, Command};
+use tokio::sync::watch;
 
 /// The ports of a VM: callers, readiness checks, VMs that start, metrics and peers.
 const PORTS: [u16; 3] = [8740, 8749, 8748];
@@ -65,6 +66,8 @@
     pub(crate) observer: Arc<Observer>,
     pub(crate) links: Arc<LinkFaults>,
     pub(crate) network: SoakNetwork,
+    /// Whether the processes are to end for good.
+    pub(crate) end: watch::Receiver<bool>,
 }
 
 /// Creates the VMs with their settings files and the proxies between them.
@@ -225,7 +228,8 @@
     }
 }
 
-/// Starts the process of a VM, and again each time that it ends.
+/// Starts the process of a VM, and again each time that it ends. At the end of the soak, waits
+/// until the process is gone, so that its addresses are free.
 pub(crate) async fn keep_running(vm: Arc<SoakVm>, context: Arc<VmContext>) {
     let observer = &context.observer;
     loop {
@@ -249,7 +253,17 @@
                 observer.end_disturbance(disturbance);
             }
         }
-        let ended = child.wait().await;
+        let mut end = context.end.clone();
+        let ended = tokio::select! {
+            ended = child.wait() => Some(ended),
+            // The sender lives as long as the soak.
+            () = async { end.wait_for(|end| *end).await.map_or((), |_| ()) } => None,
+        };
+        let Some(ended) = ended else {
+            // The process may have ended at this moment.
+            let _ = child.kill().await;
+            return;
+        };
         let is_ending = {
             let mut state = vm.lock();
             state.id = None;
