Keep the soak's report and heartbeat from panicking

A report could cut an outcome within a character, and a thread's waiting time could fall below that of an earlier thread with its number. Neither was seen; a reading found both.

--- a/crates/soak/src/heartbeat.rs
+++ b/crates/soak/src/heartbeat.rs
@@ -43,7 +43,7 @@
         let waits = id.map(read_waits).unwrap_or_default();
         let grown = waits
             .iter()
-            .filter_map(|(thread, wait)| Some(wait - last.get(thread)?));
+            .filter_map(|(thread, wait)| Some(wait.saturating_sub(*last.get(thread)?)));
         let longest_ms = grown.max().unwrap_or(0) / 1_000_000;
         last = waits;
         if longest_ms > MAX_WAIT_MS {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -13,6 +13,8 @@
 
 /// The log lines of one request that are printed at most.
 const MAX_LOG_LINES: usize = 40;
+/// The characters of an outcome that are printed at most; bodies can be long.
+const MAX_OUTCOME_CHARS: usize = 400;
 /// Violations of one promise that are printed in full.
 const MAX_EXAMPLES: usize = 3;
 
@@ -176,8 +178,10 @@
     }));
     if let Some((at, outcome)) = &story.outcome {
         let at_ms = at.as_millis();
-        let mut text = format!("{outcome:?}");
-        text.truncate(400);
+        let text: String = format!("{outcome:?}")
+            .chars()
+            .take(MAX_OUTCOME_CHARS)
+            .collect();
         lines.push(format!("{at_ms:>6} ms  caller saw {text}"));
     }
     lines
