--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -1,63 +1,12 @@
-//! Reads requests from a connection and sends scripted responses on it.
+//! Sends scripted responses on a connection.
 
 use super::event_stream::{reset, send_events, wait_unless_closed};
+use super::received_request::ReceivedRequest;
 use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
-use super::upstream::ReceivedRequest;
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-/// Reads a request head and the part of the body that arrived with it. Returns the
-/// content length as well.
-pub(super) async fn read_head(stream: &mut TcpStream) -> Option<(ReceivedRequest, usize)> {
-    let mut bytes = Vec::new();
-    let end = loop {
-        let mut chunk = [0; 4096];
-        let read = stream.read(&mut chunk).await.ok()?;
-        if read == 0 {
-            return None;
-        }
-        bytes.extend_from_slice(&chunk[..read]);
-        if let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-            break end + 4;
-        }
-    };
-    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
-    let mut lines = head.split("\r\n");
-    let line = lines.next()?.to_owned();
-    let headers = lines.filter_map(|line| line.split_once(": "));
-    let headers: Vec<(String, String)> = headers
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
-        .collect();
-    let length = headers.iter().find(|(name, _)| name == "content-length");
-    let length: usize = length.and_then(|(_, text)| text.parse().ok()).unwrap_or(0);
-    let body = bytes.split_off(end);
-    let request = ReceivedRequest {
-        request_line: line,
-        headers,
-        body,
-        received_at: Instant::now(),
-    };
-    Some((request, length))
-}
-
-/// Reads until the body is complete; returns `None` if the connection ends first.
-pub(super) async fn read_body(
-    stream: &mut TcpStream,
-    body: &mut Vec<u8>,
-    length: usize,
-) -> Option<()> {
-    while body.len() < length {
-        let mut chunk = [0; 4096];
-        let read = stream.read(&mut chunk).await.ok()?;
-        if read == 0 {
-            return None;
-        }
-        body.extend_from_slice(&chunk[..read]);
-    }
-    Some(())
-}
-
 /// Sends the scripted response; fails if the client closed the connection first.
 pub(super) async fn send_response(
     stream: &mut TcpStream,
--- a/crates/stand-ins/src/routing/event_stream.rs
+++ b/crates/stand-ins/src/routing/event_stream.rs
@@ -1,7 +1,7 @@
 //! The event streams of a fake upstream.
 
+use super::received_request::ReceivedRequest;
 use super::scripted_response::{StreamEnd, StreamScript};
-use super::upstream::ReceivedRequest;
 use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -1,8 +1,9 @@
 //! A fake upstream that sends scripted responses and records its requests.
 
-use super::connection::{read_body, read_head, send_response};
+use super::connection::send_response;
 use super::control_calls::ControlCalls;
 use super::endless_response::EndlessResponse;
+use super::received_request::{read_body, read_head, ReceivedRequest};
 use super::scripted_response::ScriptedResponse;
 use super::version_fault::{FaultState, VersionFault};
 use std::collections::VecDeque;
@@ -13,28 +14,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// A request that the fake upstream received.
-#[derive(Clone, Debug)]
-pub struct ReceivedRequest {
-    /// The request line.
-    pub request_line: String,
-    /// The headers, with names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: Vec<u8>,
-    /// When the head had been read.
-    pub received_at: Instant,
-}
-
-impl ReceivedRequest {
-    /// Returns a header's value.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.headers.iter();
-        let found = headers.find(|(other, _)| other == name);
-        found.map(|(_, value)| value.as_str())
-    }
-}
-
 #[derive(Debug)]
 struct UpstreamState {
     name: String,
--- a/crates/stand-ins/src/routing/version_fault.rs
+++ b/crates/stand-ins/src/routing/version_fault.rs
@@ -1,7 +1,7 @@
 //! A fault that a version of a fake upstream has in its responses.
 
+use super::received_request::ReceivedRequest;
 use super::scripted_response::ScriptedResponse;
-use super::upstream::ReceivedRequest;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::ops::Range;
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -1,6 +1,5 @@
 //! A gateway process with fakes of its store and its upstreams.
 
-use crate::gateway_config::{default_config, APP_SERVICE, DEPOT_KEY, HOST, MODEL_SERVICE};
 use crate::gateway_process::{
     config_metric, copy_output, get, peak_memory_kib, start_process, wait_for_metric,
     POLL_INTERVAL, STATE_TIMEOUT,
@@ -10,7 +9,10 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
-use skylarkshed_stand_ins::{FakeStore, FakeUpstream};
+use skylarkshed_stand_ins::{
+    default_config, upstream_row, FakeStore, FakeUpstream, GatewayFile, APP_SERVICE, DEPOT_KEY,
+    HOST, MODEL_SERVICE,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -148,43 +150,18 @@
         harness
     }
 
-    /// Returns the text of the settings file. It contains an unknown key, which the
-    /// process has to accept.
+    /// Returns the text of the settings file.
     fn render_settings(&self, name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> String {
-        let (grace, revoke) = (self.grace_s, self.revoke_ms);
-        let (retry_ratio, retry_slack) = (self.retry_ratio, self.retry_slack);
-        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
-        let rollback = ROLLBACK_TIME.as_millis();
-        format!(
-            r#"
-node_name = "{name}"
-role = "gateway"
-ip_address = "127.0.0.1"
-zone = "zone-0"
-region = "region"
-internal_port_range = [0, 0]
-heartbeat_interval_ms = 1200
-unknown_to_us = ["later"]
-seed_nodes = {seeds:?}
-[listen_addresses]
-frontend = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-control = "127.0.0.1:0"
-[limits]
-file_descriptors = 4100
-[bounds]
-grace_s = {grace}
-revoke_ms = {revoke}
-retry_budget_ratio = {retry_ratio:.1}
-retry_budget_slack = {retry_slack}
-retry_window_s = 10
-exposure_share = {EXPOSURE_SHARE}
-exposure_slack = {EXPOSURE_SLACK}
-rollback_ms = {rollback}
-[platform]
-address = "{store}"
-"#
-        )
+        let file = GatewayFile {
+            grace_s: self.grace_s,
+            revoke_ms: self.revoke_ms,
+            seeds: seeds.to_vec(),
+            retry_budget: (self.retry_ratio, self.retry_slack),
+            exposure: (EXPOSURE_SHARE, EXPOSURE_SLACK),
+            rollback_ms: ROLLBACK_TIME.as_millis(),
+            ..GatewayFile::new(name, store)
+        };
+        file.render()
     }
 }
 
@@ -297,16 +274,8 @@
         state: &str,
         version: &str,
     ) {
-        let entry = json!({
-            "service": service,
-            "address": upstream.address(),
-            "zone": format!("zone-{zone}"),
-            "version": version,
-            "slots": 6,
-            "state": state,
-            "born": 1_000,
-            "sequence": 1,
-        });
+        let zone = format!("zone-{zone}");
+        let entry = upstream_row(service, upstream.address(), &zone, version, state);
         self.store.put("servers", &upstream.name(), &entry);
     }
 
--- a/tests/testsuite/src/rollout_load.rs
+++ b/tests/testsuite/src/rollout_load.rs
@@ -1,10 +1,10 @@
 //! Callers that send requests at a steady mean rate.
 
-use crate::gateway_config::DEPOT_KEY;
 use crate::gateway_harness::GatewayHarness;
 use crate::raw_client::RawClient;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use skylarkshed_stand_ins::DEPOT_KEY;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
