Let streams of a draining process go on until its exit

Cause: the deadline that ends calls before the exit of a draining process also ended streams, which can't be answered in another way. Change: only calls get that deadline. The reader of a process's ticks moves beside the other readers of a process.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -156,8 +156,11 @@
     }
     let deadline = RequestDeadline::new(state.clock, unanswered.received, &route, head.time_left);
     let deadline = match state.leaving_for() {
-        Some(leaving_for) => deadline.limit_to(time_until_exit(state, leaving_for)),
-        None => deadline,
+        // A stream that has begun gets no other answer, so it may go on until the exit.
+        Some(leaving_for) if !matches!(route.kind, RequestKind::EventStream { .. }) => {
+            deadline.limit_to(time_until_exit(state, leaving_for))
+        }
+        _ => deadline,
     };
     let limit = table.limits().max_body_bytes;
     let body = read_body(body, limit, &deadline)
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -1,8 +1,8 @@
 //! A gateway process with fakes of its store and its upstreams.
 
 use crate::gateway_process::{
-    config_metric, copy_output, get, peak_memory_kib, start_process, wait_for_metric,
-    POLL_INTERVAL, STATE_TIMEOUT,
+    config_metric, copy_output, get, peak_memory_kib, processor_ticks, start_process,
+    wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
 };
 use crate::raw_client::{RawClient, RawResponse};
 use crate::rollout_trial::{EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_TIME};
@@ -329,15 +329,7 @@
 
     /// Returns the processor time that the process has used, in clock ticks.
     pub fn processor_ticks(&self) -> u64 {
-        let id = self.process.id().expect("the process runs");
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"));
-        let stat = stat.expect("the process runs");
-        // The fields after the program's name; the user and system times are the 14th and
-        // 15th of the line.
-        let (_, fields) = stat.rsplit_once(')').expect("the name is in parentheses");
-        let fields: Vec<&str> = fields.split_whitespace().collect();
-        let ticks = fields[11..=12].iter().map(|field| field.parse::<u64>());
-        ticks.map(|ticks| ticks.expect("times are numbers")).sum()
+        processor_ticks(self.process.id().expect("the process runs"))
     }
 
     /// Returns the peak of the process's resident memory.
--- a/tests/testsuite/src/gateway_process.rs
+++ b/tests/testsuite/src/gateway_process.rs
@@ -105,6 +105,18 @@
     value.expect("the kernel reports the peak in kB")
 }
 
+/// Returns the processor time that a process has used, in clock ticks.
+pub(crate) fn processor_ticks(process: u32) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"));
+    let stat = stat.expect("the process runs");
+    // The fields after the program's name; the user and system times are the 14th and
+    // 15th of the line.
+    let (_, fields) = stat.rsplit_once(')').expect("the name is in parentheses");
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = fields[11..=12].iter().map(|field| field.parse::<u64>());
+    ticks.map(|ticks| ticks.expect("times are numbers")).sum()
+}
+
 /// Reads log lines up to the one that contains the process's addresses.
 async fn read_addresses(output: ChildStdout) -> (Vec<SocketAddr>, BufReader<ChildStdout>) {
     let mut reader = BufReader::new(output);
