Close the listener before a process ends

Cause: a draining process ended 50 ms after its last count of connections, and still accepted connections in that time. Ruled out: the grace time (8 s), and the caller, which had 1.5 s. Change: once no connection is left, or the time is over, the process accepts what the kernel has accepted, closes the listener, and then counts again.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -36,11 +36,13 @@
 /// The delay after a connection could not be accepted.
 pub(crate) const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 
-/// Accepts callers' connections until the process ends.
+/// Accepts callers' connections until `stopping` is set; those that the kernel has
+/// accepted by then are still served.
 pub(crate) async fn serve_callers<P: WireProtocol>(
     listener: TcpListener,
     state: Arc<GatewayState>,
     closing: watch::Receiver<bool>,
+    mut stopping: watch::Receiver<bool>,
 ) {
     let max_connections = state.settings.descriptors * CALLER_DESCRIPTORS_PERCENT / 100;
     loop {
@@ -48,7 +50,13 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY.to_duration()).await;
             continue;
         }
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // Without a sender the process is about to exit.
+            _ = stopping.wait_for(|stopping| *stopping) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 state.connections.fetch_add(1, Ordering::Relaxed);
                 let serving = serve_connection::<P>(stream, state.clone(), closing.clone());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// Idle connections are closed this long after a termination signal. By then the
 /// load balancer has made two checks, so that callers reconnect to another VM.
@@ -24,8 +25,6 @@
 /// How long before the kill the process exits by itself.
 pub(crate) const KILL_MARGIN: ClockTime = ClockTime::from_millis(350);
 const CHECK_INTERVAL: ClockTime = ClockTime::from_millis(50);
-/// After this many checks without connections a draining process ends.
-const FINAL_CHECKS: u32 = 2;
 
 /// An error that keeps a gateway from serving.
 #[derive(Debug, Error)]
@@ -107,13 +106,18 @@
     tokio::spawn(watch_vms(state.clone(), store.clone()));
     tokio::spawn(watch_control(state.clone(), store.clone()));
     tokio::spawn(watch_upstreams(state.clone(), store.clone()));
-    tokio::spawn(serve_callers::<P>(callers, state.clone(), closing));
+    let (stop, stopping) = watch::channel(false);
+    let accepting = serve_callers::<P>(callers, state.clone(), closing, stopping);
+    let callers = CallerTask {
+        stop,
+        task: tokio::spawn(accepting),
+    };
     tokio::spawn(serve_readiness(readiness, P::READINESS_PATH, state.clone()));
     tokio::spawn(serve_metrics(metrics_listener, metrics, state.clone()));
     tokio::spawn(reload_on_signal(hang_up, state.clone(), reload));
     wait_for_signal(terminate).await;
     state.start_leaving();
-    tokio::join!(drain(&state, &close), withdraw(&state, &store));
+    tokio::join!(drain(&state, &close, callers), withdraw(&state, &store));
     Ok(())
 }
 
@@ -169,28 +173,47 @@
     }
 }
 
-/// Fails the readiness check, then closes idle connections and waits for the
-/// requests in progress. The process ends after two checks without connections, because
-/// the kernel may have accepted some that the first check does not count.
-async fn drain(state: &GatewayState, close: &watch::Sender<bool>) {
+/// Fails the readiness check, then closes idle connections and waits for the requests in
+/// progress. The listener is closed before the connections are counted for the last time,
+/// so that none is accepted unseen.
+async fn drain(state: &GatewayState, close: &watch::Sender<bool>, callers: CallerTask) {
     let connections = || state.connections.load(Ordering::Relaxed);
     log::info!(connections = connections(); "the process shuts down: the readiness check fails from now on");
     let grace = state.settings.times.grace.since(KILL_MARGIN);
     let elapsed = || state.leaving_for().unwrap_or(grace);
-    let mut unused_checks = 0;
-    while elapsed() < grace && unused_checks < FINAL_CHECKS {
+    while elapsed() < grace && (connections() > 0 || elapsed() < IDLE_CLOSE_DELAY) {
         if elapsed() >= IDLE_CLOSE_DELAY {
             close.send_replace(true);
-            unused_checks = match connections() {
-                0 => unused_checks + 1,
-                _ => 0,
-            };
         }
         tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
     }
+    close.send_replace(true);
+    callers.stop(grace.since(elapsed())).await;
+    while elapsed() < grace && connections() > 0 {
+        tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
+    }
     log::info!(
         connections = connections(),
         after_ms = elapsed().as_millis();
         "the process ends"
     );
 }
+
+/// The task that accepts callers' connections.
+struct CallerTask {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl CallerTask {
+    /// Closes the listener, at most within a time; connections stay open.
+    async fn stop(self, limit: ClockTime) {
+        self.stop.send_replace(true);
+        if tokio::time::timeout(limit.to_duration(), self.task)
+            .await
+            .is_err()
+        {
+            log::info!("the listener for callers was not closed in time");
+        }
+    }
+}
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -344,6 +344,11 @@
         kill(Pid::from_raw(id), signal).expect("the process runs");
     }
 
+    /// Connects as a caller; returns `None` if the connection is refused.
+    pub async fn connect_if_listening(&self) -> Option<RawClient> {
+        RawClient::try_connect(self.caller_address).await
+    }
+
     /// Connects as a caller.
     pub async fn connect(&self) -> RawClient {
         RawClient::connect(self.caller_address).await
--- a/tests/testsuite/src/raw_client.rs
+++ b/tests/testsuite/src/raw_client.rs
@@ -52,12 +52,18 @@
     ///
     /// Panics if the VM refuses the connection.
     pub async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.expect("the VM listens");
-        RawClient {
+        let client = Self::try_connect(address).await;
+        client.expect("the VM listens")
+    }
+
+    /// Connects to a VM; returns `None` if it refuses the connection.
+    pub async fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(RawClient {
             stream,
             received: Vec::new(),
             read_pause: Duration::ZERO,
-        }
+        })
     }
 
     /// Connects to a VM with a receive buffer of a few kilobytes.
--- a/tests/testsuite/tests/gateway/leaving.rs
+++ b/tests/testsuite/tests/gateway/leaving.rs
@@ -1,10 +1,14 @@
 //! Signals to the gateway process interrupt no request.
 
 use nix::sys::signal::Signal;
+use rstest::rstest;
 use skylarkshed_stand_ins::ScriptedResponse;
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY};
 use std::time::{Duration, Instant};
 
+/// When a leaving process closes idle connections, and may end.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_200);
+
 #[tokio::test]
 async fn terminating_process_finishes_the_requests_it_read() {
     let mut harness = HarnessBuilder::default().applications(1).start().await;
@@ -101,3 +105,26 @@
         assert!([200, 503, 504].contains(&response.status), "{response:?}");
     }
 }
+
+/// Guards against a call that is accepted between the last count of connections and the
+/// end of the process.
+#[rstest]
+#[tokio::test]
+async fn call_that_is_accepted_last_gets_an_answer(
+    #[values(20, 40, 60, 80, 100, 120, 140, 160)] after_idle_close_ms: u64,
+) {
+    let harness = HarnessBuilder::default().applications(1).start().await;
+    harness.applications[0].set_default_response(ScriptedResponse::Status {
+        status: 200,
+        delay: Duration::from_millis(300),
+    });
+    harness.signal(Signal::SIGTERM);
+    tokio::time::sleep(IDLE_CLOSE_DELAY + Duration::from_millis(after_idle_close_ms)).await;
+    // A refused connection tells the caller to use another VM.
+    if let Some(mut client) = harness.connect_if_listening().await {
+        let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
+        client.send(request.as_bytes()).await;
+        let response = client.read_response().await;
+        assert_eq!(response.map(|response| response.status), Some(200));
+    }
+}
