Divide the reserve of a rollout once the list of VMs is stable

What callers saw: a rollout that is ordered within a second or two of a VM's start is judged by a handful of requests.

Cause: a VM announces itself up to a second after its start, and its part of the reserve was decided at the moment it saw the order. A VM that was not in its own list then had no part for the whole rollout; the log of a run that failed shows the order 94 ms before the list. The same cause made the known failure good_version_is_completed_in_time_at_a_ low_rate::case_2_with_cold_engines: with six requests every one meets a cold engine.

Ruled out: load of the machine (the same test failed alone, and passed with few requests whenever the fault fell early enough); the comparison (2 slow of 6 is no proof).

Change: the reserve is divided when the list names this VM and has contained the same VMs for two seconds, also during the rollout. A VM that saw the order in a whole table still gets no part. VMs that start together now divide it by the same list; before, each took its part of the list it happened to have.

--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -7,6 +7,7 @@
 use skylarkshed_core::{ClockTime, VmName};
 use skylarkshed_policy::VmEntry;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::watch;
 
@@ -29,6 +30,8 @@
 pub(crate) struct VmRoster {
     entries: Mutex<BTreeMap<VmName, VmEntry>>,
     vms: ArcSwap<Vec<VmEntry>>,
+    /// When a VM was last added or removed.
+    members_changed_at: AtomicU64,
     is_read: watch::Sender<bool>,
 }
 
@@ -37,6 +40,7 @@
         VmRoster {
             entries: Mutex::default(),
             vms: ArcSwap::default(),
+            members_changed_at: AtomicU64::new(0),
             is_read: watch::channel(false).0,
         }
     }
@@ -53,6 +57,12 @@
         (count > 0).then_some(count)
     }
 
+    /// Returns for how long the list has contained the same VMs.
+    pub(crate) fn stable_for(&self, now: ClockTime) -> ClockTime {
+        let changed_ms = self.members_changed_at.load(Ordering::Relaxed);
+        now.since(ClockTime::from_millis(changed_ms))
+    }
+
     /// Waits until the list was read for the first time, but not forever.
     pub(crate) async fn wait_until_read(&self) {
         let mut is_read = self.is_read.subscribe();
@@ -63,7 +73,7 @@
 
     /// Applies changes, which are the whole list if `is_complete`; reports whether the
     /// list is different now.
-    pub(crate) fn apply(&self, updates: Vec<VmUpdate>, is_complete: bool) -> bool {
+    pub(crate) fn apply(&self, updates: Vec<VmUpdate>, is_complete: bool, now: ClockTime) -> bool {
         // The map is consistent between changes, so a poisoned lock is usable.
         let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         if is_complete {
@@ -83,12 +93,18 @@
                 }
             }
         }
-        let now = ClockTime::wall_clock_now();
-        let is_live = |vm: &&VmEntry| now.since(vm.announced_at) < ENTRY_TTL;
+        let wall_clock = ClockTime::wall_clock_now();
+        let is_live = |vm: &&VmEntry| wall_clock.since(vm.announced_at) < ENTRY_TTL;
         let live: Vec<VmEntry> = entries.values().filter(is_live).cloned().collect();
         drop(entries);
-        let is_changed = *self.vms.load_full() != live;
+        let previous = self.vms.load_full();
+        let is_changed = *previous != live;
         if is_changed {
+            let names = |vms: &[VmEntry]| vms.iter().map(|vm| vm.name.clone()).collect::<Vec<_>>();
+            if names(&previous) != names(&live) {
+                let now_ms = now.as_millis();
+                self.members_changed_at.store(now_ms, Ordering::Relaxed);
+            }
             log::info!(vms = live.len(); "list of VMs changed");
             self.vms.store(Arc::new(live));
         }
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -4,6 +4,7 @@
 mod probe;
 mod recent;
 mod record;
+mod reserve;
 mod task;
 
 use crate::gateway_state::GatewayState;
@@ -12,9 +13,10 @@
 pub(crate) use probe::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use recent::RecentSamples;
 use record::RolloutRecord;
+use reserve::add_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
-use skylarkshed_policy::{hash_rank, select_version_rule, CanaryAllowance, VersionRule};
+use skylarkshed_policy::{select_version_rule, CanaryAllowance, VersionRule};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
@@ -124,9 +126,13 @@
         if previous.is_some_and(|previous| previous.spec.revision == spec.revision) {
             return;
         }
-        let allowance = make_allowance(state, &spec, is_initial);
         let before = self.recent.of_service(&spec.service, self.clock.now());
-        let record = Arc::new(RolloutRecord::new(spec, self.clock, allowance, before));
+        let allowance = CanaryAllowance::without_reserve(state.settings.exposure);
+        let record = RolloutRecord::new(spec, self.clock, allowance, before);
+        // A VM that was restarted may have used its part of the reserve before.
+        record.progress().needs_reserve = !is_initial;
+        add_reserve(state, &record);
+        let record = Arc::new(record);
         let is_inherited = previous.is_some_and(|previous| inherit(&record, previous));
         log::info!(
             service:% = record.spec.service,
@@ -162,21 +168,6 @@
     }
 }
 
-/// Returns this VM's part of what a bad version may receive.
-fn make_allowance(state: &GatewayState, spec: &RolloutSpec, is_initial: bool) -> CanaryAllowance {
-    let limits = state.settings.exposure;
-    let vms = state.roster.vms();
-    let rank = |name| hash_rank((name, &spec.service, spec.revision));
-    let own = &state.settings.name;
-    let is_listed = vms.iter().any(|vm| vm.name == *own);
-    if is_initial || !is_listed {
-        return CanaryAllowance::without_reserve(limits);
-    }
-    let own_rank = rank(own);
-    let index = vms.iter().filter(|vm| rank(&vm.name) > own_rank).count();
-    CanaryAllowance::new(limits, vms.len(), index)
-}
-
 /// Starts watching a rollout, in place of the task that did so before.
 fn start_watching<S: RoutingStore>(
     record: &Arc<RolloutRecord>,
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -36,6 +36,8 @@
     pub(super) is_stored: bool,
     pub(super) samples: RolloutSamples,
     pub(super) allowance: CanaryAllowance,
+    /// Whether the allowance lacks this VM's part of the reserve.
+    pub(super) needs_reserve: bool,
     pub(super) open: HashMap<u64, OpenAttempt>,
     next_attempt: u64,
     /// The reports of the VMs, if this VM is a hub.
@@ -82,6 +84,7 @@
             is_stored: false,
             samples: RolloutSamples::new(before),
             allowance,
+            needs_reserve: false,
             open: HashMap::new(),
             next_attempt: 0,
             reports: BTreeMap::new(),
@@ -216,6 +219,7 @@
         progress.state = previous.state;
         progress.samples = previous.samples.clone();
         progress.allowance = previous.allowance.clone();
+        progress.needs_reserve = previous.needs_reserve;
         progress.elapsed_before = previous.elapsed(now);
     }
 
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -2,6 +2,7 @@
 
 use super::exchange::{find_hubs, record_report, report_to, review_reports};
 use super::record::RolloutRecord;
+use super::reserve::add_reserve;
 use crate::gateway_state::GatewayState;
 use crate::jitter::add_jitter;
 use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
@@ -67,6 +68,7 @@
         store: &S,
         record: &RolloutRecord,
     ) {
+        add_reserve(state, record);
         let (hubs, is_hub) = find_hubs(state, record);
         let samples = record.snapshot();
         let encoded = serde_json::to_string(&samples).unwrap_or_default();
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -286,7 +286,8 @@
     }
 
     fn apply(&mut self, updates: Vec<VmUpdate>, is_complete: bool, _fresh_at: ClockTime) {
-        if self.state.roster.apply(updates, is_complete) {
+        let now = self.state.clock.now();
+        if self.state.roster.apply(updates, is_complete, now) {
             self.state.divide_budgets();
         }
     }
--- a/crates/policy/src/rollout_allowance.rs
+++ b/crates/policy/src/rollout_allowance.rs
@@ -63,18 +63,13 @@
 impl CanaryAllowance {
     /// Creates the allowance of one of `vms` VMs, whose index among them is `index`.
     pub fn new(limits: ExposureLimits, vms: usize, index: usize) -> Self {
-        let used = limits.reserve * USED_RESERVE_PERCENT / WHOLE_PERCENT;
-        let (vms, index) = (vms.max(1) as u64, index as u64);
-        CanaryAllowance {
-            reserve: used / vms + u64::from(index < used % vms),
-            // The VMs without a part of the reserve are the first to earn.
-            offset: index * WHOLE_PERCENT / vms,
-            ..CanaryAllowance::without_reserve(limits)
-        }
+        let mut allowance = CanaryAllowance::without_reserve(limits);
+        allowance.add_reserve(limits, vms, index);
+        allowance
     }
 
-    /// Creates the allowance of a VM that does not know how many VMs share the reserve,
-    /// or may have used its part before it was restarted.
+    /// Creates the allowance of a VM that does not know yet how many VMs share the
+    /// reserve, or may have used its part before it was restarted.
     pub fn without_reserve(limits: ExposureLimits) -> Self {
         CanaryAllowance {
             percent: limits.percent,
@@ -82,6 +77,16 @@
         }
     }
 
+    /// Adds the part of the reserve of one of `vms` VMs, whose index among them is
+    /// `index`. It must be added only once.
+    pub fn add_reserve(&mut self, limits: ExposureLimits, vms: usize, index: usize) {
+        let used = limits.reserve * USED_RESERVE_PERCENT / WHOLE_PERCENT;
+        let (vms, index) = (vms.max(1) as u64, index as u64);
+        self.reserve = used / vms + u64::from(index < used % vms);
+        // The VMs without a part of the reserve are the first to earn.
+        self.offset = index * WHOLE_PERCENT / vms;
+    }
+
     /// Records a request that this VM sent to the service, to any version.
     pub fn record_request(&mut self) {
         self.requests += 1;
--- a/crates/policy/tests/gateway/rollouts.rs
+++ b/crates/policy/tests/gateway/rollouts.rs
@@ -64,6 +64,16 @@
     assert_eq!(take_all(&mut alone, 12), 0);
 }
 
+#[test]
+fn reserve_that_is_added_later_is_the_same_part() {
+    let mut later = CanaryAllowance::without_reserve(LIMITS);
+    later.record_request();
+    later.add_reserve(LIMITS, 3, 1);
+    let mut at_once = CanaryAllowance::new(LIMITS, 3, 1);
+    at_once.record_request();
+    assert_eq!(later, at_once);
+}
+
 #[test]
 fn a_part_of_the_reserve_is_kept_for_faults_that_appear_late() {
     let mut allowance = CanaryAllowance::new(LIMITS, 1, 0);
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -13,6 +13,8 @@
 pub use gateway_process::{config_metric, program_path, wait_for_metric};
 pub use raw_client::{RawClient, RawResponse};
 pub use rollout_load::CallerLoad;
-pub use rollout_trial::{RolloutTrial, DRAFT_PATH, ROLLBACK_TIME, WRITE_PATH};
+pub use rollout_trial::{
+    RolloutTrial, DRAFT_PATH, EXPOSURE_SHARE, EXPOSURE_SLACK, ROLLBACK_TIME, WRITE_PATH,
+};
 pub use running_generation::RunningGeneration;
 pub use skylarkshed_stand_ins::{DEPOT_KEY, MODEL_SERVICE, VENDOR_KEY};
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -16,9 +16,9 @@
 /// Another route of the engines.
 pub const DRAFT_PATH: &str = "/draft/";
 /// The share of a service's requests that a bad version may get.
-pub(crate) const EXPOSURE_SHARE: f64 = 0.1;
+pub const EXPOSURE_SHARE: f64 = 0.1;
 /// The number of requests that it may get besides.
-pub(crate) const EXPOSURE_SLACK: usize = 50;
+pub const EXPOSURE_SLACK: usize = 50;
 /// The time within which no VM sends to a version after its 50th bad response.
 pub const ROLLBACK_TIME: Duration = Duration::from_millis(3_000);
 
--- a/tests/testsuite/tests/gateway/rollout_faults.rs
+++ b/tests/testsuite/tests/gateway/rollout_faults.rs
@@ -2,7 +2,9 @@
 
 use rstest::rstest;
 use skylarkshed_stand_ins::{FaultEffect, VersionFault};
-use skylarkshed_testsuite::{CallerLoad, RolloutTrial, DRAFT_PATH, WRITE_PATH};
+use skylarkshed_testsuite::{
+    CallerLoad, RolloutTrial, DRAFT_PATH, EXPOSURE_SHARE, EXPOSURE_SLACK, WRITE_PATH,
+};
 use std::time::Duration;
 
 const DURATION: Duration = Duration::from_secs(8);
@@ -70,6 +72,22 @@
     assert_eq!(late, 0, "requests too long after the 50th bad response");
 }
 
+/// The share alone is too little to judge a version by at a low rate of requests.
+#[tokio::test]
+async fn vm_that_is_not_listed_yet_uses_its_part_of_the_reserve_later() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.order(DURATION);
+    let load = start_two_routes(&trial, 31);
+    trial.assert_completed().await;
+    let sent: usize = load.iter().map(CallerLoad::sent_count).sum();
+    let share = (sent as f64 * EXPOSURE_SHARE).ceil() as usize;
+    let new = trial.exposure().0;
+    assert!(
+        new >= share + EXPOSURE_SLACK / 4,
+        "only {new} of {sent} requests to the new version"
+    );
+}
+
 #[tokio::test]
 async fn order_that_is_written_again_begins_anew() {
     let mut trial = RolloutTrial::start(1).await;
