Give an upstream a moment to close a new connection before sending

What callers saw: beside overloaded applications, 502 instead of a refusal, for requests that no upstream received; a call that may not be repeated can't be sent again after that.

Cause: an upstream that has as many connections as it accepts resets new ones at once. The gateway makes a connection for each request and sends on it immediately, so the reset finds the request sent, and nothing proves that it did not run.

Change: after an upstream has closed a new connection without a response, the gateway waits 5 ms on each further one, for five seconds, before it sends. A close in that time is proof that nothing was sent: the request goes to another upstream, or is refused as not run with Retry-After.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,12 @@
 /// A connection takes 1 ms and a round trip of 3 ms between zones; a slow VM takes
 /// ten times as long. Beyond that the upstream is dead or a packet was lost.
 const CONNECT_TIMEOUT: ClockTime = ClockTime::from_millis(100);
+/// An upstream that closes a connection this soon after it was made has too many: no
+/// request of it could be handled by then.
+const CLOSE_WINDOW: ClockTime = ClockTime::from_millis(50);
+/// The time in which an upstream closes a new connection: it takes the connection 1 ms
+/// after it is made, and a round trip to another zone takes 3 ms.
+const SETTLE_TIME: ClockTime = ClockTime::from_millis(5);
 
 /// The maximum size of a response that is buffered, as those to calls are. A VM with
 /// 260 MB buffers a hundred of them.
@@ -126,17 +132,23 @@
         return Err(SendError::Unsent);
     }
     let load = upstream.start_request();
-    let limit = CONNECT_TIMEOUT.min(request.deadline.remaining());
-    let connected = HttpConnection::connect(upstream.record.address, limit).await;
+    let connected = connect(state, request, upstream).await;
     let mut connection =
         connected.map_err(|error| record_failure(state, request, upstream, &error))?;
+    let connected_at = state.clock.now();
     let options = SendOptions {
         time_left: request.deadline.remaining(),
         ..*options
     };
     let message = P::write_request(&request.parts, request.body.clone(), &options);
     let sent = connection.send(message).await;
-    let response = sent.map_err(|error| record_failure(state, request, upstream, &error))?;
+    let response = sent.map_err(|error| {
+        let now = state.clock.now();
+        if error.is_close() && now.since(connected_at) < CLOSE_WINDOW {
+            upstream.record_close(now);
+        }
+        record_failure(state, request, upstream, &error)
+    })?;
     let (mut parts, body) = response.into_parts();
     let head = P::read_response(&parts);
     strip_connection_headers(&mut parts.headers);
@@ -156,6 +168,25 @@
     })
 }
 
+/// Connects to an upstream. One that has closed new connections lately gets a moment to
+/// close this one too: as long as nothing was sent, the request can go elsewhere.
+async fn connect(
+    state: &GatewayState,
+    request: &CallerRequest,
+    upstream: &UpstreamState,
+) -> Result<HttpConnection, ConnectionError> {
+    let limit = CONNECT_TIMEOUT.min(request.deadline.remaining());
+    let mut connection = HttpConnection::connect(upstream.record.address, limit).await?;
+    if upstream.closes_connections(state.clock.now()) {
+        let settled = connection.settle(SETTLE_TIME).await;
+        if settled.is_err() {
+            upstream.record_close(state.clock.now());
+        }
+        settled?;
+    }
+    Ok(connection)
+}
+
 fn record_failure(
     state: &GatewayState,
     request: &CallerRequest,
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -17,6 +17,8 @@
 /// How long a failed upstream is used only if no other is left. It is about the
 /// time in which the new entry of a restarted upstream arrives.
 const SUSPICION_PERIOD: ClockTime = ClockTime::from_millis(2_000);
+/// How long an upstream is expected to close new connections after it closed one.
+const CLOSING_PERIOD: ClockTime = ClockTime::from_millis(5_000);
 /// Load reports of engines are up to a few hundred milliseconds old.
 const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(250);
 /// The step in which this VM's load on an engine counts, in thousandths of its slots.
@@ -40,6 +42,8 @@
 struct UpstreamUsage {
     running: AtomicU64,
     suspect_until_ms: AtomicU64,
+    /// Until when it is expected to close new connections.
+    closing_until_ms: AtomicU64,
     /// When the last prompt was sent. With `recent_prompts` it estimates the
     /// prompts that are missing from the last load report.
     last_prompt_ms: AtomicU64,
@@ -97,6 +101,19 @@
         self.usage.suspect_until_ms.store(until, Ordering::Relaxed);
     }
 
+    /// Records that the upstream closed a new connection without a response: it has as
+    /// many as it accepts.
+    pub(crate) fn record_close(&self, now: ClockTime) {
+        let until = (now + CLOSING_PERIOD).as_millis();
+        self.usage.closing_until_ms.store(until, Ordering::Relaxed);
+    }
+
+    /// Reports whether the upstream may close a new connection immediately.
+    pub(crate) fn closes_connections(&self, now: ClockTime) -> bool {
+        let until_ms = self.usage.closing_until_ms.load(Ordering::Relaxed);
+        now < ClockTime::from_millis(until_ms)
+    }
+
     /// Records whether a response was a refusal.
     pub(crate) fn record_refusal(&self, is_refused: bool, now: ClockTime) {
         self.usage.refusals.record(is_refused, now);
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -59,6 +59,15 @@
             | ConnectionError::BrokenBody(_) => false,
         }
     }
+
+    /// Reports whether the server closed the connection without any response.
+    pub fn is_close(&self) -> bool {
+        match self {
+            ConnectionError::Unsent => true,
+            ConnectionError::Broken(error) => !error.is_parse(),
+            _ => false,
+        }
+    }
 }
 
 /// A connection. Dropping it closes it immediately, even during an exchange.
@@ -117,6 +126,35 @@
         })
     }
 
+    /// Waits for `duration` whether the server closes the new connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`ConnectionError::Unsent`] if it does.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_http_link::HttpConnection;
+    ///
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// let timeout = ClockTime::from_millis(500);
+    /// let mut connection = HttpConnection::connect(address, timeout).await.unwrap();
+    /// drop(listener.accept().await.unwrap());
+    /// assert!(connection.settle(timeout).await.unwrap_err().is_unsent());
+    /// # });
+    /// ```
+    pub async fn settle(&mut self, duration: ClockTime) -> Result<(), ConnectionError> {
+        let closing = tokio::time::timeout(duration.to_duration(), &mut self.driver);
+        match closing.await {
+            Ok(_) => Err(ConnectionError::Unsent),
+            Err(_) => Ok(()),
+        }
+    }
+
     /// Sends a request and returns the head of its response.
     ///
     /// # Errors
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -22,6 +22,7 @@
     received: Vec<ReceivedRequest>,
     control: ControlCalls,
     fault: FaultState,
+    closes_connections: bool,
 }
 
 /// A fake upstream that runs until it is dropped or stopped.
@@ -80,6 +81,7 @@
             received: Vec::new(),
             control: ControlCalls::default(),
             fault: FaultState::default(),
+            closes_connections: false,
         }));
         let (received_count, _) = watch::channel(0);
         let (closed_count, _) = watch::channel(0);
@@ -123,6 +125,11 @@
         self.lock().fault.set(fault);
     }
 
+    /// Resets all new connections immediately, as if it had too many.
+    pub fn reset_connections(&self) {
+        self.lock().closes_connections = true;
+    }
+
     /// Returns when each response that the version's fault affected had ended.
     pub fn bad_response_times(&self) -> Vec<Instant> {
         self.lock().fault.bad_response_times.clone()
@@ -180,6 +187,11 @@
 
 async fn serve(listener: TcpListener, shared: UpstreamShared) {
     while let Ok((stream, _)) = listener.accept().await {
+        if shared.lock().closes_connections {
+            // Without it the client sees the end of the connection instead of a reset.
+            let _ = stream.set_zero_linger();
+            continue;
+        }
         tokio::spawn(serve_connection(stream, shared.clone()));
     }
 }
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -43,6 +43,35 @@
     assert_eq!(harness.applications[1].received_requests().len(), 4);
 }
 
+/// An upstream with too many connections resets new ones. Whether the first request was
+/// received is unknown; the others are held until the connection is known to stay.
+#[rstest]
+#[case::some_upstreams(2, 200)]
+#[case::all_upstreams(3, 503)]
+#[tokio::test]
+async fn upstream_that_closes_new_connections_is_not_sent_bookings(
+    #[case] closing: usize,
+    #[case] status: u16,
+) {
+    let harness = HarnessBuilder::default().applications(3).start().await;
+    for application in &harness.applications[..closing] {
+        application.reset_connections();
+    }
+    let mut unknown = 0;
+    for number in 0..30 {
+        let path = format!("/book/{number}");
+        let response = harness.send_request("POST", &path, "x").await;
+        if response.status == 502 {
+            unknown += 1;
+            continue;
+        }
+        assert_eq!(response.status, status, "booking {number}");
+        let is_refused = status == 503;
+        assert_eq!(response.header("retry-after").is_some(), is_refused);
+    }
+    assert!(unknown <= closing, "{unknown} bookings may have run");
+}
+
 #[rstest]
 #[case::not_run(ScriptedResponse::NotExecuted)]
 #[case::other_upstream(ScriptedResponse::Misdirected)]
