Break the circle between the fleet's builder and the running fleet

The builder made a Fleet, and the Fleet kept a builder to start further processes. FleetLauncher now holds the settings and starts the processes, the handles have a module of their own, and both the builder and the fleet use these two. The public API is the same.

--- a/crates/bench/src/fleet/faults.rs
+++ b/crates/bench/src/fleet/faults.rs
@@ -1,8 +1,9 @@
 //! Fault injection in the fakes and proxies of a fleet.
 
 use super::control;
+use super::handles::UpstreamHandle;
 use super::process::{FleetError, ProcessHandle};
-use super::running::{Fleet, UpstreamHandle};
+use super::running::Fleet;
 use skylarkshed_platform::wire::{ListedVm, VmKind, VmState};
 use skylarkshed_stand_ins::{
     ApplicationFaults, EngineFaults, PlatformControl, PlatformFaults, ProxyFaults,
--- a/crates/bench/src/fleet/running.rs
+++ b/crates/bench/src/fleet/running.rs
@@ -1,16 +1,17 @@
-//! A running fleet: configuration and queries.
+//! A running fleet: configuration, further processes and queries.
 
-use super::builder::FleetBuilder;
 use super::control;
+use super::handles::{UpstreamHandle, VmHandle};
+use super::launcher::FleetLauncher;
 use super::process::{FleetError, ProcessHandle};
-use serde_json::Value;
+use serde_json::{json, Value};
 use skylarkshed_operator::connect;
 use skylarkshed_operator::schema::{
     DescribeRequest, OperatorClient, PutCustomerRequest, PutServiceRequest, PutVersionRequest,
     Route, ServiceKind, Upstream,
 };
 use skylarkshed_stand_ins::CallCounts;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 use volo_http::client::Client;
@@ -18,51 +19,6 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// An entry VM's process.
-pub struct VmHandle {
-    /// The VM's name.
-    pub name: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Its process.
-    pub process: ProcessHandle,
-    /// Its address for callers.
-    pub caller_address: SocketAddr,
-    /// Its address for operators.
-    pub operator_address: SocketAddr,
-    /// Its address for peers; the proxy's, if there is one.
-    pub peer_address: SocketAddr,
-    /// The source IP address of its messages to peers.
-    pub ip: IpAddr,
-    /// The proxy between it and the platform.
-    pub platform_proxy: Option<ProcessHandle>,
-    /// The proxy in front of its address for peers.
-    pub peer_proxy: Option<ProcessHandle>,
-}
-
-/// An upstream's process.
-pub struct UpstreamHandle {
-    /// The upstream's name.
-    pub name: String,
-    /// Its availability zone.
-    pub zone: String,
-    /// Its process.
-    pub process: ProcessHandle,
-    /// Its own address.
-    pub address: SocketAddr,
-    /// The proxy in front of it.
-    pub proxy: Option<ProcessHandle>,
-}
-
-impl UpstreamHandle {
-    /// Returns the address that VMs use: the proxy's, if there is one.
-    pub fn advertised_address(&self) -> SocketAddr {
-        self.proxy
-            .as_ref()
-            .map_or(self.address, |proxy| proxy.address("proxy"))
-    }
-}
-
 /// A fleet of processes; all are killed when it is dropped.
 pub struct Fleet {
     pub(crate) client: Client,
@@ -74,7 +30,7 @@
     /// The applications.
     pub applications: Vec<UpstreamHandle>,
     pub(crate) directory: PathBuf,
-    pub(crate) builder: FleetBuilder,
+    pub(crate) launcher: FleetLauncher,
 }
 
 impl Drop for Fleet {
@@ -222,11 +178,36 @@
         for number in 0..count {
             let zone = self.vms[number % self.vms.len()].zone.clone();
             let name = format!("engine-{version}-{number}");
-            engines.push(self.builder.start_engine(&name, &zone, version).await?);
+            engines.push(self.launcher.start_engine(&name, &zone, version).await?);
         }
         Ok(engines)
     }
 
+    /// Starts the VM with this number. A handle of an earlier start of the same VM stays
+    /// in `vms` until the caller replaces it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started.
+    pub async fn start_vm(&self, number: usize) -> Result<VmHandle, FleetError> {
+        self.start_vm_with_settings(number, json!({})).await
+    }
+
+    /// Starts a VM with additional settings, which override those of the fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started.
+    pub async fn start_vm_with_settings(
+        &self,
+        number: usize,
+        settings: Value,
+    ) -> Result<VmHandle, FleetError> {
+        self.launcher
+            .start_vm(number, settings, self.platform_address(), &self.directory)
+            .await
+    }
+
     /// Returns the revision that a VM has applied.
     ///
     /// # Errors
