Break the circle between the call path and the minted keys

call_path called minting for calls with a minted key, and minting called call_path to send them; minting also ran calls of claimed keys. Now the modules depend on each other in one direction: application_call and minted_key hold the types, call_sender sends, claimed_call and minted_call run calls with a key, and call_path picks one of these. The choice of a version by its share is a decision and goes to the policy crate.

--- a/crates/node/src/caller_api/calls.rs
+++ b/crates/node/src/caller_api/calls.rs
@@ -2,7 +2,8 @@
 
 use super::request::{admit, AdmittedRequest};
 use super::PathValues;
-use crate::call_path::{run_call, ApplicationCall};
+use crate::application_call::ApplicationCall;
+use crate::call_path::run_call;
 use crate::call_result;
 use crate::counters;
 use crate::refusal::{Refusal, RefusalReason};
--- a/crates/node/src/caller_api/keys.rs
+++ b/crates/node/src/caller_api/keys.rs
@@ -2,7 +2,7 @@
 
 use super::request::{admit, AdmittedRequest};
 use super::PathValues;
-use crate::minting;
+use crate::minted_key;
 use crate::refusal::{Refusal, RefusalReason};
 use crate::shared::NodeShared;
 use serde::{Deserialize, Serialize};
@@ -52,7 +52,7 @@
         Ok(_) => return bad_request(unsent, "`count` must be from 1 to 1000"),
         Err(error) => return bad_request(unsent, &error.to_string()),
     };
-    let keys = minting::mint(shared, &customer.name, &service, count);
+    let keys = minted_key::mint(shared, &customer.name, &service, count);
     Json(KeysReply { keys }).into_response()
 }
 
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown: the process exits after its requests have finished.
 
 use crate::membership_task::send_leave;
-use crate::minting;
+use crate::minted_call;
 use crate::shared::NodeShared;
 use skylarkshed_core::ClockTime;
 use std::sync::atomic::Ordering;
@@ -19,7 +19,7 @@
     while shared.admission.in_progress() > 0 {
         tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
     }
-    minting::persist_used_keys(&shared).await;
+    minted_call::persist_used_keys(&shared).await;
     send_leave(&shared, &socket).await;
     log::info!("drained: all requests are finished");
 }
--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generation_task.rs
@@ -13,8 +13,8 @@
     VersionName,
 };
 use skylarkshed_policy::{
-    FailReason, GenerationAction, GenerationInput, GenerationMachine, GenerationPlan, HeldAttempt,
-    NoUpstreamReason, NoticeReason, StartReason,
+    choose_by_share, FailReason, GenerationAction, GenerationInput, GenerationMachine,
+    GenerationPlan, HeldAttempt, NoUpstreamReason, NoticeReason, StartReason,
 };
 use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest};
 use skylarkshed_upstream::EngineClient;
@@ -278,7 +278,7 @@
                 .ok_or(NoUpstreamReason::VersionGone)?,
             None => {
                 let shares = self.shared.usable_shares(service);
-                let version = crate::call_path::choose_version(&shares, rand::random());
+                let version = choose_by_share(&shares, rand::random());
                 version.ok_or(NoUpstreamReason::NoneFree)?
             }
         };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,12 +10,15 @@
 //! - `registry` holds the state of the upstreams as this VM measures it.
 
 mod admission;
+mod application_call;
 mod attempt_runner;
 mod auth;
 mod call_path;
 mod call_result;
+mod call_sender;
 mod caller_api;
 mod claim_writer;
+mod claimed_call;
 mod claims;
 mod clients;
 mod configuration;
@@ -27,7 +30,8 @@
 mod generation_task;
 mod load_poll_task;
 mod membership_task;
-mod minting;
+mod minted_call;
+mod minted_key;
 mod move_task;
 mod operators;
 mod peer_service;
--- a/crates/node/src/minting.rs
+++ b/crates/node/src/minted_call.rs
@@ -1,14 +1,17 @@
-//! Idempotency keys that this VM mints, and calls that use such keys.
+//! Calls that use a minted key.
 //!
 //! Only the process that minted a key may consume it, so such a call doesn't
 //! need the platform. Other VMs forward the call to the minter.
 
-use crate::call_path::{self, ApplicationCall};
+use crate::application_call::ApplicationCall;
 use crate::call_result::{self, CallResult};
-use crate::claims::{self, ClaimOutcome};
+use crate::call_sender::send_once;
+use crate::claimed_call::run_claimed_call;
+use crate::claims;
+use crate::minted_key::MintedKey;
 use crate::refusal::{Refusal, RefusalReason};
 use crate::shared::NodeShared;
-use skylarkshed_core::{ClockTime, CustomerName, IncarnationId, ServiceName, UnsentCall, VmName};
+use skylarkshed_core::{ClockTime, IncarnationId, UnsentCall};
 use skylarkshed_peer::wire::{ForwardedCall, PeerBody};
 use skylarkshed_peer::PeerError;
 use skylarkshed_platform::TableStore;
@@ -16,64 +19,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-const KEY_PREFIX: &str = "mk1";
-const SEPARATOR: char = '~';
 const RETRY_AFTER: ClockTime = ClockTime::from_millis(1_000);
 /// How much longer a forwarded call may take than the minter's own attempt.
 const FORWARD_TIMEOUT_MARGIN: ClockTime = ClockTime::from_millis(1_000);
 const CLOSED_ROW_PREFIX: &str = "minter/";
 
-/// A minted key, parsed from its text.
-#[derive(Clone, Debug)]
-pub(crate) struct MintedKey {
-    vm: VmName,
-    incarnation: IncarnationId,
-    serial: u64,
-}
-
-/// Mints keys for a customer and a service; fewer if the limit of kept keys is reached.
-pub(crate) fn mint(
-    shared: &NodeShared,
-    customer: &CustomerName,
-    service: &ServiceName,
-    count: usize,
-) -> Vec<String> {
-    let mut minted_keys = shared.minted_keys.lock().expect("not poisoned");
-    let serials = (0..count).map_while(|_| minted_keys.mint());
-    serials
-        .map(|serial| format_key(shared, customer, service, serial))
-        .collect()
-}
-
-/// Reports whether a text has the form of a minted key.
-pub(crate) fn has_minted_form(text: &str) -> bool {
-    text.split(SEPARATOR).next() == Some(KEY_PREFIX) && text.contains(SEPARATOR)
-}
-
-/// Parses a minted key; returns `None` if it was not minted for this customer and service.
-pub(crate) fn parse_key(
-    shared: &NodeShared,
-    customer: &CustomerName,
-    service: &ServiceName,
-    text: &str,
-) -> Option<MintedKey> {
-    let fields: Vec<&str> = text.split(SEPARATOR).collect();
-    let [KEY_PREFIX, vm, incarnation, serial, code] = <[&str; 5]>::try_from(fields).ok()? else {
-        return None;
-    };
-    let signed_text = format!("{KEY_PREFIX}~{vm}~{incarnation}~{serial}");
-    let expected = code_hex(shared, customer, service, &signed_text);
-    // The comparison of `blake3` hashes takes constant time.
-    if blake3::hash(expected.as_bytes()) != blake3::hash(code.as_bytes()) {
-        return None;
-    }
-    Some(MintedKey {
-        vm: vm.into(),
-        incarnation: incarnation.parse().ok()?,
-        serial: serial.parse().ok()?,
-    })
-}
-
 /// Runs a call that uses a minted key.
 pub(crate) async fn run_minted_call(
     shared: &Arc<NodeShared>,
@@ -117,7 +67,7 @@
         MintedVerdict::Mismatch => return Err(Refusal::unknown(RefusalReason::KeyMismatch)),
         MintedVerdict::NotMinted => return Err(Refusal::unknown(RefusalReason::KeyNotMinted)),
     }
-    let result = call_path::send_once(shared, &call, unsent).await;
+    let result = send_once(shared, &call, unsent).await;
     let mut minted_keys = shared.minted_keys.lock().expect("not poisoned");
     match &result {
         Ok(response) => minted_keys.store_response(serial, call_result::to_stored(response)),
@@ -177,35 +127,6 @@
     run_claimed_call(shared, outcome, call, unsent).await
 }
 
-/// Continues a call with the result of its claim.
-pub(crate) async fn run_claimed_call(
-    shared: &Arc<NodeShared>,
-    outcome: ClaimOutcome,
-    call: ApplicationCall,
-    unsent: UnsentCall,
-) -> CallResult {
-    let claim = match outcome {
-        ClaimOutcome::Granted(claim) => claim,
-        ClaimOutcome::Replay(response) => return Ok(call_result::from_stored(response)),
-        ClaimOutcome::NotRun => {
-            let refusal = Refusal::not_run(unsent, RefusalReason::ClaimUnavailable);
-            return Err(refusal.retry_after(RETRY_AFTER));
-        }
-        ClaimOutcome::InUse => {
-            return Err(Refusal::unknown(RefusalReason::KeyInUse).retry_after(RETRY_AFTER))
-        }
-        ClaimOutcome::Mismatch => return Err(Refusal::unknown(RefusalReason::KeyMismatch)),
-    };
-    claim.record_sent(shared);
-    let result = call_path::send_once(shared, &call, unsent).await;
-    match &result {
-        Ok(response) => claim.store_response(shared, call_result::to_stored(response)),
-        Err(refusal) if refusal.is_not_run() => claim.release(shared),
-        Err(_) => {}
-    }
-    result
-}
-
 fn find_minter(shared: &NodeShared, key: &MintedKey) -> Option<SocketAddr> {
     let membership = shared.membership.lock().expect("not poisoned");
     let mut members = membership.members();
@@ -237,30 +158,6 @@
         .await
 }
 
-fn format_key(
-    shared: &NodeShared,
-    customer: &CustomerName,
-    service: &ServiceName,
-    serial: u64,
-) -> String {
-    let vm = &shared.settings.name;
-    let signed_text = format!("{KEY_PREFIX}~{vm}~{}~{serial}", shared.incarnation);
-    let code = code_hex(shared, customer, service, &signed_text);
-    format!("{signed_text}~{code}")
-}
-
-fn code_hex(
-    shared: &NodeShared,
-    customer: &CustomerName,
-    service: &ServiceName,
-    signed_text: &str,
-) -> String {
-    let code = shared
-        .peer_key
-        .authentication_code(format!("{customer}~{service}~{signed_text}").as_bytes());
-    code.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn persisted_row_key(incarnation: IncarnationId, serial: u64) -> String {
     format!("claim/minted/{incarnation}/{serial}")
 }
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peer_service.rs
@@ -1,9 +1,9 @@
 //! Handles the requests of other VMs.
 
-use crate::call_path::ApplicationCall;
+use crate::application_call::ApplicationCall;
 use crate::call_result;
 use crate::evidence_registry::MoveKey;
-use crate::minting;
+use crate::minted_call;
 use crate::refusal::{Refusal, RefusalReason};
 use crate::shared::NodeShared;
 use crate::sync_task::{apply_batch, make_batch};
@@ -64,7 +64,7 @@
             body: Bytes::from(forwarded.body),
         };
         let unsent = UnsentCall::for_new_request();
-        let result = minting::consume(&self.shared, forwarded.serial, call, unsent).await;
+        let result = minted_call::consume(&self.shared, forwarded.serial, call, unsent).await;
         call_result::to_forwarded(result)
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -114,7 +114,7 @@
     RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples, ROLLOUT_SLICES,
 };
 pub use route_table::{choose_service, RouteTable};
-pub use routing::{choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
+pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
     SilentUpstream, StreamPhase, StreamState,
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -1,4 +1,4 @@
-//! Selects the upstream of an attempt.
+//! Selects the version and the upstream of an attempt.
 //!
 //! Requests with the same prefix go to the same few engines, whose KV caches hold
 //! it, unless their load is too far above the mean: rendezvous hashing (Thaler and
@@ -142,3 +142,27 @@
 fn rank(prefix: u64, name: &UpstreamName) -> u64 {
     hash_rank((prefix, name))
 }
+
+/// Chooses an item from a random value, in proportion to the shares; `None` if all are 0.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::choose_by_share;
+///
+/// let shares = [(&"v1", 95), (&"v2", 5)];
+/// assert_eq!(choose_by_share(&shares, 94), Some(&"v1"));
+/// assert_eq!(choose_by_share(&shares, 95), Some(&"v2"));
+/// assert_eq!(choose_by_share(&shares, 100), Some(&"v1"));
+/// ```
+pub fn choose_by_share<'a, T>(shares: &[(&'a T, u32)], random: u32) -> Option<&'a T> {
+    let total: u64 = shares.iter().map(|(_, share)| u64::from(*share)).sum();
+    let mut remainder = u64::from(random) % total.max(1);
+    for (item, share) in shares {
+        if remainder < u64::from(*share) {
+            return Some(item);
+        }
+        remainder -= u64::from(*share);
+    }
+    None
+}
