Split the sources of the node into folders by concern

crates/node/src had 34 files side by side. Now calls, generations, configuration, peers and caller_api each hold one concern, and state holds what they share and depends on none of them, so no folder depends on itself through another one. update_vm_count became a method of NodeShared because both the membership and the synchronisation call it. The page test reads reason_texts.rs at its new path; its checks are the same.

--- a/crates/node/src/caller_api/calls.rs
+++ b/crates/node/src/caller_api/calls.rs
@@ -2,12 +2,12 @@
 
 use super::request::{admit, AdmittedRequest};
 use super::PathValues;
-use crate::application_call::ApplicationCall;
-use crate::call_path::run_call;
-use crate::call_result;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_path::run_call;
+use crate::calls::call_result;
 use crate::counters;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use http::HeaderMap;
 use skylarkshed_core::ServiceKind;
 use std::sync::Arc;
--- a/crates/node/src/caller_api/generations.rs
+++ b/crates/node/src/caller_api/generations.rs
@@ -2,13 +2,12 @@
 
 use super::request::{admit, AdmittedRequest};
 use super::PathValues;
-use crate::admission::AdmissionPermit;
 use crate::counters;
-use crate::cursor::{AnswerCursor, CursorSigner};
-use crate::generation_task::{start_generation, CallerEvent, GenerationParams};
-use crate::prompt::estimate_tokens;
+use crate::generations::cursor::{AnswerCursor, CursorSigner};
+use crate::generations::generation_task::{start_generation, CallerEvent, GenerationParams};
+use crate::generations::prompt::estimate_tokens;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::{AdmissionPermit, NodeShared};
 use faststr::FastStr;
 use futures::stream;
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/caller_api/health.rs
+++ b/crates/node/src/caller_api/health.rs
@@ -1,6 +1,6 @@
 //! The readiness check, for the platform's load balancer.
 
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use http::StatusCode;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
--- a/crates/node/src/caller_api/keys.rs
+++ b/crates/node/src/caller_api/keys.rs
@@ -2,9 +2,9 @@
 
 use super::request::{admit, AdmittedRequest};
 use super::PathValues;
-use crate::minted_key;
+use crate::calls::minted_key;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::UnsentCall;
 use std::sync::Arc;
--- a/crates/node/src/caller_api/mod.rs
+++ b/crates/node/src/caller_api/mod.rs
@@ -1,5 +1,6 @@
 //! The HTTP service for callers.
 
+mod auth;
 mod calls;
 mod generations;
 mod health;
@@ -7,7 +8,7 @@
 mod request;
 
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use metrics_exporter_prometheus::PrometheusHandle;
 use skylarkshed_core::UnsentCall;
 use std::future::Future;
--- a/crates/node/src/caller_api/request.rs
+++ b/crates/node/src/caller_api/request.rs
@@ -1,9 +1,8 @@
 //! What all requests of callers have in common: authorisation, limits and admission.
 
-use crate::admission::{AdmissionError, AdmissionPermit};
-use crate::auth;
+use super::auth;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::{AdmissionError, AdmissionPermit, NodeShared};
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
--- a/crates/node/src/call_path.rs
+++ b/crates/node/src/calls/call_path.rs
@@ -1,14 +1,14 @@
 //! Runs application calls: with retries, once, or once for an idempotency key.
 
-use crate::application_call::ApplicationCall;
-use crate::call_result::CallResult;
-use crate::call_sender::{send_once, send_with_retries};
-use crate::claimed_call::run_claimed_call;
-use crate::claims;
-use crate::minted_call::run_minted_call;
-use crate::minted_key;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result::CallResult;
+use crate::calls::call_sender::{send_once, send_with_retries};
+use crate::calls::claimed_call::run_claimed_call;
+use crate::calls::claims;
+use crate::calls::minted_call::run_minted_call;
+use crate::calls::minted_key;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use skylarkshed_core::UnsentCall;
 use std::sync::Arc;
 
--- a/crates/node/src/call_sender.rs
+++ b/crates/node/src/calls/call_sender.rs
@@ -1,11 +1,10 @@
 //! Sends application calls to upstreams, and again if that is allowed.
 
-use crate::application_call::ApplicationCall;
-use crate::call_result::CallResult;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result::CallResult;
 use crate::counters;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::registry::{InFlightGuard, UpstreamState};
-use crate::shared::NodeShared;
+use crate::state::{InFlightGuard, NodeShared, UpstreamState};
 use skylarkshed_core::{ClockTime, UnsentCall, UpstreamName, VersionName};
 use skylarkshed_policy::choose_by_share;
 use skylarkshed_upstream::{ApplicationClient, ApplicationResponse, CallError};
--- a/crates/node/src/claimed_call.rs
+++ b/crates/node/src/calls/claimed_call.rs
@@ -1,11 +1,11 @@
 //! Calls that may be sent once their idempotency key was claimed.
 
-use crate::application_call::ApplicationCall;
-use crate::call_result::{self, CallResult};
-use crate::call_sender::send_once;
-use crate::claims::ClaimOutcome;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result::{self, CallResult};
+use crate::calls::call_sender::send_once;
+use crate::calls::claims::ClaimOutcome;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use skylarkshed_core::{ClockTime, UnsentCall};
 use std::sync::Arc;
 
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/calls/claims.rs
@@ -1,7 +1,6 @@
 //! Claims idempotency keys in the platform's table.
 
-use crate::claim_writer::{ConditionalWrite, WriteOutcome};
-use crate::shared::NodeShared;
+use crate::state::{ConditionalWrite, NodeShared, WriteOutcome};
 use skylarkshed_core::{ClockTime, CustomerName, ServiceName};
 use skylarkshed_platform::TableStore;
 use skylarkshed_policy::{
--- a/crates/node/src/minted_call.rs
+++ b/crates/node/src/calls/minted_call.rs
@@ -3,14 +3,14 @@
 //! Only the process that minted a key may consume it, so such a call doesn't
 //! need the platform. Other VMs forward the call to the minter.
 
-use crate::application_call::ApplicationCall;
-use crate::call_result::{self, CallResult};
-use crate::call_sender::send_once;
-use crate::claimed_call::run_claimed_call;
-use crate::claims;
-use crate::minted_key::MintedKey;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result::{self, CallResult};
+use crate::calls::call_sender::send_once;
+use crate::calls::claimed_call::run_claimed_call;
+use crate::calls::claims;
+use crate::calls::minted_key::MintedKey;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use skylarkshed_core::{ClockTime, IncarnationId, UnsentCall};
 use skylarkshed_peer::wire::{ForwardedCall, PeerBody};
 use skylarkshed_peer::PeerError;
--- a/crates/node/src/minted_key.rs
+++ b/crates/node/src/calls/minted_key.rs
@@ -1,6 +1,6 @@
 //! Idempotency keys that this VM mints: their texts and signatures.
 
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use skylarkshed_core::{CustomerName, IncarnationId, ServiceName, VmName};
 
 const KEY_PREFIX: &str = "mk1";
--- a/crates/node/src/move_task.rs
+++ b/crates/node/src/configuration/move_task.rs
@@ -5,9 +5,8 @@
 //! evidence of all VMs and takes the steps. Two VMs may both act as
 //! coordinator: a step is a row that only one of them can commit.
 
-use crate::evidence_registry::{MoveEvidence, MoveKey};
-use crate::shared::NodeShared;
-use crate::sync_task::commit;
+use crate::configuration::sync_task::commit;
+use crate::state::{MoveEvidence, MoveKey, NodeShared};
 use futures::future::join_all;
 use skylarkshed_core::{ClockTime, ConfigurationChange, MoveEntry, MoveState, ServiceName};
 use skylarkshed_peer::wire::{MoveId, PeerBody};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/configuration/operators.rs
@@ -1,8 +1,7 @@
 //! The gRPC service for operators.
 
-use crate::configuration::ChangeError;
-use crate::shared::NodeShared;
-use crate::sync_task::commit;
+use crate::configuration::sync_task::commit;
+use crate::state::{ChangeError, NodeShared};
 use skylarkshed_core::{
     CatalogState, ClockTime, ConfigurationChange, CustomerEntry, KeyHash, MoveEvent, MoveEventKind,
     RevisionNumber, RouteEntry, ServiceEntry, ServiceKind, UpstreamEntry, VersionEntry,
--- a/crates/node/src/sync_task.rs
+++ b/crates/node/src/configuration/sync_task.rs
@@ -1,9 +1,8 @@
 //! Synchronises this VM's configuration with the platform and the other VMs.
 
-use crate::configuration::ChangeError;
 use crate::counters;
-use crate::membership_task::update_vm_count;
-use crate::shared::NodeShared;
+use crate::load_poll_task::handle_leaving;
+use crate::state::{ChangeError, NodeShared};
 use skylarkshed_core::{
     CatalogState, ChangeRecord, ClockTime, ConfigurationChange, RevisionNumber,
 };
@@ -193,14 +192,14 @@
         .lock()
         .expect("not poisoned")
         .set_listed_vms(entries.collect());
-    update_vm_count(shared);
+    shared.update_vm_count();
     let leaving = listing
         .vms
         .iter()
         .filter(|vm| vm.kind == VmKind::Upstream && vm.state == VmState::Leaving);
     for vm in leaving {
         for state in shared.registry.find_by_name(vm.name.as_str()) {
-            crate::load_poll_task::handle_leaving(shared, &state, now, "list");
+            handle_leaving(shared, &state, now, "list");
         }
     }
 }
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -1,8 +1,8 @@
 //! Graceful shutdown: the process exits after its requests have finished.
 
-use crate::membership_task::send_leave;
-use crate::minted_call;
-use crate::shared::NodeShared;
+use crate::calls::minted_call;
+use crate::peers::membership_task::send_leave;
+use crate::state::NodeShared;
 use skylarkshed_core::ClockTime;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
--- a/crates/node/src/attempt_runner.rs
+++ b/crates/node/src/generations/attempt_runner.rs
@@ -2,8 +2,7 @@
 
 use crate::clients::Engine;
 use crate::load_poll_task::handle_leaving;
-use crate::registry::{PrefillGuard, UpstreamState};
-use crate::shared::NodeShared;
+use crate::state::{NodeShared, PrefillGuard, UpstreamState};
 use faststr::FastStr;
 use skylarkshed_core::{AttemptNumber, ClockTime, CustomerName, ServiceName, VersionName};
 use skylarkshed_policy::{AttemptFailure, AttemptPhase, GenerationInput};
--- a/crates/node/src/generation_environment.rs
+++ b/crates/node/src/generations/generation_environment.rs
@@ -1,7 +1,6 @@
 //! The running attempts of a generation, and what its state machine queries about them.
 
-use crate::registry::InFlightGuard;
-use crate::shared::NodeShared;
+use crate::state::{InFlightGuard, NodeShared};
 use skylarkshed_core::{AttemptNumber, ClockTime, UpstreamName, VersionName};
 use skylarkshed_policy::{AttemptPhase, GenerationEnvironment};
 use std::collections::HashMap;
--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generations/generation_task.rs
@@ -1,12 +1,11 @@
 //! Runs one generation: passes inputs to its state machine and performs the actions.
 
-use crate::attempt_runner::{AttemptRunner, ROUTE_GENERATION};
 use crate::counters;
-use crate::generation_environment::{AttemptHandle, TaskEnvironment};
-use crate::prompt::prefix_hash;
-use crate::reason_texts::{notice_label, start_reason_label};
-use crate::registry::{InFlightGuard, PrefillGuard, UpstreamState};
-use crate::shared::NodeShared;
+use crate::generations::attempt_runner::{AttemptRunner, ROUTE_GENERATION};
+use crate::generations::generation_environment::{AttemptHandle, TaskEnvironment};
+use crate::generations::prompt::prefix_hash;
+use crate::generations::reason_texts::{notice_label, start_reason_label};
+use crate::state::{InFlightGuard, NodeShared, PrefillGuard, UpstreamState};
 use faststr::FastStr;
 use skylarkshed_core::{
     AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, UpstreamName, VersionEntry,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,47 +1,28 @@
 //! The `serve` process of one VM: runs the state machines of the policy crate
 //! with sockets and timers.
 //!
-//! [`run_node`] serves until the process gets a termination signal. Its modules:
+//! [`run_node`] serves until the process gets a termination signal. The modules:
 //!
-//! - `caller_api` serves callers, `operators` serves operators;
-//! - `generation_task` and `call_path` send requests to upstreams;
-//! - `sync_task` and `membership_task` synchronise with the platform and the other VMs;
-//! - `move_task` shifts traffic between versions, by the counts in `evidence_registry`;
-//! - `registry` holds the state of the upstreams as this VM measures it.
+//! - `caller_api` identifies and admits callers' requests, `refusal` tells them why a
+//!   request was not served;
+//! - `calls` sends application calls and `generations` runs generations;
+//! - `configuration` commits and pulls changes: operators' and those of running moves;
+//! - `peers` runs the membership protocol and handles requests of other VMs;
+//! - `load_poll_task` asks the engines for their load;
+//! - `state` holds what these share, and depends on none of them;
+//! - `run` starts all of this and `drain` ends it.
 
-mod admission;
-mod application_call;
-mod attempt_runner;
-mod auth;
-mod call_path;
-mod call_result;
-mod call_sender;
 mod caller_api;
-mod claim_writer;
-mod claimed_call;
-mod claims;
+mod calls;
 mod clients;
 mod configuration;
 mod counters;
-mod cursor;
 mod drain;
-mod evidence_registry;
-mod generation_environment;
-mod generation_task;
+mod generations;
 mod load_poll_task;
-mod membership_task;
-mod minted_call;
-mod minted_key;
-mod move_task;
-mod operators;
-mod peer_service;
-mod prompt;
-mod reason_texts;
+mod peers;
 mod refusal;
-mod registry;
 mod run;
-mod sent_keys;
-mod shared;
-mod sync_task;
+mod state;
 
 pub use run::{run_node, NodeError};
--- a/crates/node/src/load_poll_task.rs
+++ b/crates/node/src/load_poll_task.rs
@@ -1,7 +1,6 @@
 //! Polls the load of the engines in this VM's availability zone.
 
-use crate::registry::UpstreamState;
-use crate::shared::NodeShared;
+use crate::state::{NodeShared, UpstreamState};
 use skylarkshed_core::{ClockTime, ServiceKind, UpstreamEntry, VmName};
 use skylarkshed_policy::{is_top_ranked, LeavingNotice};
 use skylarkshed_upstream::EngineClient;
--- a/crates/node/src/membership_task.rs
+++ b/crates/node/src/peers/membership_task.rs
@@ -1,7 +1,7 @@
 //! Runs the membership protocol over UDP.
 
 use crate::counters;
-use crate::shared::NodeShared;
+use crate::state::NodeShared;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::{decode_gossip, encode_gossip, PeerError, MAX_DATAGRAM_BYTES};
 use skylarkshed_policy::{GossipKind, GossipMessage, MembershipAction};
@@ -79,7 +79,7 @@
                     incarnation = record.incarnation.to_string().as_str();
                     "the membership record of a VM changed"
                 );
-                update_vm_count(shared);
+                shared.update_vm_count();
             }
             MembershipAction::Leaving(notice) => {
                 if let Some(state) = shared.registry.find(&notice) {
@@ -91,16 +91,6 @@
     }
 }
 
-/// Updates the gauge of present VMs and the number of VMs that share the customers'
-/// limits.
-pub(crate) fn update_vm_count(shared: &Arc<NodeShared>) {
-    let membership = shared.membership.lock().expect("not poisoned");
-    counters::set_present_members(membership.present().count());
-    shared
-        .admission
-        .set_vm_count(membership.expected_vm_count());
-}
-
 fn message_kind(message: &GossipMessage) -> &'static str {
     match message.kind {
         GossipKind::Ping => "ping",
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -1,12 +1,11 @@
 //! Handles the requests of other VMs.
 
-use crate::application_call::ApplicationCall;
-use crate::call_result;
-use crate::evidence_registry::MoveKey;
-use crate::minted_call;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result;
+use crate::calls::minted_call;
+use crate::configuration::sync_task::{apply_batch, make_batch};
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
-use crate::sync_task::{apply_batch, make_batch};
+use crate::state::{MoveKey, NodeShared};
 use bytes::Bytes;
 use skylarkshed_core::{RevisionNumber, UnsentCall};
 use skylarkshed_peer::wire::{ForwardedCall, ForwardedOutcome, MoveId, PeerBody};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,22 +1,19 @@
 //! Starts all tasks of the process and serves until a termination signal.
 
-use crate::admission::AdmissionController;
 use crate::caller_api::make_router;
-use crate::claim_writer::ClaimWriter;
 use crate::clients::{Application, Engine, Platform};
-use crate::configuration::ConfigurationStore;
+use crate::configuration::move_task::run_moves;
+use crate::configuration::operators::OperatorService;
+use crate::configuration::sync_task::run_sync;
 use crate::counters;
 use crate::drain::drain;
-use crate::evidence_registry::EvidenceRegistry;
 use crate::load_poll_task::run_load_polling;
-use crate::membership_task::{drop_reason, run_membership};
-use crate::move_task::run_moves;
-use crate::operators::OperatorService;
-use crate::peer_service::PeerService;
-use crate::registry::UpstreamRegistry;
-use crate::sent_keys::SentKeys;
-use crate::shared::NodeShared;
-use crate::sync_task::run_sync;
+use crate::peers::membership_task::{drop_reason, run_membership};
+use crate::peers::peer_service::PeerService;
+use crate::state::{
+    AdmissionController, ClaimWriter, ConfigurationStore, EvidenceRegistry, NodeShared, SentKeys,
+    UpstreamRegistry,
+};
 use arc_swap::ArcSwap;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use skylarkshed_core::{ClockTime, IncarnationId, MonotonicClock, NodeSettings};
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/state/shared.rs
@@ -1,12 +1,13 @@
 //! State shared by all tasks of the process.
 
-use crate::admission::AdmissionController;
-use crate::claim_writer::ClaimWriter;
+use super::admission::AdmissionController;
+use super::claim_writer::ClaimWriter;
+use super::configuration_store::ConfigurationStore;
+use super::evidence_registry::EvidenceRegistry;
+use super::sent_keys::SentKeys;
+use super::upstream_registry::UpstreamRegistry;
 use crate::clients::{Application, Engine, Platform};
-use crate::configuration::ConfigurationStore;
-use crate::evidence_registry::EvidenceRegistry;
-use crate::registry::UpstreamRegistry;
-use crate::sent_keys::SentKeys;
+use crate::counters;
 use arc_swap::ArcSwap;
 use skylarkshed_core::{
     IncarnationId, MonotonicClock, MoveEntry, MoveState, NodeSettings, RevisionNumber, ServiceName,
@@ -110,6 +111,14 @@
         running.is_some_and(|entry| self.is_move_stopped(&service.entry.name, entry))
     }
 
+    /// Updates the gauge of present VMs and the number of VMs that share the customers'
+    /// limits.
+    pub(crate) fn update_vm_count(&self) {
+        let membership = self.membership.lock().expect("not poisoned");
+        counters::set_present_members(membership.present().count());
+        self.admission.set_vm_count(membership.expected_vm_count());
+    }
+
     /// Returns the addresses of all other VMs that are present.
     pub(crate) fn peer_addresses(&self) -> Vec<SocketAddr> {
         let membership = self.membership.lock().expect("not poisoned");
--- a/tests/testsuite/tests/suite/documentation.rs
+++ b/tests/testsuite/tests/suite/documentation.rs
@@ -69,7 +69,7 @@
 #[test]
 fn every_retry_and_notice_reason_is_documented() {
     let text = read_file("docs/OPERATORS.md");
-    let source = read_file("crates/node/src/reason_texts.rs");
+    let source = read_file("crates/node/src/generations/reason_texts.rs");
     let reasons = source.split('"').skip(1).step_by(2);
     for reason in reasons {
         assert!(
