Count waiting requests towards a customer's concurrency limit

Seen: a customer with a limit of 1 whose requests waited while others held all slots had two requests in progress once these finished. Cause: the limit was compared with the requests in progress at submission only; a waiting request was then admitted without a check. Ruled out: checking at admission only, as requests that are bound to wait for their customer's own requests would hold places in the queue until their deadline; they are refused at once instead, as they were without a queue. Change: requests in progress and waiting count together at submission, and a waiting request starts only below the limit, which may have been lowered. Result: waiting_requests_count_towards_the_concurrency_limit and lowered_concurrency_limit_applies_to_waiting_requests failed before (the second request was queued) and pass.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -44,10 +44,20 @@
 #[derive(Clone, Debug, Default)]
 struct CustomerUsage {
     weight: u32,
+    /// The limit of concurrent requests; 0 means no limit.
+    max_concurrency: u32,
     in_progress: u32,
     waiting: Vec<(ClockTime, TicketNumber)>,
 }
 
+impl CustomerUsage {
+    /// Reports whether a waiting request may start. The limit may have been lowered
+    /// since it was submitted.
+    fn is_below_limit(&self) -> bool {
+        self.max_concurrency == 0 || self.in_progress < self.max_concurrency
+    }
+}
+
 /// The slots of one VM and the requests that wait for them.
 ///
 /// # Examples
@@ -88,8 +98,8 @@
         }
     }
 
-    /// Submits a request. `max_concurrency` is the customer's limit of concurrent
-    /// requests on this VM; 0 means no limit.
+    /// Submits a request. `max_concurrency` is the customer's limit of requests on this
+    /// VM, in progress and waiting together; 0 means no limit.
     pub fn submit(
         &mut self,
         customer: &CustomerName,
@@ -101,7 +111,9 @@
         let wait = self.expected_wait(customer, weight);
         let usage = self.customers.entry(customer.clone()).or_default();
         usage.weight = weight.max(1);
-        if max_concurrency > 0 && usage.in_progress >= max_concurrency {
+        usage.max_concurrency = max_concurrency;
+        let concurrent = usage.in_progress as usize + usage.waiting.len();
+        if max_concurrency > 0 && concurrent >= max_concurrency as usize {
             let retry_after = ClockTime::from_millis(self.service_ms.ceil() as u64);
             return AdmissionVerdict::Refused(AdmissionRefusal::CustomerConcurrency {
                 retry_after,
@@ -166,7 +178,7 @@
         let waiting = self
             .customers
             .values_mut()
-            .filter(|usage| !usage.waiting.is_empty());
+            .filter(|usage| !usage.waiting.is_empty() && usage.is_below_limit());
         let usage = waiting.min_by_key(|usage| {
             let used_ppm = u64::from(usage.in_progress) * 1_000_000 / u64::from(usage.weight);
             (used_ppm, usage.waiting[0])
