Remove a customer from the admission queue after its last wait

Seen: an entry stayed for each customer whose last request was cancelled while it waited, or refused because the queue was too long. Cause: only finish removed idle customers. Change: cancel and a refusal remove them as well. Result: customer_without_requests_is_not_kept failed before (2 customers after a cancelled wait, 1 expected) and passes.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -125,6 +125,7 @@
             return AdmissionVerdict::Admitted;
         }
         if now + wait > deadline {
+            self.remove_if_idle(customer);
             let refusal = AdmissionRefusal::QueueTooLong { retry_after: wait };
             return AdmissionVerdict::Refused(refusal);
         }
@@ -147,10 +148,7 @@
             usage.in_progress = usage.in_progress.saturating_sub(1);
         }
         let next = self.admit_next();
-        let is_idle = |usage: &CustomerUsage| usage.in_progress == 0 && usage.waiting.is_empty();
-        if self.customers.get(customer).is_some_and(is_idle) {
-            self.customers.remove(customer);
-        }
+        self.remove_if_idle(customer);
         next
     }
 
@@ -163,6 +161,7 @@
         usage.waiting.retain(|(_, other)| *other != ticket);
         let was_waiting = usage.waiting.len() < before;
         self.waiting -= usize::from(was_waiting);
+        self.remove_if_idle(customer);
         was_waiting
     }
 
@@ -171,6 +170,18 @@
         self.in_progress
     }
 
+    /// Returns the number of customers whose requests hold a slot or wait for one.
+    pub fn customer_count(&self) -> usize {
+        self.customers.len()
+    }
+
+    fn remove_if_idle(&mut self, customer: &CustomerName) {
+        let is_idle = |usage: &CustomerUsage| usage.in_progress == 0 && usage.waiting.is_empty();
+        if self.customers.get(customer).is_some_and(is_idle) {
+            self.customers.remove(customer);
+        }
+    }
+
     fn admit_next(&mut self) -> Option<TicketNumber> {
         if self.in_progress >= self.slots {
             return None;
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -53,3 +53,18 @@
     assert_eq!(queue.finish(&large, DURATION), None, "one is in progress");
     assert_eq!(queue.finish(&limited, DURATION), Some(second));
 }
+
+#[test]
+fn customer_without_requests_is_not_kept() {
+    let mut queue = AdmissionQueue::new(1);
+    let (large, small) = (CustomerName::from("large"), CustomerName::from("small"));
+    assert_eq!(submit(&mut queue, "large", 0), AdmissionVerdict::Admitted);
+    let ticket = queued(submit(&mut queue, "small", 0));
+    assert!(queue.cancel(&small, ticket));
+    assert_eq!(queue.customer_count(), 1, "after a cancelled wait");
+    let verdict = queue.submit(&small, 1, 0, DEADLINE, ClockTime::ZERO);
+    assert!(matches!(verdict, AdmissionVerdict::Refused(_)));
+    assert_eq!(queue.customer_count(), 1, "after a refusal");
+    queue.finish(&large, DURATION);
+    assert_eq!(queue.customer_count(), 0);
+}
