Spend the retry budget only on retries that are made

Seen: a call to three dead applications was counted as three retries of idempotent_call and took three from the retry budget; with one application it was one, although no other upstream was there. The budget of the VM was smaller by that for calls that could have been retried. Cause: the retry was spent after an attempt had failed, before it was known whether another attempt follows. call_not_sent was counted the same way. Change: both are counted, and the budget is spent, once the next upstream is chosen. Whether nothing was sent so far is read from the proof itself, no longer from the reason's initial value.

--- a/crates/node/src/calls/call_sender.rs
+++ b/crates/node/src/calls/call_sender.rs
@@ -36,17 +36,19 @@
     mut unsent: UnsentCall,
 ) -> CallResult {
     let mut avoid = Vec::new();
-    for _ in 0..MAX_ATTEMPTS {
+    for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
             Err(reason) => return Err(Refusal::not_run(unsent, reason).retry_after(RETRY_AFTER)),
         };
+        if attempt > 0 {
+            counters::count_retry("call_not_sent");
+        }
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
             Err(SendFailure::NotSent(proof)) => unsent = proof,
             Err(SendFailure::Lost(reason)) => return Err(Refusal::unknown(reason)),
         }
-        counters::count_retry("call_not_sent");
         avoid.push(target.state.entry.name.clone());
     }
     Err(Refusal::not_run(unsent, RefusalReason::UpstreamUnreachable).retry_after(RETRY_AFTER))
@@ -62,33 +64,38 @@
     let mut proof = Some(unsent);
     let mut avoid = Vec::new();
     let mut reason = RefusalReason::UpstreamUnreachable;
-    for _ in 0..MAX_ATTEMPTS {
+    for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
             Err(choose_error) => return Err(to_refusal(proof, choose_error)),
         };
+        if attempt > 0 && !try_retry(shared) {
+            break;
+        }
         // A retry needs no proof that nothing was sent: the call is idempotent.
+        let is_proven = proof.is_some();
         let unsent = proof.take().unwrap_or_else(UnsentCall::for_new_request);
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
-            // While `reason` has its initial value, no earlier attempt can have run, so
-            // the proof that nothing was sent still holds.
-            Err(SendFailure::NotSent(unsent)) if reason == RefusalReason::UpstreamUnreachable => {
-                proof = Some(unsent);
-            }
+            Err(SendFailure::NotSent(unsent)) if is_proven => proof = Some(unsent),
             Err(SendFailure::NotSent(_)) => {}
             Err(SendFailure::Lost(lost)) => reason = lost,
         }
         avoid.push(target.state.entry.name.clone());
-        if !shared.retry_budget.try_spend(1) {
-            counters::count_retry("denied_by_budget");
-            break;
-        }
-        counters::count_retry("idempotent_call");
     }
     Err(to_refusal(proof, reason))
 }
 
+/// Spends a retry of the budget, counts it, and reports whether the budget allows it.
+fn try_retry(shared: &NodeShared) -> bool {
+    let is_allowed = shared.retry_budget.try_spend(1);
+    counters::count_retry(match is_allowed {
+        true => "idempotent_call",
+        false => "denied_by_budget",
+    });
+    is_allowed
+}
+
 fn to_refusal(proof: Option<UnsentCall>, reason: RefusalReason) -> Refusal {
     let refusal = match proof {
         Some(proof) => Refusal::not_run(proof, reason),
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -10,4 +10,5 @@
 mod moves;
 mod requests;
 mod response_matching;
+mod retries;
 mod tokens;
