Report a call to a busy upstream as upstream_busy

Seen: 60 calls at once to one application with 1.5 s a call: those over its limit were refused as no_upstream, as if no application were there. The reason upstream_busy is documented and was never reported. Cause: the concurrency limiter's refusal was returned like a refused connection, and the following attempt replaced the reason by no_upstream. Change: an attempt that sends nothing says why, and a refused call reports its last attempt; no_upstream remains for calls without any attempt. A call whose earlier attempt may have run keeps the reason of that attempt.

--- a/crates/node/src/calls/call_sender.rs
+++ b/crates/node/src/calls/call_sender.rs
@@ -23,7 +23,7 @@
 /// Why an attempt got no response.
 enum SendFailure {
     /// Nothing was sent; carries the proof.
-    NotSent(UnsentCall),
+    NotSent(UnsentCall, RefusalReason),
     /// The call may have run.
     Lost(RefusalReason),
 }
@@ -36,22 +36,29 @@
     mut unsent: UnsentCall,
 ) -> CallResult {
     let mut avoid = Vec::new();
+    let mut reason = None;
     for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
-            Err(reason) => return Err(Refusal::not_run(unsent, reason).retry_after(RETRY_AFTER)),
+            Err(choose_error) => {
+                reason.get_or_insert(choose_error);
+                break;
+            }
         };
         if attempt > 0 {
             counters::count_retry("call_not_sent");
         }
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
-            Err(SendFailure::NotSent(proof)) => unsent = proof,
-            Err(SendFailure::Lost(reason)) => return Err(Refusal::unknown(reason)),
+            Err(SendFailure::NotSent(proof, not_sent)) => {
+                unsent = proof;
+                reason = Some(not_sent);
+            }
+            Err(SendFailure::Lost(lost)) => return Err(Refusal::unknown(lost)),
         }
         avoid.push(target.state.entry.name.clone());
     }
-    Err(Refusal::not_run(unsent, RefusalReason::UpstreamUnreachable).retry_after(RETRY_AFTER))
+    Err(to_refusal(Some(unsent), reason))
 }
 
 /// Sends an idempotent call, with retries within the retry budget.
@@ -63,11 +70,14 @@
     shared.retry_budget.earn(1);
     let mut proof = Some(unsent);
     let mut avoid = Vec::new();
-    let mut reason = RefusalReason::UpstreamUnreachable;
+    let mut reason = None;
     for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
-            Err(choose_error) => return Err(to_refusal(proof, choose_error)),
+            Err(choose_error) => {
+                reason.get_or_insert(choose_error);
+                break;
+            }
         };
         if attempt > 0 && !try_retry(shared) {
             break;
@@ -77,9 +87,13 @@
         let unsent = proof.take().unwrap_or_else(UnsentCall::for_new_request);
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
-            Err(SendFailure::NotSent(unsent)) if is_proven => proof = Some(unsent),
-            Err(SendFailure::NotSent(_)) => {}
-            Err(SendFailure::Lost(lost)) => reason = lost,
+            Err(SendFailure::NotSent(unsent, not_sent)) if is_proven => {
+                proof = Some(unsent);
+                reason = Some(not_sent);
+            }
+            // An earlier attempt may have run, and its reason stays.
+            Err(SendFailure::NotSent(..)) => {}
+            Err(SendFailure::Lost(lost)) => reason = Some(lost),
         }
         avoid.push(target.state.entry.name.clone());
     }
@@ -96,7 +110,9 @@
     is_allowed
 }
 
-fn to_refusal(proof: Option<UnsentCall>, reason: RefusalReason) -> Refusal {
+/// Refuses a call with the reason of its last attempt.
+fn to_refusal(proof: Option<UnsentCall>, reason: Option<RefusalReason>) -> Refusal {
+    let reason = reason.unwrap_or(RefusalReason::NoUpstream);
     let refusal = match proof {
         Some(proof) => Refusal::not_run(proof, reason),
         None => Refusal::unknown(reason),
@@ -112,7 +128,7 @@
 ) -> Result<ApplicationResponse, SendFailure> {
     let state = &target.state;
     if !state.try_start_call() {
-        return Err(SendFailure::NotSent(unsent));
+        return Err(SendFailure::NotSent(unsent, RefusalReason::UpstreamBusy));
     }
     let _guard = InFlightGuard::new(state.clone());
     let started = shared.clock.now();
@@ -149,7 +165,8 @@
         }
         Ok(Err(CallError::NotSent(proof))) => {
             state.mark_suspect(now);
-            Err(SendFailure::NotSent(proof))
+            let reason = RefusalReason::UpstreamUnreachable;
+            Err(SendFailure::NotSent(proof, reason))
         }
         Ok(Err(CallError::ResponseLost(..))) => {
             state.mark_suspect(now);
