Refuse to resume a retained generation of a withdrawn version

Seen: a caller whose VM had died came back with its cursor after the version of its answer had been taken back, and got the rest of the answer from the bad version's engine. Cause: the choice of another engine checks that the version is not withdrawn; the way to the engine that retains the generation did not. Ruled out: finishing such an answer, as a withdrawn version gets no requests any more, not even to resume a stream (NodeShared::is_withdrawn). Change: both ways look the version up in pinned_version, which checks it. Result: tokens::retained_generation_of_a_withdrawn_version_is_not_resumed failed before (the rest of the 400 tokens was delivered) and passes, with all of tokens, response_matching and moves (23 tests).

--- a/crates/node/src/generations/generation_task.rs
+++ b/crates/node/src/generations/generation_task.rs
@@ -8,8 +8,8 @@
 use crate::state::{InFlightGuard, NodeShared, PrefillGuard, UpstreamState};
 use faststr::FastStr;
 use skylarkshed_core::{
-    AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, UpstreamName, VersionEntry,
-    VersionName,
+    AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, ServiceState, UpstreamName,
+    VersionEntry, VersionName,
 };
 use skylarkshed_policy::{
     choose_by_share, FailReason, GenerationAction, GenerationInput, GenerationMachine,
@@ -268,13 +268,7 @@
         let service = catalog.services.get(&self.params.service);
         let service = service.ok_or(NoUpstreamReason::VersionGone)?;
         let version = match self.machine.version() {
-            Some(name) if self.shared.is_withdrawn(service, name) => {
-                return Err(NoUpstreamReason::VersionWithdrawn);
-            }
-            Some(name) => service
-                .versions
-                .get(name)
-                .ok_or(NoUpstreamReason::VersionGone)?,
+            Some(name) => self.pinned_version(service, name)?,
             None => {
                 let shares = self.shared.usable_shares(service);
                 let version = choose_by_share(&shares, rand::random());
@@ -289,6 +283,19 @@
         Ok((state.ok_or(NoUpstreamReason::NoneFree)?, version.clone()))
     }
 
+    /// Returns the version that computed the answer so far, unless it was withdrawn.
+    fn pinned_version<'a>(
+        &self,
+        service: &'a ServiceState,
+        name: &VersionName,
+    ) -> Result<&'a Arc<VersionEntry>, NoUpstreamReason> {
+        if self.shared.is_withdrawn(service, name) {
+            return Err(NoUpstreamReason::VersionWithdrawn);
+        }
+        let version = service.versions.get(name);
+        version.ok_or(NoUpstreamReason::VersionGone)
+    }
+
     /// Returns the engine that may still retain the generation.
     fn held_target(
         &self,
@@ -301,10 +308,7 @@
             .machine
             .version()
             .ok_or(NoUpstreamReason::VersionGone)?;
-        let version = service
-            .versions
-            .get(name)
-            .ok_or(NoUpstreamReason::VersionGone)?;
+        let version = self.pinned_version(service, name)?;
         let entry = version
             .upstreams
             .iter()
--- a/tests/testsuite/tests/suite/tokens.rs
+++ b/tests/testsuite/tests/suite/tokens.rs
@@ -188,6 +188,29 @@
     );
 }
 
+#[tokio::test]
+async fn retained_generation_of_a_withdrawn_version_is_not_resumed() {
+    let fleet = FleetBuilder::new().start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let engines = fleet.start_engines("v2", 2).await.unwrap();
+    fleet
+        .put_version(Fleet::MODEL_SERVICE, "v2", &engines)
+        .await
+        .unwrap();
+    start_move(&fleet.operator_client(0), "v2").await;
+    let (spec, mut generation) = start_generation_of_version(&fleet, "v2").await;
+    generation.wait_for_tokens(30).await;
+    fleet.vms[0].process.kill();
+    let result = generation.wait_for_end().await;
+    reverse_move(&fleet.operator_client(1)).await;
+    let vm = fleet.vms[1].caller_address;
+    let rest = GenerationClient::default()
+        .resume(vm, &spec, &result, false)
+        .await;
+    assert_eq!(rest.tokens, Vec::<String>::new());
+    assert_eq!(rest.problem.unwrap()["reason"], "version_withdrawn");
+}
+
 async fn start_move(operator: &skylarkshed_operator::schema::OperatorClient, to: &'static str) {
     use skylarkshed_operator::schema::StartMoveRequest;
     let request = StartMoveRequest {
