Compare the VM of a minted key, not only the incarnation

Seen: a key that another VM with the same incarnation had minted was consumed as if it were this VM's key with that serial, so one key could run at both. Cause: run_minted_call compared the incarnation only, and an incarnation is the time of the start in milliseconds; VMs that start together can share it. A forwarded call was accepted on the incarnation and serial in the message. Change: MintedKey::is_own compares VM and incarnation; the receiver of a forwarded call parses the signed key and checks the same. Messages between VMs are as they were. Result: at_most_once::minted_key_of_a_vm_with_the_same_incarnation_is_not_consumed failed before (the call ran) and passes, with all of at_most_once.

--- a/crates/bench/src/fleet/launcher.rs
+++ b/crates/bench/src/fleet/launcher.rs
@@ -11,7 +11,9 @@
 const FAKES_PROGRAM: &str = "skylarkshed-stand-ins";
 /// The program of the VMs.
 const VM_PROGRAM: &str = "skylarkshed";
-const PEER_KEY: &str = "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+/// The key that the VMs share.
+pub(crate) const PEER_KEY: &str =
+    "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
 
 /// The zones of a fleet and how its processes are started.
 #[derive(Clone)]
--- a/crates/bench/src/fleet/running.rs
+++ b/crates/bench/src/fleet/running.rs
@@ -2,7 +2,7 @@
 
 use super::control;
 use super::handles::{UpstreamHandle, VmHandle};
-use super::launcher::FleetLauncher;
+use super::launcher::{FleetLauncher, PEER_KEY};
 use super::process::{FleetError, ProcessHandle};
 use serde_json::{json, Value};
 use skylarkshed_operator::connect;
@@ -48,6 +48,9 @@
     /// The bearer key of the customer that may call both services.
     pub const CUSTOMER_KEY: &'static str = "depot-key";
 
+    /// The key that the VMs share, with which they sign messages and minted keys.
+    pub const PEER_KEY: &'static str = PEER_KEY;
+
     /// Returns the platform's address.
     pub fn platform_address(&self) -> SocketAddr {
         self.platform.address("address")
--- a/crates/node/src/calls/minted_call.rs
+++ b/crates/node/src/calls/minted_call.rs
@@ -31,7 +31,7 @@
     call: ApplicationCall,
     unsent: UnsentCall,
 ) -> CallResult {
-    if key.incarnation == shared.incarnation {
+    if key.is_own(shared) {
         return consume(shared, key.serial, call, unsent).await;
     }
     let minter = find_minter(shared, &key);
--- a/crates/node/src/calls/minted_key.rs
+++ b/crates/node/src/calls/minted_key.rs
@@ -14,6 +14,14 @@
     pub(crate) serial: u64,
 }
 
+impl MintedKey {
+    /// Reports whether this process minted the key. Two VMs that start in the same
+    /// millisecond have the same incarnation.
+    pub(crate) fn is_own(&self, shared: &NodeShared) -> bool {
+        self.vm == shared.settings.name && self.incarnation == shared.incarnation
+    }
+}
+
 /// Mints keys for a customer and a service; fewer if the limit of kept keys is reached.
 pub(crate) fn mint(
     shared: &NodeShared,
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -3,6 +3,7 @@
 use crate::calls::application_call::ApplicationCall;
 use crate::calls::call_result;
 use crate::calls::minted_call;
+use crate::calls::minted_key::parse_key;
 use crate::configuration::sync_task::{apply_batch, make_batch};
 use crate::refusal::{Refusal, RefusalReason};
 use crate::state::{MoveKey, NodeShared};
@@ -51,10 +52,6 @@
 
 impl PeerService {
     async fn run_forwarded(&self, forwarded: ForwardedCall) -> ForwardedOutcome {
-        if forwarded.incarnation != self.shared.incarnation.0 {
-            let refusal = Refusal::unknown(RefusalReason::KeyNotMinted);
-            return call_result::to_forwarded(Err(refusal));
-        }
         let call = ApplicationCall {
             customer: forwarded.customer.as_str().into(),
             service: forwarded.service.as_str().into(),
@@ -62,8 +59,14 @@
             key: Some(forwarded.key),
             body: Bytes::from(forwarded.body),
         };
+        let text = call.key.as_deref().unwrap_or_default();
+        let key = parse_key(&self.shared, &call.customer, &call.service, text);
+        let Some(key) = key.filter(|key| key.is_own(&self.shared)) else {
+            let refusal = Refusal::unknown(RefusalReason::KeyNotMinted);
+            return call_result::to_forwarded(Err(refusal));
+        };
         let unsent = UnsentCall::for_new_request();
-        let result = minted_call::consume(&self.shared, forwarded.serial, call, unsent).await;
+        let result = minted_call::consume(&self.shared, key.serial, call, unsent).await;
         call_result::to_forwarded(result)
     }
 }
--- a/tests/testsuite/tests/suite/at_most_once.rs
+++ b/tests/testsuite/tests/suite/at_most_once.rs
@@ -3,6 +3,7 @@
 
 use rstest::rstest;
 use skylarkshed_bench::{CallClient, CallResponse, Fleet, FleetBuilder};
+use skylarkshed_peer::PeerKey;
 use skylarkshed_stand_ins::{ApplicationFaults, PlatformFaults, ProxyFaults};
 use skylarkshed_testsuite::BOOKING_PATH;
 use std::time::{Duration, Instant};
@@ -312,6 +313,35 @@
     assert!(fleet.call_counts().await.unwrap().is_empty());
 }
 
+/// Returns a minted key with another VM's name and the same incarnation and serial.
+fn key_of_another_vm(key: &str) -> String {
+    let fields: Vec<&str> = key.split('~').collect();
+    let signed_text = format!("{}~vm-9~{}~{}", fields[0], fields[2], fields[3]);
+    let text = format!("depot~{}~{signed_text}", Fleet::PLAIN_SERVICE);
+    let peer_key = PeerKey::parse(Fleet::PEER_KEY).unwrap();
+    let code = peer_key.authentication_code(text.as_bytes());
+    let code: String = code.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("{signed_text}~{code}")
+}
+
+/// Two VMs that start in the same millisecond have the same incarnation.
+#[tokio::test]
+async fn minted_key_of_a_vm_with_the_same_incarnation_is_not_consumed() {
+    let fleet = start_fleet(FleetBuilder::new().zones(1)).await;
+    let client = CallClient::default();
+    let vm = fleet.vms[0].caller_address;
+    let keys = client
+        .mint(vm, Fleet::CUSTOMER_KEY, Fleet::PLAIN_SERVICE, 1)
+        .await;
+    let refused = book(&fleet, 0, &key_of_another_vm(&keys[0])).await;
+    assert_eq!(
+        (refused.reason(), refused.outcome()),
+        ("minter_unreachable", "unknown")
+    );
+    assert!(fleet.call_counts().await.unwrap().is_empty());
+    assert!(book(&fleet, 0, &keys[0]).await.is_success());
+}
+
 #[tokio::test]
 async fn minted_key_of_another_customer_is_refused() {
     let fleet = start_fleet(FleetBuilder::new().zones(1)).await;
