Tell the keys of VMs with the same incarnation apart

Seen: after one VM had shut down, the keys of another VM that had started in the same millisecond could be claimed by anyone, although their minter might have consumed them; and two such VMs numbered their claims alike, so a VM whose reply was lost could take the other's claim for its own and send the call a second time. Cause: the closing row and the claims are recognised by the incarnation, the start in milliseconds, with serials that began at 1 on every VM. Ruled out: a finer incarnation, as VMs of an earlier build compare it with their own; other row keys, as the rows of an earlier build would be lost. Change: serials begin at a random multiple of 65,536, and the closing row names its VM; a closing row without a name, of an earlier build, still counts. Result: at_most_once::serials_of_two_vms_differ (both were 1) and at_most_once::shutdown_of_a_vm_does_not_release_the_keys_of_a_vm_with_the_same_incarnation (the call ran) failed before and pass, with all of at_most_once (17 tests) and leaving::minted_keys.

--- a/crates/node/src/calls/minted_call.rs
+++ b/crates/node/src/calls/minted_call.rs
@@ -102,7 +102,7 @@
     let row = ClaimRow {
         claimant: shared.incarnation,
         serial: 0,
-        request: String::new(),
+        request: shared.settings.name.to_string(),
         state: ClaimState::Released,
     };
     claims::store_row(shared, closed_row_key(shared.incarnation), &row).await;
@@ -115,8 +115,7 @@
     call: ApplicationCall,
     unsent: UnsentCall,
 ) -> CallResult {
-    let closed = shared.platform.read(&closed_row_key(key.incarnation)).await;
-    if !matches!(closed, Ok(Some(_))) {
+    if !is_closed(shared, key).await {
         // The minter may have consumed the key before, so the outcome is `unknown` even
         // if the call was not forwarded.
         let refusal = Refusal::unknown(RefusalReason::MinterUnreachable);
@@ -127,6 +126,20 @@
     run_claimed_call(shared, outcome, call, unsent).await
 }
 
+/// Reports whether the minter of a key has persisted its consumed keys.
+async fn is_closed(shared: &NodeShared, key: &MintedKey) -> bool {
+    let row = shared.platform.read(&closed_row_key(key.incarnation)).await;
+    let Ok(Some(row)) = row else { return false };
+    match serde_json::from_str::<ClaimRow>(&row.value) {
+        // Earlier builds left the VM's name out.
+        Ok(row) => row.request.is_empty() || row.request == key.vm.as_str(),
+        Err(error) => {
+            log::warn!(row = row.key.as_str(), error = error.to_string(); "can't read the closing row of a VM");
+            false
+        }
+    }
+}
+
 fn find_minter(shared: &NodeShared, key: &MintedKey) -> Option<SocketAddr> {
     let membership = shared.membership.lock().expect("not poisoned");
     let mut members = membership.members();
@@ -163,6 +176,7 @@
 }
 
 /// Returns the key of the row that a minter writes once all its consumed keys are persisted.
+/// Its `request` is the name of the minter, as another VM may have the same incarnation.
 fn closed_row_key(incarnation: IncarnationId) -> String {
     format!("{CLOSED_ROW_PREFIX}{incarnation}")
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -34,6 +34,8 @@
 
 /// The initial and maximum credit of the retry budget, in retries.
 const RETRY_RESERVE: u32 = 100;
+/// The size of a process's range of serials, in bits.
+const SERIAL_BITS: u32 = 16;
 
 /// Errors that end the process.
 #[derive(Debug, Error)]
@@ -159,9 +161,9 @@
         admission: AdmissionController::new(limits.in_progress, clock, limits.queue_time),
         race_budget: WorkBudget::new(resume.race_percent, resume.race_reserve),
         retry_budget: WorkBudget::new(settings.calls.retry_percent, RETRY_RESERVE),
-        claim_serial: AtomicU64::new(1),
+        claim_serial: AtomicU64::new(random_serial()),
         sent_keys: SentKeys::default(),
-        minted_keys: Mutex::new(MintedKeys::new(settings.calls.minted_keys)),
+        minted_keys: Mutex::new(MintedKeys::new(random_serial(), settings.calls.minted_keys)),
         stopped_moves: ArcSwap::default(),
         evidence: EvidenceRegistry::default(),
         is_ready: AtomicBool::new(false),
@@ -172,6 +174,12 @@
     }))
 }
 
+/// Returns the first of a range of serials that no other process is likely to use, also
+/// if it has the same incarnation.
+fn random_serial() -> u64 {
+    u64::from(rand::random::<u32>()) << SERIAL_BITS
+}
+
 /// The bound addresses, with the ports that the system chose for port 0.
 struct NodeAddresses {
     callers: SocketAddr,
--- a/crates/policy/src/minted_keys.rs
+++ b/crates/policy/src/minted_keys.rs
@@ -40,7 +40,7 @@
 /// ```
 /// use skylarkshed_policy::{MintedKeys, MintedVerdict};
 ///
-/// let mut keys = MintedKeys::new(100);
+/// let mut keys = MintedKeys::new(1, 100);
 /// let serial = keys.mint().unwrap();
 /// assert_eq!(keys.consume(serial, "hash"), MintedVerdict::Send);
 /// assert_eq!(keys.consume(serial, "hash"), MintedVerdict::Unknown);
@@ -56,9 +56,10 @@
 
 impl MintedKeys {
     /// Creates a set that holds at most `max_keys` keys, consumed and unused together.
-    pub fn new(max_keys: usize) -> Self {
+    /// Their serials begin at `first_serial`.
+    pub fn new(first_serial: u64, max_keys: usize) -> Self {
         MintedKeys {
-            next: 1,
+            next: first_serial,
             unused: BTreeSet::new(),
             consumed: HashMap::new(),
             max_keys,
