--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -11,4 +11,5 @@
 mod requests;
 mod response_matching;
 mod retries;
+mod shared_incarnations;
 mod tokens;
