--- a/crates/node/src/state/configuration_store.rs
+++ b/crates/node/src/state/configuration_store.rs
@@ -128,21 +128,9 @@
     /// Reads all new changes from the platform's table.
     pub(crate) async fn pull<T: TableStore>(&self, table: &T) -> Result<(), ChangeError> {
         loop {
-            let after = change_key(self.current().revision);
-            let request = ScanRequest {
-                prefix: CHANGE_PREFIX.to_owned(),
-                after,
-                limit: MAX_SCAN_ROWS,
-            };
-            let rows = table.scan(&request).await.map_err(ChangeError::Platform)?;
-            let count = rows.len();
-            let records: Result<Vec<ChangeRecord>, _> = rows
-                .iter()
-                .map(|row| serde_json::from_str(&row.value))
-                .collect();
-            let records = records.map_err(|error| ChangeError::BadRow(error.to_string()))?;
+            let records = scan_changes(table, self.current().revision).await?;
             self.apply(&records)?;
-            if count < MAX_SCAN_ROWS {
+            if records.len() < MAX_SCAN_ROWS {
                 return Ok(());
             }
         }
@@ -185,7 +173,7 @@
             return Ok(Some(revision));
         }
         let current = self.current();
-        self.check_conflict(change, start)?;
+        self.check_conflict(table, change, start).await?;
         let revision = current.revision.next();
         let record = ChangeRecord {
             revision,
@@ -232,22 +220,55 @@
     }
 
     /// Rejects a change of a subject that another change modified since `start`.
-    fn check_conflict(
+    async fn check_conflict<T: TableStore>(
         &self,
+        table: &T,
         change: &ConfigurationChange,
         start: RevisionNumber,
     ) -> Result<(), ChangeError> {
-        let since = self.changes_after(start).unwrap_or_default();
-        let conflict = since
-            .iter()
-            .find(|record| subject(&record.change) == subject(change));
-        match conflict {
-            Some(record) => Err(ChangeError::Conflict(record.revision)),
-            None => Ok(()),
+        if let Some(since) = self.changes_after(start) {
+            return find_conflict(&since, change);
+        }
+        // A snapshot came without the changes that led to it.
+        let mut last = start;
+        loop {
+            let since = scan_changes(table, last).await?;
+            find_conflict(&since, change)?;
+            match since.last() {
+                Some(record) if since.len() == MAX_SCAN_ROWS => last = record.revision,
+                _ => return Ok(()),
+            }
         }
     }
 }
 
+/// Reads the next changes after a revision, at most [`MAX_SCAN_ROWS`].
+async fn scan_changes<T: TableStore>(
+    table: &T,
+    after: RevisionNumber,
+) -> Result<Vec<ChangeRecord>, ChangeError> {
+    let request = ScanRequest {
+        prefix: CHANGE_PREFIX.to_owned(),
+        after: change_key(after),
+        limit: MAX_SCAN_ROWS,
+    };
+    let rows = table.scan(&request).await.map_err(ChangeError::Platform)?;
+    rows.iter()
+        .map(|row| serde_json::from_str(&row.value))
+        .collect::<Result<_, _>>()
+        .map_err(|error| ChangeError::BadRow(error.to_string()))
+}
+
+fn find_conflict(since: &[ChangeRecord], change: &ConfigurationChange) -> Result<(), ChangeError> {
+    let conflict = since
+        .iter()
+        .find(|record| subject(&record.change) == subject(change));
+    match conflict {
+        Some(record) => Err(ChangeError::Conflict(record.revision)),
+        None => Ok(()),
+    }
+}
+
 /// Reports whether two changes come from the same operator request.
 ///
 /// A retried move request has new times, so the times of moves are not compared.
--- a/tests/testsuite/tests/suite/configuration.rs
+++ b/tests/testsuite/tests/suite/configuration.rs
@@ -16,7 +16,7 @@
 /// A change is active at every VM within this time.
 const ACTIVATION_BOUND: Duration = Duration::from_secs(14);
 
-async fn put_customer(
+pub(crate) async fn put_customer(
     operator: &OperatorClient,
     change_id: &str,
     name: &str,
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the serving process in a fleet of real processes.
 
 mod at_most_once;
+mod change_conflicts;
 mod command_line;
 mod configuration;
 mod documentation;
