Count generations of one token in the evidence of a move

Seen: while a version took over, completed generations of one token were missing from the route of generations, but failed ones were counted there, so a version that rarely failed such requests looked as if it always failed. Cause: an attempt with fewer than two tokens has no time between tokens and was left out as a whole. Change: only its time between tokens is left out.

--- a/crates/node/src/generations/attempt_runner.rs
+++ b/crates/node/src/generations/attempt_runner.rs
@@ -94,22 +94,22 @@
         evidence.record(&catalog, service, version, route, &self.customer, time);
     }
 
-    /// Records evidence of a completed attempt.
-    ///
-    /// An attempt with fewer than two tokens has no time between tokens and is not recorded.
+    /// Records evidence of a completed attempt. The time between tokens takes two of them.
     fn record_completion(
         &self,
         first_token_at: Option<ClockTime>,
         last_token_at: ClockTime,
         tokens: u64,
     ) {
-        let Some(first_token_at) = first_token_at.filter(|_| tokens > 1) else {
+        let Some(first_token_at) = first_token_at else {
             return;
         };
-        let unit_ms =
-            last_token_at.since(first_token_at).as_millis() * DECODE_UNIT_TOKENS / (tokens - 1);
-        self.record_evidence(ROUTE_DECODE, Some(ClockTime::from_millis(unit_ms)));
-        self.record_evidence(ROUTE_GENERATION, Some(last_token_at.since(first_token_at)));
+        let duration = last_token_at.since(first_token_at);
+        if tokens > 1 {
+            let unit_ms = duration.as_millis() * DECODE_UNIT_TOKENS / (tokens - 1);
+            self.record_evidence(ROUTE_DECODE, Some(ClockTime::from_millis(unit_ms)));
+        }
+        self.record_evidence(ROUTE_GENERATION, Some(duration));
     }
 
     /// Reads an event; probes the engine if none arrives in time.
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod fault_schedules;
 mod leaving;
 mod limits;
+mod move_evidence;
 mod moves;
 mod requests;
 mod response_matching;
