--- a/crates/node/src/call_path.rs
+++ b/crates/node/src/calls/call_sender.rs
@@ -1,54 +1,19 @@
-//! Sends application calls to upstreams.
+//! Sends application calls to upstreams, and again if that is allowed.
 
-use crate::call_result::CallResult;
-use crate::claims;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result::CallResult;
 use crate::counters;
-use crate::minting;
 use crate::refusal::{Refusal, RefusalReason};
-use crate::registry::{InFlightGuard, UpstreamState};
-use crate::shared::NodeShared;
-use bytes::Bytes;
-use skylarkshed_core::{
-    ClockTime, CustomerName, GenerationId, ServiceName, UnsentCall, UpstreamName, VersionEntry,
-    VersionName,
-};
-use skylarkshed_upstream::{ApplicationClient, ApplicationRequest, ApplicationResponse, CallError};
+use crate::state::{InFlightGuard, NodeShared, UpstreamState};
+use skylarkshed_core::{ClockTime, UnsentCall, UpstreamName, VersionName};
+use skylarkshed_policy::choose_by_share;
+use skylarkshed_upstream::{ApplicationClient, ApplicationResponse, CallError};
 use std::sync::Arc;
 
 const RETRY_AFTER: ClockTime = ClockTime::from_millis(500);
 const MAX_ATTEMPTS: usize = 3;
 const MIN_SERVER_ERROR_STATUS: u16 = 500;
 
-/// An application call as its caller sent it.
-#[derive(Clone, Debug)]
-pub(crate) struct ApplicationCall {
-    pub(crate) customer: CustomerName,
-    pub(crate) service: ServiceName,
-    pub(crate) route: String,
-    pub(crate) key: Option<String>,
-    pub(crate) body: Bytes,
-}
-
-impl ApplicationCall {
-    /// Returns the hash of route and body, by which requests with the same key are compared.
-    pub(crate) fn request_hash(&self) -> String {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(self.route.as_bytes());
-        hasher.update(&[0]);
-        hasher.update(&self.body);
-        hasher.finalize().to_hex()[..32].to_owned()
-    }
-
-    fn to_request(&self) -> ApplicationRequest {
-        ApplicationRequest {
-            route: self.route.clone(),
-            call_id: GenerationId::random().to_string(),
-            key: self.key.clone(),
-            body: self.body.clone(),
-        }
-    }
-}
-
 /// The upstream that a call is sent to, and its version.
 struct CallTarget {
     state: Arc<UpstreamState>,
@@ -58,39 +23,11 @@
 /// Why an attempt got no response.
 enum SendFailure {
     /// Nothing was sent; carries the proof.
-    NotSent(UnsentCall),
+    NotSent(UnsentCall, RefusalReason),
     /// The call may have run.
     Lost(RefusalReason),
 }
 
-/// Runs a call in the way that its route and its idempotency key allow.
-///
-/// An idempotent call is retried. Any other call runs at most once; if it has a key,
-/// it is sent only after the key was claimed or, for a minted key, consumed.
-pub(crate) async fn run_call(
-    shared: &Arc<NodeShared>,
-    call: ApplicationCall,
-    unsent: UnsentCall,
-) -> CallResult {
-    let catalog = shared.configuration.current();
-    let service = catalog.services.get(&call.service);
-    if service.is_some_and(|service| service.entry.is_idempotent(&call.route)) {
-        return send_with_retries(shared, &call, unsent).await;
-    }
-    let Some(key) = call.key.clone() else {
-        return send_once(shared, &call, unsent).await;
-    };
-    if minting::has_minted_form(&key) {
-        return match minting::parse_key(shared, &call.customer, &call.service, &key) {
-            Some(minted) => minting::run_minted_call(shared, minted, call, unsent).await,
-            None => Err(Refusal::not_run(unsent, RefusalReason::KeyNotMinted)),
-        };
-    }
-    let row_key = claims::claim_row_key(&call.customer, &call.service, &key);
-    let outcome = claims::claim(shared, row_key, call.request_hash()).await;
-    minting::run_claimed_call(shared, outcome, call, unsent).await
-}
-
 /// Sends a call that may run only once; retries on another upstream only if nothing
 /// was sent.
 pub(crate) async fn send_once(
@@ -99,24 +36,33 @@
     mut unsent: UnsentCall,
 ) -> CallResult {
     let mut avoid = Vec::new();
-    for _ in 0..MAX_ATTEMPTS {
+    let mut reason = None;
+    for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
-            Err(reason) => return Err(Refusal::not_run(unsent, reason).retry_after(RETRY_AFTER)),
+            Err(choose_error) => {
+                reason.get_or_insert(choose_error);
+                break;
+            }
         };
+        if attempt > 0 {
+            counters::count_retry("call_not_sent");
+        }
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
-            Err(SendFailure::NotSent(proof)) => unsent = proof,
-            Err(SendFailure::Lost(reason)) => return Err(Refusal::unknown(reason)),
+            Err(SendFailure::NotSent(proof, not_sent)) => {
+                unsent = proof;
+                reason = Some(not_sent);
+            }
+            Err(SendFailure::Lost(lost)) => return Err(Refusal::unknown(lost)),
         }
-        counters::count_retry("call_not_sent");
         avoid.push(target.state.entry.name.clone());
     }
-    Err(Refusal::not_run(unsent, RefusalReason::UpstreamUnreachable).retry_after(RETRY_AFTER))
+    Err(to_refusal(Some(unsent), reason))
 }
 
 /// Sends an idempotent call, with retries within the retry budget.
-async fn send_with_retries(
+pub(crate) async fn send_with_retries(
     shared: &Arc<NodeShared>,
     call: &ApplicationCall,
     unsent: UnsentCall,
@@ -124,35 +70,49 @@
     shared.retry_budget.earn(1);
     let mut proof = Some(unsent);
     let mut avoid = Vec::new();
-    let mut reason = RefusalReason::UpstreamUnreachable;
-    for _ in 0..MAX_ATTEMPTS {
+    let mut reason = None;
+    for attempt in 0..MAX_ATTEMPTS {
         let target = match choose(shared, call, &avoid) {
             Ok(target) => target,
-            Err(choose_error) => return Err(to_refusal(proof, choose_error)),
+            Err(choose_error) => {
+                reason.get_or_insert(choose_error);
+                break;
+            }
         };
+        if attempt > 0 && !try_retry(shared) {
+            break;
+        }
         // A retry needs no proof that nothing was sent: the call is idempotent.
+        let is_proven = proof.is_some();
         let unsent = proof.take().unwrap_or_else(UnsentCall::for_new_request);
         match send(shared, &target, call, unsent).await {
             Ok(response) => return Ok(response),
-            // While `reason` has its initial value, no earlier attempt can have run, so
-            // the proof that nothing was sent still holds.
-            Err(SendFailure::NotSent(unsent)) if reason == RefusalReason::UpstreamUnreachable => {
+            Err(SendFailure::NotSent(unsent, not_sent)) if is_proven => {
                 proof = Some(unsent);
+                reason = Some(not_sent);
             }
-            Err(SendFailure::NotSent(_)) => {}
-            Err(SendFailure::Lost(lost)) => reason = lost,
+            // An earlier attempt may have run, and its reason stays.
+            Err(SendFailure::NotSent(..)) => {}
+            Err(SendFailure::Lost(lost)) => reason = Some(lost),
         }
         avoid.push(target.state.entry.name.clone());
-        if !shared.retry_budget.try_spend(1) {
-            counters::count_retry("denied_by_budget");
-            break;
-        }
-        counters::count_retry("idempotent_call");
     }
     Err(to_refusal(proof, reason))
 }
 
-fn to_refusal(proof: Option<UnsentCall>, reason: RefusalReason) -> Refusal {
+/// Spends a retry of the budget, counts it, and reports whether the budget allows it.
+fn try_retry(shared: &NodeShared) -> bool {
+    let is_allowed = shared.retry_budget.try_spend(1);
+    counters::count_retry(match is_allowed {
+        true => "idempotent_call",
+        false => "denied_by_budget",
+    });
+    is_allowed
+}
+
+/// Refuses a call with the reason of its last attempt.
+fn to_refusal(proof: Option<UnsentCall>, reason: Option<RefusalReason>) -> Refusal {
+    let reason = reason.unwrap_or(RefusalReason::NoUpstream);
     let refusal = match proof {
         Some(proof) => Refusal::not_run(proof, reason),
         None => Refusal::unknown(reason),
@@ -168,7 +128,7 @@
 ) -> Result<ApplicationResponse, SendFailure> {
     let state = &target.state;
     if !state.try_start_call() {
-        return Err(SendFailure::NotSent(unsent));
+        return Err(SendFailure::NotSent(unsent, RefusalReason::UpstreamBusy));
     }
     let _guard = InFlightGuard::new(state.clone());
     let started = shared.clock.now();
@@ -205,7 +165,8 @@
         }
         Ok(Err(CallError::NotSent(proof))) => {
             state.mark_suspect(now);
-            Err(SendFailure::NotSent(proof))
+            let reason = RefusalReason::UpstreamUnreachable;
+            Err(SendFailure::NotSent(proof, reason))
         }
         Ok(Err(CallError::ResponseLost(..))) => {
             state.mark_suspect(now);
@@ -233,7 +194,7 @@
         .get(&call.service)
         .ok_or(RefusalReason::UnknownService)?;
     let shares = shared.usable_shares(service);
-    let version = choose_version(&shares, rand::random()).ok_or(RefusalReason::NoUpstream)?;
+    let version = choose_by_share(&shares, rand::random()).ok_or(RefusalReason::NoUpstream)?;
     // Application calls share no KV cache, so they need no common prefix hash.
     let prefix = rand::random();
     let state = shared
@@ -245,19 +206,3 @@
         version: version.name.clone(),
     })
 }
-
-/// Chooses a version from a random value, in proportion to the shares.
-pub(crate) fn choose_version<'a>(
-    shares: &[(&'a Arc<VersionEntry>, u32)],
-    random: u32,
-) -> Option<&'a Arc<VersionEntry>> {
-    let total: u64 = shares.iter().map(|(_, share)| u64::from(*share)).sum();
-    let mut remainder = u64::from(random) % total.max(1);
-    for (version, share) in shares {
-        if remainder < u64::from(*share) {
-            return Some(version);
-        }
-        remainder -= u64::from(*share);
-    }
-    None
-}
--- a/crates/node/src/generation_task.rs
+++ b/crates/node/src/generations/generation_task.rs
@@ -1,20 +1,19 @@
 //! Runs one generation: passes inputs to its state machine and performs the actions.
 
-use crate::attempt_runner::{AttemptRunner, ROUTE_GENERATION};
 use crate::counters;
-use crate::generation_environment::{AttemptHandle, TaskEnvironment};
-use crate::prompt::prefix_hash;
-use crate::reason_texts::{notice_label, start_reason_label};
-use crate::registry::{InFlightGuard, PrefillGuard, UpstreamState};
-use crate::shared::NodeShared;
+use crate::generations::attempt_runner::{AttemptRunner, ROUTE_GENERATION};
+use crate::generations::generation_environment::{AttemptHandle, TaskEnvironment};
+use crate::generations::prompt::prefix_hash;
+use crate::generations::reason_texts::{notice_label, start_reason_label};
+use crate::state::{InFlightGuard, NodeShared, PrefillGuard, UpstreamState};
 use faststr::FastStr;
 use skylarkshed_core::{
-    AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, UpstreamName, VersionEntry,
-    VersionName,
+    AttemptNumber, ClockTime, CustomerName, GenerationId, ServiceName, ServiceState, UpstreamName,
+    VersionEntry, VersionName,
 };
 use skylarkshed_policy::{
-    FailReason, GenerationAction, GenerationInput, GenerationMachine, GenerationPlan, HeldAttempt,
-    NoUpstreamReason, NoticeReason, StartReason,
+    choose_by_share, FailReason, GenerationAction, GenerationInput, GenerationMachine,
+    GenerationPlan, HeldAttempt, NoUpstreamReason, NoticeReason, StartReason,
 };
 use skylarkshed_upstream::wire::{CancelRequest, GenerateRequest};
 use skylarkshed_upstream::EngineClient;
@@ -269,16 +268,10 @@
         let service = catalog.services.get(&self.params.service);
         let service = service.ok_or(NoUpstreamReason::VersionGone)?;
         let version = match self.machine.version() {
-            Some(name) if self.shared.is_withdrawn(service, name) => {
-                return Err(NoUpstreamReason::VersionWithdrawn);
-            }
-            Some(name) => service
-                .versions
-                .get(name)
-                .ok_or(NoUpstreamReason::VersionGone)?,
+            Some(name) => self.pinned_version(service, name)?,
             None => {
                 let shares = self.shared.usable_shares(service);
-                let version = crate::call_path::choose_version(&shares, rand::random());
+                let version = choose_by_share(&shares, rand::random());
                 version.ok_or(NoUpstreamReason::NoneFree)?
             }
         };
@@ -290,6 +283,19 @@
         Ok((state.ok_or(NoUpstreamReason::NoneFree)?, version.clone()))
     }
 
+    /// Returns the version that computed the answer so far, unless it was withdrawn.
+    fn pinned_version<'a>(
+        &self,
+        service: &'a ServiceState,
+        name: &VersionName,
+    ) -> Result<&'a Arc<VersionEntry>, NoUpstreamReason> {
+        if self.shared.is_withdrawn(service, name) {
+            return Err(NoUpstreamReason::VersionWithdrawn);
+        }
+        let version = service.versions.get(name);
+        version.ok_or(NoUpstreamReason::VersionGone)
+    }
+
     /// Returns the engine that may still retain the generation.
     fn held_target(
         &self,
@@ -302,10 +308,7 @@
             .machine
             .version()
             .ok_or(NoUpstreamReason::VersionGone)?;
-        let version = service
-            .versions
-            .get(name)
-            .ok_or(NoUpstreamReason::VersionGone)?;
+        let version = self.pinned_version(service, name)?;
         let entry = version
             .upstreams
             .iter()
--- a/crates/node/src/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -1,12 +1,12 @@
 //! Handles the requests of other VMs.
 
-use crate::call_path::ApplicationCall;
-use crate::call_result;
-use crate::evidence_registry::MoveKey;
-use crate::minting;
+use crate::calls::application_call::ApplicationCall;
+use crate::calls::call_result;
+use crate::calls::minted_call;
+use crate::calls::minted_key::parse_key;
+use crate::configuration::sync_task::{apply_batch, make_batch};
 use crate::refusal::{Refusal, RefusalReason};
-use crate::shared::NodeShared;
-use crate::sync_task::{apply_batch, make_batch};
+use crate::state::{MoveKey, NodeShared};
 use bytes::Bytes;
 use skylarkshed_core::{RevisionNumber, UnsentCall};
 use skylarkshed_peer::wire::{ForwardedCall, ForwardedOutcome, MoveId, PeerBody};
@@ -52,10 +52,6 @@
 
 impl PeerService {
     async fn run_forwarded(&self, forwarded: ForwardedCall) -> ForwardedOutcome {
-        if forwarded.incarnation != self.shared.incarnation.0 {
-            let refusal = Refusal::unknown(RefusalReason::KeyNotMinted);
-            return call_result::to_forwarded(Err(refusal));
-        }
         let call = ApplicationCall {
             customer: forwarded.customer.as_str().into(),
             service: forwarded.service.as_str().into(),
@@ -63,8 +59,14 @@
             key: Some(forwarded.key),
             body: Bytes::from(forwarded.body),
         };
+        let text = call.key.as_deref().unwrap_or_default();
+        let key = parse_key(&self.shared, &call.customer, &call.service, text);
+        let Some(key) = key.filter(|key| key.is_own(&self.shared)) else {
+            let refusal = Refusal::unknown(RefusalReason::KeyNotMinted);
+            return call_result::to_forwarded(Err(refusal));
+        };
         let unsent = UnsentCall::for_new_request();
-        let result = minting::consume(&self.shared, forwarded.serial, call, unsent).await;
+        let result = minted_call::consume(&self.shared, key.serial, call, unsent).await;
         call_result::to_forwarded(result)
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -44,10 +44,20 @@
 #[derive(Clone, Debug, Default)]
 struct CustomerUsage {
     weight: u32,
+    /// The limit of concurrent requests; 0 means no limit.
+    max_concurrency: u32,
     in_progress: u32,
     waiting: Vec<(ClockTime, TicketNumber)>,
 }
 
+impl CustomerUsage {
+    /// Reports whether a waiting request may start. The limit may have been lowered
+    /// since it was submitted.
+    fn is_below_limit(&self) -> bool {
+        self.max_concurrency == 0 || self.in_progress < self.max_concurrency
+    }
+}
+
 /// The slots of one VM and the requests that wait for them.
 ///
 /// # Examples
@@ -88,8 +98,8 @@
         }
     }
 
-    /// Submits a request. `max_concurrency` is the customer's limit of concurrent
-    /// requests on this VM; 0 means no limit.
+    /// Submits a request. `max_concurrency` is the customer's limit of requests on this
+    /// VM, in progress and waiting together; 0 means no limit.
     pub fn submit(
         &mut self,
         customer: &CustomerName,
@@ -101,7 +111,9 @@
         let wait = self.expected_wait(customer, weight);
         let usage = self.customers.entry(customer.clone()).or_default();
         usage.weight = weight.max(1);
-        if max_concurrency > 0 && usage.in_progress >= max_concurrency {
+        usage.max_concurrency = max_concurrency;
+        let concurrent = usage.in_progress as usize + usage.waiting.len();
+        if max_concurrency > 0 && concurrent >= max_concurrency as usize {
             let retry_after = ClockTime::from_millis(self.service_ms.ceil() as u64);
             return AdmissionVerdict::Refused(AdmissionRefusal::CustomerConcurrency {
                 retry_after,
@@ -113,6 +125,7 @@
             return AdmissionVerdict::Admitted;
         }
         if now + wait > deadline {
+            self.remove_if_idle(customer);
             let refusal = AdmissionRefusal::QueueTooLong { retry_after: wait };
             return AdmissionVerdict::Refused(refusal);
         }
@@ -135,10 +148,7 @@
             usage.in_progress = usage.in_progress.saturating_sub(1);
         }
         let next = self.admit_next();
-        let is_idle = |usage: &CustomerUsage| usage.in_progress == 0 && usage.waiting.is_empty();
-        if self.customers.get(customer).is_some_and(is_idle) {
-            self.customers.remove(customer);
-        }
+        self.remove_if_idle(customer);
         next
     }
 
@@ -151,6 +161,7 @@
         usage.waiting.retain(|(_, other)| *other != ticket);
         let was_waiting = usage.waiting.len() < before;
         self.waiting -= usize::from(was_waiting);
+        self.remove_if_idle(customer);
         was_waiting
     }
 
@@ -159,6 +170,18 @@
         self.in_progress
     }
 
+    /// Returns the number of customers whose requests hold a slot or wait for one.
+    pub fn customer_count(&self) -> usize {
+        self.customers.len()
+    }
+
+    fn remove_if_idle(&mut self, customer: &CustomerName) {
+        let is_idle = |usage: &CustomerUsage| usage.in_progress == 0 && usage.waiting.is_empty();
+        if self.customers.get(customer).is_some_and(is_idle) {
+            self.customers.remove(customer);
+        }
+    }
+
     fn admit_next(&mut self) -> Option<TicketNumber> {
         if self.in_progress >= self.slots {
             return None;
@@ -166,7 +189,7 @@
         let waiting = self
             .customers
             .values_mut()
-            .filter(|usage| !usage.waiting.is_empty());
+            .filter(|usage| !usage.waiting.is_empty() && usage.is_below_limit());
         let usage = waiting.min_by_key(|usage| {
             let used_ppm = u64::from(usage.in_progress) * 1_000_000 / u64::from(usage.weight);
             (used_ppm, usage.waiting[0])
--- a/tests/testsuite/tests/suite/at_most_once.rs
+++ b/tests/testsuite/tests/suite/at_most_once.rs
@@ -7,13 +7,13 @@
 use skylarkshed_testsuite::BOOKING_PATH;
 use std::time::{Duration, Instant};
 
-async fn start_fleet(builder: FleetBuilder) -> Fleet {
+pub(crate) async fn start_fleet(builder: FleetBuilder) -> Fleet {
     let fleet = builder.start().await.unwrap();
     fleet.configure().await.unwrap();
     fleet
 }
 
-async fn book(fleet: &Fleet, vm: usize, key: &str) -> CallResponse {
+pub(crate) async fn book(fleet: &Fleet, vm: usize, key: &str) -> CallResponse {
     let vm = fleet.vms[vm].caller_address;
     CallClient::default()
         .call(
