Let callers of the soak leave together and resume streams

The soak's callers left early one by one, and what upstreams did afterwards was not checked. Now a fault makes a third of the callers leave at one moment. Half a second after a caller has left, no more than a few requests may reach an upstream, and no more than a quarter of the safe requests and streams that would have lasted longer may still be worked on. Upstreams record when their work would have ended.

Callers resume a stream that broke off after the last event that arrived, at any VM; the check of the order of events covers them.

Unit tests show that the checks find late arrivals, work that goes on, and a resumed stream that begins anew.

--- a/crates/soak/src/bounds.rs
+++ b/crates/soak/src/bounds.rs
@@ -33,3 +33,7 @@
 /// The maximum time that a caller leaves a connection idle before it uses it again: four
 /// fifths of the idle timeout.
 pub const IDLE_REUSE: ClockTime = ClockTime::from_millis(1_200);
+/// How long after its caller has left an upstream may still work on a request.
+pub const ABANDON_SLACK: ClockTime = ClockTime::from_millis(500);
+/// Requests that may reach an upstream later than this.
+pub const LATE_ARRIVALS: usize = 3;
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,25 +1,24 @@
 //! Callers that keep connections open, leave early, read slowly and come back.
 
 use crate::bounds::IDLE_REUSE;
+use crate::exchange::{exchange, to_message, ExchangeEnd};
 use crate::observer::Observer;
 use crate::operators::{Operators, RouteKind};
-use crate::records::{CallKind, CallerRequest, Outcome, SeenResponse};
+use crate::records::{CallKind, CallerRequest, Outcome};
 use crate::vms::SoakVm;
 use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::Full;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, HOST};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::AbortHandle;
 
 /// A new connection is given up after this time.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,6 +28,11 @@
 const PAUSE_MS: std::ops::Range<u64> = 0..60;
 /// The pause of a caller after a failure.
 const FAILURE_PAUSE_MS: std::ops::Range<u64> = 20..200;
+/// The time after which a caller leaves that leaves early; most streams last longer.
+const LEAVE_CALL_MS: std::ops::Range<u64> = 1..400;
+const LEAVE_STREAM_MS: std::ops::Range<u64> = 1..1_200;
+/// One in this many callers leaves when callers are told to.
+const LEAVING_SHARE: u64 = 3;
 
 /// What all callers share.
 pub(crate) struct CallerContext {
@@ -37,6 +41,8 @@
     pub(crate) operators: Arc<Operators>,
     pub(crate) vms: Vec<Arc<SoakVm>>,
     pub(crate) stop: watch::Receiver<bool>,
+    /// Tells some callers to leave; the number chooses them.
+    pub(crate) leave: watch::Receiver<u64>,
 }
 
 /// An open connection to a process of a VM.
@@ -44,6 +50,7 @@
     sender: SendRequest<Full<Bytes>>,
     vm: usize,
     boot: u32,
+    driver: AbortHandle,
 }
 
 /// How a caller behaves.
@@ -61,6 +68,8 @@
     habits: CallerHabits,
     context: Arc<CallerContext>,
     connection: Option<CallerConnection>,
+    /// A stream that broke off, to be resumed after the last event that arrived.
+    broken_stream: Option<CallerRequest>,
 }
 
 /// Sends requests until the soak ends.
@@ -80,6 +89,7 @@
         habits,
         context,
         connection: None,
+        broken_stream: None,
     };
     while !*stop.borrow() {
         let pause = caller.call().await;
@@ -113,21 +123,32 @@
         let id = request.id.clone();
         observer.begin_request(request.clone());
         let leave_after = self.habits.leaves_early && self.rng.random_ratio(1, 4);
-        let limit = match leave_after {
-            true => ClockTime::from_millis(self.rng.random_range(1..400)),
-            false => request.time_limit,
+        let limit = match (leave_after, request.events) {
+            (false, _) => request.time_limit,
+            (true, 0) => ClockTime::from_millis(self.rng.random_range(LEAVE_CALL_MS)),
+            (true, _) => ClockTime::from_millis(self.rng.random_range(LEAVE_STREAM_MS)),
+        };
+        let mut received = Vec::new();
+        let reads_slowly = self.habits.reads_slowly;
+        let exchange = exchange(&mut connection.sender, message, reads_slowly, &mut received);
+        let result = tokio::select! {
+            result = tokio::time::timeout(limit.to_duration(), exchange) => Some(result),
+            () = told_to_leave(self.context.leave.clone(), self.number) => None,
         };
-        let exchange = exchange(&mut connection.sender, message, self.habits.reads_slowly);
-        let result = tokio::time::timeout(limit.to_duration(), exchange).await;
         let (outcome, is_usable, wait) = match result {
-            Ok(ExchangeEnd::NotSent) => {
+            Some(Ok(ExchangeEnd::NotSent)) => {
                 observer.forget_request(&id);
                 return 0;
             }
-            Ok(ExchangeEnd::Ended(outcome, is_usable, wait)) => (outcome, is_usable, wait),
-            Err(_) if leave_after => (Outcome::Left, false, None),
-            Err(_) => (Outcome::TimedOut, false, None),
+            Some(Ok(ExchangeEnd::Ended(outcome, is_usable, wait))) => (outcome, is_usable, wait),
+            Some(Err(_)) if !leave_after => (Outcome::TimedOut, false, None),
+            _ => (Outcome::Left, false, None),
         };
+        if matches!(outcome, Outcome::Left | Outcome::TimedOut) {
+            // Closes the connection at once.
+            connection.driver.abort();
+        }
+        self.broken_stream = to_resumption(&request, &received, &outcome);
         observer.end_request(&id, outcome);
         if is_usable {
             self.connection = Some(connection);
@@ -170,7 +191,7 @@
         stream.set_nodelay(true).ok()?;
         let (sender, driver) = handshake(TokioIo::new(stream)).await.ok()?;
         let (observer, index) = (self.context.observer.clone(), vm.index);
-        tokio::spawn(async move {
+        let driver = tokio::spawn(async move {
             let error = driver.await.err().map(|error| error.to_string());
             // Hyper has no other way to tell this error apart.
             if let Some(error) = error.filter(|error| error.contains("unexpected")) {
@@ -182,12 +203,23 @@
             sender,
             vm: index,
             boot,
+            driver: driver.abort_handle(),
         })
     }
 
     fn draw_request(&mut self, connection: &CallerConnection) -> CallerRequest {
         let (number, sent) = (self.number, self.sent);
         self.sent += 1;
+        let id = format!("s{}c{number}n{sent}", self.context.seed);
+        if let Some(broken) = self.broken_stream.take() {
+            return CallerRequest {
+                id,
+                vm: connection.vm,
+                boot: connection.boot,
+                sent_at: self.context.observer.now(),
+                ..broken
+            };
+        }
         let rng = &mut self.rng;
         let operators = &self.context.operators;
         let route = operators.draw_route(rng, self.habits.streams);
@@ -211,7 +243,6 @@
                 rng.random_range(5..40),
             ),
         };
-        let id = format!("s{}c{number}n{sent}", self.context.seed);
         let single = match route.kind {
             RouteKind::Single => "single ",
             _ => "",
@@ -244,78 +275,42 @@
     }
 }
 
-fn to_message(request: &CallerRequest) -> Request<Full<Bytes>> {
-    let mut message = Request::builder()
-        .method(request.method.as_str())
-        .uri(&request.path)
-        .header(http::header::HOST, HOST)
-        .header(headers::REQUEST_ID, &request.id)
-        .header(headers::TIME_LEFT, request.time_limit.as_millis());
-    if request.events > 0 {
-        message = message.header(headers::TOKENS, format!("800,{}", request.events));
-    }
-    if let Some(key) = &request.key {
-        message = message.header(http::header::AUTHORIZATION, format!("Token {key}"));
+/// Returns when a caller is told to leave.
+async fn told_to_leave(mut leave: watch::Receiver<u64>, number: usize) {
+    leave.borrow_and_update();
+    // The sender lives as long as the soak.
+    while leave.changed().await.is_ok() {
+        let choice = *leave.borrow_and_update();
+        if choice
+            .wrapping_add(number as u64)
+            .is_multiple_of(LEAVING_SHARE)
+        {
+            return;
+        }
     }
-    let body = Full::new(Bytes::from(request.body.clone()));
-    message.body(body).expect("the request is well-formed")
-}
-
-enum ExchangeEnd {
-    /// The connection was closed before the request was sent.
-    NotSent,
-    /// The outcome, whether the connection may be used again, and the time after which
-    /// the caller was told to come back, in seconds.
-    Ended(Outcome, bool, Option<f64>),
+    std::future::pending().await
 }
 
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    message: Request<Full<Bytes>>,
-    reads_slowly: bool,
-) -> ExchangeEnd {
-    let response = match sender.send_request(message).await {
-        Ok(response) => response,
-        Err(error) if error.is_canceled() => return ExchangeEnd::NotSent,
-        Err(error) if error.is_parse() => {
-            let outcome = Outcome::Unparsable(error.to_string());
-            return ExchangeEnd::Ended(outcome, false, None);
+/// Returns the request that resumes a stream; none if the stream is complete, was refused
+/// for good, or has not begun.
+fn to_resumption(
+    request: &CallerRequest,
+    received: &[u8],
+    outcome: &Outcome,
+) -> Option<CallerRequest> {
+    let is_final = match outcome {
+        Outcome::Response(response) => {
+            response.is_complete && ![429, 503].contains(&response.status)
         }
-        Err(_) => return ExchangeEnd::Ended(Outcome::Closed, false, None),
-    };
-    let text = |name: &str| {
-        let value = response.headers().get(name)?;
-        value.to_str().ok().map(str::to_owned)
-    };
-    let wait = text("retry-after").and_then(|wait| wait.parse().ok());
-    let closes = text("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
-    let mut seen = SeenResponse {
-        status: response.status().as_u16(),
-        signature: text(headers::SIGNATURE),
-        request_id: text(headers::REQUEST_ID),
-        ..SeenResponse::default()
+        Outcome::Unparsable(_) => true,
+        _ => false,
     };
-    (seen.body, seen.is_complete) = read_body(response, reads_slowly).await;
-    let is_usable = seen.is_complete && !closes;
-    ExchangeEnd::Ended(Outcome::Response(seen), is_usable, wait)
-}
-
-/// Returns what arrived of the body and whether it is complete.
-async fn read_body(mut response: Response<Incoming>, reads_slowly: bool) -> (String, bool) {
-    let mut body = Vec::new();
-    let mut is_complete = true;
-    while let Some(frame) = response.body_mut().frame().await {
-        match frame.map(hyper::body::Frame::into_data) {
-            Ok(Ok(data)) => body.extend_from_slice(&data),
-            Ok(Err(_)) => {}
-            Err(_) => {
-                is_complete = false;
-                break;
-            }
-        }
-        if reads_slowly {
-            tokio::time::sleep(Duration::from_millis(15)).await;
-        }
-    }
-    (String::from_utf8_lossy(&body).into_owned(), is_complete)
+    let events = String::from_utf8_lossy(received).matches("\n\n").count();
+    let last_event = request.last_event + events as u64;
+    let is_resumable = request.kind == CallKind::Stream { is_resumable: true };
+    let is_broken = is_resumable && !is_final && (1..request.events).contains(&last_event);
+    is_broken.then(|| CallerRequest {
+        last_event,
+        ..request.clone()
+    })
 }
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Each check states the cases that the platform's rules allow; no other case is left out.
 
+mod abandoned;
 mod answers;
 mod handling;
 mod runs;
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,7 +1,7 @@
 //! Promises that show only in sums over many requests.
 
 use super::handling::{allows, observed};
-use super::World;
+use super::{abandoned, World};
 use crate::bounds::{
     EXCESS_ATTEMPTS, READY_AFTER_SIGNAL, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, ROLLBACK_SLACK,
     TIMEOUT_SLACK,
@@ -29,10 +29,11 @@
     check_denied(stories, world, &mut found);
     check_readiness(world, &mut found);
     check_regress(stories, world, &mut found);
+    abandoned::check(stories, world, now, &mut found);
     found
 }
 
-fn total(promise: &'static str, detail: String) -> Violation {
+pub(super) fn total(promise: &'static str, detail: String) -> Violation {
     Violation {
         promise,
         request: None,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,6 +15,7 @@
 use skylarkshed_stand_ins::{FakeStore, ProxyFaults, StoreMode};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// The time before the first fault, in which the VMs start.
 const FIRST_FAULT: ClockTime = ClockTime::from_millis(3_500);
@@ -52,11 +53,12 @@
     UpstreamLeaves,
     UpstreamLosesAnswers,
     UpstreamGarbles,
+    CallersLeave,
     Config(ConfigChange),
 }
 
 /// The kinds that are drawn together: a seed uses some of the groups.
-const GROUPS: [&[FaultKind]; 5] = [
+const GROUPS: [&[FaultKind]; 6] = [
     &[
         FaultKind::Terminate,
         FaultKind::Terminate,
@@ -87,6 +89,7 @@
         FaultKind::UpstreamLosesAnswers,
         FaultKind::UpstreamGarbles,
     ],
+    &[FaultKind::CallersLeave],
 ];
 
 /// A fault of the schedule.
@@ -148,6 +151,8 @@
     pub(crate) vms: Vec<Arc<SoakVm>>,
     pub(crate) upstreams: Arc<UpstreamRegistry>,
     pub(crate) context: Arc<VmContext>,
+    /// Tells some callers to leave.
+    pub(crate) leave: watch::Sender<u64>,
 }
 
 /// Injects a fault and, if it lasts, ends it.
@@ -168,6 +173,9 @@
                 tokio::time::sleep(ROLLING_PAUSE).await;
             }
         }
+        FaultKind::CallersLeave => {
+            targets.leave.send_replace(fault.choice);
+        }
         FaultKind::Config(change) => {
             let mut rng = SmallRng::seed_from_u64(fault.choice);
             targets.operators.change(change, &mut rng);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod checks;
 mod configs;
+mod exchange;
 mod faults;
 mod heartbeat;
 mod links;
@@ -17,6 +18,7 @@
 mod report;
 mod run;
 mod timeline;
+mod upstream_work;
 mod upstreams;
 mod vms;
 
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -103,6 +103,8 @@
     pub is_executed: bool,
     /// When the upstream ended its work; `NEVER` while it works.
     pub ended_at: ClockTime,
+    /// When the upstream would have ended its work if nobody stopped it.
+    pub due_at: ClockTime,
     /// Whether the upstream itself broke off, garbled or withheld its response.
     pub is_broken_off: bool,
     /// The status code of its response.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -74,6 +74,7 @@
         vms: vms.clone(),
         upstreams: Arc::new(registry),
         context: context.clone(),
+        leave: watch::channel(0).0,
     });
     let mut processes = JoinSet::new();
     for vm in &vms {
@@ -115,6 +116,7 @@
         operators: targets.operators.clone(),
         vms: targets.vms.clone(),
         stop: stopping,
+        leave: targets.leave.subscribe(),
     });
     let mut calling = JoinSet::new();
     for number in 0..options.vms + COMMON_CALLERS {
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -547,3 +547,52 @@
     older.request.boot = 2;
     assert_eq!(broken_totals(&[newer, older], &world), NONE);
 }
+
+/// Returns a request for a stream whose caller left while an upstream worked on it.
+fn abandoned_stream() -> RequestStory {
+    let mut left = stream("", false);
+    left.outcome = Some((SENT_AT + ms(100), Outcome::Left));
+    left.runs[0].due_at = SENT_AT + ms(2_000);
+    left.runs[0].ended_at = SENT_AT + ms(601);
+    left
+}
+
+#[test]
+fn work_for_callers_that_left_is_found() {
+    let left = abandoned_stream();
+    let mut stopped = left.clone();
+    stopped.runs[0].ended_at = SENT_AT + ms(600);
+    let expected = ["abandoned requests"];
+    let mut two_of_seven = vec![stopped; 5];
+    two_of_seven.extend([left.clone(), left.clone()]);
+    assert_eq!(broken_totals(&two_of_seven, &world()), expected);
+    let one_of_six = &two_of_seven[..6];
+    assert_eq!(broken_totals(one_of_six, &world()), NONE);
+    let mut paused = world();
+    paused.timeline.begin(Part::Vm(0), "paused", SENT_AT, false);
+    assert_eq!(broken_totals(&[left.clone()], &paused), NONE);
+    // A request that may not be repeated may run to its end.
+    let mut once = left;
+    once.request.kind = CallKind::Unsafe;
+    assert_eq!(broken_totals(&[once], &world()), NONE);
+}
+
+#[test]
+fn requests_that_arrive_after_their_callers_left_are_found() {
+    let mut late = abandoned_stream();
+    late.request.kind = CallKind::Unsafe;
+    late.runs[0].at = SENT_AT + ms(601);
+    let expected = ["abandoned requests"];
+    assert_eq!(broken_totals(&vec![late.clone(); 4], &world()), expected);
+    assert_eq!(broken_totals(&vec![late; 3], &world()), NONE);
+}
+
+#[test]
+fn resumed_stream_goes_on_after_the_last_event() {
+    let mut resumed = stream(SECOND, true);
+    resumed.request.last_event = 1;
+    assert_eq!(broken(&resumed, &world()), NONE);
+    let mut repeated = stream(&[FIRST, SECOND].concat(), true);
+    repeated.request.last_event = 1;
+    assert_eq!(broken(&repeated, &world()), ["order of events"]);
+}
