Add rollouts, losses of power and reused addresses to the soak

The soak injected no rollouts, never stopped all VMs at one moment, and gave no address to another upstream.

- Every other seed orders rollouts, one after the other: good versions, and bad ones that are slow or fail, at once, later or on one route.
Operators act on the end as the platform says.
Checked: the share of requests to a bad version, none later than the bound after its 50th bad response, and the end of each rollout.
- One seed in three kills all processes just after a change of the configuration.
Checked: a quarter of the requests is served from 12 s after the VMs are back.
- An upstream crashes, and its address is given to one of another service while the store still lists it.

The report names how many streams were resumed, the losses of power and the rollouts. The schedule of faults is in a file of its own.

--- a/crates/soak/src/bounds.rs
+++ b/crates/soak/src/bounds.rs
@@ -37,3 +37,14 @@
 pub const ABANDON_SLACK: ClockTime = ClockTime::from_millis(500);
 /// Requests that may reach an upstream later than this.
 pub const LATE_ARRIVALS: usize = 3;
+/// After a loss of power, requests are served again after this time.
+pub const RECOVERY: ClockTime = ClockTime::from_millis(12_000);
+/// The requests that a bad version may get: a share of its service's and some more.
+pub const EXPOSURE_SHARE: f64 = 0.1;
+pub const EXPOSURE_SLACK: usize = 50;
+/// A version is known to be bad after this number of bad responses.
+pub const BAD_RESPONSES: usize = 50;
+/// How long a version that is known to be bad may still get requests.
+pub const ROLLBACK: ClockTime = ClockTime::from_millis(5_000);
+/// How much longer a bound may be while the store is disturbed.
+pub const MAX_STRETCH: ClockTime = ClockTime::from_millis(5_000);
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -77,7 +77,7 @@
     let mut rng = SmallRng::seed_from_u64(context.seed ^ ((number as u64 + 1) << 32));
     let habits = CallerHabits {
         keeps_connections: rng.random_ratio(3, 4),
-        leaves_early: rng.random_ratio(1, 6),
+        leaves_early: rng.random_ratio(1, 4),
         reads_slowly: rng.random_ratio(1, 6),
         streams: number.is_multiple_of(4),
     };
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -5,6 +5,8 @@
 mod abandoned;
 mod answers;
 mod handling;
+mod recovery;
+mod rollouts;
 mod runs;
 mod totals;
 
@@ -15,6 +17,8 @@
 use std::collections::BTreeMap;
 
 pub(crate) use answers::excuse_cut;
+pub use recovery::PowerLoss;
+pub use rollouts::{RolloutEnd, RolloutRecord, VersionQuality};
 pub use totals::check_totals;
 
 /// A termination signal to a VM that went on running.
@@ -39,6 +43,10 @@
     pub leavings: BTreeMap<String, ClockTime>,
     /// The termination signals.
     pub terminations: Vec<ReadinessRecord>,
+    /// The rollouts.
+    pub rollouts: Vec<RolloutRecord>,
+    /// The losses of power of all VMs.
+    pub power_losses: Vec<PowerLoss>,
 }
 
 /// Checks one request as far as it is known at `now`.
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,7 +1,7 @@
 //! Promises that show only in sums over many requests.
 
 use super::handling::{allows, observed};
-use super::{abandoned, World};
+use super::{abandoned, recovery, rollouts, World};
 use crate::bounds::{
     EXCESS_ATTEMPTS, READY_AFTER_SIGNAL, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, ROLLBACK_SLACK,
     TIMEOUT_SLACK,
@@ -30,6 +30,8 @@
     check_readiness(world, &mut found);
     check_regress(stories, world, &mut found);
     abandoned::check(stories, world, now, &mut found);
+    recovery::check(stories, world, &mut found);
+    rollouts::check(stories, world, now, &mut found);
     found
 }
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,148 +1,30 @@
-//! The schedule of faults, drawn from the seed, and how each is injected.
+//! How each fault is injected.
 
+use crate::checks::PowerLoss;
 use crate::links::LinkKind;
 use crate::observer::Observer;
-use crate::operators::{ConfigChange, Operators};
+use crate::operators::Operators;
 use crate::registry::UpstreamRegistry;
+use crate::rollouts::{run_rollout, RolloutOrders};
+use crate::schedule::{FaultKind, PlannedFault};
 use crate::timeline::Part;
 use crate::upstreams::UpstreamFaults;
 use crate::vms::{SoakVm, VmContext};
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use skylarkshed_core::ClockTime;
 use skylarkshed_stand_ins::{FakeStore, ProxyFaults, StoreMode};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// The time before the first fault, in which the VMs start.
-const FIRST_FAULT: ClockTime = ClockTime::from_millis(3_500);
-/// The time after the last fault.
-const LAST_FAULT: ClockTime = ClockTime::from_millis(3_000);
-/// A series repeats one fault at this interval, in milliseconds.
-const SERIES_MS: std::ops::Range<u64> = 100..900;
 /// The pause between two VMs of a rolling restart.
 const ROLLING_PAUSE: Duration = Duration::from_millis(1_000);
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Operators write the newest configuration again this long after the store was restored.
 const RESTORE_PAUSE: Duration = Duration::from_millis(800);
 
-/// A kind of fault.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum FaultKind {
-    Terminate,
-    Kill,
-    Pause,
-    HangUp,
-    RollingRestart,
-    StoreRefuses,
-    StoreSilent,
-    StoreReset,
-    StoreSlow,
-    StoreRepliesLost,
-    StoreRestored,
-    LinkDelayed,
-    LinkReset,
-    LinkCutOut,
-    LinkCutIn,
-    LinkSilent,
-    UpstreamDown,
-    UpstreamRefuses,
-    UpstreamSilent,
-    UpstreamLeaves,
-    UpstreamLosesAnswers,
-    UpstreamGarbles,
-    CallersLeave,
-    Config(ConfigChange),
-}
-
-/// The kinds that are drawn together: a seed uses some of the groups.
-const GROUPS: [&[FaultKind]; 6] = [
-    &[
-        FaultKind::Terminate,
-        FaultKind::Terminate,
-        FaultKind::HangUp,
-        FaultKind::RollingRestart,
-    ],
-    &[FaultKind::Kill, FaultKind::Pause],
-    &[
-        FaultKind::StoreRefuses,
-        FaultKind::StoreSilent,
-        FaultKind::StoreReset,
-        FaultKind::StoreSlow,
-        FaultKind::StoreRepliesLost,
-        FaultKind::StoreRestored,
-    ],
-    &[
-        FaultKind::LinkDelayed,
-        FaultKind::LinkReset,
-        FaultKind::LinkCutOut,
-        FaultKind::LinkCutIn,
-        FaultKind::LinkSilent,
-    ],
-    &[
-        FaultKind::UpstreamDown,
-        FaultKind::UpstreamRefuses,
-        FaultKind::UpstreamSilent,
-        FaultKind::UpstreamLeaves,
-        FaultKind::UpstreamLosesAnswers,
-        FaultKind::UpstreamGarbles,
-    ],
-    &[FaultKind::CallersLeave],
-];
-
-/// A fault of the schedule.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PlannedFault {
-    pub(crate) at: ClockTime,
-    pub(crate) kind: FaultKind,
-    /// How long it lasts.
-    pub(crate) duration: ClockTime,
-    /// Chooses the VM, the link or the upstream.
-    pub(crate) choice: u64,
-}
-
-/// Draws the faults of a soak from its seed.
-pub(crate) fn draw_schedule(seed: u64, length: ClockTime) -> Vec<PlannedFault> {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let mut kinds: Vec<FaultKind> = Vec::new();
-    for group in GROUPS {
-        if rng.random_ratio(3, 5) {
-            kinds.extend(group);
-        }
-    }
-    let changes = ConfigChange::ALL.map(FaultKind::Config);
-    if kinds.is_empty() || rng.random_ratio(4, 5) {
-        kinds.extend(changes);
-    }
-    let interval_ms = rng.random_range(200..1_200);
-    let mut faults = Vec::new();
-    let mut at = FIRST_FAULT;
-    while at < length.since(LAST_FAULT) {
-        let kind = *kinds.choose(&mut rng).expect("there is a group");
-        let count = if rng.random_ratio(1, 5) {
-            rng.random_range(2..5)
-        } else {
-            1
-        };
-        let choice: u64 = rng.random_range(0..1 << 32);
-        for number in 0..count {
-            // A series hits the same part again, or the next ones.
-            let step = if rng.random_ratio(1, 2) { number } else { 0 };
-            faults.push(PlannedFault {
-                at,
-                kind,
-                duration: ClockTime::from_millis(rng.random_range(200..2_500)),
-                choice: choice + step,
-            });
-            at = at + ClockTime::from_millis(rng.random_range(SERIES_MS));
-        }
-        at = at + ClockTime::from_millis(rng.random_range(0..2 * interval_ms));
-    }
-    faults
-}
-
 /// The parts that faults are injected into.
 pub(crate) struct FaultTargets {
     pub(crate) observer: Arc<Observer>,
@@ -150,6 +32,7 @@
     pub(crate) store: Arc<FakeStore>,
     pub(crate) vms: Vec<Arc<SoakVm>>,
     pub(crate) upstreams: Arc<UpstreamRegistry>,
+    pub(crate) rollouts: RolloutOrders,
     pub(crate) context: Arc<VmContext>,
     /// Tells some callers to leave.
     pub(crate) leave: watch::Sender<u64>,
@@ -176,6 +59,12 @@
         FaultKind::CallersLeave => {
             targets.leave.send_replace(fault.choice);
         }
+        FaultKind::Rollout => run_rollout(fault, &targets).await,
+        FaultKind::PowerLoss(change) => {
+            let mut rng = SmallRng::seed_from_u64(fault.choice);
+            targets.operators.change(change, &mut rng);
+            lose_power(&targets).await;
+        }
         FaultKind::Config(change) => {
             let mut rng = SmallRng::seed_from_u64(fault.choice);
             targets.operators.change(change, &mut rng);
@@ -195,6 +84,29 @@
     observer.end_disturbance(disturbance);
 }
 
+/// Kills all processes at one moment and waits until they run again.
+async fn lose_power(targets: &FaultTargets) {
+    let observer = &targets.observer;
+    let at = observer.now();
+    for vm in &targets.vms {
+        vm.kill(observer);
+    }
+    let number = {
+        let mut state = observer.lock();
+        let back_at = ClockTime::NEVER;
+        state.world.power_losses.push(PowerLoss { at, back_at });
+        state.world.power_losses.len() - 1
+    };
+    let is_running = |vm: &Arc<SoakVm>| {
+        let process = vm.lock();
+        process.id.is_some() && !process.is_ending
+    };
+    while !targets.vms.iter().all(is_running) {
+        tokio::time::sleep(START_POLL_INTERVAL).await;
+    }
+    observer.lock().world.power_losses[number].back_at = observer.now();
+}
+
 #[derive(Clone, Copy)]
 enum StoreFault {
     Mode(StoreMode),
@@ -233,7 +145,8 @@
             targets.store.restore(&copy);
             tokio::time::sleep(RESTORE_PAUSE).await;
             targets.operators.write_again();
-            targets.upstreams.write_all(&targets.store);
+            targets.upstreams.write_all();
+            targets.rollouts.write_again(&targets.store);
         }
     }
     tokio::time::sleep(duration.to_duration()).await;
@@ -280,33 +193,34 @@
             })
             .await;
         }
-        FaultKind::UpstreamLeaves => upstreams.replace(fault.choice, targets).await,
+        FaultKind::UpstreamLeaves => upstreams.replace(fault.choice).await,
+        FaultKind::UpstreamAddressReused => upstreams.reuse_address(fault.choice).await,
         FaultKind::UpstreamDown => {
             upstreams
-                .disturb(fault, targets, |faults, is_on| faults.is_down = is_on)
+                .disturb(fault, |faults, is_on| faults.is_down = is_on)
                 .await;
         }
         FaultKind::UpstreamRefuses => {
             upstreams
-                .disturb(fault, targets, |faults, is_on| faults.refuses = is_on)
+                .disturb(fault, |faults, is_on| faults.refuses = is_on)
                 .await;
         }
         FaultKind::UpstreamSilent => {
             upstreams
-                .disturb(fault, targets, |faults, is_on| faults.is_silent = is_on)
+                .disturb(fault, |faults, is_on| faults.is_silent = is_on)
                 .await;
         }
         FaultKind::UpstreamLosesAnswers => {
             let change = |faults: &mut UpstreamFaults, is_on| {
                 faults.lost_percent = if is_on { 30 } else { 0 };
             };
-            upstreams.disturb(fault, targets, change).await;
+            upstreams.disturb(fault, change).await;
         }
         _ => {
             let change = |faults: &mut UpstreamFaults, is_on| {
                 faults.garbled_percent = if is_on { 30 } else { 0 };
             };
-            upstreams.disturb(fault, targets, change).await;
+            upstreams.disturb(fault, change).await;
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -16,13 +16,19 @@
 mod records;
 mod registry;
 mod report;
+mod rollouts;
 mod run;
+mod schedule;
 mod timeline;
 mod upstream_work;
 mod upstreams;
+mod versions;
 mod vms;
 
-pub use checks::{check_request, check_totals, ReadinessRecord, World};
+pub use checks::{
+    check_request, check_totals, PowerLoss, ReadinessRecord, RolloutEnd, RolloutRecord,
+    VersionQuality, World,
+};
 pub use configs::{ConfigHistory, ConfigVersion, Handling, RouteRule};
 pub use records::{
     CallKind, CallerRequest, Outcome, RequestStory, SeenResponse, UpstreamRun, Violation,
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -170,18 +170,34 @@
     Ok(address)
 }
 
+/// The address of an upstream, which may be given to another one later.
+#[derive(Debug)]
+pub(crate) struct UpstreamLink {
+    pub(crate) address: SocketAddr,
+    target: watch::Sender<SocketAddr>,
+}
+
+impl UpstreamLink {
+    /// Gives the address to another upstream.
+    pub(crate) fn assign(&self, target: SocketAddr) {
+        self.target.send_replace(target);
+    }
+}
+
 /// Starts a proxy for requests to an upstream; VMs are told apart by the requests that
 /// they forward.
 pub(crate) async fn start_upstream_link(
     faults: Arc<LinkFaults>,
     observer: Arc<Observer>,
     target: SocketAddr,
-) -> std::io::Result<SocketAddr> {
+) -> std::io::Result<UpstreamLink> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
+    let (sender, targets) = watch::channel(target);
     tokio::spawn(async move {
         while let Ok((inbound, source)) = listener.accept().await {
             let (faults, observer) = (faults.clone(), observer.clone());
+            let target = *targets.borrow();
             tokio::spawn(async move {
                 let id = peek_request_id(&inbound).await;
                 let vm = id.and_then(|id| observer.vm_of(&id));
@@ -190,7 +206,10 @@
             });
         }
     });
-    Ok(address)
+    Ok(UpstreamLink {
+        address,
+        target: sender,
+    })
 }
 
 /// Returns the id of the request that arrives on a connection, without reading it.
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -97,6 +97,8 @@
     pub upstream: String,
     /// Its service.
     pub service: String,
+    /// The version of its software.
+    pub version: String,
     /// When the request arrived.
     pub at: ClockTime,
     /// Whether the upstream began to work on it.
@@ -107,6 +109,8 @@
     pub due_at: ClockTime,
     /// Whether the upstream itself broke off, garbled or withheld its response.
     pub is_broken_off: bool,
+    /// Whether the fault of its version shows in its response.
+    pub is_bad: bool,
     /// The status code of its response.
     pub status: u16,
     /// The signature of its response.
--- a/crates/soak/src/registry.rs
+++ b/crates/soak/src/registry.rs
@@ -1,13 +1,15 @@
 //! The upstreams and their entries in the store.
 
-use crate::faults::{FaultTargets, PlannedFault};
-use crate::links::LinkFaults;
+use crate::links::{LinkFaults, UpstreamLink};
 use crate::observer::Observer;
 use crate::operators::SPARE_SERVICE;
+use crate::schedule::PlannedFault;
 use crate::timeline::Part;
-use crate::upstreams::{SoakUpstream, UpstreamFaults};
+use crate::upstreams::{SoakUpstream, UpstreamFaults, UpstreamIdentity};
+use crate::versions::UpstreamVersion;
 use crate::vms::zone;
 use skylarkshed_stand_ins::{upstream_row, FakeStore, APP_SERVICE, MODEL_SERVICE};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +22,10 @@
 /// lives on after its entry is gone.
 const SERVES_LEAVING: Duration = Duration::from_millis(3_500);
 const ENTRY_LAG: Duration = Duration::from_millis(500);
+/// The time after which an address may be given to another upstream.
+const ADDRESS_REUSE: Duration = Duration::from_millis(2_000);
+/// How much longer the store lists an upstream that has crashed: three heartbeats in all.
+const EXPIRY_AFTER_REUSE: Duration = Duration::from_millis(1_600);
 
 /// An upstream and the state in its entry.
 struct RegisteredUpstream {
@@ -30,6 +36,11 @@
 /// All upstreams that run.
 pub(crate) struct UpstreamRegistry {
     upstreams: Mutex<Vec<RegisteredUpstream>>,
+    /// The current version of each service.
+    versions: Mutex<BTreeMap<&'static str, Arc<UpstreamVersion>>>,
+    observer: Arc<Observer>,
+    links: Arc<LinkFaults>,
+    store: Arc<FakeStore>,
     seed: u64,
     next_number: Mutex<usize>,
 }
@@ -38,19 +49,25 @@
     /// Starts all upstreams and writes their entries.
     pub(crate) async fn start(
         seed: u64,
-        observer: &Arc<Observer>,
-        links: &Arc<LinkFaults>,
-        store: &FakeStore,
+        observer: Arc<Observer>,
+        links: Arc<LinkFaults>,
+        store: Arc<FakeStore>,
     ) -> std::io::Result<Self> {
+        let first_version = || Arc::new(UpstreamVersion::new("v1".to_owned(), None));
+        let versions = SERVICES.map(|(service, _)| (service, first_version()));
         let registry = UpstreamRegistry {
             upstreams: Mutex::default(),
+            versions: Mutex::new(versions.into()),
+            observer,
+            links,
+            store,
             seed,
             next_number: Mutex::new(0),
         };
         for (service, count) in SERVICES {
             for index in 0..count {
-                let upstream = registry.make(service, zone(index), observer, links).await?;
-                registry.add(upstream, store);
+                let version = registry.version(service);
+                registry.add(service, zone(index), version, None).await?;
             }
         }
         Ok(registry)
@@ -62,33 +79,128 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn make(
+    fn lock_versions(&self) -> MutexGuard<'_, BTreeMap<&'static str, Arc<UpstreamVersion>>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the current version of a service.
+    fn version(&self, service: &str) -> Arc<UpstreamVersion> {
+        self.lock_versions()[service].clone()
+    }
+
+    /// Starts an upstream and writes its entry.
+    async fn add(
         &self,
         service: &'static str,
         zone: String,
-        observer: &Arc<Observer>,
-        links: &Arc<LinkFaults>,
-    ) -> std::io::Result<SoakUpstream> {
+        version: Arc<UpstreamVersion>,
+        link: Option<UpstreamLink>,
+    ) -> std::io::Result<()> {
         let number = {
             let next = self.next_number.lock();
             let mut next = next.unwrap_or_else(PoisonError::into_inner);
             *next += 1;
             *next
         };
-        let name = format!("{service}-{number}");
-        SoakUpstream::start(name, service, zone, self.seed, observer, links).await
-    }
-
-    fn add(&self, upstream: SoakUpstream, store: &FakeStore) {
-        write_entry(&upstream, "ready", store);
+        let identity = UpstreamIdentity {
+            name: format!("{service}-{number}"),
+            service,
+            zone,
+            version,
+        };
+        let (seed, observer, links) = (self.seed, &self.observer, &self.links);
+        let upstream = SoakUpstream::start(identity, link, seed, observer, links).await?;
         let state = "ready";
+        write_entry(&upstream, state, &self.store);
         self.lock().push(RegisteredUpstream { upstream, state });
+        Ok(())
+    }
+
+    /// As [`UpstreamRegistry::add`]; reports a failure.
+    async fn add_or_report(&self, identity: UpstreamIdentity, link: Option<UpstreamLink>) {
+        let UpstreamIdentity {
+            service,
+            zone,
+            version,
+            ..
+        } = identity;
+        if let Err(error) = self.add(service, zone, version, link).await {
+            let detail = format!("can't start an upstream: {error}");
+            self.observer.report("soak", detail);
+        }
+    }
+
+    /// Starts as many upstreams of a new version as there are of the current one.
+    pub(crate) async fn start_version(
+        &self,
+        service: &'static str,
+        version: &Arc<UpstreamVersion>,
+    ) {
+        let current: Vec<UpstreamIdentity> = {
+            let upstreams = self.lock();
+            let identities = upstreams.iter().map(|other| &other.upstream.identity);
+            let of_service = identities.filter(|other| other.service == service);
+            of_service.cloned().collect()
+        };
+        for identity in current {
+            let version = version.clone();
+            self.add_or_report(
+                UpstreamIdentity {
+                    version,
+                    ..identity
+                },
+                None,
+            )
+            .await;
+        }
+    }
+
+    /// Ends all upstreams of a service but those of a version, which is the current one from
+    /// now on.
+    pub(crate) async fn complete(&self, version: &Arc<UpstreamVersion>, service: &'static str) {
+        self.lock_versions().insert(service, version.clone());
+        let is_old = |other: &RegisteredUpstream| {
+            let identity = &other.upstream.identity;
+            identity.service == service && identity.version.name != version.name
+        };
+        let old: Vec<RegisteredUpstream> =
+            self.lock().extract_if(.., |other| is_old(other)).collect();
+        let names = old.iter().map(|other| other.upstream.identity.name.clone());
+        let names: Vec<String> = names.collect();
+        for name in &names {
+            self.observer
+                .disturb(Part::Upstream(name.clone()), "ended", true);
+        }
+        drop(old);
+        tokio::time::sleep(ENTRY_LAG).await;
+        for name in names {
+            self.store.remove(TABLE, &name);
+        }
+    }
+
+    /// Lets all upstreams of a version leave.
+    pub(crate) async fn drain(&self, version: &UpstreamVersion, service: &'static str) {
+        let mut names = Vec::new();
+        for other in self.lock().iter_mut() {
+            let identity = &other.upstream.identity;
+            if identity.service == service
+                && identity.version.name == version.name
+                && other.state == "ready"
+            {
+                other.state = "draining";
+                names.push(identity.name.clone());
+            }
+        }
+        for name in &names {
+            self.announce(name, false);
+        }
+        self.end_drained(&names).await;
     }
 
     /// Writes the entries of all upstreams again, after the store has lost them.
-    pub(crate) fn write_all(&self, store: &FakeStore) {
+    pub(crate) fn write_all(&self) {
         for registered in self.lock().iter() {
-            write_entry(&registered.upstream, registered.state, store);
+            write_entry(&registered.upstream, registered.state, &self.store);
         }
     }
 
@@ -100,16 +212,15 @@
     pub(crate) async fn disturb(
         &self,
         fault: PlannedFault,
-        targets: &FaultTargets,
         change: impl Fn(&mut UpstreamFaults, bool),
     ) {
         let (name, sender) = {
             let index = self.index(fault.choice);
             let upstream = &self.lock()[index].upstream;
-            (upstream.name.clone(), upstream.faults.clone())
+            (upstream.identity.name.clone(), upstream.faults.clone())
         };
         let part = Part::Upstream(name);
-        let disturbance = targets.observer.disturb(part, "upstream", false);
+        let disturbance = self.observer.disturb(part, "upstream", false);
         sender.send_modify(|faults| change(faults, true));
         let is_silent = sender.borrow().is_silent;
         let duration = fault.duration.to_duration();
@@ -120,66 +231,95 @@
         })
         .await;
         sender.send_modify(|faults| change(faults, false));
-        targets.observer.end_disturbance(disturbance);
+        self.observer.end_disturbance(disturbance);
     }
 
     /// Starts a replacement, lets an upstream leave as announced and ends it. One in three
     /// leaves without a notice: its entry is removed, and it serves on.
-    pub(crate) async fn replace(&self, choice: u64, targets: &FaultTargets) {
-        let (name, service, zone) = {
+    pub(crate) async fn replace(&self, choice: u64) {
+        let identity = {
             let index = self.index(choice);
             let mut upstreams = self.lock();
             if upstreams[index].state != "ready" {
                 return;
             }
             upstreams[index].state = "draining";
-            let upstream = &upstreams[index].upstream;
-            (
-                upstream.name.clone(),
-                upstream.service,
-                upstream.zone.clone(),
-            )
+            upstreams[index].upstream.identity.clone()
         };
-        let observer = &targets.observer;
-        let links = &targets.context.links;
-        match self.make(service, zone, observer, links).await {
-            Ok(upstream) => self.add(upstream, &targets.store),
-            Err(error) => observer.report("soak", format!("can't start an upstream: {error}")),
-        }
-        self.announce(&name, choice, targets);
+        let name = identity.name.clone();
+        self.add_or_report(identity, None).await;
+        self.announce(&name, choice.is_multiple_of(3));
+        self.end_drained(&[name]).await;
+    }
+
+    /// Ends upstreams that have announced that they leave.
+    async fn end_drained(&self, names: &[String]) {
         tokio::time::sleep(SERVES_LEAVING).await;
-        targets.store.remove(TABLE, &name);
+        for name in names {
+            self.store.remove(TABLE, name);
+        }
         tokio::time::sleep(ENTRY_LAG).await;
-        let part = Part::Upstream(name.clone());
-        targets.observer.disturb(part, "ended", true);
-        self.lock().retain(|other| other.upstream.name != name);
+        for name in names {
+            self.observer
+                .disturb(Part::Upstream(name.clone()), "ended", true);
+        }
+        self.lock()
+            .retain(|other| !names.contains(&other.upstream.identity.name));
     }
 
-    fn announce(&self, name: &str, choice: u64, targets: &FaultTargets) {
-        let now = targets.observer.now();
-        match choice.is_multiple_of(3) {
-            true => targets.store.remove(TABLE, name),
+    fn announce(&self, name: &str, is_silent: bool) {
+        let now = self.observer.now();
+        match is_silent {
+            true => self.store.remove(TABLE, name),
             false => {
                 let upstreams = self.lock();
                 let mut upstreams = upstreams.iter();
-                let found = upstreams.find(|other| other.upstream.name == name);
+                let found = upstreams.find(|other| other.upstream.identity.name == name);
                 if let Some(found) = found {
-                    write_entry(&found.upstream, found.state, &targets.store);
+                    write_entry(&found.upstream, found.state, &self.store);
                 }
             }
         }
-        let mut state = targets.observer.lock();
+        let mut state = self.observer.lock();
         state.world.leavings.insert(name.to_owned(), now);
     }
+
+    /// Lets an upstream crash, replaces it, and gives its address to an upstream of another
+    /// service while the store still lists the one that crashed.
+    pub(crate) async fn reuse_address(&self, choice: u64) {
+        let index = self.index(choice);
+        let SoakUpstream { identity, link, .. } = {
+            let mut upstreams = self.lock();
+            if upstreams[index].state != "ready" {
+                return;
+            }
+            upstreams.remove(index).upstream
+        };
+        let crashed = identity.name.clone();
+        self.observer
+            .disturb(Part::Upstream(crashed.clone()), "crashed", false);
+        self.add_or_report(identity.clone(), None).await;
+        tokio::time::sleep(ADDRESS_REUSE).await;
+        let service = match identity.service {
+            MODEL_SERVICE => APP_SERVICE,
+            _ => MODEL_SERVICE,
+        };
+        let version = self.version(service);
+        let identity = UpstreamIdentity {
+            service,
+            version,
+            ..identity
+        };
+        self.add_or_report(identity, Some(link)).await;
+        tokio::time::sleep(EXPIRY_AFTER_REUSE).await;
+        self.store.remove(TABLE, &crashed);
+    }
 }
 
 fn write_entry(upstream: &SoakUpstream, state: &str, store: &FakeStore) {
-    let entry = upstream_row(
-        upstream.service,
-        upstream.address,
-        &upstream.zone,
-        "v1",
-        state,
-    );
-    store.put(TABLE, &upstream.name, &entry);
+    let identity = &upstream.identity;
+    let (service, zone) = (identity.service, &identity.zone);
+    let version = &identity.version.name;
+    let entry = upstream_row(service, upstream.link.address, zone, version, state);
+    store.put(TABLE, &identity.name, &entry);
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,6 +1,6 @@
 //! The report of a soak: the broken promises, each with the lines of one request.
 
-use crate::checks::excuse_cut;
+use crate::checks::{excuse_cut, RolloutRecord};
 use crate::observer::{Observer, ObserverState};
 use crate::records::{Outcome, RequestStory, Violation};
 use crate::run::SoakOptions;
@@ -30,6 +30,9 @@
     /// The requests that were cut off, by what excuses it.
     cuts: BTreeMap<&'static str, usize>,
     starved: Vec<String>,
+    resumed: usize,
+    rollouts: Vec<String>,
+    power_losses: usize,
     violations: Vec<(Violation, Vec<String>)>,
 }
 
@@ -70,6 +73,9 @@
             outcomes,
             cuts,
             starved: starved_spans(&state.world.timeline),
+            resumed: count_resumed(&state),
+            rollouts: state.world.rollouts.iter().map(describe_rollout).collect(),
+            power_losses: state.world.power_losses.len(),
             violations: state.violations.iter().map(explain).collect(),
         }
     }
@@ -121,6 +127,11 @@
             "starved by the machine: {spans} spans {:?}",
             self.starved
         )?;
+        writeln!(
+            formatter,
+            "{} streams resumed, {} losses of power, rollouts: {:?}",
+            self.resumed, self.power_losses, self.rollouts
+        )?;
         if self.is_passed() {
             return writeln!(formatter, "seed {seed}: PASSED");
         }
@@ -230,6 +241,21 @@
     in_touch.count()
 }
 
+fn count_resumed(state: &ObserverState) -> usize {
+    let stories = state.stories.values();
+    let resumed = stories.filter(|story| story.request.last_event > 0);
+    resumed.count()
+}
+
+fn describe_rollout(rollout: &RolloutRecord) -> String {
+    let (service, quality) = (&rollout.service, rollout.quality);
+    let end = rollout.end.map(|(at, end)| {
+        let after_ms = at.since(rollout.ordered_at).as_millis();
+        format!("{end:?} after {after_ms} ms")
+    });
+    format!("{service} {quality:?}: {end:?}")
+}
+
 fn starved_spans(timeline: &Timeline) -> Vec<String> {
     let starved = timeline.disturbances.iter();
     let starved = starved.filter(|disturbance| disturbance.cause == "starved");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,13 +1,15 @@
 //! Runs a soak from its start to its report.
 
 use crate::callers::{run_caller, CallerContext};
-use crate::faults::{draw_schedule, inject, FaultTargets};
+use crate::faults::{inject, FaultTargets};
 use crate::heartbeat::{watch_machine, watch_vm};
 use crate::links::LinkFaults;
 use crate::observer::Observer;
 use crate::operators::{ConfigChange, Operators};
 use crate::registry::UpstreamRegistry;
 use crate::report::SoakReport;
+use crate::rollouts::RolloutOrders;
+use crate::schedule::draw_schedule;
 use crate::vms::{check_readiness, create_vms, keep_running, SoakNetwork, SoakVm, VmContext};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -56,7 +58,9 @@
         ConfigChange::Nothing,
         &mut SmallRng::seed_from_u64(options.seed),
     );
-    let registry = UpstreamRegistry::start(options.seed, &observer, &links, &store).await?;
+    let registry =
+        UpstreamRegistry::start(options.seed, observer.clone(), links.clone(), store.clone());
+    let registry = registry.await?;
     let (end, ending) = watch::channel(false);
     let context = Arc::new(VmContext {
         program: options.program.clone(),
@@ -73,6 +77,7 @@
         store,
         vms: vms.clone(),
         upstreams: Arc::new(registry),
+        rollouts: RolloutOrders::default(),
         context: context.clone(),
         leave: watch::channel(0).0,
     });
--- a/crates/soak/src/timeline.rs
+++ b/crates/soak/src/timeline.rs
@@ -101,6 +101,12 @@
         })
     }
 
+    /// Reports whether nothing but planned work disturbed any part from `from` to `until`.
+    pub fn is_calm(&self, from: ClockTime, until: ClockTime) -> bool {
+        self.overlapping(from, until)
+            .all(|disturbance| disturbance.is_planned)
+    }
+
     fn overlapping(&self, from: ClockTime, until: ClockTime) -> impl Iterator<Item = &Disturbance> {
         let disturbances = self.disturbances.iter();
         disturbances.filter(move |other| other.from <= until && other.until >= from)
--- a/crates/soak/src/upstream_work.rs
+++ b/crates/soak/src/upstream_work.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, ReceivedRequest};
+use skylarkshed_stand_ins::{headers, FaultEffect, ReceivedRequest};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -31,12 +31,14 @@
     after: u64,
     /// The last event of the stream; 0 if it is none.
     events: u64,
+    /// Whether the fault of the upstream's version shows in the response.
+    is_bad: bool,
 }
 
 impl WorkPlan {
     fn draw(context: &UpstreamContext, request: &ReceivedRequest, rng: &mut SmallRng) -> Self {
         let id = request.header(headers::REQUEST_ID).unwrap_or_default();
-        let signature = format!("{:x}.{}.{id}", rng.random::<u32>(), context.name);
+        let signature = format!("{:x}.{}.{id}", rng.random::<u32>(), context.identity.name);
         let status = if rng.random_ratio(1, 40) { 500 } else { 200 };
         let after = request.header(headers::LAST_EVENT);
         let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -48,14 +50,39 @@
         };
         let mut delays = vec![rng.random_range(first_delay)];
         delays.extend((after..events).map(|_| rng.random_range(EVENT_MS)));
-        WorkPlan {
+        let plan = WorkPlan {
             signature,
             status: if events > 0 { 200 } else { status },
             body,
             delays,
             after,
             events,
+            is_bad: false,
+        };
+        match context.identity.version.effect_on(request) {
+            Some(effect) => plan.with_effect(effect, rng),
+            None => plan,
+        }
+    }
+
+    /// Applies the fault of the upstream's version.
+    fn with_effect(mut self, effect: FaultEffect, rng: &mut SmallRng) -> Self {
+        match effect {
+            FaultEffect::Slow(factor) => {
+                self.is_bad = true;
+                for delay in &mut self.delays {
+                    *delay *= u64::from(factor);
+                }
+            }
+            FaultEffect::Failing(percent) if rng.random_ratio(percent, 100) => {
+                self.is_bad = true;
+                self.status = 500;
+                self.events = 0;
+                self.delays.truncate(1);
+            }
+            FaultEffect::Failing(_) => {}
         }
+        self
     }
 
     fn duration(&self) -> ClockTime {
@@ -78,6 +105,7 @@
         run.signature = plan.signature.clone();
         run.body = plan.body.clone();
         run.due_at = run.at + plan.duration();
+        run.is_bad = plan.is_bad;
     });
     let head = format!(
         "{}: {id}\r\n{}: {}\r\n",
@@ -157,7 +185,7 @@
 
 fn request_rng(context: &UpstreamContext, id: &str) -> SmallRng {
     let mut hasher = DefaultHasher::new();
-    (context.seed, &context.name, id).hash(&mut hasher);
+    (context.seed, &context.identity.name, id).hash(&mut hasher);
     SmallRng::seed_from_u64(hasher.finish())
 }
 
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -1,12 +1,12 @@
 //! Upstreams that run requests, record them and fail as the seed says.
 
-use crate::links::{start_upstream_link, LinkFaults};
+use crate::links::{start_upstream_link, LinkFaults, UpstreamLink};
 use crate::observer::{Observer, RunKey};
 use crate::records::UpstreamRun;
 use crate::upstream_work::{send, wait_while_silent, work};
+use crate::versions::UpstreamVersion;
 use skylarkshed_core::ClockTime;
 use skylarkshed_stand_ins::{headers, ControlCalls, ReceivedRequest};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
@@ -15,6 +15,7 @@
 
 /// The requests that an upstream runs at the same time; it refuses others.
 const SLOTS: usize = 24;
+
 /// The faults of an upstream.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamFaults {
@@ -30,20 +31,26 @@
     pub(crate) garbled_percent: u32,
 }
 
-/// An upstream that runs until it is dropped.
-pub(crate) struct SoakUpstream {
+/// What an upstream is.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamIdentity {
     pub(crate) name: String,
     pub(crate) service: &'static str,
     pub(crate) zone: String,
-    /// The address of its proxy.
-    pub(crate) address: SocketAddr,
+    pub(crate) version: Arc<UpstreamVersion>,
+}
+
+/// An upstream that runs until it is dropped.
+pub(crate) struct SoakUpstream {
+    pub(crate) identity: UpstreamIdentity,
+    /// Its proxy.
+    pub(crate) link: UpstreamLink,
     pub(crate) faults: watch::Sender<UpstreamFaults>,
 }
 
 /// What the connections of an upstream share.
 pub(crate) struct UpstreamContext {
-    pub(crate) name: String,
-    service: &'static str,
+    pub(crate) identity: UpstreamIdentity,
     pub(crate) seed: u64,
     pub(crate) observer: Arc<Observer>,
     pub(crate) faults: watch::Receiver<UpstreamFaults>,
@@ -51,32 +58,35 @@
 }
 
 impl SoakUpstream {
+    /// Starts an upstream, at an address that another one had if there is a `link`.
     pub(crate) async fn start(
-        name: String,
-        service: &'static str,
-        zone: String,
+        identity: UpstreamIdentity,
+        link: Option<UpstreamLink>,
         seed: u64,
         observer: &Arc<Observer>,
         links: &Arc<LinkFaults>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let real_address = listener.local_addr()?;
-        let address = start_upstream_link(links.clone(), observer.clone(), real_address).await?;
         let (faults, watching) = watch::channel(UpstreamFaults::default());
         let context = Arc::new(UpstreamContext {
-            name: name.clone(),
-            service,
+            identity: identity.clone(),
             seed,
             observer: observer.clone(),
             faults: watching,
             running: AtomicUsize::new(0),
         });
         tokio::spawn(serve(listener, context));
+        let link = match link {
+            Some(link) => {
+                link.assign(real_address);
+                link
+            }
+            None => start_upstream_link(links.clone(), observer.clone(), real_address).await?,
+        };
         Ok(SoakUpstream {
-            name,
-            service,
-            zone,
-            address,
+            identity,
+            link,
             faults,
         })
     }
@@ -144,13 +154,13 @@
         let health = format!(
             "HTTP/1.1 200 OK\r\n{}: {}\r\nContent-Length: 0\r\n\r\n",
             headers::UPSTREAM,
-            context.name
+            context.identity.name
         );
         let reply = control.unwrap_or(health);
         return Ok(stream.write_all(reply.as_bytes()).await?);
     }
     let expected = request.header(headers::EXPECTED_UPSTREAM);
-    if expected.is_some_and(|expected| expected != context.name) {
+    if expected.is_some_and(|expected| expected != context.identity.name) {
         return send(stream, 421, "", "").await;
     }
     let id = request.header(headers::REQUEST_ID).unwrap_or_default();
@@ -180,8 +190,9 @@
     let target = request.request_line.rsplit_once(' ');
     let time_left = request.header(headers::TIME_LEFT);
     UpstreamRun {
-        upstream: context.name.clone(),
-        service: context.service.to_owned(),
+        upstream: context.identity.name.clone(),
+        service: context.identity.service.to_owned(),
+        version: context.identity.version.name.clone(),
         at: context.observer.now(),
         ended_at: ClockTime::NEVER,
         target: target.map_or(String::new(), |(target, _)| target.to_owned()),
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -1,6 +1,8 @@
 //! The gateway processes: started, signalled by their ids and started again.
 
-use crate::bounds::{GRACE, RETRY_RATIO, RETRY_SLACK, REVOCATION};
+use crate::bounds::{
+    EXPOSURE_SHARE, EXPOSURE_SLACK, GRACE, RETRY_RATIO, RETRY_SLACK, REVOCATION, ROLLBACK,
+};
 use crate::links::{start_link, LinkFaults, LinkKind};
 use crate::observer::Observer;
 use crate::timeline::Part;
@@ -54,7 +56,7 @@
     /// The id of the running process.
     pub(crate) id: Option<u32>,
     /// Whether the soak has ended the process or told it to end.
-    is_ending: bool,
+    pub(crate) is_ending: bool,
     /// The disturbances that end with the next start.
     until_start: Vec<usize>,
 }
@@ -103,6 +105,8 @@
             grace_s: GRACE.as_millis() / 1_000,
             revoke_ms: REVOCATION.as_millis(),
             retry_budget: (RETRY_RATIO, RETRY_SLACK as u64),
+            exposure: (EXPOSURE_SHARE, EXPOSURE_SLACK),
+            rollback_ms: ROLLBACK.to_duration().as_millis(),
             ..GatewayFile::new(&name, store_link)
         };
         let settings = context.folder.join(format!("{name}.toml"));
