Read the store when the seeds do not answer

Callers saw: a VM that starts refuses them for 6 s (503, after 1 s of waiting for the tables) if all of its seeds are gone for good, and not even a reset comes back from there.

Cause: a VM reads the tables from the store only after three rounds in which no VM had them. A round ends fast where connections are refused, but takes half a second for each seed that is silent, and even in the fourth round the store comes last.

Ruled out: the store (it answers at once) and the retry delay between rounds (0.8 s in all).

Change: after two VMs in succession did not answer, 0.9 s after the first was asked, the store is asked next. A VM that answers, also without tables, is still waited for, so a fleet that starts at once reads the store as before.

Not covered: seeds that accept the connection and stay silent, as frozen VMs do; each takes the time limit of a table, 4.9 s.

--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -118,7 +118,7 @@
         let mut endpoints: VecDeque<FeedEndpoint> = newest.into_iter().chain(endpoints).collect();
         let mut asked = Vec::new();
         let mut last_error = None;
-        while let Some(endpoint) = endpoints.pop_front() {
+        while let Some(endpoint) = self.next_table_endpoint(&mut endpoints, &asked) {
             if asked.contains(&endpoint) || asked.len() == MAX_TABLE_ENDPOINTS {
                 continue;
             }
@@ -143,6 +143,20 @@
         Err(last_error.unwrap_or_else(no_endpoint))
     }
 
+    /// Returns the next endpoint of a round, or the store if VMs don't answer.
+    fn next_table_endpoint(
+        &self,
+        endpoints: &mut VecDeque<FeedEndpoint>,
+        asked: &[FeedEndpoint],
+    ) -> Option<FeedEndpoint> {
+        let store = FeedEndpoint::Store;
+        let now = self.state.clock.now();
+        match !asked.contains(&store) && self.route.asks_store_first(now) {
+            true => Some(store),
+            false => endpoints.pop_front(),
+        }
+    }
+
     async fn query(
         &mut self,
         endpoint: FeedEndpoint,
@@ -201,6 +215,7 @@
                 false => self.waits.peer,
             },
         };
+        let asked_at = self.state.clock.now();
         let batch = query_peer(&self.state, peer, query).await;
         let max_age = self.waits.store + self.waits.store + MAX_RELAY_DELAY;
         let batch = batch.and_then(|(batch, confirmations)| {
@@ -215,7 +230,13 @@
             .as_ref()
             .map_or_else(StoreError::label, |_| "answered");
         counters::count_peer_call(S::NAME, outcome);
-        self.record_peer(peer, after, batch.as_ref().err());
+        match (after, batch.as_ref().err()) {
+            (None, Some(StoreError::Unreachable(_))) => {
+                let now = self.state.clock.now();
+                self.route.mark_unreachable(peer, asked_at, now);
+            }
+            (_, error) => self.record_peer(peer, after, error),
+        }
         batch
     }
 
--- a/crates/policy/src/feed_route.rs
+++ b/crates/policy/src/feed_route.rs
@@ -51,6 +51,10 @@
 /// How often a VM asks other VMs for a whole table before it asks the store. When all
 /// VMs start together, the seeds need a moment to read the tables.
 const TABLE_ROUNDS_WITHOUT_STORE: u32 = 3;
+/// A VM asks the store for a whole table next after this number of VMs in succession did not
+/// answer for this time: they may be gone, and each costs a timeout.
+const MAX_UNANSWERED_TABLE_REQUESTS: u32 = 2;
+const MAX_UNANSWERED_TIME: ClockTime = ClockTime::from_millis(900);
 
 /// A VM of the fleet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -113,6 +117,9 @@
     is_listed: bool,
     /// How often in succession no VM had a whole table.
     failed_table_reads: u32,
+    /// How many requests for a whole table in succession no VM answered, and when the
+    /// first of them was sent.
+    unanswered_table_requests: Option<(u32, ClockTime)>,
 }
 
 impl FeedRoute {
@@ -130,6 +137,7 @@
             is_seed: false,
             is_listed: false,
             failed_table_reads: 0,
+            unanswered_table_requests: None,
         }
     }
 
@@ -201,15 +209,52 @@
         self.peer_backoffs.entry(peer).or_default().retry_at = now + STARTING_PEER_DELAY;
     }
 
-    /// Marks a peer that has no whole table or can't be reached yet: it may have been
-    /// started together with this VM.
+    /// Marks a peer that has no whole table yet: it may have been started together with
+    /// this VM.
     pub fn mark_without_table(&mut self, peer: SocketAddr, now: ClockTime) {
         self.peer_backoffs.entry(peer).or_default().retry_at = now + TABLE_RETRY_DELAY;
+        self.unanswered_table_requests = None;
+    }
+
+    /// Marks a peer that did not answer a request for a whole table: it may be starting, or
+    /// it is gone.
+    pub fn mark_unreachable(&mut self, peer: SocketAddr, asked_at: ClockTime, now: ClockTime) {
+        self.peer_backoffs.entry(peer).or_default().retry_at = now + TABLE_RETRY_DELAY;
+        let (_, first_asked_at) = self.unanswered_table_requests.unwrap_or((0, asked_at));
+        let count = self.unanswered_table_requests.map_or(0, |(count, _)| count);
+        self.unanswered_table_requests = Some((count + 1, first_asked_at));
+    }
+
+    /// Reports whether the store is asked for a whole table before any other VM.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_policy::FeedRoute;
+    ///
+    /// let mut route = FeedRoute::new("vm-1".into(), "chag".into());
+    /// let at = ClockTime::from_millis;
+    /// for (number, seed) in [1, 2].into_iter().zip([[10, 1, 0, 19], [10, 1, 0, 20]]) {
+    ///     assert!(!route.asks_store_first(at(500 * number)));
+    ///     let asked_at = at(500 * (number - 1));
+    ///     route.mark_unreachable((seed, 8_748).into(), asked_at, at(500 * number));
+    /// }
+    /// assert!(route.asks_store_first(at(1_000)));
+    /// ```
+    pub fn asks_store_first(&self, now: ClockTime) -> bool {
+        let requests = self.unanswered_table_requests;
+        let is_unanswered = requests.is_some_and(|(count, first_asked_at)| {
+            count >= MAX_UNANSWERED_TABLE_REQUESTS
+                && now.since(first_asked_at) >= MAX_UNANSWERED_TIME
+        });
+        is_unanswered && now >= self.store_retry_at
     }
 
     /// Marks a peer that returned fresh data.
     pub fn mark_healthy(&mut self, peer: SocketAddr) {
         self.peer_backoffs.remove(&peer);
+        self.unanswered_table_requests = None;
     }
 
     /// Records that the store failed and no VM that was asked had fresh data.
@@ -237,6 +282,7 @@
     /// Records that a whole table was read.
     pub fn mark_table_read(&mut self) {
         self.failed_table_reads = 0;
+        self.unanswered_table_requests = None;
     }
 
     /// Returns the endpoints to read a whole table from, best first; `random` spreads
--- a/crates/policy/tests/gateway/fleet_start.rs
+++ b/crates/policy/tests/gateway/fleet_start.rs
@@ -80,6 +80,24 @@
         .contains(&FeedEndpoint::Store));
 }
 
+/// A seed that answers, though it has no tables yet, will have them within moments.
+#[test]
+fn a_vm_asks_the_store_first_only_while_no_seed_answers() {
+    let mut route = fresh_route(7);
+    let asked_at = NOW;
+    let later = NOW + ClockTime::from_millis(900);
+    route.mark_unreachable(seeds()[0], asked_at, later);
+    assert!(!route.asks_store_first(later));
+    route.mark_without_table(seeds()[1], later);
+    route.mark_unreachable(seeds()[2], later, later);
+    route.mark_unreachable(seeds()[0], later, later);
+    // Refused at once: the seeds are starting.
+    assert!(!route.asks_store_first(later));
+    assert!(route.asks_store_first(later + ClockTime::from_millis(900)));
+    route.mark_healthy(seeds()[0]);
+    assert!(!route.asks_store_first(later + ClockTime::from_millis(900)));
+}
+
 #[test]
 fn a_vm_that_is_not_listed_yet_reads_changes_from_a_seed() {
     let mut route = fresh_route(7);
--- a/tests/testsuite/tests/gateway/fleet_start.rs
+++ b/tests/testsuite/tests/gateway/fleet_start.rs
@@ -4,9 +4,13 @@
 use skylarkshed_testsuite::{
     config_metric, wait_for_metric, GatewayHarness, HarnessBuilder, OtherVm, RawClient, DEPOT_KEY,
 };
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const READ_PATH: &str = "/-/rows-get";
+/// VMs that have started follow the configuration within this time.
+const CATCH_UP_TIME: Duration = Duration::from_secs(4);
 const CHANGE_PATH: &str = "/-/rows-tx";
 
 /// Guards against a store that is flooded by a rolling restart of a large fleet: each
@@ -58,6 +62,46 @@
     wait_for_metric(other.metrics_address, &config_metric(1)).await;
 }
 
+/// Seeds may be VMs that are gone for good: nothing answers there, not even with a reset.
+/// Callers are refused until the VM has the tables.
+#[tokio::test]
+async fn vm_whose_seeds_do_not_answer_reads_the_store_in_time() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut seeds = Vec::new();
+    for _ in 0..3 {
+        seeds.push(SilentAddress::bind().await);
+    }
+    let addresses: Vec<SocketAddr> = seeds.iter().map(|seed| seed.address).collect();
+    let started_at = Instant::now();
+    let other = harness.start_other_with_seeds("vm-2", &addresses).await;
+    wait_for_metric(other.metrics_address, &config_metric(1)).await;
+    let elapsed = started_at.elapsed();
+    assert!(elapsed <= CATCH_UP_TIME, "{elapsed:?} until the tables");
+}
+
+/// An address at which connections are neither accepted nor refused.
+struct SilentAddress {
+    address: SocketAddr,
+    _listener: TcpListener,
+    _waiting: TcpStream,
+}
+
+impl SilentAddress {
+    async fn bind() -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let listener = socket.listen(0).unwrap();
+        let address = listener.local_addr().unwrap();
+        // The queue has room for one connection; the kernel drops the packets of others.
+        let waiting = TcpStream::connect(address).await.unwrap();
+        SilentAddress {
+            address,
+            _listener: listener,
+            _waiting: waiting,
+        }
+    }
+}
+
 /// Guards against refusals in the moment after a restart: callers that a crash has cut
 /// off come back at once, and have no further attempt if they are refused.
 #[tokio::test]
