Log connections that a close or the exit cuts

Cause of the silence: a connection that is closed while idle counts as closed regularly, whatever arrives afterwards; a task that the exit drops logged nothing; and the log's thread ended with lines in its queue.

The end of a connection is now logged when it is dropped, with the bytes that arrived after the close and with the reason of the close, and the log is written before the process ends. Both tests failed on the code before.

Trial, not taken: used connections stay open until the grace time ends.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -107,49 +107,92 @@
         .max_header_size(limits.max_head_bytes)
         .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
-    let end = drive(pin!(connection), &state, &activity, limits, closing).await;
-    log_end(&end, &activity);
+    let connection = pin!(connection);
+    // It is dropped before the connection, whose requests it reports.
+    let mut outcome = ConnectionOutcome::new(activity.clone());
+    outcome.end = drive(connection, &state, &activity, limits, closing).await;
 }
 
 /// Why a caller's connection ended.
 enum ConnectionEnd {
-    /// Hyper closed it: the caller left, or it was closed gracefully.
+    /// Hyper closed it: the caller left, or a response announced the close.
     Closed,
+    /// It was closed while no request was on it.
+    ClosedIdle(IdleClose),
     /// Reading or writing failed, or a response ended early.
     Failed(hyper::Error),
     /// The phase timed out, or the graceful close took too long.
     TimedOut,
+    /// The process ended first.
+    Exited,
+}
+
+/// Why a connection without a request is closed.
+#[derive(Clone, Copy)]
+enum IdleClose {
+    TimedOut,
+    Draining,
 }
 
 impl ConnectionEnd {
     const fn label(&self) -> &'static str {
         match self {
             ConnectionEnd::Closed => "closed",
+            ConnectionEnd::ClosedIdle(IdleClose::TimedOut) => "idle_timeout",
+            ConnectionEnd::ClosedIdle(IdleClose::Draining) => "draining",
             ConnectionEnd::Failed(_) => "failed",
             ConnectionEnd::TimedOut => "timed_out",
+            ConnectionEnd::Exited => "exited",
         }
     }
 }
 
-/// Logs the end of a connection that was cut: by an error, by a timeout, or during a
-/// response.
-fn log_end(end: &ConnectionEnd, activity: &ConnectionActivity) {
-    if matches!(end, ConnectionEnd::Closed) && !activity.is_busy() {
-        return;
+/// How a connection ended. Dropping it logs and counts a connection that was cut: by an
+/// error, by a timeout, during a response, or while a request was on its way.
+struct ConnectionOutcome {
+    activity: Arc<ConnectionActivity>,
+    end: ConnectionEnd,
+}
+
+impl ConnectionOutcome {
+    fn new(activity: Arc<ConnectionActivity>) -> Self {
+        ConnectionOutcome {
+            activity,
+            end: ConnectionEnd::Exited,
+        }
+    }
+
+    fn is_cut(&self) -> bool {
+        match self.end {
+            ConnectionEnd::Closed => self.activity.is_busy(),
+            ConnectionEnd::ClosedIdle(_) => self.activity.discarded_bytes() > 0,
+            ConnectionEnd::Failed(_) | ConnectionEnd::TimedOut => true,
+            ConnectionEnd::Exited => !self.activity.is_idle(),
+        }
+    }
+}
+
+impl Drop for ConnectionOutcome {
+    fn drop(&mut self) {
+        if !self.is_cut() {
+            return;
+        }
+        let error = match &self.end {
+            ConnectionEnd::Failed(error) => Some(error.to_string()),
+            _ => None,
+        };
+        let activity = &self.activity;
+        log::info!(
+            end = self.end.label(),
+            error = error.as_deref(),
+            phase = activity.phase_label(),
+            phase_ms = activity.phase_age().as_millis(),
+            requests = activity.requests(),
+            discarded_bytes = activity.discarded_bytes();
+            "caller's connection ended"
+        );
+        counters::count_cut_connection(self.end.label(), activity.phase_label());
     }
-    let error = match end {
-        ConnectionEnd::Failed(error) => Some(error.to_string()),
-        ConnectionEnd::Closed | ConnectionEnd::TimedOut => None,
-    };
-    log::info!(
-        end = end.label(),
-        error = error.as_deref(),
-        phase = activity.phase_label(),
-        phase_ms = activity.phase_age().as_millis(),
-        requests = activity.requests();
-        "caller's connection ended"
-    );
-    counters::count_cut_connection(end.label(), activity.phase_label());
 }
 
 /// Runs a connection until it ends, times out, or is closed because the process
@@ -165,6 +208,7 @@
     C: GracefulConnection + Future<Output = hyper::Result<()>>,
 {
     let mut mode = ConnectionMode::Open;
+    let mut idle_close = None;
     let mut has_timed_out = false;
     loop {
         let limits = longer_timeouts(first_limits, current_limits(state));
@@ -181,6 +225,10 @@
             None if activity.is_idle() && mode != ConnectionMode::Closing => {
                 connection.as_mut().close_gracefully();
                 activity.record_write();
+                idle_close = Some(match mode {
+                    ConnectionMode::Leaving => IdleClose::Draining,
+                    ConnectionMode::Open | ConnectionMode::Closing => IdleClose::TimedOut,
+                });
                 mode = ConnectionMode::Closing;
                 continue;
             }
@@ -190,7 +238,10 @@
             // A request that has arrived is read before a timeout closes its connection.
             biased;
             result = connection.as_mut() => {
-                return result.map_or_else(ConnectionEnd::Failed, |()| ConnectionEnd::Closed);
+                return match result {
+                    Ok(()) => idle_close.map_or(ConnectionEnd::Closed, ConnectionEnd::ClosedIdle),
+                    Err(error) => ConnectionEnd::Failed(error),
+                };
             }
             changed = closing.wait_for(|closing| *closing), if mode == ConnectionMode::Open => {
                 // Without a sender the process is about to exit.
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -36,6 +36,8 @@
     since_ms: AtomicU64,
     /// The number of requests that were begun.
     requests: AtomicU64,
+    /// The number of bytes that arrived after the connection was closed for writing.
+    discarded_bytes: AtomicU64,
 }
 
 impl ConnectionActivity {
@@ -46,6 +48,7 @@
             phase: AtomicU8::new(IDLE),
             since_ms: AtomicU64::new(clock.now().as_millis()),
             requests: AtomicU64::new(0),
+            discarded_bytes: AtomicU64::new(0),
         })
     }
 
@@ -69,6 +72,15 @@
         self.requests.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn record_discard(&self, count: usize) {
+        self.discarded_bytes
+            .fetch_add(count as u64, Ordering::Relaxed);
+    }
+
+    pub(crate) fn discarded_bytes(&self) -> u64 {
+        self.discarded_bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the phase as it is logged.
     pub(crate) fn phase_label(&self) -> &'static str {
         match self.phase.load(Ordering::Relaxed) {
--- a/crates/gateway/src/log_writer.rs
+++ b/crates/gateway/src/log_writer.rs
@@ -11,13 +11,15 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 
 /// The lines that the queue holds: a second's worth at full load.
 const QUEUE_LINES: usize = 2_000;
 /// The limit of lines per second; above a VM's request rate at the fleet's target size.
 const MAX_LINES_PER_S: u64 = 1_000;
+/// How long the end of the process waits for the queued lines.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// An error that keeps logging from starting.
 #[derive(Debug, Error)]
@@ -37,9 +39,16 @@
         .map_err(|error| LogError(error.to_string()))
 }
 
+/// An entry of the queue.
+enum QueueEntry {
+    Line(Vec<u8>),
+    /// The sender is dropped when all entries before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Queues lines for the thread that writes them.
 struct QueueWriter {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<QueueEntry>,
     /// The Unix second of the last line.
     second: AtomicU64,
     /// The number of lines in that second.
@@ -79,21 +88,29 @@
         let mut line = Vec::with_capacity(256);
         json_format(&mut line, now, record)?;
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(QueueEntry::Line(line)).is_err() {
             counters::count_dropped_line();
         }
         Ok(())
     }
 
     fn flush(&self) -> std::io::Result<()> {
+        let (written, is_written) = sync_channel(0);
+        if self.lines.try_send(QueueEntry::Flush(written)).is_ok() {
+            // Nothing is sent; a reader that has stopped is not waited for.
+            let _ = is_written.recv_timeout(FLUSH_TIMEOUT);
+        }
         Ok(())
     }
 }
 
-fn write_lines(queue: &Receiver<Vec<u8>>) {
+fn write_lines(queue: &Receiver<QueueEntry>) {
     let mut out = std::io::stdout();
-    while let Ok(line) = queue.recv() {
-        // A closed standard output can't be reported anywhere.
-        let _ = out.write_all(&line).and_then(|()| out.flush());
+    while let Ok(entry) = queue.recv() {
+        match entry {
+            // A closed standard output can't be reported anywhere.
+            QueueEntry::Line(line) => drop(out.write_all(&line).and_then(|()| out.flush())),
+            QueueEntry::Flush(written) => drop(written),
+        }
     }
 }
--- a/crates/gateway/src/tracked_stream.rs
+++ b/crates/gateway/src/tracked_stream.rs
@@ -43,6 +43,7 @@
             if buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            self.activity.record_discard(buffer.filled().len());
         }
     }
 }
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -20,7 +20,7 @@
     let path = settings_path()?;
     let settings = read_settings(&path)?;
     let start_error = |error: &dyn std::fmt::Display| CommandError::Start(error.to_string());
-    let _handle = start_logging(DEFAULT_LOG_LEVEL).map_err(|error| start_error(&error))?;
+    let logger = start_logging(DEFAULT_LOG_LEVEL).map_err(|error| start_error(&error))?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
@@ -34,5 +34,9 @@
             .map_err(|error| error.to_string())
     };
     let serving = run_gateway::<PlatformProtocol, _, _>(settings.gateway, store, reload);
-    runtime.block_on(serving).map_err(CommandError::Gateway)
+    let result = runtime.block_on(serving);
+    // Requests that the exit cuts are logged as their tasks are dropped.
+    drop(runtime);
+    logger.flush();
+    result.map_err(CommandError::Gateway)
 }
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -2,7 +2,7 @@
 //! connection times out or the process leaves meanwhile.
 
 use nix::sys::signal::Signal;
-use skylarkshed_stand_ins::ScriptedResponse;
+use skylarkshed_stand_ins::{ScriptedResponse, StreamEnd};
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, RawClient, DEPOT_KEY};
 use std::time::Duration;
 
@@ -284,3 +284,56 @@
     harness.signal(Signal::SIGCONT);
     assert_eq!(count_unanswered(clients).await, 0);
 }
+
+/// Waits until a cut connection is logged with this end.
+async fn wait_for_logged_end(harness: &GatewayHarness, end: &str) {
+    let end = format!("\"end\":\"{end}\"");
+    let is_logged = || {
+        let log = std::fs::read_to_string(&harness.log_path).unwrap();
+        let mut lines = log.lines();
+        lines.any(|line| line.contains("caller's connection ended") && line.contains(&end))
+    };
+    let waiting = async {
+        while !is_logged() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let result = tokio::time::timeout(Duration::from_secs(10), waiting).await;
+    let log = std::fs::read_to_string(&harness.log_path).unwrap();
+    assert!(result.is_ok(), "no connection was logged with {end}: {log}");
+}
+
+/// Nothing can be sent to a caller after the close, so the log has to tell such a request
+/// from one that was lost.
+#[tokio::test]
+async fn request_that_crosses_the_close_of_an_idle_connection_is_logged_and_not_run() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut config = harness.next_config();
+    config["limits"]["idle_timeout_ms"] = 9_000.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    let mut clients = open_used_connections(&harness, 1).await;
+    harness.signal(Signal::SIGTERM);
+    tokio::time::sleep(IDLE_CLOSE_DELAY + 2 * SHORT).await;
+    clients[0].send(booking().as_bytes()).await;
+    assert_eq!(count_unanswered(clients).await, 1);
+    wait_for_logged_end(&harness, "draining").await;
+    assert_eq!(harness.application_request_count(), 1);
+}
+
+#[tokio::test]
+async fn stream_that_outlasts_the_process_is_logged() {
+    let harness = HarnessBuilder::default()
+        .engines(1)
+        .grace_s(3)
+        .start()
+        .await;
+    harness.engines[0].set_default_response(ScriptedResponse::stream(5, StreamEnd::Stall));
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    client.send(request.as_bytes()).await;
+    client.wait_for_text("id: 5").await;
+    harness.signal(Signal::SIGTERM);
+    wait_for_logged_end(&harness, "exited").await;
+}
