Keep the longest idle timeout that was in force during a connection

A caller that knows a long idle timeout sent a request on a connection that the VM had already closed: no answer and no refusal.

Cause: the timeouts of an open connection were the longer ones of the configuration at its start and of the one in force. If the operator lengthens the timeout and shortens it again, the longer one in between was forgotten, although callers may know nothing newer yet. Ruled out: keeping only the limits of the last request, as the caller may have learned them later or earlier.

Each connection now extends its timeouts whenever it looks at the limits in force: at each request and each check.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -90,6 +90,7 @@
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request: Request<Incoming>| {
+            activity.extend_timeouts(current_limits(&state));
             let guard = activity.begin_request();
             let has_body = !request.body().is_end_stream();
             let handling = handle::<P>(state.clone(), request);
@@ -114,7 +115,7 @@
     let connection = pin!(connection);
     // It is dropped before the connection, whose requests it reports.
     let mut outcome = ConnectionOutcome::new(activity.clone());
-    outcome.end = drive(connection, &state, &activity, limits, closing).await;
+    outcome.end = drive(connection, &state, &activity, closing).await;
 }
 
 /// Why a caller's connection ended.
@@ -205,7 +206,6 @@
     mut connection: Pin<&mut C>,
     state: &GatewayState,
     activity: &ConnectionActivity,
-    first_limits: CallerLimits,
     mut closing: watch::Receiver<bool>,
 ) -> ConnectionEnd
 where
@@ -215,8 +215,8 @@
     let mut idle_close = None;
     let mut has_timed_out = false;
     loop {
-        let limits = longer_timeouts(first_limits, current_limits(state));
-        let remaining = match activity.time_left(limits, mode) {
+        activity.extend_timeouts(current_limits(state));
+        let remaining = match activity.time_left(mode) {
             Some(remaining) => {
                 has_timed_out = false;
                 remaining
@@ -267,16 +267,6 @@
     table.map_or_else(CallerLimits::default, |table| table.limits())
 }
 
-/// Returns the longer timeouts of both limits: a caller may learn later than this VM that
-/// they have become shorter.
-fn longer_timeouts(first: CallerLimits, current: CallerLimits) -> CallerLimits {
-    CallerLimits {
-        head_timeout: first.head_timeout.max(current.head_timeout),
-        idle_timeout: first.idle_timeout.max(current.idle_timeout),
-        ..current
-    }
-}
-
 /// A connection that can be closed after its current response.
 trait GracefulConnection {
     fn close_gracefully(self: Pin<&mut Self>);
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -38,6 +38,10 @@
     requests: AtomicU64,
     /// The number of bytes that arrived after the connection was closed for writing.
     discarded_bytes: AtomicU64,
+    /// The longest timeouts that were in force during the connection: a caller may learn
+    /// later than this VM that they have become shorter.
+    head_timeout_ms: AtomicU64,
+    idle_timeout_ms: AtomicU64,
 }
 
 impl ConnectionActivity {
@@ -49,9 +53,27 @@
             since_ms: AtomicU64::new(clock.now().as_millis()),
             requests: AtomicU64::new(0),
             discarded_bytes: AtomicU64::new(0),
+            head_timeout_ms: AtomicU64::new(0),
+            idle_timeout_ms: AtomicU64::new(0),
         })
     }
 
+    /// Extends the timeouts to those of the limits in force.
+    pub(crate) fn extend_timeouts(&self, limits: CallerLimits) {
+        self.head_timeout_ms
+            .fetch_max(limits.head_timeout.as_millis(), Ordering::Relaxed);
+        self.idle_timeout_ms
+            .fetch_max(limits.idle_timeout.as_millis(), Ordering::Relaxed);
+    }
+
+    fn head_timeout(&self) -> ClockTime {
+        ClockTime::from_millis(self.head_timeout_ms.load(Ordering::Relaxed))
+    }
+
+    fn idle_timeout(&self) -> ClockTime {
+        ClockTime::from_millis(self.idle_timeout_ms.load(Ordering::Relaxed))
+    }
+
     /// Marks the connection as busy until the guard is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> BusyGuard {
         self.enter(BUSY);
@@ -118,26 +140,22 @@
     }
 
     /// Returns the time until the next check, or none if the phase has timed out.
-    pub(crate) fn time_left(
-        &self,
-        limits: CallerLimits,
-        mode: ConnectionMode,
-    ) -> Option<ClockTime> {
+    pub(crate) fn time_left(&self, mode: ConnectionMode) -> Option<ClockTime> {
         let limit = match self.phase.load(Ordering::Relaxed) {
-            IDLE => self.idle_limit(limits, mode),
-            READING_HEAD => limits.head_timeout,
+            IDLE => self.idle_limit(mode),
+            READING_HEAD => self.head_timeout(),
             _ => return Some(BUSY_CHECK_INTERVAL),
         };
         let remaining = limit.since(self.phase_age());
         (remaining > ClockTime::ZERO).then_some(remaining)
     }
 
-    fn idle_limit(&self, limits: CallerLimits, mode: ConnectionMode) -> ClockTime {
+    fn idle_limit(&self, mode: ConnectionMode) -> ClockTime {
         match mode {
-            ConnectionMode::Open => limits.idle_timeout,
+            ConnectionMode::Open => self.idle_timeout(),
             ConnectionMode::Leaving if self.requests() > 0 => ClockTime::ZERO,
             // The first request of a new connection is on its way.
-            ConnectionMode::Leaving => limits.head_timeout,
+            ConnectionMode::Leaving => self.head_timeout(),
             ConnectionMode::Closing => CLOSE_TIMEOUT,
         }
     }
--- a/tests/testsuite/tests/gateway/caller_connections.rs
+++ b/tests/testsuite/tests/gateway/caller_connections.rs
@@ -113,6 +113,29 @@
     assert_eq!(count_unanswered(reading).await, 0);
 }
 
+/// The configuration that a caller knows may be older than the one before.
+#[tokio::test]
+async fn open_connection_keeps_the_longest_idle_timeout_that_was_in_force() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut clients = open_used_connections(&harness, 2).await;
+    for idle_timeout_ms in [4_000, 300] {
+        let mut config = harness.next_config();
+        config["limits"]["idle_timeout_ms"] = idle_timeout_ms.into();
+        let version = config["version"].as_u64().unwrap();
+        harness.put_config(&config);
+        harness.wait_for_config_version(version).await;
+        for client in &mut clients {
+            client.send(booking().as_bytes()).await;
+            assert_eq!(client.read_response().await.unwrap().status, 200);
+        }
+    }
+    tokio::time::sleep(2 * IDLE_TIMEOUT).await;
+    for client in &mut clients {
+        client.send(booking().as_bytes()).await;
+    }
+    assert_eq!(count_unanswered(clients).await, 0);
+}
+
 /// A caller learns later than the VM that the idle timeout has become shorter.
 #[tokio::test]
 async fn open_connection_keeps_its_idle_timeout_when_a_configuration_shortens_it() {
