Withdraw a version that turns bad after its rollout is done

Callers saw failing and slow responses without end: a version that turned bad after `done` got all requests although the upstreams of the old version were still there. Nothing judged a version after its rollout had ended.

A VM now goes on reporting to the hubs for as long as its table has an upstream of another version that works normally (the bake time). The hubs compare the version with what the old one did before and during the rollout (`compare_baking`, pure). On proof every VM prefers the other versions; it uses the withdrawn one again if they have no upstreams. The stored state remains `done`: the platform stops the old upstreams there, and told to roll back it would drain the new ones as well. The store gets no call more.

False alarms: at most 2% over the whole bake time, by Ville's inequality for each test and alpha spending over the slices in which tests are started.

Ruled out: comparing at the same moment with a share of requests for the old version, because they are lost on a platform that stops it at once; the limits of `compare_rollout`, because a factor of 1 to 1.25 on times is reached by load alone.

--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -10,8 +10,7 @@
 use skylarkshed_core::{ClockTime, VmName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
 use skylarkshed_policy::{
-    compare_rollout, hash_rank, overdue_times, slow_paces, RolloutFindings, RolloutSamples,
-    RolloutState, VmEntry,
+    hash_rank, overdue_times, slow_paces, RolloutSamples, RolloutState, VmEntry,
 };
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,6 +27,9 @@
 pub(super) struct RolloutWord {
     pub(super) state: RolloutState,
     pub(super) is_stored: bool,
+    /// Whether the version was withdrawn after the rollout was done.
+    #[serde(default)]
+    pub(super) is_withdrawn: bool,
     /// Whether the hub hears from most VMs.
     pub(super) has_quorum: bool,
     /// The time since the rollout began.
@@ -45,6 +47,7 @@
         RolloutWord {
             state: RolloutState::Running,
             is_stored: false,
+            is_withdrawn: false,
             has_quorum: false,
             elapsed_ms: 0,
             sent: BTreeMap::new(),
@@ -101,6 +104,7 @@
         vm: state.settings.name.to_string(),
         is_rolled_back: record.state() == RolloutState::RolledBack,
         samples: samples.to_owned(),
+        is_withdrawn: record.progress().is_withdrawn,
     };
     let body = PeerBody::ReportRollout(report);
     let reply = state.peers.request(hub, body, REPLY_TIMEOUT).await;
@@ -135,10 +139,14 @@
     if report.is_rolled_back {
         record.record_state(RolloutState::RolledBack);
     }
+    if report.is_withdrawn {
+        record.record_withdrawal();
+    }
     let progress = record.progress();
     let word = RolloutWord {
         state: progress.state,
         is_stored: progress.is_stored,
+        is_withdrawn: progress.is_withdrawn,
         elapsed_ms: progress.elapsed(record.clock.now()).as_millis(),
         ..progress.word.clone()
     };
@@ -154,8 +162,8 @@
     record.progress().reports.insert(vm, report);
 }
 
-/// Sums the reports of all VMs, as a hub, and updates what it tells them.
-pub(super) fn review_reports(state: &GatewayState, record: &RolloutRecord) -> RolloutFindings {
+/// Returns the sum of the reports of all VMs, as a hub, and updates what it tells them.
+pub(super) fn review_reports(state: &GatewayState, record: &RolloutRecord) -> RolloutSamples {
     let now = record.clock.now();
     let mut sum = RolloutSamples::default();
     let mut heard = 0;
@@ -167,6 +175,7 @@
     let word = RolloutWord {
         state: progress.state,
         is_stored: progress.is_stored,
+        is_withdrawn: progress.is_withdrawn,
         has_quorum: heard * 2 > state.roster.count().unwrap_or(1),
         elapsed_ms: progress.elapsed(now).as_millis(),
         sent: sum.sent_to_new(),
@@ -175,7 +184,15 @@
     };
     drop(progress);
     record.apply_word(word);
-    compare_rollout(&sum)
+    sum
+}
+
+/// Reports whether another VM has reported lately.
+pub(super) fn has_reports(record: &RolloutRecord) -> bool {
+    let now = record.clock.now();
+    let progress = record.progress();
+    let mut reports = progress.reports.values();
+    reports.any(|report| now.since(report.received_at) < REPORT_TTL)
 }
 
 fn to_millis(times: BTreeMap<String, ClockTime>) -> BTreeMap<String, u64> {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the operators' rollouts and collects this VM's samples on them.
 
+mod bake;
 mod exchange;
 mod probe;
 mod recent;
@@ -16,7 +17,7 @@
 use reserve::add_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
-use skylarkshed_policy::{select_version_rule, CanaryAllowance, VersionRule};
+use skylarkshed_policy::{CanaryAllowance, VersionRule};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
@@ -46,9 +47,8 @@
     /// Returns which versions of a service a request may be sent to if it isn't taken
     /// for the version under test.
     pub(crate) fn version_rule(&self, service: &ServiceName) -> VersionRule {
-        self.find(service).map_or(VersionRule::Any, |record| {
-            select_version_rule(&record.spec.to, record.state(), false)
-        })
+        let record = self.find(service);
+        record.map_or(VersionRule::Any, |record| record.version_rule(false))
     }
 
     /// Returns which versions the next attempt of a request may be sent to. Only the
@@ -64,7 +64,7 @@
         };
         let is_canary = is_first && record.take_canary(route);
         AttemptRule {
-            rule: select_version_rule(&record.spec.to, record.state(), is_canary),
+            rule: record.version_rule(is_canary),
             ticket: is_canary.then(|| CanaryTicket {
                 record: Some(record),
             }),
--- a/crates/gateway/src/rollouts/probe.rs
+++ b/crates/gateway/src/rollouts/probe.rs
@@ -3,7 +3,7 @@
 use super::recent::RecentSamples;
 use super::record::{OpenAttempt, RolloutRecord};
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, ServiceName, VersionName};
-use skylarkshed_policy::{RolloutState, VersionRule};
+use skylarkshed_policy::VersionRule;
 use std::sync::Arc;
 
 /// How often it is checked whether a first event is overdue.
@@ -156,7 +156,7 @@
         };
         match self.last_event_at {
             None => target.is_overdue(self.clock.now().since(self.sent_at)),
-            Some(_) => self.is_slow && target.record.state() == RolloutState::RolledBack,
+            Some(_) => self.is_slow && target.record.is_taken_back(),
         }
     }
 
@@ -237,9 +237,8 @@
     }
 
     fn is_overdue(&self, age: ClockTime) -> bool {
+        let is_judged = self.record.is_running() || self.record.is_taken_back();
         let progress = self.record.progress();
-        progress.state != RolloutState::Done
-            && self.is_timed
-            && progress.is_overdue(&self.route, age)
+        is_judged && self.is_timed && progress.is_overdue(&self.route, age)
     }
 }
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -3,7 +3,8 @@
 use super::exchange::RolloutWord;
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, RolloutSpec, VmName};
 use skylarkshed_policy::{
-    route_priority, CanaryAllowance, RolloutSamples, RolloutState, VersionSamples,
+    bake_slice_at, drop_old_bake_slices, route_priority, select_baking_rule, select_version_rule,
+    CanaryAllowance, RolloutSamples, RolloutState, VersionRule, VersionSamples,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::AtomicBool;
@@ -34,6 +35,12 @@
     pub(super) state: RolloutState,
     /// Whether the end is stored.
     pub(super) is_stored: bool,
+    /// When this VM learned that the rollout is done.
+    done_at: Option<ClockTime>,
+    /// Whether the version was found to be bad after the rollout was done.
+    pub(super) is_withdrawn: bool,
+    /// Whether another version has upstreams.
+    pub(super) has_alternative: bool,
     pub(super) samples: RolloutSamples,
     pub(super) allowance: CanaryAllowance,
     /// Whether the allowance lacks this VM's part of the reserve.
@@ -82,6 +89,9 @@
         let progress = RolloutProgress {
             state: RolloutState::Running,
             is_stored: false,
+            done_at: None,
+            is_withdrawn: false,
+            has_alternative: false,
             samples: RolloutSamples::new(before),
             allowance,
             needs_reserve: false,
@@ -121,6 +131,7 @@
         let is_new = progress.state == RolloutState::Running && state != progress.state;
         if is_new {
             progress.state = state;
+            progress.done_at = (state == RolloutState::Done).then(|| self.clock.now());
         }
         drop(progress);
         if is_new {
@@ -136,6 +147,51 @@
         is_new
     }
 
+    /// Withdraws a version after its rollout is done.
+    pub(super) fn record_withdrawal(&self) {
+        let mut progress = self.progress();
+        if progress.state != RolloutState::Done || progress.is_withdrawn {
+            return;
+        }
+        progress.is_withdrawn = true;
+        drop(progress);
+        log::warn!(
+            service:% = self.spec.service,
+            to:% = self.spec.to,
+            order = self.spec.revision,
+            elapsed_ms = self.elapsed().as_millis();
+            "version withdrawn"
+        );
+    }
+
+    /// Returns which versions a request may be sent to; `is_canary` tells whether it was
+    /// taken for the version under test.
+    pub(super) fn version_rule(&self, is_canary: bool) -> VersionRule {
+        let progress = self.progress();
+        match progress.state {
+            RolloutState::Done => select_baking_rule(&self.spec.to, progress.is_withdrawn),
+            state => select_version_rule(&self.spec.to, state, is_canary),
+        }
+    }
+
+    /// Reports whether slow streams of the new version should go on at another one.
+    pub(super) fn is_taken_back(&self) -> bool {
+        let progress = self.progress();
+        match progress.state {
+            RolloutState::Running => false,
+            RolloutState::RolledBack => true,
+            RolloutState::Done => progress.is_withdrawn && progress.has_alternative,
+        }
+    }
+
+    /// Drops the samples that the comparison after the end no longer needs.
+    pub(super) fn drop_old_samples(&self) {
+        let now = self.clock.now();
+        let mut progress = self.progress();
+        let current = bake_slice_at(progress.elapsed(now), self.spec.duration);
+        drop_old_bake_slices(&mut progress.samples, current);
+    }
+
     /// Returns the time since the rollout began.
     pub(super) fn elapsed(&self) -> ClockTime {
         self.progress().elapsed(self.clock.now())
@@ -165,7 +221,11 @@
 
     /// Returns the slice of a time on this VM's clock.
     pub(super) fn slice(&self, progress: &RolloutProgress, at: ClockTime) -> u64 {
-        RolloutSamples::slice_at(progress.elapsed(at), self.spec.duration)
+        let elapsed = progress.elapsed(at);
+        match progress.done_at.is_some_and(|done_at| at >= done_at) {
+            true => bake_slice_at(elapsed, self.spec.duration),
+            false => RolloutSamples::slice_at(elapsed, self.spec.duration),
+        }
     }
 
     /// Takes a request of a route for the new version, if it is allowed.
@@ -217,6 +277,8 @@
         let previous = previous.progress();
         let mut progress = self.progress();
         progress.state = previous.state;
+        progress.done_at = previous.done_at;
+        progress.is_withdrawn = previous.is_withdrawn;
         progress.samples = previous.samples.clone();
         progress.allowance = previous.allowance.clone();
         progress.needs_reserve = previous.needs_reserve;
@@ -226,6 +288,9 @@
     /// Applies the word of a hub.
     pub(super) fn apply_word(&self, word: RolloutWord) {
         self.record_state(word.state);
+        if word.is_withdrawn {
+            self.record_withdrawal();
+        }
         let now = self.clock.now();
         let mut progress = self.progress();
         progress.record_elapsed(now, ClockTime::from_millis(word.elapsed_ms));
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -1,6 +1,7 @@
-//! Watches one rollout until its end is stored.
+//! Watches one rollout: until its end is stored, and then for faults that appear later.
 
-use super::exchange::{find_hubs, record_report, report_to, review_reports};
+use super::bake::review_baking;
+use super::exchange::{find_hubs, has_reports, record_report, report_to, review_reports};
 use super::record::RolloutRecord;
 use super::reserve::add_reserve;
 use crate::gateway_state::GatewayState;
@@ -8,7 +9,8 @@
 use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
 use skylarkshed_core::{ClockTime, RolloutSpec};
 use skylarkshed_policy::{
-    compare_rollout, decide_rollout, finish_time, RolloutDecision, RolloutFindings, RolloutState,
+    compare_rollout, decide_rollout, finish_time, RolloutDecision, RolloutFindings, RolloutSamples,
+    RolloutState,
 };
 use std::sync::Weak;
 
@@ -29,7 +31,7 @@
     stored_at: Option<ClockTime>,
 }
 
-/// Watches a rollout until its end is stored.
+/// Watches a rollout until it is removed, or rolled back and its end is stored.
 pub(super) async fn watch_rollout<S: RoutingStore>(
     state: std::sync::Arc<GatewayState>,
     store: S,
@@ -40,9 +42,11 @@
         stored_at: None,
     };
     while let Some(record) = record.upgrade() {
-        watch.step(&state, &store, &record).await;
-        if record.progress().is_stored {
-            return;
+        let is_stored = record.progress().is_stored;
+        match (is_stored, record.state()) {
+            (true, RolloutState::RolledBack) => return,
+            (true, _) => watch.step_baking(&state, &record).await,
+            (false, _) => watch.step(&state, &store, &record).await,
         }
         let wait = next_step(&state, &record);
         drop(record);
@@ -62,13 +66,13 @@
 }
 
 impl RolloutWatch {
-    async fn step<S: RoutingStore>(
+    /// Reports to the hubs, and returns the samples that this VM judges by: those of all
+    /// VMs if it is a hub, its own ones if it hears no hub.
+    async fn exchange(
         &mut self,
         state: &GatewayState,
-        store: &S,
         record: &RolloutRecord,
-    ) {
-        add_reserve(state, record);
+    ) -> Option<RolloutSamples> {
         let (hubs, is_hub) = find_hubs(state, record);
         let samples = record.snapshot();
         let encoded = serde_json::to_string(&samples).unwrap_or_default();
@@ -81,16 +85,43 @@
             self.heard_at = now;
             record.apply_word(word);
         }
+        if is_hub {
+            record_report(record, state.settings.name.clone(), samples);
+            return Some(review_reports(state, record));
+        }
         let is_alone = now.since(self.heard_at) >= HUB_TIMEOUT;
-        let findings = match (is_hub, is_alone) {
-            (true, _) => {
-                record_report(record, state.settings.name.clone(), samples);
-                review_reports(state, record)
-            }
-            (false, true) => compare_rollout(&samples),
-            (false, false) => return,
+        is_alone.then_some(samples)
+    }
+
+    /// Watches a version after its rollout is done, without the store, for as long as
+    /// some VM knows an upstream of another version.
+    async fn step_baking(&mut self, state: &GatewayState, record: &RolloutRecord) {
+        let spec = &record.spec;
+        let has_alternative = state.upstreams.has_other_version(&spec.service, &spec.to);
+        record.progress().has_alternative = has_alternative;
+        record.drop_old_samples();
+        let is_known_elsewhere = has_reports(record);
+        let samples = match has_alternative {
+            true => self.exchange(state, record).await,
+            false => is_known_elsewhere.then(|| review_reports(state, record)),
+        };
+        if let Some(samples) = samples {
+            review_baking(record, &samples, has_alternative || is_known_elsewhere);
+        }
+    }
+
+    async fn step<S: RoutingStore>(
+        &mut self,
+        state: &GatewayState,
+        store: &S,
+        record: &RolloutRecord,
+    ) {
+        add_reserve(state, record);
+        let Some(samples) = self.exchange(state, record).await else {
+            return;
         };
-        let end = decide_end(record, &findings);
+        let now = state.clock.now();
+        let end = decide_end(record, &compare_rollout(&samples));
         let is_due = self
             .stored_at
             .is_none_or(|at| now.since(at) >= STORE_INTERVAL);
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -4,7 +4,8 @@
 use crate::settings::GatewayTimes;
 use arc_swap::ArcSwap;
 use skylarkshed_core::{
-    BootTimeClock, ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord, ZoneName,
+    BootTimeClock, ClockTime, MonotonicClock, ServiceName, UpstreamName, UpstreamRecord,
+    VersionName, ZoneName,
 };
 use skylarkshed_policy::{
     choose_candidate, deferred_until, PlacementQuery, RefusalRate, UpstreamCandidate,
@@ -307,6 +308,16 @@
         choose_candidate(&placement, &candidates).map(|index| states[index].clone())
     }
 
+    /// Reports whether a service has an upstream of another version that works normally.
+    pub(crate) fn has_other_version(&self, service: &ServiceName, version: &VersionName) -> bool {
+        let services = self.services.load();
+        let now = self.clock.now();
+        let mut states = services.get(service).into_iter().flatten();
+        states.any(|state| {
+            state.record.version != *version && state.health(now) == UpstreamHealth::Healthy
+        })
+    }
+
     /// Returns the time until the first upstream of a service accepts requests again,
     /// if all that don't leave have asked for no requests for a while.
     pub(crate) fn earliest_release(
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -94,6 +94,10 @@
     /// The samples of all requests that it has sent since the order, as JSON.
     #[prost(string, tag = "5")]
     pub samples: String,
+    /// Whether the VM knows that the version was withdrawn after the rollout was done.
+    /// Older builds don't send it.
+    #[prost(bool, tag = "6")]
+    pub is_withdrawn: bool,
 }
 
 /// Requests the change feed of a table of the platform's store.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,6 +60,7 @@
 mod rendezvous;
 mod retry_budget;
 mod rollout_allowance;
+mod rollout_bake;
 mod rollout_comparison;
 mod rollout_plan;
 mod rollout_samples;
@@ -106,6 +107,9 @@
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_allowance::{route_priority, CanaryAllowance, ExposureLimits, RoutePriority};
+pub use rollout_bake::{
+    bake_slice_at, compare_baking, drop_old_bake_slices, select_baking_rule, should_withdraw,
+};
 pub use rollout_comparison::{compare_rollout, overdue_times, slow_paces, RolloutFindings};
 pub use rollout_plan::{
     decide_rollout, finish_time, select_version_rule, RolloutDecision, RolloutState, VersionRule,
--- a/crates/policy/src/rollout_comparison.rs
+++ b/crates/policy/src/rollout_comparison.rs
@@ -29,10 +29,10 @@
 const SLOW_QUANTILE: f64 = 0.9;
 
 /// When the share of slow requests is too large.
-struct SlowLimit {
-    factor: f64,
+pub(crate) struct SlowLimit {
+    pub(crate) factor: f64,
     /// How much larger the share of slow requests may be.
-    margin: f64,
+    pub(crate) margin: f64,
 }
 
 /// Times that are a little longer have to be frequent, much longer ones rare.
@@ -81,7 +81,7 @@
         self.verdict != VersionVerdict::NoFault
     }
 
-    fn note(&mut self, verdict: VersionVerdict, strength: f64, threshold: f64) {
+    pub(crate) fn note(&mut self, verdict: VersionVerdict, strength: f64, threshold: f64) {
         if strength >= threshold && self.verdict == VersionVerdict::NoFault {
             self.verdict = verdict.clone();
         }
@@ -164,14 +164,14 @@
 }
 
 /// The requests of the old version that the new one is compared with.
-struct Reference {
+pub(crate) struct Reference {
     /// Those at the same time as the new version's, with those just before.
     routes: VersionSamples,
     sum: RouteSamples,
 }
 
 impl Reference {
-    fn new(old: &VersionSamples, before: &VersionSamples) -> Self {
+    pub(crate) fn new(old: &VersionSamples, before: &VersionSamples) -> Self {
         let mut routes = old.clone();
         for (route, samples) in &before.routes {
             let known = routes.route(route);
@@ -201,7 +201,7 @@
 
     /// Returns the old version's times on a route, or on the slowest route if it has
     /// too few.
-    fn times(
+    pub(crate) fn times(
         &self,
         route: &str,
         times: impl Fn(&RouteSamples) -> &TimeHistogram,
@@ -214,7 +214,7 @@
     }
 }
 
-fn compare_failures(
+pub(crate) fn compare_failures(
     reference: &Reference,
     new: &VersionSamples,
     threshold: f64,
@@ -266,7 +266,7 @@
     }
 }
 
-fn slow_evidence(limit: &SlowLimit, old: &TimeHistogram, new: &TimeHistogram) -> f64 {
+pub(crate) fn slow_evidence(limit: &SlowLimit, old: &TimeHistogram, new: &TimeHistogram) -> f64 {
     let bucket = old.quantile_bucket(SLOW_QUANTILE) + buckets_of_factor(limit.factor);
     let rate = upper_rate(old.count_above(bucket), old.total()) + limit.margin;
     log_mixture(rate, new.count_above(bucket), new.total())
--- a/crates/policy/src/rollout_samples.rs
+++ b/crates/policy/src/rollout_samples.rs
@@ -218,6 +218,20 @@
         sum
     }
 
+    /// Returns the sum of all samples of the slices before one.
+    pub(crate) fn until(&self, end: u64) -> VersionPair {
+        let mut sum = VersionPair::default();
+        self.slices
+            .range(..end)
+            .for_each(|(_, pair)| sum.merge(pair));
+        sum
+    }
+
+    /// Keeps the slices for which `is_kept` returns true.
+    pub(crate) fn retain_slices(&mut self, is_kept: impl Fn(u64) -> bool) {
+        self.slices.retain(|slice, _| is_kept(*slice));
+    }
+
     /// Returns the slices with samples of the new version.
     pub(crate) fn tested_slices(&self) -> impl Iterator<Item = u64> + '_ {
         let tested = self.slices.iter();
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod latency_estimator;
 mod placement;
 mod prefill_timeout;
+mod rollout_bake;
 mod rollouts;
 mod routes;
 mod store_eras;
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -106,6 +106,14 @@
         self.harness.store.put("op", ORDER_KEY, &order);
     }
 
+    /// Removes the entries of the old version's engines, as the platform does at `done`.
+    pub fn remove_old_version(&self) {
+        let engines = &self.harness.engines;
+        for engine in &engines[..engines.len() / 2] {
+            self.harness.store.remove("servers", &engine.name());
+        }
+    }
+
     /// Sets the fault of the new version; `None` mends it.
     pub fn set_fault(&self, fault: Option<&VersionFault>) {
         for engine in self.new_engines() {
@@ -246,6 +254,13 @@
         engines.map(|engine| engine.received_requests().len()).sum()
     }
 
+    /// Returns the number of requests that the old version has received at all.
+    pub fn old_request_count(&self) -> usize {
+        let all = self.harness.engines.iter();
+        let all: usize = all.map(|engine| engine.received_requests().len()).sum();
+        all - self.new_request_count()
+    }
+
     /// Returns the number of bad responses of the new version.
     pub fn bad_response_count(&self) -> usize {
         self.bad_response_times().len()
--- a/tests/testsuite/tests/gateway/rollout_faults.rs
+++ b/tests/testsuite/tests/gateway/rollout_faults.rs
@@ -72,6 +72,23 @@
     assert_eq!(late, 0, "requests too long after the 50th bad response");
 }
 
+/// More load makes a good version a little slower, which is no fault.
+#[tokio::test]
+async fn good_version_keeps_all_requests_after_its_completion() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.order(DURATION);
+    let load = start_two_routes(&trial, 32);
+    trial.assert_completed().await;
+    drop(load);
+    let before = trial.old_request_count();
+    let load = trial.start_load(0, 60.0);
+    while load.sent_count() < 600 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let old = trial.old_request_count() - before;
+    assert_eq!(old, 0, "requests to the old version");
+}
+
 /// The share alone is too little to judge a version by at a low rate of requests.
 #[tokio::test]
 async fn vm_that_is_not_listed_yet_uses_its_part_of_the_reserve_later() {
--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -114,6 +114,53 @@
     assert_eq!(sent, 0, "requests of the second VM to the bad version");
 }
 
+/// The other two VMs have seen no bad response; one of them is not a hub.
+#[tokio::test]
+async fn vms_without_the_store_learn_of_a_version_that_turns_bad_after_its_completion() {
+    let mut trial = RolloutTrial::start(3).await;
+    trial.order(DURATION);
+    let load = start_load(&trial, 3, 8.0);
+    trial.assert_completed().await;
+    drop(load);
+    // The other VMs learn of the end from the hubs.
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    trial.set_fault(Some(&FAILING));
+    let load = trial.start_load(0, 60.0);
+    wait_until_avoided(&trial, &load).await;
+    drop(load);
+    tokio::time::sleep(ROLLBACK_TIME).await;
+    let before = trial.new_request_count();
+    let load = [trial.start_load(1, 60.0), trial.start_load(2, 60.0)];
+    while load.iter().any(|load| load.sent_count() < 120) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let sent = trial.new_request_count() - before;
+    assert_eq!(sent, 0, "requests of the other VMs to the bad version");
+}
+
+/// A bad version is better than none.
+#[tokio::test]
+async fn withdrawn_version_serves_once_the_old_one_has_no_upstreams() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.order(DURATION);
+    let load = trial.start_load(0, 20.0);
+    trial.assert_completed().await;
+    drop(load);
+    trial.set_fault(Some(&FAILING));
+    let load = trial.start_load(0, 60.0);
+    wait_until_avoided(&trial, &load).await;
+    let before = trial.new_request_count();
+    trial.remove_old_version();
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    let sent = load.sent_count();
+    while load.sent_count() < sent + 60 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let received = trial.new_request_count() - before;
+    assert!(received >= 60, "{received} requests");
+}
+
 /// Waits until the new version has got some requests, but none of the last 120.
 async fn wait_until_avoided(trial: &RolloutTrial, load: &CallerLoad) {
     let mut last = (0, 0);
