Derive the times of the exchange on rollouts from rollback_ms

The users' settings name the time after which no VM may send to a bad version. The gateway did not read it: the lease of a VM, the time after which it is not heard and the one after which it acts without hubs were fixed for 5 s. On a deployment with a shorter time a VM that had lost the others went on testing a version for up to 4 s, and at 300 VMs a report each 1.6 s (up to 1.9 s with jitter) let the word of a bad version need more than 5 s.

`rollback_ms` is decoded with the other bounds. `RolloutTimes` derives the lease, the age of reports, the hub and reply timeouts and the longest report interval from it; at 5 s they are what they were, except for the interval of fleets of 200 and more VMs, which is at most 1 s.

--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -15,10 +15,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// The time for the round trip to a hub in another zone, and for a slow VM.
-const REPLY_TIMEOUT: ClockTime = ClockTime::from_millis(600);
-/// A VM that has not reported for this time is not heard.
-const REPORT_TTL: ClockTime = ClockTime::from_millis(2_000);
 /// The number of hubs of a rollout.
 const MAX_HUBS: usize = 2;
 
@@ -107,7 +103,8 @@
         is_withdrawn: record.progress().is_withdrawn,
     };
     let body = PeerBody::ReportRollout(report);
-    let reply = state.peers.request(hub, body, REPLY_TIMEOUT).await;
+    let timeout = record.times.reply_timeout;
+    let reply = state.peers.request(hub, body, timeout).await;
     match reply {
         Ok(PeerBody::RolloutWord(word)) => parse_word(&word),
         // It has not read the order yet.
@@ -170,7 +167,7 @@
     let progress = record.progress();
     for report in progress.reports.values() {
         sum.merge(&report.samples);
-        heard += usize::from(now.since(report.received_at) < REPORT_TTL);
+        heard += usize::from(now.since(report.received_at) < record.times.report_ttl);
     }
     let word = RolloutWord {
         state: progress.state,
@@ -192,7 +189,7 @@
     let now = record.clock.now();
     let progress = record.progress();
     let mut reports = progress.reports.values();
-    reports.any(|report| now.since(report.received_at) < REPORT_TTL)
+    reports.any(|report| now.since(report.received_at) < record.times.report_ttl)
 }
 
 fn to_millis(times: BTreeMap<String, ClockTime>) -> BTreeMap<String, u64> {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -17,7 +17,7 @@
 use reserve::add_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
-use skylarkshed_policy::{CanaryAllowance, VersionRule};
+use skylarkshed_policy::{CanaryAllowance, RolloutTimes, VersionRule};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
@@ -127,8 +127,9 @@
             return;
         }
         let before = self.recent.of_service(&spec.service, self.clock.now());
+        let times = RolloutTimes::new(state.settings.times.rollback);
         let allowance = CanaryAllowance::without_reserve(state.settings.exposure);
-        let record = RolloutRecord::new(spec, self.clock, allowance, before);
+        let record = RolloutRecord::new(spec, self.clock, times, allowance, before);
         // A VM that was restarted may have used its part of the reserve before.
         record.progress().needs_reserve = !is_initial;
         add_reserve(state, &record);
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -4,17 +4,13 @@
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, RolloutSpec, VmName};
 use skylarkshed_policy::{
     bake_slice_at, drop_old_bake_slices, route_priority, select_baking_rule, select_version_rule,
-    CanaryAllowance, RolloutSamples, RolloutState, VersionRule, VersionSamples,
+    CanaryAllowance, RolloutSamples, RolloutState, RolloutTimes, VersionRule, VersionSamples,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use tokio::task::AbortHandle;
 
-/// How long requests may be sent to the new version after a hub reported that it hears
-/// from most VMs. A bad version must get none 5 s after it was seen to be bad.
-const LEASE: ClockTime = ClockTime::from_millis(2_000);
-
 /// An attempt without a first event.
 #[derive(Debug)]
 pub(super) struct OpenAttempt {
@@ -63,6 +59,7 @@
 pub(super) struct RolloutRecord {
     pub(super) spec: RolloutSpec,
     pub(super) clock: MonotonicClock,
+    pub(super) times: RolloutTimes,
     progress: Mutex<RolloutProgress>,
     pub(super) task: Mutex<Option<AbortHandle>>,
     /// Whether the store has returned from an older copy. The operators then write the
@@ -83,6 +80,7 @@
     pub(super) fn new(
         spec: RolloutSpec,
         clock: MonotonicClock,
+        times: RolloutTimes,
         allowance: CanaryAllowance,
         before: VersionSamples,
     ) -> Self {
@@ -106,6 +104,7 @@
         RolloutRecord {
             spec,
             clock,
+            times,
             progress: Mutex::new(progress),
             task: Mutex::default(),
             is_restored: AtomicBool::new(false),
@@ -295,7 +294,7 @@
         let mut progress = self.progress();
         progress.record_elapsed(now, ClockTime::from_millis(word.elapsed_ms));
         if word.has_quorum {
-            progress.lease_until = now + LEASE;
+            progress.lease_until = now + self.times.lease;
         }
         progress.is_stored |= word.is_stored && word.state == progress.state;
         progress.word = word;
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -14,16 +14,8 @@
 };
 use std::sync::Weak;
 
-/// How often VMs report to the hubs: several times within the 5 s in which a bad version
-/// has to be rolled back.
-const REPORT_INTERVAL: ClockTime = ClockTime::from_millis(400);
 /// How often a hub reads the stored state. Each read is a billed call.
 const STORE_INTERVAL: ClockTime = ClockTime::from_millis(1_600);
-/// The number of VMs that report once per interval. A larger fleet reports less often,
-/// so that a hub is not overloaded.
-const VMS_PER_INTERVAL: u64 = 100;
-/// A VM without a word from a hub for this time uses the store itself.
-const HUB_TIMEOUT: ClockTime = ClockTime::from_millis(2_500);
 
 /// A VM's view of a rollout between two steps.
 struct RolloutWatch {
@@ -56,9 +48,8 @@
 
 /// Returns the time to the next step, which is not later than the end of the rollout.
 fn next_step(state: &GatewayState, record: &RolloutRecord) -> ClockTime {
-    let vms = state.roster.count().unwrap_or(1) as u64;
-    let interval_ms = REPORT_INTERVAL.as_millis() * (1 + vms / VMS_PER_INTERVAL);
-    let interval = add_jitter(ClockTime::from_millis(interval_ms));
+    let vms = state.roster.count().unwrap_or(1);
+    let interval = add_jitter(record.times.report_interval(vms));
     match finish_time(&record.spec).since(record.elapsed()) {
         ClockTime::ZERO => interval,
         left => interval.min(left),
@@ -89,7 +80,7 @@
             record_report(record, state.settings.name.clone(), samples);
             return Some(review_reports(state, record));
         }
-        let is_alone = now.since(self.heard_at) >= HUB_TIMEOUT;
+        let is_alone = now.since(self.heard_at) >= record.times.hub_timeout;
         is_alone.then_some(samples)
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,8 @@
     pub lapse: ClockTime,
     /// How long the store takes to remove the entry of an upstream that no longer exists.
     pub silence: ClockTime,
+    /// How long requests may be sent to a version after it was seen to be bad.
+    pub rollback: ClockTime,
 }
 
 /// The settings of a gateway process. The `check` command prints the field names.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -64,6 +64,7 @@
 mod rollout_comparison;
 mod rollout_plan;
 mod rollout_samples;
+mod rollout_times;
 mod route_table;
 mod routing;
 mod stream_recovery;
@@ -117,6 +118,7 @@
 pub use rollout_samples::{
     RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples, ROLLOUT_SLICES,
 };
+pub use rollout_times::RolloutTimes;
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::io::BufReader;
 use tokio::process::{Child, ChildStdout};
 
@@ -32,6 +33,7 @@
     max_files: Option<u64>,
     retry_ratio: f64,
     retry_slack: u64,
+    rollback_time: Duration,
 }
 
 impl Default for HarnessBuilder {
@@ -45,6 +47,7 @@
             max_files: None,
             retry_ratio: 0.8,
             retry_slack: 150,
+            rollback_time: ROLLBACK_TIME,
         }
     }
 }
@@ -81,6 +84,12 @@
         self
     }
 
+    /// Sets the time within which no VM sends to a version after its 50th bad response.
+    pub fn rollback_time(mut self, time: Duration) -> Self {
+        self.rollback_time = time;
+        self
+    }
+
     /// Limits the files that the process may have open, connections included.
     pub fn max_files(mut self, count: u64) -> Self {
         self.max_files = Some(count);
@@ -158,7 +167,7 @@
             seeds: seeds.to_vec(),
             retry_budget: (self.retry_ratio, self.retry_slack),
             exposure: (EXPOSURE_SHARE, EXPOSURE_SLACK),
-            rollback_ms: ROLLBACK_TIME.as_millis(),
+            rollback_ms: self.rollback_time.as_millis(),
             ..GatewayFile::new(name, store)
         };
         file.render()
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -56,8 +56,17 @@
 
     /// Starts `vms` VMs with this many engines of each version.
     pub async fn start_with_engines(vms: usize, of_each_version: usize) -> Self {
-        let builder = HarnessBuilder::default().applications(0);
-        let builder = builder.engines(2 * of_each_version);
+        Self::start_with(HarnessBuilder::default(), vms, of_each_version).await
+    }
+
+    /// Starts `vms` VMs, the first of them with this time to roll back.
+    pub async fn start_with_rollback_time(vms: usize, time: Duration) -> Self {
+        let builder = HarnessBuilder::default().rollback_time(time);
+        Self::start_with(builder, vms, ENGINES_OF_EACH_VERSION).await
+    }
+
+    async fn start_with(builder: HarnessBuilder, vms: usize, of_each_version: usize) -> Self {
+        let builder = builder.applications(0).engines(2 * of_each_version);
         let harness = builder.start().await;
         let mut config = harness.next_config();
         allow_all_to_write(&mut config);
--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -139,6 +139,27 @@
     assert_eq!(sent, 0, "requests of the other VMs to the bad version");
 }
 
+/// It can't learn that the version is bad. A setting of three seconds, as for the other
+/// tests, would let it send for longer.
+#[tokio::test]
+async fn vm_that_hears_no_other_stops_testing_within_a_short_rollback_time() {
+    let rollback_time = Duration::from_secs(1);
+    let mut trial = RolloutTrial::start_with_rollback_time(3, rollback_time).await;
+    trial.order(Duration::from_secs(30));
+    let _load = trial.start_load(0, 60.0);
+    trial.wait_for_state("running").await;
+    while trial.new_request_count() < 5 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    trial.kill(1).await;
+    trial.kill(2).await;
+    tokio::time::sleep(rollback_time).await;
+    let before = trial.new_request_count();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let sent = trial.new_request_count() - before;
+    assert_eq!(sent, 0, "requests to a version that may be bad");
+}
+
 /// A bad version is better than none.
 #[tokio::test]
 async fn withdrawn_version_serves_once_the_old_one_has_no_upstreams() {
