--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,9 +60,11 @@
 mod rendezvous;
 mod retry_budget;
 mod rollout_allowance;
+mod rollout_bake;
 mod rollout_comparison;
 mod rollout_plan;
 mod rollout_samples;
+mod rollout_times;
 mod route_table;
 mod routing;
 mod stream_recovery;
@@ -106,6 +108,9 @@
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_allowance::{route_priority, CanaryAllowance, ExposureLimits, RoutePriority};
+pub use rollout_bake::{
+    bake_slice_at, compare_baking, drop_old_bake_slices, select_baking_rule, should_withdraw,
+};
 pub use rollout_comparison::{compare_rollout, overdue_times, slow_paces, RolloutFindings};
 pub use rollout_plan::{
     decide_rollout, finish_time, select_version_rule, RolloutDecision, RolloutState, VersionRule,
@@ -113,6 +118,7 @@
 pub use rollout_samples::{
     RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples, ROLLOUT_SLICES,
 };
+pub use rollout_times::RolloutTimes;
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use stream_recovery::{
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -56,8 +56,17 @@
 
     /// Starts `vms` VMs with this many engines of each version.
     pub async fn start_with_engines(vms: usize, of_each_version: usize) -> Self {
-        let builder = HarnessBuilder::default().applications(0);
-        let builder = builder.engines(2 * of_each_version);
+        Self::start_with(HarnessBuilder::default(), vms, of_each_version).await
+    }
+
+    /// Starts `vms` VMs, the first of them with this time to roll back.
+    pub async fn start_with_rollback_time(vms: usize, time: Duration) -> Self {
+        let builder = HarnessBuilder::default().rollback_time(time);
+        Self::start_with(builder, vms, ENGINES_OF_EACH_VERSION).await
+    }
+
+    async fn start_with(builder: HarnessBuilder, vms: usize, of_each_version: usize) -> Self {
+        let builder = builder.applications(0).engines(2 * of_each_version);
         let harness = builder.start().await;
         let mut config = harness.next_config();
         allow_all_to_write(&mut config);
@@ -106,6 +115,14 @@
         self.harness.store.put("op", ORDER_KEY, &order);
     }
 
+    /// Removes the entries of the old version's engines, as the platform does at `done`.
+    pub fn remove_old_version(&self) {
+        let engines = &self.harness.engines;
+        for engine in &engines[..engines.len() / 2] {
+            self.harness.store.remove("servers", &engine.name());
+        }
+    }
+
     /// Sets the fault of the new version; `None` mends it.
     pub fn set_fault(&self, fault: Option<&VersionFault>) {
         for engine in self.new_engines() {
@@ -246,6 +263,13 @@
         engines.map(|engine| engine.received_requests().len()).sum()
     }
 
+    /// Returns the number of requests that the old version has received at all.
+    pub fn old_request_count(&self) -> usize {
+        let all = self.harness.engines.iter();
+        let all: usize = all.map(|engine| engine.received_requests().len()).sum();
+        all - self.new_request_count()
+    }
+
     /// Returns the number of bad responses of the new version.
     pub fn bad_response_count(&self) -> usize {
         self.bad_response_times().len()
