Let a slow call go on while another upstream is tried

A lookup that had taken longer than usual was cancelled and sent to another upstream. If that one refused, the caller got 504 or 502 at once, although the first upstream was sound and would have answered: with `attempts = 2`, an upstream that takes 600 ms and another that refuses, after 0.17 s of 1 s.

Cause: the attempt was dropped before it was known whether the other upstream takes the call. Ruled out: to connect first, as an accepted connection does not tell that the call is accepted; to wait longer, as a hanging upstream is then noticed later.

The first attempt now goes on beside the second, within `attempts` and the retry budget as before. The first answer is used and the others are dropped, which stops their upstreams' work. An upstream that was slow stays suspect also if it answers. If the second one fails, the call waits for the first until the deadline, as it does where no other upstream is left.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,20 +1,24 @@
 //! Forwards an application call to an upstream, and retries it at others if it
 //! may be retried.
+//!
+//! An attempt that is slow goes on while another upstream is tried, because that one may
+//! refuse. The first answer is used, and the other attempts are dropped.
 
-use crate::caller_response::{CallerResponse, ResponseBody};
+use crate::call_attempt::{
+    run_attempt, to_caller_response, AttemptOutcome, EndedAttempt, OpenAttempt,
+};
+use crate::caller_response::CallerResponse;
 use crate::counters;
-use crate::exchange::{send, CallerRequest, SendError, UpstreamResponse};
+use crate::exchange::CallerRequest;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
 use crate::platform_api::WireProtocol;
 use crate::refusal::{fail, refuse, FailureReason, NotRunReason, RunTracker};
 use crate::rollouts::{AttemptInfo, AttemptProbe, CanaryTicket};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
-use bytes::Bytes;
-use http::{response, Response};
+use futures::stream::{FuturesUnordered, StreamExt};
 use skylarkshed_core::{ClockTime, UpstreamName};
 use skylarkshed_policy::{is_worth_attempt, outage_delay, UpstreamHealth, VersionRule};
 use std::future::Future;
-use std::pin::{pin, Pin};
 use std::sync::Arc;
 
 /// How many upstreams may refuse a connection before the call is refused.
@@ -23,30 +27,12 @@
 /// become free.
 const RETRY_AFTER: ClockTime = ClockTime::from_millis(40);
 
-/// The outcome of one attempt.
-enum AttemptOutcome {
-    /// A response for the caller.
-    Response(response::Parts, Bytes),
-    /// An error response of the upstream; another upstream may succeed.
-    UpstreamError(response::Parts, Bytes),
-    /// Nothing was sent.
-    Unsent,
-    /// The upstream reports that it did not run the call.
-    NotRun,
-    /// The call may have run.
-    Failed(FailureReason),
-}
-
-impl AttemptOutcome {
-    const fn label(&self) -> &'static str {
-        match self {
-            AttemptOutcome::Response(..) => "answer",
-            AttemptOutcome::UpstreamError(..) => "upstream_error",
-            AttemptOutcome::Unsent => "unsent",
-            AttemptOutcome::NotRun => "not_run",
-            AttemptOutcome::Failed(reason) => reason.label(),
-        }
-    }
+/// What is done next for a call.
+enum NextStep {
+    Respond(CallerResponse),
+    Retry,
+    /// Wait for the attempts that have not ended.
+    Wait,
 }
 
 /// The attempts to serve one call.
@@ -56,8 +42,13 @@
     request: &'a CallerRequest,
     run_tracker: RunTracker,
     tried: Vec<UpstreamName>,
+    /// How many upstreams may have received the call, without `current`.
     sends: u32,
     unsent: usize,
+    /// The last attempt, until it ends or is slow.
+    current: Option<OpenAttempt>,
+    /// Whether the current attempt is slow and no other upstream is left.
+    is_slow_alone: bool,
     /// Which versions the next attempt may be sent to.
     version_rule: VersionRule,
     /// The permission to send it to the version under test.
@@ -83,20 +74,26 @@
         tried: Vec::new(),
         sends: 0,
         unsent: 0,
+        current: None,
+        is_slow_alone: false,
         version_rule: VersionRule::Any,
         ticket: None,
         is_retry_reserved: false,
         fallback: None,
     };
+    let mut open = FuturesUnordered::new();
     loop {
         attempts.update_version_rule();
         let upstream = attempts.next_upstream();
-        let Some(upstream) = upstream.filter(|upstream| attempts.is_worth_attempt(upstream)) else {
-            return attempts.finish_unserved(NotRunReason::NoUpstream);
-        };
-        let outcome = attempts.send_to::<P>(&upstream).await;
-        attempts.record_outcome(&upstream, &outcome);
-        if let Some(response) = attempts.handle_outcome(outcome) {
+        match upstream.filter(|upstream| attempts.is_worth_attempt(upstream)) {
+            Some(upstream) => {
+                let (attempt, probe) = attempts.start(upstream);
+                open.push(run_attempt::<P>(state, request, attempt, probe));
+            }
+            None if open.is_empty() => return attempts.finish_unserved(NotRunReason::NoUpstream),
+            None => {}
+        }
+        if let Some(response) = attempts.wait_for(&mut open).await {
             return response;
         }
     }
@@ -143,56 +140,84 @@
         is_worth_attempt(health, self.unsent, elapsed, request.route.target_latency)
     }
 
-    async fn send_to<P: WireProtocol>(&mut self, upstream: &UpstreamState) -> AttemptOutcome {
-        self.tried.push(upstream.name().clone());
-        let mut probe = self.observe(upstream);
-        let started = self.state.clock.now();
-        let options = self.request.send_options(upstream);
-        let (state, request) = (self.state, self.request);
-        let exchange = async {
-            let mut response = send::<P>(state, request, upstream, &options).await?;
-            let body = response.collect().await?;
-            Ok((response, body))
+    fn start(&mut self, upstream: Arc<UpstreamState>) -> (OpenAttempt, AttemptProbe) {
+        let probe = self.observe(&upstream);
+        let attempt = OpenAttempt {
+            number: self.tried.len(),
+            upstream,
+            started: self.state.clock.now(),
         };
-        let result = self.wait_for(pin!(exchange)).await;
-        match result {
-            Some(Ok((response, body))) => {
-                let outcome = classify_response(upstream, response, body);
-                if matches!(outcome, AttemptOutcome::Response(..)) {
-                    let time = self.state.clock.now().since(started);
-                    self.traffic.latency.record(time);
-                    probe.record_event();
-                }
-                outcome
-            }
-            Some(Err(SendError::Unsent)) => AttemptOutcome::Unsent,
-            Some(Err(SendError::Broken)) => {
-                upstream.mark_suspect(self.state.clock.now());
-                AttemptOutcome::Failed(match request.deadline.is_expired() {
-                    true => FailureReason::Timeout,
-                    false => FailureReason::UpstreamBroke,
-                })
-            }
-            None => {
-                upstream.mark_suspect(self.state.clock.now());
-                AttemptOutcome::Failed(FailureReason::Timeout)
+        self.tried.push(attempt.upstream.name().clone());
+        self.current = Some(attempt.clone());
+        self.is_slow_alone = false;
+        (attempt, probe)
+    }
+
+    /// Waits for open attempts; returns the response, or none if the call is retried.
+    async fn wait_for<F>(&mut self, open: &mut FuturesUnordered<F>) -> Option<CallerResponse>
+    where
+        F: Future<Output = EndedAttempt>,
+    {
+        loop {
+            let deadline = &self.request.deadline;
+            let limit = self.time_until_slow().min(deadline.remaining());
+            let next = tokio::select! {
+                biased;
+                Some(ended) = open.next() => self.handle_end(ended, open.is_empty()),
+                () = tokio::time::sleep(limit.to_duration()) => match deadline.is_expired() {
+                    true => NextStep::Respond(self.expire()),
+                    false => self.handle_slowness(),
+                },
+            };
+            match next {
+                NextStep::Respond(response) => return Some(response),
+                NextStep::Retry => return None,
+                NextStep::Wait => {}
             }
         }
     }
 
-    /// Waits for an attempt until the deadline, or only until its timeout if the
-    /// call can be retried at another upstream.
-    async fn wait_for<F: Future>(&mut self, mut exchange: Pin<&mut F>) -> Option<F::Output> {
-        let request = self.request;
-        let (deadline, route) = (&request.deadline, &request.route);
-        if route.kind.is_retryable() && self.sends + 1 < route.max_attempts {
-            let timeout = self.traffic.latency.attempt_timeout(route.target_latency);
-            let result = deadline.run_within(timeout, exchange.as_mut()).await;
-            if result.is_some() || self.can_retry_elsewhere() {
-                return result;
+    /// Returns the time after which the call may be retried beside the current attempt.
+    fn time_until_slow(&self) -> ClockTime {
+        let route = &self.request.route;
+        let may_retry = route.kind.is_retryable() && self.sends + 1 < route.max_attempts;
+        match &self.current {
+            Some(current) if may_retry && !self.is_slow_alone => {
+                let timeout = self.traffic.latency.attempt_timeout(route.target_latency);
+                timeout.since(self.state.clock.now().since(current.started))
             }
+            _ => ClockTime::NEVER,
+        }
+    }
+
+    /// Lets the current attempt, which is slow, go on beside another one.
+    fn handle_slowness(&mut self) -> NextStep {
+        if self.current.is_none() || !self.can_retry_elsewhere() {
+            self.is_slow_alone = true;
+            return NextStep::Wait;
         }
-        deadline.run_within(ClockTime::NEVER, exchange).await
+        self.count_as_failed(FailureReason::Timeout);
+        self.is_retry_reserved = false;
+        counters::count_retry(FailureReason::Timeout.label());
+        NextStep::Retry
+    }
+
+    /// Ends the call at its deadline.
+    fn expire(&mut self) -> CallerResponse {
+        self.count_as_failed(FailureReason::Timeout);
+        self.finish_unserved(NotRunReason::UpstreamsBusy)
+    }
+
+    /// Counts the current attempt as failed, although its upstream may still respond.
+    fn count_as_failed(&mut self, reason: FailureReason) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        current.upstream.mark_suspect(self.state.clock.now());
+        self.record_outcome(&current.upstream, &AttemptOutcome::Failed(reason));
+        self.sends += 1;
+        self.run_tracker.mark_may_have_run();
+        self.fallback = Some(fail(reason));
     }
 
     /// Reports whether another healthy upstream is left and the budget allows a
@@ -211,39 +236,71 @@
         self.is_retry_reserved
     }
 
-    /// Handles the outcome of an attempt; returns the response, or none if the call is
-    /// retried.
-    fn handle_outcome(&mut self, outcome: AttemptOutcome) -> Option<CallerResponse> {
+    /// Handles the end of an attempt; `is_last` tells that no other one is open.
+    fn handle_end(&mut self, ended: EndedAttempt, is_last: bool) -> NextStep {
+        let EndedAttempt { attempt, outcome } = ended;
+        let is_current = self.take_current(attempt.number);
         let label = outcome.label();
-        let is_retryable = self.request.route.kind.is_retryable();
+        let is_unsent = matches!(outcome, AttemptOutcome::Unsent);
+        match is_current {
+            true => self.record_outcome(&attempt.upstream, &outcome),
+            // It was counted when it was slow.
+            false => self.log_outcome(&attempt.upstream, &outcome),
+        }
         match outcome {
-            AttemptOutcome::Response(parts, body) => return Some(to_caller_response(parts, body)),
+            AttemptOutcome::Response(parts, body) => {
+                let time = self.state.clock.now().since(attempt.started);
+                if parts.status.is_success() && is_current {
+                    attempt.upstream.mark_healthy();
+                }
+                self.traffic.latency.record(time);
+                return NextStep::Respond(to_caller_response(parts, body));
+            }
             AttemptOutcome::UpstreamError(parts, body) => {
-                self.sends += 1;
                 self.run_tracker.mark_may_have_run();
                 self.fallback = Some(to_caller_response(parts, body));
             }
             AttemptOutcome::Failed(reason) => {
-                self.sends += 1;
                 self.run_tracker.mark_may_have_run();
                 self.fallback = Some(fail(reason));
             }
             // The fallback of an earlier attempt stays valid.
-            AttemptOutcome::NotRun => self.sends += 1,
-            AttemptOutcome::Unsent => self.unsent += 1,
+            AttemptOutcome::NotRun | AttemptOutcome::Unsent => {}
         }
-        let can_retry = is_retryable || !self.run_tracker.may_have_run();
-        let has_attempts_left =
-            self.sends < self.request.route.max_attempts && self.unsent < MAX_UNSENT;
-        if !can_retry || !has_attempts_left || self.request.deadline.is_expired() {
-            return Some(self.finish_unserved(NotRunReason::UpstreamsBusy));
+        match (is_current, is_unsent) {
+            (true, true) => self.unsent += 1,
+            (true, false) => self.sends += 1,
+            (false, _) if !is_last => return NextStep::Wait,
+            (false, _) => {}
         }
-        if self.sends > 0 && !self.reserve_retry() {
-            return Some(self.finish_unserved(NotRunReason::RetryBudget));
+        self.retry_or_finish(label, is_last)
+    }
+
+    /// Takes the current attempt if it has this number; reports whether it has.
+    fn take_current(&mut self, number: usize) -> bool {
+        let is_current = |current: &mut OpenAttempt| current.number == number;
+        self.current.take_if(is_current).is_some()
+    }
+
+    /// Retries the call after a failed attempt, if that is allowed.
+    fn retry_or_finish(&mut self, label: &'static str, is_last: bool) -> NextStep {
+        let request = self.request;
+        let can_retry = request.route.kind.is_retryable() || !self.run_tracker.may_have_run();
+        let has_attempts_left = self.sends < request.route.max_attempts && self.unsent < MAX_UNSENT;
+        let reason = match can_retry && has_attempts_left && !request.deadline.is_expired() {
+            false => Some(NotRunReason::UpstreamsBusy),
+            true if self.sends > 0 && !self.reserve_retry() => Some(NotRunReason::RetryBudget),
+            true => None,
+        };
+        match reason {
+            None => {
+                self.is_retry_reserved = false;
+                counters::count_retry(label);
+                NextStep::Retry
+            }
+            Some(reason) if is_last => NextStep::Respond(self.finish_unserved(reason)),
+            Some(_) => NextStep::Wait,
         }
-        self.is_retry_reserved = false;
-        counters::count_retry(label);
-        None
     }
 
     /// Ends the call without a success.
@@ -276,13 +333,8 @@
 
     /// Logs the outcome of an attempt and counts it for its upstream's version.
     fn record_outcome(&self, upstream: &UpstreamState, outcome: &AttemptOutcome) {
-        let elapsed = self.request.deadline.elapsed();
-        let is_failure = matches!(
-            outcome,
-            AttemptOutcome::UpstreamError(..) | AttemptOutcome::Failed(_)
-        );
-        if is_failure {
-            let request = self.request;
+        let request = self.request;
+        if outcome.is_failure() {
             self.state.rollouts.record_failure(
                 &request.service,
                 &upstream.record.version,
@@ -290,46 +342,21 @@
                 request.customer.as_ref(),
             );
         }
-        if !matches!(outcome, AttemptOutcome::Response(..)) {
-            log::info!(
-                request = self.request.id(),
-                upstream:% = upstream.name(),
-                zone:% = upstream.record.zone,
-                cause = outcome.label(),
-                sends = self.sends,
-                after_ms = elapsed.as_millis();
-                "attempt failed"
-            );
-        }
+        self.log_outcome(upstream, outcome);
     }
-}
 
-/// Classifies a complete response.
-fn classify_response(
-    upstream: &UpstreamState,
-    response: UpstreamResponse,
-    body: Bytes,
-) -> AttemptOutcome {
-    if response.head.is_not_run || response.head.is_misdirected {
-        return AttemptOutcome::NotRun;
-    }
-    if response.is_success() {
-        upstream.mark_healthy();
-        return AttemptOutcome::Response(response.parts, body);
-    }
-    let status = response.parts.status;
-    // An unsigned failure does not come from the upstream, and an unsigned success
-    // must not be forwarded.
-    if !response.head.is_signed || status.is_success() {
-        counters::count_bad_response("unsigned");
-        return AttemptOutcome::Failed(FailureReason::BadResponse);
-    }
-    match status.is_server_error() {
-        true => AttemptOutcome::UpstreamError(response.parts, body),
-        false => AttemptOutcome::Response(response.parts, body),
+    fn log_outcome(&self, upstream: &UpstreamState, outcome: &AttemptOutcome) {
+        if matches!(outcome, AttemptOutcome::Response(..)) {
+            return;
+        }
+        log::info!(
+            request = self.request.id(),
+            upstream:% = upstream.name(),
+            zone:% = upstream.record.zone,
+            cause = outcome.label(),
+            sends = self.sends,
+            after_ms = self.request.deadline.elapsed().as_millis();
+            "attempt failed"
+        );
     }
 }
-
-fn to_caller_response(parts: response::Parts, body: Bytes) -> CallerResponse {
-    Response::from_parts(parts, ResponseBody::complete(body))
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! platform, which implements [`WireProtocol`] and [`RoutingStore`].
 
 mod call;
+mod call_attempt;
 mod caller;
 mod caller_response;
 mod config_state;
--- a/tests/testsuite/tests/gateway/retries.rs
+++ b/tests/testsuite/tests/gateway/retries.rs
@@ -4,7 +4,13 @@
 use rstest::rstest;
 use skylarkshed_stand_ins::ScriptedResponse;
 use skylarkshed_testsuite::HarnessBuilder;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// Longer than the time after which a lookup is tried at another upstream.
+const SLOW: Duration = Duration::from_millis(600);
+/// The timeout of the route for lookups.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+const SHORT: Duration = Duration::from_millis(150);
 
 #[rstest]
 #[case::reset(ScriptedResponse::Reset, 502)]
@@ -170,3 +176,65 @@
     assert_eq!(broken.received_requests().len(), 1);
     assert_eq!(sound.received_requests().len(), 1);
 }
+
+/// Guards against a lookup that leaves a slow upstream for one that then refuses, and fails
+/// although the first could have answered.
+#[rstest]
+#[case::not_run(ScriptedResponse::NotExecuted)]
+#[case::reset(ScriptedResponse::Reset)]
+#[case::unsigned(ScriptedResponse::Unsigned)]
+#[tokio::test]
+async fn slow_lookup_is_answered_although_the_other_upstream_refuses(
+    #[case] refusal: ScriptedResponse,
+) {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    harness.applications[0].set_default_response(ScriptedResponse::Status {
+        status: 200,
+        delay: SLOW,
+    });
+    harness.applications[1].set_default_response(refusal);
+    let response = harness.send_request("GET", "/find/7", "").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(harness.application_request_count(), 2);
+}
+
+#[tokio::test]
+async fn slow_lookup_is_answered_although_no_other_upstream_can_be_reached() {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    harness.applications[0].set_default_response(ScriptedResponse::Status {
+        status: 200,
+        delay: SLOW,
+    });
+    harness.applications[1].stop();
+    let response = harness.send_request("GET", "/find/7", "").await;
+    assert_eq!(response.status, 200);
+}
+
+/// The slow upstream fails first, while the other one is at work.
+#[tokio::test]
+async fn lookup_is_answered_by_the_second_upstream_after_the_first_has_failed() {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    harness.applications[0].set_default_response(ScriptedResponse::Status {
+        status: 500,
+        delay: SLOW / 2,
+    });
+    harness.applications[1].set_default_response(ScriptedResponse::Status {
+        status: 200,
+        delay: SLOW / 2,
+    });
+    let response = harness.send_request("GET", "/find/7", "").await;
+    assert_eq!(response.status, 200);
+    assert_eq!(harness.application_request_count(), 2);
+}
+
+#[tokio::test]
+async fn lookup_that_no_upstream_answers_ends_at_its_deadline() {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    harness.applications[0].set_default_response(ScriptedResponse::NoResponse);
+    harness.applications[1].set_default_response(ScriptedResponse::NotExecuted);
+    let started = Instant::now();
+    let response = harness.send_request("GET", "/find/7", "").await;
+    assert_eq!(response.status, 504);
+    let elapsed = started.elapsed();
+    assert!(elapsed < ROUTE_TIMEOUT + 2 * SHORT, "{elapsed:?}");
+}
