Report what the soak's rollouts saw, and judge calm ones strictly

The report gives the bad and all requests of each new version, and the output its fault. A version that is bad from its start may no longer be completed without an unplanned disturbance, however few its bad responses are; before, 50 were needed.

--- a/crates/soak/src/checks/rollouts.rs
+++ b/crates/soak/src/checks/rollouts.rs
@@ -140,7 +140,8 @@
 }
 
 /// A version that gave many bad responses from its start is not completed. Without
-/// unplanned disturbances, a rollout ends in time, and a good version is completed.
+/// unplanned disturbances, a rollout ends in time, a good version is completed, and one
+/// that is bad from its start isn't.
 fn check_end(
     rollout: &RolloutRecord,
     stories: &[&RequestStory],
@@ -157,7 +158,7 @@
         bad.count() >= BAD_RESPONSES
     };
     let is_wrong = match (rollout.end, rollout.quality) {
-        (Some((_, RolloutEnd::Done)), VersionQuality::Bad) => is_known_bad(),
+        (Some((_, RolloutEnd::Done)), VersionQuality::Bad) => is_calm || is_known_bad(),
         (Some((_, RolloutEnd::RolledBack)), VersionQuality::Good) => is_calm,
         (Some((at, _)), _) => at > rollout.due_at && is_calm,
         (None, _) => now > rollout.due_at + MAX_STRETCH && is_calm,
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -74,7 +74,7 @@
             cuts,
             starved: starved_spans(&state.world.timeline),
             resumed: count_resumed(&state),
-            rollouts: state.world.rollouts.iter().map(describe_rollout).collect(),
+            rollouts: describe_rollouts(&state),
             power_losses: state.world.power_losses.len(),
             violations: state.violations.iter().map(explain).collect(),
         }
@@ -247,13 +247,27 @@
     resumed.count()
 }
 
-fn describe_rollout(rollout: &RolloutRecord) -> String {
-    let (service, quality) = (&rollout.service, rollout.quality);
-    let end = rollout.end.map(|(at, end)| {
-        let after_ms = at.since(rollout.ordered_at).as_millis();
-        format!("{end:?} after {after_ms} ms")
-    });
-    format!("{service} {quality:?}: {end:?}")
+fn describe_rollouts(state: &ObserverState) -> Vec<String> {
+    let describe = |rollout: &RolloutRecord| {
+        let RolloutRecord {
+            service, quality, ..
+        } = rollout;
+        let runs = state.stories.values().flat_map(|story| &story.runs);
+        let of_version =
+            runs.filter(|run| run.service == *service && run.version == rollout.version);
+        let (count, bad) = of_version.fold((0, 0), |(count, bad), run| {
+            (count + 1, bad + usize::from(run.is_bad))
+        });
+        let end = match rollout.end {
+            Some((at, end)) => {
+                let after_ms = at.since(rollout.ordered_at).as_millis();
+                format!("{end:?} after {after_ms} ms")
+            }
+            None => "no end".to_owned(),
+        };
+        format!("{service} {quality:?}: {end}, {bad} bad of {count} requests")
+    };
+    state.world.rollouts.iter().map(describe).collect()
 }
 
 fn starved_spans(timeline: &Timeline) -> Vec<String> {
--- a/crates/soak/src/rollouts.rs
+++ b/crates/soak/src/rollouts.rs
@@ -65,7 +65,11 @@
         due_at: ordered_at + fault.duration,
         end: None,
     };
-    println!("{:>6} ms  {record:?}", ordered_at.as_millis());
+    println!(
+        "{:>6} ms  {record:?}, {:?}",
+        ordered_at.as_millis(),
+        version.fault
+    );
     let due_at = record.due_at;
     let number = {
         let mut state = targets.observer.lock();
--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub(crate) struct UpstreamVersion {
     pub(crate) name: String,
-    fault: Option<VersionFault>,
+    pub(crate) fault: Option<VersionFault>,
     /// The requests so far, of all upstreams.
     requests: AtomicUsize,
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -705,7 +705,13 @@
     let bad_done = world_with_rollout(VersionQuality::Bad, Some(RolloutEnd::Done));
     let bad = vec![run_by_version("v2", true); 50];
     assert_eq!(broken_totals(&bad, &bad_done), expected);
-    assert_eq!(broken_totals(&bad[1..], &bad_done), NONE);
+    assert_eq!(broken_totals(&bad[1..], &bad_done), expected);
+    let mut disturbed = bad_done;
+    disturbed
+        .timeline
+        .begin(Part::Vm(1), "link", SENT_AT, false);
+    assert_eq!(broken_totals(&bad, &disturbed), expected);
+    assert_eq!(broken_totals(&bad[1..], &disturbed), NONE);
     let good_rolled_back = world_with_rollout(VersionQuality::Good, Some(RolloutEnd::RolledBack));
     assert_eq!(broken_totals(&[], &good_rolled_back), expected);
     let endless = world_with_rollout(VersionQuality::Good, None);
