Let a soak have more than 200 VMs

Each VM took a third number of the loopback addresses, of which there are 255. VMs now share a third number by 200.

--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -28,6 +28,8 @@
 const ZONES: usize = 3;
 /// The second numbers of the loopback addresses.
 const NETWORKS: std::ops::Range<u8> = 2..200;
+/// The addresses that are used of each third number.
+const ADDRESSES_OF_PART: usize = 200;
 /// The delay before the platform starts a process again that ended.
 const RESTART_DELAY: Duration = Duration::from_millis(400);
 /// The load balancer checks each VM this often and gives it no new connection after two
@@ -133,8 +135,9 @@
 
 /// Returns a VM's loopback address.
 fn address(network: u8, index: usize) -> IpAddr {
-    let index = u8::try_from(index).expect("there are fewer than 200 VMs");
-    IpAddr::V4(Ipv4Addr::new(127, network, index, 1))
+    let part = u8::try_from(index / ADDRESSES_OF_PART).expect("there are fewer than 50,000 VMs");
+    let last = u8::try_from(index % ADDRESSES_OF_PART + 1).expect("a part has fewer than 255");
+    IpAddr::V4(Ipv4Addr::new(127, network, part, last))
 }
 
 /// A part of the loopback network that no other soak uses at the same time.
