--- /dev/null
+++ b/crates/soak/tests/checks/main.rs
@@ -0,0 +1,6 @@
+//! Each check finds a history that breaks its promise, and only then.
+
+mod fixtures;
+mod requests;
+mod rollouts;
+mod totals;
