Log that the minted keys of a VM that shuts down stay unknown

Seen: a VM that shut down while the platform was out and had consumed no key left no closing row and no log line; calls with its keys were refused as unknown from then on. Cause: the result of writing the closing row was ignored. Change: one line says so, for the consumed keys and for the closing row. The fleet of the tests can write the VMs' logs to files. Result: leaving::shutdown_logs_that_its_minted_keys_stay_unknown failed before (no such line) and passes, with all of leaving.

--- a/crates/bench/src/fleet/builder.rs
+++ b/crates/bench/src/fleet/builder.rs
@@ -49,6 +49,7 @@
                 proxy_upstreams: false,
                 proxy_platform: false,
                 proxy_peers: false,
+                log_files: false,
             },
             vms_per_zone: 1,
             engines_per_zone: 1,
@@ -112,6 +113,12 @@
         self
     }
 
+    /// Writes the log of each VM to a file, which is removed with the fleet.
+    pub fn log_files(mut self) -> Self {
+        self.launcher.log_files = true;
+        self
+    }
+
     /// Starts all processes and waits until every VM is ready.
     ///
     /// # Errors
--- a/crates/bench/src/fleet/handles.rs
+++ b/crates/bench/src/fleet/handles.rs
@@ -2,6 +2,7 @@
 
 use super::process::ProcessHandle;
 use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
 
 /// An entry VM's process.
 pub struct VmHandle {
@@ -23,6 +24,8 @@
     pub platform_proxy: Option<ProcessHandle>,
     /// The proxy in front of its address for peers.
     pub peer_proxy: Option<ProcessHandle>,
+    /// Its log, if the fleet writes log files.
+    pub log_file: Option<PathBuf>,
 }
 
 /// An upstream's process.
--- a/crates/bench/src/fleet/launcher.rs
+++ b/crates/bench/src/fleet/launcher.rs
@@ -1,11 +1,12 @@
 //! Starts the processes of a fleet.
 
 use super::handles::{UpstreamHandle, VmHandle};
-use super::process::{FleetError, ProcessHandle};
+use super::process::{log_target, FleetError, ProcessHandle};
 use serde_json::{json, Value};
 use skylarkshed_core::ClockTime;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
 
 /// The program of the fakes.
 const FAKES_PROGRAM: &str = "skylarkshed-stand-ins";
@@ -24,6 +25,7 @@
     pub(crate) proxy_upstreams: bool,
     pub(crate) proxy_platform: bool,
     pub(crate) proxy_peers: bool,
+    pub(crate) log_files: bool,
 }
 
 impl FleetLauncher {
@@ -129,7 +131,12 @@
             .map_err(|error| FleetError::Request(error.to_string()))?;
         let path = path.display().to_string();
         let serve_args = args(&["serve", "--settings", &path]);
-        let process = ProcessHandle::start(VM_PROGRAM, &serve_args, 1).await?;
+        let log_file = self.log_files.then(|| PathBuf::from(path + ".log"));
+        let log = match &log_file {
+            Some(file) => create_log(file)?,
+            None => log_target(&serve_args),
+        };
+        let process = ProcessHandle::start_with_log(VM_PROGRAM, &serve_args, 1, log).await?;
         Ok(VmHandle {
             caller_address: process.address("callers"),
             operator_address: process.address("operators"),
@@ -143,6 +150,7 @@
             process,
             platform_proxy,
             peer_proxy,
+            log_file,
         })
     }
 }
@@ -153,6 +161,12 @@
     ProcessHandle::start(FAKES_PROGRAM, &proxy_args, 2).await
 }
 
+fn create_log(file: &Path) -> Result<Stdio, FleetError> {
+    let log = std::fs::File::create(file);
+    log.map(Stdio::from)
+        .map_err(|error| FleetError::Request(error.to_string()))
+}
+
 /// Returns an address with a port that is free at this moment.
 fn free_address(ip: &str) -> Result<SocketAddr, FleetError> {
     let listener = std::net::TcpListener::bind(format!("{ip}:0"));
--- a/crates/bench/src/fleet/process.rs
+++ b/crates/bench/src/fleet/process.rs
@@ -50,6 +50,16 @@
         program: &str,
         args: &[String],
         lines: usize,
+    ) -> Result<Self, FleetError> {
+        ProcessHandle::start_with_log(program, args, lines, log_target(args)).await
+    }
+
+    /// Starts a program whose log goes to `log`.
+    pub(crate) async fn start_with_log(
+        program: &str,
+        args: &[String],
+        lines: usize,
+        log: Stdio,
     ) -> Result<Self, FleetError> {
         let path = program_path(program);
         let mut command = Command::new(&path);
@@ -57,7 +67,7 @@
             .args(args)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(log_target(args));
+            .stderr(log);
         command.kill_on_drop(true);
         let start_error = |source| FleetError::Start {
             program: path.clone(),
@@ -143,7 +153,7 @@
 
 /// Returns the target of a process's standard error: a file in the log directory, named
 /// after the last argument; the null device if no directory is set.
-fn log_target(args: &[String]) -> Stdio {
+pub(crate) fn log_target(args: &[String]) -> Stdio {
     let Some(directory) = std::env::var_os(LOG_DIRECTORY_VAR) else {
         return Stdio::null();
     };
--- a/crates/node/src/calls/minted_call.rs
+++ b/crates/node/src/calls/minted_call.rs
@@ -81,6 +81,14 @@
 ///
 /// Afterwards any VM may claim a key that was not consumed.
 pub(crate) async fn persist_used_keys(shared: &Arc<NodeShared>) {
+    if !try_persist_used_keys(shared).await {
+        log::warn!("can't persist the minted keys; calls with them will be refused as unknown");
+    }
+}
+
+/// Writes a row for each consumed key and then the closing row; reports whether all of
+/// them are written.
+async fn try_persist_used_keys(shared: &Arc<NodeShared>) -> bool {
     let consumed = shared.minted_keys.lock().expect("not poisoned").close();
     for (serial, request, state) in consumed {
         let state = match state {
@@ -95,8 +103,7 @@
         };
         let row_key = persisted_row_key(shared.incarnation, serial);
         if !claims::store_row(shared, row_key, &row).await {
-            log::warn!("can't persist the consumed minted keys: the platform is unavailable");
-            return;
+            return false;
         }
     }
     let row = ClaimRow {
@@ -105,7 +112,7 @@
         request: shared.settings.name.to_string(),
         state: ClaimState::Released,
     };
-    claims::store_row(shared, closed_row_key(shared.incarnation), &row).await;
+    claims::store_row(shared, closed_row_key(shared.incarnation), &row).await
 }
 
 /// Runs a call whose minter is unreachable, if the minter persisted its keys.
--- a/tests/testsuite/tests/suite/leaving.rs
+++ b/tests/testsuite/tests/suite/leaving.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use skylarkshed_bench::{CallClient, Fleet, FleetBuilder, GenerationClient};
-use skylarkshed_stand_ins::EngineFaults;
+use skylarkshed_stand_ins::{EngineFaults, PlatformFaults};
 use skylarkshed_testsuite::{
     assert_complete_answer, generation_spec, RunningGeneration, BOOKING_PATH,
 };
@@ -175,3 +175,21 @@
     let counts = fleet.call_counts().await.unwrap();
     assert_eq!((counts[&keys[0]], counts[&keys[1]]), (1, 1));
 }
+
+#[tokio::test]
+async fn shutdown_logs_that_its_minted_keys_stay_unknown() {
+    let builder = FleetBuilder::new().zones(1).log_files();
+    let mut fleet = builder.start().await.unwrap();
+    fleet.configure().await.unwrap();
+    let outage = PlatformFaults {
+        out: true,
+        ..PlatformFaults::default()
+    };
+    fleet.set_platform_faults(outage).await.unwrap();
+    fleet.vms[0].process.terminate();
+    let ended = fleet.vms[0].process.wait(Duration::from_secs(60)).await;
+    assert_eq!(ended, Some(true), "the process ends by itself");
+    let log = std::fs::read_to_string(fleet.vms[0].log_file.as_ref().unwrap()).unwrap();
+    let line = log.lines().find(|line| line.contains("minted keys"));
+    assert!(line.is_some_and(|line| line.contains("WARN")), "{log}");
+}
