Give VMs that are listed after an order no part of the reserve

Found by review, not seen by callers: since a VM that was missing on the list when it learned of a rollout took its part of the reserve later, also if other VMs had divided the reserve without it. One listed VM and two that start just before the order could then send 105 to 117 % of the reserve between them.

Change: whether a VM has a part is decided when it learns of the order (has_reserve): it is on the list, or the list was read and is empty, so that all VMs have just started. In the former case the list at the order counts, or the stable one if it changes just then.

Left: a VM that is cut off from the list of VMs, but not from orders, since before another VM announced itself can still divide by an older list; the unused part of the reserve covers one such VM in three.

--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -57,6 +57,11 @@
         (count > 0).then_some(count)
     }
 
+    /// Reports whether the list was read.
+    pub(crate) fn is_read(&self) -> bool {
+        *self.is_read.borrow()
+    }
+
     /// Returns for how long the list has contained the same VMs.
     pub(crate) fn stable_for(&self, now: ClockTime) -> ClockTime {
         let changed_ms = self.members_changed_at.load(Ordering::Relaxed);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use probe::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use recent::RecentSamples;
 use record::RolloutRecord;
-use reserve::add_reserve;
+use reserve::needs_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
 use skylarkshed_policy::{CanaryAllowance, RolloutTimes, VersionRule};
@@ -130,9 +130,7 @@
         let times = RolloutTimes::new(state.settings.times.rollback);
         let allowance = CanaryAllowance::without_reserve(state.settings.exposure);
         let record = RolloutRecord::new(spec, self.clock, times, allowance, before);
-        // A VM that was restarted may have used its part of the reserve before.
-        record.progress().needs_reserve = !is_initial;
-        add_reserve(state, &record);
+        record.progress().needs_reserve = needs_reserve(state, is_initial);
         let record = Arc::new(record);
         let is_inherited = previous.is_some_and(|previous| inherit(&record, previous));
         log::info!(
--- a/crates/policy/src/rollout_allowance.rs
+++ b/crates/policy/src/rollout_allowance.rs
@@ -7,7 +7,7 @@
 //! with offsets that are spread evenly; the unused part of the reserve is larger than
 //! what the sum of the rounded values differs by.
 
-use skylarkshed_core::ClockTime;
+use skylarkshed_core::{ClockTime, VmName};
 
 const WHOLE_PERCENT: u64 = 100;
 /// The part of the share that is used, as a percentage. The rest covers requests that
@@ -34,6 +34,30 @@
     pub reserve: u64,
 }
 
+/// Reports whether a VM has a part of the reserve of a rollout; `vms` is the list of VMs
+/// that it has when it learns of the order, and `is_first_read` whether it found the order
+/// in the first table that it read.
+///
+/// The VMs on the list divide the reserve. One that is missing there starts during the
+/// rollout, or just before it, and was not counted by the others; only if the list is
+/// empty have all of them just started, and divide the reserve by the list to come. A
+/// process that was restarted may have used its part before.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::has_reserve;
+///
+/// let list = ["vm-1".into(), "vm-2".into()];
+/// assert!(has_reserve(&"vm-1".into(), &list, false));
+/// assert!(!has_reserve(&"vm-3".into(), &list, false));
+/// assert!(has_reserve(&"vm-3".into(), &[], false));
+/// assert!(!has_reserve(&"vm-1".into(), &list, true));
+/// ```
+pub fn has_reserve(own: &VmName, vms: &[VmName], is_first_read: bool) -> bool {
+    !is_first_read && (vms.is_empty() || vms.contains(own))
+}
+
 /// The requests that one VM may send to a version under test.
 ///
 /// # Examples
--- a/crates/policy/tests/gateway/rollouts.rs
+++ b/crates/policy/tests/gateway/rollouts.rs
@@ -5,10 +5,11 @@
 
 use rstest::rstest;
 use simulation::{play, Fault, LIMITS};
-use skylarkshed_core::{ClockTime, RolloutSpec, VersionName};
+use skylarkshed_core::{ClockTime, RolloutSpec, VersionName, VmName};
 use skylarkshed_policy::{
-    compare_rollout, decide_rollout, finish_time, select_version_rule, CanaryAllowance,
-    RolloutDecision, RolloutSamples, RolloutState, RoutePriority, RouteSamples, VersionRule,
+    compare_rollout, decide_rollout, finish_time, has_reserve, select_version_rule,
+    CanaryAllowance, RolloutDecision, RolloutSamples, RolloutState, RoutePriority, RouteSamples,
+    VersionRule,
 };
 
 const DURATION: ClockTime = ClockTime::from_millis(15_000);
@@ -64,6 +65,37 @@
     assert_eq!(take_all(&mut alone, 12), 0);
 }
 
+/// The last VMs are listed only after the order.
+#[rstest]
+fn vms_that_are_listed_after_the_order_stay_within_the_limit(
+    #[values(0, 1, 3, 9)] listed: usize,
+    #[values(1, 2, 3, 20)] late: usize,
+    #[values(12, 40)] requests: u64,
+) {
+    let names = |count| -> Vec<VmName> {
+        let numbers = 0..count;
+        numbers
+            .map(|number| format!("vm-{number}").as_str().into())
+            .collect()
+    };
+    let (at_order, later) = (names(listed), names(listed + late));
+    let allowances = later.iter().enumerate().map(|(index, name)| {
+        let mut allowance = CanaryAllowance::without_reserve(LIMITS);
+        if has_reserve(name, &at_order, false) {
+            // Those on the list divide it at once, the others when they are listed.
+            let vms = if index < listed { listed } else { later.len() };
+            allowance.add_reserve(LIMITS, vms, index);
+        }
+        allowance
+    });
+    let mut allowances: Vec<CanaryAllowance> = allowances.collect();
+    let taken = take_all(&mut allowances, requests);
+    let all = requests * later.len() as u64;
+    let limit = all * LIMITS.percent + LIMITS.reserve * 100;
+    assert!(taken * 100 <= limit, "{taken} of {all}");
+    assert!(taken > 0, "a part of the reserve is used");
+}
+
 #[test]
 fn reserve_that_is_added_later_is_the_same_part() {
     let mut later = CanaryAllowance::without_reserve(LIMITS);
