--- a/crates/soak/src/registry.rs
+++ b/crates/soak/src/registry.rs
@@ -9,7 +9,7 @@
 use crate::versions::UpstreamVersion;
 use crate::vms::zone;
 use skylarkshed_stand_ins::{upstream_row, FakeStore, APP_SERVICE, MODEL_SERVICE};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -43,6 +43,8 @@
     store: Arc<FakeStore>,
     seed: u64,
     next_number: Mutex<usize>,
+    /// The names of the upstreams whose entries were removed.
+    removed: Mutex<BTreeSet<String>>,
 }
 
 impl UpstreamRegistry {
@@ -63,6 +65,7 @@
             store,
             seed,
             next_number: Mutex::new(0),
+            removed: Mutex::default(),
         };
         for (service, count) in SERVICES {
             for index in 0..count {
@@ -174,7 +177,7 @@
         drop(old);
         tokio::time::sleep(ENTRY_LAG).await;
         for name in names {
-            self.store.remove(TABLE, &name);
+            self.remove_entry(&name);
         }
     }
 
@@ -197,8 +200,23 @@
         self.end_drained(&names).await;
     }
 
-    /// Writes the entries of all upstreams again, after the store has lost them.
+    fn lock_removed(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.removed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn remove_entry(&self, name: &str) {
+        self.lock_removed().insert(name.to_owned());
+        self.store.remove(TABLE, name);
+    }
+
+    /// Writes the entries of all upstreams again, after the store has lost them; those that
+    /// came back of upstreams that are gone expire.
     pub(crate) fn write_all(&self) {
+        for name in self.lock_removed().iter() {
+            if self.store.row(TABLE, name).is_some() {
+                self.store.remove(TABLE, name);
+            }
+        }
         for registered in self.lock().iter() {
             write_entry(&registered.upstream, registered.state, &self.store);
         }
@@ -256,7 +274,7 @@
     async fn end_drained(&self, names: &[String]) {
         tokio::time::sleep(SERVES_LEAVING).await;
         for name in names {
-            self.store.remove(TABLE, name);
+            self.remove_entry(name);
         }
         tokio::time::sleep(ENTRY_LAG).await;
         for name in names {
@@ -270,7 +288,7 @@
     fn announce(&self, name: &str, is_silent: bool) {
         let now = self.observer.now();
         match is_silent {
-            true => self.store.remove(TABLE, name),
+            true => self.remove_entry(name),
             false => {
                 let upstreams = self.lock();
                 let mut upstreams = upstreams.iter();
@@ -312,7 +330,7 @@
         };
         self.add_or_report(identity, Some(link)).await;
         tokio::time::sleep(EXPIRY_AFTER_REUSE).await;
-        self.store.remove(TABLE, &crashed);
+        self.remove_entry(&crashed);
     }
 }
 
