Give up an error that stops in its body

An upstream that sent the head of an error and then stopped was waited for until the deadline: a stream got 504 after 20 s, a booking with a timeout of 15 s after 15 s.

Cause: only the deadline bounded the collecting of a body. Ruled out: to pass the error on with the part that arrived, as a body must be whole.

The body of an error now has 3 s; a sound upstream is silent for a second or so. After that the attempt counts as broken: a stream goes to another engine, a call ends with 502 or is retried. Both tests failed before (504 twice); the 67 tests of streams, endless responses and bookings pass. Not tested: an error that pauses for a second and goes on.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,9 @@
 /// 260 MB buffers a hundred of them.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// How long the body of an error may take. Sound upstreams are silent for a second or so.
+const ERROR_BODY_TIMEOUT: ClockTime = ClockTime::from_millis(3_000);
+
 /// A caller's request, authorized and with its complete body.
 pub(crate) struct CallerRequest {
     pub(crate) parts: request::Parts,
@@ -92,11 +95,15 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body; fails if it exceeds the maximum size or is
-    /// incomplete at the request's deadline.
+    /// Returns the rest of the body; fails if it exceeds the maximum size, is incomplete
+    /// at the request's deadline, or is that of an error and stops.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
+        let limit = match self.parts.status.is_success() {
+            true => ClockTime::NEVER,
+            false => ERROR_BODY_TIMEOUT,
+        };
         let collecting = Limited::new(&mut self.body, MAX_BODY_BYTES).collect();
-        let collected = self.deadline.run_within(ClockTime::NEVER, collecting).await;
+        let collected = self.deadline.run_within(limit, collecting).await;
         let body = collected.ok_or(SendError::Broken)?.map_err(|error| {
             if error.is::<LengthLimitError>() {
                 counters::count_bad_response("long_body");
--- a/tests/testsuite/tests/gateway/streams.rs
+++ b/tests/testsuite/tests/gateway/streams.rs
@@ -184,6 +184,42 @@
     assert!(sent.elapsed() < Duration::from_millis(1_500));
 }
 
+/// Guards against a caller that waits until its deadline for an error that has stopped.
+#[tokio::test]
+async fn stream_is_served_by_another_engine_if_an_error_stops_in_its_body() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    harness.engines[0].set_default_response(ScriptedResponse::StalledBody { status: 404 });
+    harness.engines[1].set_default_response(ScriptedResponse::stream(9, StreamEnd::Complete));
+    // Either engine may be asked first.
+    for _ in 0..4 {
+        let sent = Instant::now();
+        let response = harness.send_request("POST", "/write/7", "prompt").await;
+        assert_eq!(response.status, 200);
+        let elapsed = sent.elapsed();
+        assert!(elapsed < Duration::from_secs(6), "{elapsed:?}");
+    }
+}
+
+#[tokio::test]
+async fn error_of_an_application_that_stops_in_its_body_ends_before_the_deadline() {
+    let harness = HarnessBuilder::default().applications(1).start().await;
+    let mut config = harness.next_config();
+    config["routes"][0]["timeout_ms"] = 15_000.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    let stalled = ScriptedResponse::StalledBody { status: 500 };
+    harness.applications[0].set_default_response(stalled);
+    let sent = Instant::now();
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 502);
+    assert!(
+        sent.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        sent.elapsed()
+    );
+}
+
 /// Comments are no events: they neither start nor continue an answer, and a stream may end
 /// with some.
 #[tokio::test]
