--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -79,7 +79,6 @@
 pub struct AdmissionQueue {
     slots: usize,
     in_progress: usize,
-    waiting: usize,
     customers: HashMap<CustomerName, CustomerUsage>,
     next_ticket: u64,
     service_ms: f64,
@@ -91,7 +90,6 @@
         AdmissionQueue {
             slots,
             in_progress: 0,
-            waiting: 0,
             customers: HashMap::new(),
             next_ticket: 0,
             service_ms: INITIAL_SERVICE_MS,
@@ -135,7 +133,6 @@
             .waiting
             .partition_point(|(other, _)| *other <= deadline);
         usage.waiting.insert(index, (deadline, ticket));
-        self.waiting += 1;
         AdmissionVerdict::Queued(ticket)
     }
 
@@ -160,7 +157,6 @@
         let before = usage.waiting.len();
         usage.waiting.retain(|(_, other)| *other != ticket);
         let was_waiting = usage.waiting.len() < before;
-        self.waiting -= usize::from(was_waiting);
         self.remove_if_idle(customer);
         was_waiting
     }
@@ -197,7 +193,6 @@
         let (_, ticket) = usage.waiting.remove(0);
         usage.in_progress += 1;
         self.in_progress += 1;
-        self.waiting -= 1;
         Some(ticket)
     }
 
