Name the subject in comments that began with "What"

Comments of core, policy, peer, upstream, node and bench say what a type or field is. The events of moves in the configuration are move_events in the code; their name in stored and sent JSON is news as before.

--- a/crates/bench/src/experiments/mod.rs
+++ b/crates/bench/src/experiments/mod.rs
@@ -14,7 +14,7 @@
 pub struct Experiment {
     /// The name on the command line.
     pub name: &'static str,
-    /// What it measures.
+    /// The measured quantity.
     pub about: &'static str,
     /// Runs it with a seed.
     pub run: fn(u64) -> BoxFuture<'static, Result<Report, FleetError>>,
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -8,7 +8,7 @@
 pub struct ReportRow {
     /// The case that was run.
     pub case: String,
-    /// What was measured.
+    /// The measured quantity.
     pub figure: String,
     /// The value.
     pub value: f64,
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -15,7 +15,7 @@
 /// All traffic, in parts per million.
 const FULL_SHARE_PPM: u32 = 1_000_000;
 
-/// What kind of upstream a service has.
+/// The kind of a service's upstreams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServiceKind {
@@ -39,7 +39,7 @@
 pub struct ServiceEntry {
     /// The service's name.
     pub name: ServiceName,
-    /// What kind of upstream it has.
+    /// The kind of its upstreams.
     pub kind: ServiceKind,
     /// Its routes; routes not listed are not idempotent.
     pub routes: Vec<RouteEntry>,
@@ -193,7 +193,7 @@
     pub change: ConfigurationChange,
 }
 
-/// What happened to a move.
+/// The kind of an event of a move.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MoveEventKind {
@@ -216,7 +216,7 @@
     pub service: ServiceName,
     /// The version that the move shifts traffic to.
     pub to: VersionName,
-    /// What happened.
+    /// The kind of event.
     pub event: MoveEventKind,
     /// The new share or the reason of a reversal; empty for a finished move.
     pub detail: String,
@@ -307,7 +307,8 @@
     /// All customers by name.
     pub customers: BTreeMap<CustomerName, Arc<CustomerEntry>>,
     /// Events of moves, oldest first.
-    pub news: Vec<MoveEvent>,
+    #[serde(rename = "news")]
+    pub move_events: Vec<MoveEvent>,
 }
 
 impl CatalogState {
--- a/crates/core/src/catalog/changes.rs
+++ b/crates/core/src/catalog/changes.rs
@@ -193,7 +193,7 @@
         detail: String,
     ) {
         let position = self.revision;
-        self.news.push(MoveEvent {
+        self.move_events.push(MoveEvent {
             position,
             service: service.clone(),
             to,
--- a/crates/core/src/settings_check.rs
+++ b/crates/core/src/settings_check.rs
@@ -30,7 +30,7 @@
         file: String,
         /// The line number, starting at 1.
         line: usize,
-        /// What is wrong and which value is valid.
+        /// The fault, and which value is valid.
         message: String,
         /// The complete text.
         #[source_code]
--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -151,7 +151,7 @@
     pub limits: CallerLimits,
 }
 
-/// What an upstream reports about itself.
+/// An upstream's report about itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct UpstreamRecord {
     /// The name of this incarnation of the upstream.
--- a/crates/node/src/caller_api/request.rs
+++ b/crates/node/src/caller_api/request.rs
@@ -1,4 +1,4 @@
-//! What all requests of callers have in common: authorisation, limits and admission.
+//! The common steps of all requests of callers: authorisation, limits and admission.
 
 use super::auth;
 use crate::refusal::{Refusal, RefusalReason};
--- a/crates/node/src/configuration/operators.rs
+++ b/crates/node/src/configuration/operators.rs
@@ -155,7 +155,7 @@
         loop {
             let current = self.shared.configuration.current();
             let news: Vec<News> = current
-                .news
+                .move_events
                 .iter()
                 .filter(|item| item.position > after)
                 .map(to_wire_event)
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -22,7 +22,7 @@
     /// Identifies the request; the reply has the same value.
     #[prost(uint64, tag = "1")]
     pub request: u64,
-    /// What the frame carries.
+    /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
@@ -30,7 +30,7 @@
     pub body: Option<PeerBody>,
 }
 
-/// What a frame carries.
+/// The message in a frame.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum PeerBody {
     /// Sends new changes of the configuration.
@@ -305,7 +305,7 @@
 /// A datagram between two VMs.
 #[derive(Clone, PartialEq, Message)]
 pub struct GossipWire {
-    /// What it is for: 0 ping, 1 acknowledgement, 2 request for a ping.
+    /// Its purpose: 0 ping, 1 acknowledgement, 2 request for a ping.
     #[prost(uint32, tag = "1")]
     pub kind: u32,
     /// The VM that an acknowledgement or a request for a ping is about.
--- a/crates/policy/src/copy_plan.rs
+++ b/crates/policy/src/copy_plan.rs
@@ -22,7 +22,7 @@
     },
 }
 
-/// What is known of the KV cache copy of a running stream.
+/// The state of the KV cache copy of a running stream, as far as it is known.
 #[derive(Clone, Copy, Debug)]
 pub struct CopyState {
     /// The kind of the copy, if there is one.
@@ -33,7 +33,7 @@
     pub retention: ClockTime,
 }
 
-/// What to do about the copy.
+/// The next step for the copy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CopyDecision {
     /// Do nothing.
--- a/crates/policy/src/generation_types.rs
+++ b/crates/policy/src/generation_types.rs
@@ -3,7 +3,7 @@
 use faststr::FastStr;
 use skylarkshed_core::{AttemptNumber, ClockTime, GenerationId, UpstreamName, VersionName};
 
-/// What a generation has to produce.
+/// The answer that a generation has to produce.
 #[derive(Clone, Debug)]
 pub struct GenerationPlan {
     /// The generation's id.
@@ -225,7 +225,7 @@
     },
 }
 
-/// What a generation needs from the VM that it runs on.
+/// The queries of a generation to the VM that it runs on.
 pub trait GenerationEnvironment {
     /// Returns the silence after which the upstream is suspected to have failed.
     ///
--- a/crates/policy/src/membership_types.rs
+++ b/crates/policy/src/membership_types.rs
@@ -16,7 +16,7 @@
     Left,
 }
 
-/// What is known of one VM.
+/// The last known state of one VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberRecord {
     /// The VM's name.
--- a/crates/policy/src/minted_keys.rs
+++ b/crates/policy/src/minted_keys.rs
@@ -12,7 +12,7 @@
     Answered(StoredResponse),
 }
 
-/// What to do with a call that carries a minted key.
+/// The decision on a call that carries a minted key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MintedVerdict {
     /// Send it; this is returned at most once per key.
--- a/crates/policy/src/prefill_timeout.rs
+++ b/crates/policy/src/prefill_timeout.rs
@@ -104,7 +104,7 @@
     mean.store(updated.max(1), Ordering::Relaxed);
 }
 
-/// What an engine reports of a request without an event.
+/// An engine's report of a request without an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PrefillStatus {
     /// It probably prefills the prompt.
@@ -124,7 +124,7 @@
     pub prompt_tokens: u64,
     /// The tokens of other prompts that the engine has to prefill.
     pub other_tokens: u64,
-    /// What the engine reports of it.
+    /// The engine's report of it.
     pub status: PrefillStatus,
     /// The time since it was sent.
     pub waited: ClockTime,
--- a/crates/upstream/src/wire.rs
+++ b/crates/upstream/src/wire.rs
@@ -115,7 +115,7 @@
     pub role: String,
 }
 
-/// What an engine was last commanded to run.
+/// The last command to an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CommandState {
     /// The highest fencing number received.
