--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -3,14 +3,16 @@
 mod fixture;
 mod gateway_harness;
 mod gateway_process;
+mod harness_builder;
 mod raw_client;
 mod rollout_load;
 mod rollout_trial;
 mod running_generation;
 
 pub use fixture::{assert_complete_answer, generation_spec, BOOKING_PATH};
-pub use gateway_harness::{GatewayHarness, HarnessBuilder, OtherVm};
+pub use gateway_harness::{GatewayHarness, OtherVm};
 pub use gateway_process::{config_metric, program_path, wait_for_metric};
+pub use harness_builder::HarnessBuilder;
 pub use raw_client::{RawClient, RawResponse};
 pub use rollout_load::CallerLoad;
 pub use rollout_trial::{
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -1,7 +1,8 @@
 //! A rollout of a new version of the engines, and what its upstreams saw of it.
 
-use crate::gateway_harness::{GatewayHarness, HarnessBuilder, OtherVm};
+use crate::gateway_harness::{GatewayHarness, OtherVm};
 use crate::gateway_process::{config_metric, wait_for_metric, POLL_INTERVAL};
+use crate::harness_builder::HarnessBuilder;
 use crate::rollout_load::CallerLoad;
 use serde_json::{json, Value};
 use skylarkshed_stand_ins::MODEL_SERVICE;
