Judge the ends of rollouts in calm soaks, and the exposure before the time limit

The share of a bad version was not judged if the soak ended before the time limit of the rollout; it is now judged with the requests so far.

The end of a rollout is judged in full only if nothing but planned work disturbed any part, and most schedules disturb one every second. One seed in eight now draws rollouts beside planned work only. The summary prints how many rollouts were judged for their end. Other seeds draw the same faults as before.

--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -18,6 +18,7 @@
 
 pub(crate) use answers::excuse_cut;
 pub use recovery::{FailedTries, PowerLoss};
+pub(crate) use rollouts::is_end_judged;
 pub use rollouts::{RolloutEnd, RolloutRecord, VersionQuality};
 pub use totals::check_totals;
 
--- a/crates/soak/src/checks/rollouts.rs
+++ b/crates/soak/src/checks/rollouts.rs
@@ -54,7 +54,7 @@
 ) {
     for rollout in &world.rollouts {
         if rollout.quality != VersionQuality::Good {
-            check_share(rollout, stories, world, now, found);
+            check_share(rollout, stories, world, found);
             check_bound(rollout, stories, world, found);
         }
         check_end(rollout, stories, world, now, found);
@@ -79,17 +79,13 @@
 }
 
 /// Up to the time limit, a bad version gets no more than a share of the service's requests,
-/// and some more, from VMs in touch.
+/// and some more, from VMs in touch. This holds as well for a rollout that is still going on.
 fn check_share(
     rollout: &RolloutRecord,
     stories: &[&RequestStory],
     world: &World,
-    now: ClockTime,
     found: &mut Vec<Violation>,
 ) {
-    if now < rollout.due_at {
-        return;
-    }
     let (mut all, mut new) = (0_u32, 0);
     for (story, run) in runs(rollout, stories) {
         if !(rollout.ordered_at..=rollout.due_at).contains(&run.at) {
@@ -139,6 +135,19 @@
     }
 }
 
+/// Reports whether nothing but planned work disturbed a rollout.
+fn is_calm(rollout: &RolloutRecord, world: &World) -> bool {
+    let until = rollout.end.map_or(rollout.due_at, |(at, _)| at);
+    let from = rollout.ordered_at.since(SETTLE_WINDOW);
+    world.timeline.is_calm(from, until)
+}
+
+/// Reports whether the end of a rollout, or that it has none, is checked in full.
+pub(crate) fn is_end_judged(rollout: &RolloutRecord, world: &World, now: ClockTime) -> bool {
+    let is_over = rollout.end.is_some() || now > rollout.due_at + MAX_STRETCH;
+    is_over && is_calm(rollout, world)
+}
+
 /// A version that gave many bad responses from its start is not completed. Without
 /// unplanned disturbances, a rollout ends in time, a good version is completed, and one
 /// that is bad from its start isn't.
@@ -150,8 +159,7 @@
     found: &mut Vec<Violation>,
 ) {
     let until = rollout.end.map_or(rollout.due_at, |(at, _)| at);
-    let from = rollout.ordered_at.since(SETTLE_WINDOW);
-    let is_calm = world.timeline.is_calm(from, until);
+    let is_calm = is_calm(rollout, world);
     let is_known_bad = || {
         let of_version = runs(rollout, stories).filter(|(_, run)| run.version == rollout.version);
         let bad = of_version.filter(|(_, run)| run.is_bad && run.ended_at <= until);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,11 +1,12 @@
 //! The report of a soak: the broken promises, each with the lines of one request.
 
-use crate::checks::{excuse_cut, RolloutRecord};
+use crate::checks::{excuse_cut, is_end_judged, RolloutRecord};
 use crate::observer::{Observer, ObserverState};
 use crate::records::{Outcome, RequestStory, Violation};
 use crate::run::SoakOptions;
 use crate::timeline::{Part, Timeline};
 use crate::vms::SoakVm;
+use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
@@ -32,6 +33,8 @@
     starved: Vec<String>,
     resumed: usize,
     rollouts: Vec<String>,
+    /// The rollouts without unplanned disturbances, whose end is checked in full.
+    judged_ends: usize,
     power_losses: usize,
     violations: Vec<(Violation, Vec<String>)>,
 }
@@ -75,6 +78,7 @@
             starved: starved_spans(&state.world.timeline),
             resumed: count_resumed(&state),
             rollouts: describe_rollouts(&state),
+            judged_ends: count_judged_ends(&state, observer.now()),
             power_losses: state.world.power_losses.len(),
             violations: state.violations.iter().map(explain).collect(),
         }
@@ -132,6 +136,12 @@
             "{} streams resumed, {} losses of power, rollouts: {:?}",
             self.resumed, self.power_losses, self.rollouts
         )?;
+        writeln!(
+            formatter,
+            "rollouts judged for their end: {} of {}",
+            self.judged_ends,
+            self.rollouts.len()
+        )?;
         if self.is_passed() {
             return writeln!(formatter, "seed {seed}: PASSED");
         }
@@ -199,7 +209,7 @@
 }
 
 fn describe_disturbances(story: &RequestStory, timeline: &Timeline) -> Vec<String> {
-    let ended_at = story.ended_at(skylarkshed_core::ClockTime::NEVER);
+    let ended_at = story.ended_at(ClockTime::NEVER);
     let near = timeline.disturbances.iter().filter(|disturbance| {
         let is_of_vm = disturbance.part == Part::Vm(story.request.vm);
         let is_common = matches!(disturbance.part, Part::Store | Part::Machine);
@@ -247,6 +257,13 @@
     resumed.count()
 }
 
+fn count_judged_ends(state: &ObserverState, now: ClockTime) -> usize {
+    let world = &state.world;
+    let rollouts = world.rollouts.iter();
+    let judged = rollouts.filter(|rollout| is_end_judged(rollout, world, now));
+    judged.count()
+}
+
 fn describe_rollouts(state: &ObserverState) -> Vec<String> {
     let describe = |rollout: &RolloutRecord| {
         let RolloutRecord {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -87,6 +87,16 @@
     &[FaultKind::CallersLeave],
 ];
 
+/// The kinds of a calm soak, whose rollouts nothing but planned work disturbs.
+const CALM_KINDS: [FaultKind; 4] = [
+    FaultKind::Terminate,
+    FaultKind::HangUp,
+    FaultKind::RollingRestart,
+    FaultKind::CallersLeave,
+];
+/// Seeds that this number divides are calm soaks.
+const CALM_SEEDS: u64 = 8;
+
 /// A fault of the schedule.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlannedFault {
@@ -101,16 +111,11 @@
 /// Draws the faults of a soak from its seed.
 pub(crate) fn draw_schedule(seed: u64, length: ClockTime) -> Vec<PlannedFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut kinds: Vec<FaultKind> = Vec::new();
-    for group in GROUPS {
-        if rng.random_ratio(3, 5) {
-            kinds.extend(group);
-        }
-    }
-    let changes = ConfigChange::ALL.map(FaultKind::Config);
-    if kinds.is_empty() || rng.random_ratio(4, 5) {
-        kinds.extend(changes);
-    }
+    let is_calm = seed.is_multiple_of(CALM_SEEDS);
+    let kinds = match is_calm {
+        true => CALM_KINDS.to_vec(),
+        false => draw_kinds(&mut rng),
+    };
     let interval_ms = rng.random_range(200..1_200);
     let mut faults = Vec::new();
     let mut at = FIRST_FAULT;
@@ -135,17 +140,34 @@
         }
         at = at + ClockTime::from_millis(rng.random_range(0..2 * interval_ms));
     }
-    faults.extend(draw_rollouts(&mut rng, length));
-    faults.extend(draw_power_loss(&mut rng, length));
+    faults.extend(draw_rollouts(&mut rng, length, is_calm));
+    if !is_calm {
+        faults.extend(draw_power_loss(&mut rng, length));
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
-/// Draws one rollout after the other, in every other soak.
-fn draw_rollouts(rng: &mut SmallRng, length: ClockTime) -> Vec<PlannedFault> {
+/// Draws the groups of a seed and whether its configuration changes.
+fn draw_kinds(rng: &mut SmallRng) -> Vec<FaultKind> {
+    let mut kinds: Vec<FaultKind> = Vec::new();
+    for group in GROUPS {
+        if rng.random_ratio(3, 5) {
+            kinds.extend(group);
+        }
+    }
+    let changes = ConfigChange::ALL.map(FaultKind::Config);
+    if kinds.is_empty() || rng.random_ratio(4, 5) {
+        kinds.extend(changes);
+    }
+    kinds
+}
+
+/// Draws one rollout after the other, in every other soak and in all calm ones.
+fn draw_rollouts(rng: &mut SmallRng, length: ClockTime, is_calm: bool) -> Vec<PlannedFault> {
     let mut faults = Vec::new();
     let mut at = FIRST_FAULT + ClockTime::from_millis(rng.random_range(0..1_500));
-    if rng.random_ratio(1, 2) {
+    if rng.random_ratio(1, 2) && !is_calm {
         return faults;
     }
     loop {
--- a/crates/soak/tests/checks/rollouts.rs
+++ b/crates/soak/tests/checks/rollouts.rs
@@ -1,6 +1,6 @@
 //! Promises of rollouts.
 
-use crate::fixtures::{broken_totals, ms, response, story, world, NONE, SENT_AT};
+use crate::fixtures::{broken_totals, ms, response, story, world, NONE, NOW, SENT_AT};
 use skylarkshed_soak::{
     Outcome, Part, RequestStory, RolloutEnd, RolloutRecord, VersionQuality, World,
 };
@@ -42,6 +42,11 @@
     assert_eq!(broken_totals(&stories, &paused), NONE);
     let good = world_with_rollout(VersionQuality::Good, Some(RolloutEnd::Done));
     assert_eq!(broken_totals(&stories, &good), NONE);
+    // The soak ends before the time limit.
+    let mut short = world_with_rollout(VersionQuality::Bad, None);
+    short.rollouts[0].due_at = NOW + ms(1);
+    assert_eq!(broken_totals(&stories, &short), expected);
+    assert_eq!(broken_totals(&allowed, &short), NONE);
 }
 
 #[test]
