--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -1,4 +1,4 @@
-//! The promises, checked against what callers and upstreams saw.
+//! The rules, checked against what callers and upstreams saw.
 //!
 //! Each check states the cases that the platform's rules allow; no other case is left out.
 
@@ -87,13 +87,13 @@
     handling::check(story, world, now, &mut found);
     answers::check(story, world, &mut found);
     let id = Some(story.request.id.clone());
-    let to_violation = |(promise, detail)| Violation {
-        promise,
+    let to_violation = |(rule, detail)| Violation {
+        rule,
         request: id.clone(),
         detail,
     };
     found.into_iter().map(to_violation).collect()
 }
 
-/// The promises that are broken, each with what was seen.
+/// The rules that are broken, each with what was seen.
 type Findings = Vec<(&'static str, String)>;
--- a/crates/soak/src/checks/rollouts.rs
+++ b/crates/soak/src/checks/rollouts.rs
@@ -127,7 +127,7 @@
         if counted.count() >= BAD_RESPONSES && is_in_touch(story, run, world) {
             let (service, version) = (&rollout.service, &rollout.version);
             found.push(Violation {
-                promise: "no requests to a version known to be bad",
+                rule: "no requests to a version known to be bad",
                 request: Some(story.request.id.clone()),
                 detail: format!("sent to {service} {version}"),
             });
--- a/crates/soak/src/checks/runs.rs
+++ b/crates/soak/src/checks/runs.rs
@@ -6,7 +6,7 @@
 use crate::records::{RequestStory, UpstreamRun};
 use crate::timeline::Part;
 
-/// The statuses that promise that a request has not run and never will.
+/// The statuses that state that a request has not run and never will.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 
 pub(super) fn check(story: &RequestStory, world: &World, found: &mut Findings) {
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,4 +1,4 @@
-//! Promises that show only in sums over many requests.
+//! Rules that show only in sums over many requests.
 
 use super::handling::{allows, observed};
 use super::{abandoned, recovery, rollouts, World};
@@ -35,9 +35,9 @@
     found
 }
 
-pub(super) fn total(promise: &'static str, detail: String) -> Violation {
+pub(super) fn total(rule: &'static str, detail: String) -> Violation {
     Violation {
-        promise,
+        rule,
         request: None,
         detail,
     }
@@ -233,7 +233,7 @@
                 known.1
             );
             found.push(Violation {
-                promise: "no return to an older configuration",
+                rule: "no return to an older configuration",
                 request: Some(request.id.clone()),
                 detail,
             });
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,4 +1,4 @@
-//! Runs one soak and fails if a promise was broken.
+//! Runs one soak and fails if a rule was broken.
 
 use clap::{value_parser, Arg, Command};
 use skylarkshed_core::ClockTime;
--- a/crates/soak/src/observer.rs
+++ b/crates/soak/src/observer.rs
@@ -89,7 +89,7 @@
                 number = story.runs.len() - 1;
             }
             None => state.violations.push(Violation {
-                promise: "unchanged requests",
+                rule: "unchanged requests",
                 request: Some(id.to_owned()),
                 detail: format!("no caller sent what arrived at {}", run.upstream),
             }),
@@ -141,10 +141,10 @@
         });
     }
 
-    /// Reports a broken promise that no request shows.
-    pub(crate) fn report(&self, promise: &'static str, detail: String) {
+    /// Reports a broken rule that no request shows.
+    pub(crate) fn report(&self, rule: &'static str, detail: String) {
         self.lock().violations.push(Violation {
-            promise,
+            rule,
             request: None,
             detail,
         });
@@ -177,9 +177,10 @@
 impl ObserverState {
     fn add(&mut self, found: Vec<Violation>) {
         for violation in found {
-            let is_known = self.violations.iter().any(|known| {
-                known.promise == violation.promise && known.request == violation.request
-            });
+            let is_known = self
+                .violations
+                .iter()
+                .any(|known| known.rule == violation.rule && known.request == violation.request);
             if !is_known {
                 self.violations.push(violation);
             }
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -160,11 +160,11 @@
     }
 }
 
-/// A broken promise.
+/// A broken rule.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Violation {
-    /// The name of the promise.
-    pub promise: &'static str,
+    /// The name of the rule.
+    pub rule: &'static str,
     /// The request that shows it; none if it shows in a sum.
     pub request: Option<String>,
     /// What was seen.
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,4 +1,4 @@
-//! The report of a soak: the broken promises, each with the lines of one request.
+//! The report of a soak: the broken rules, each with the lines of one request.
 
 use crate::checks::{excuse_cut, is_end_judged, RolloutRecord};
 use crate::observer::{Observer, ObserverState};
@@ -16,7 +16,7 @@
 const MAX_LOG_LINES: usize = 40;
 /// The characters of an outcome that are printed at most; bodies can be long.
 const MAX_OUTCOME_CHARS: usize = 400;
-/// Violations of one promise that are printed in full.
+/// Violations of one rule that are printed in full.
 const MAX_EXAMPLES: usize = 3;
 
 /// What a soak found.
@@ -84,12 +84,12 @@
         }
     }
 
-    /// Reports whether all promises were kept.
+    /// Reports whether all rules were kept.
     pub fn is_passed(&self) -> bool {
         self.violations.is_empty()
     }
 
-    /// Removes the logs if all promises were kept.
+    /// Removes the logs if all rules were kept.
     ///
     /// # Errors
     ///
@@ -106,11 +106,11 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
         for (violation, lines) in &self.violations {
-            let count = seen.entry(violation.promise).or_default();
+            let count = seen.entry(violation.rule).or_default();
             *count += 1;
             let request = violation.request.as_deref().unwrap_or("-");
-            let (promise, detail) = (violation.promise, &violation.detail);
-            writeln!(formatter, "BROKEN {promise}: request {request}: {detail}")?;
+            let (rule, detail) = (violation.rule, &violation.detail);
+            writeln!(formatter, "BROKEN {rule}: request {request}: {detail}")?;
             if *count <= MAX_EXAMPLES {
                 for line in lines {
                     writeln!(formatter, "    {line}")?;
@@ -145,15 +145,12 @@
         if self.is_passed() {
             return writeln!(formatter, "seed {seed}: PASSED");
         }
-        let promises: Vec<String> = seen
+        let rules: Vec<String> = seen
             .iter()
-            .map(|(promise, count)| format!("{promise} ({count})"))
+            .map(|(rule, count)| format!("{rule} ({count})"))
             .collect();
-        let (promises, folder) = (promises.join(", "), self.folder.display());
-        writeln!(
-            formatter,
-            "seed {seed}: FAILED: {promises}; logs in {folder}"
-        )
+        let (rules, folder) = (rules.join(", "), self.folder.display());
+        writeln!(formatter, "seed {seed}: FAILED: {rules}; logs in {folder}")
     }
 }
 
--- a/crates/soak/tests/checks/fixtures.rs
+++ b/crates/soak/tests/checks/fixtures.rs
@@ -113,13 +113,13 @@
     story
 }
 
-/// Returns the promises that one request breaks.
+/// Returns the rules that one request breaks.
 pub(crate) fn broken(story: &RequestStory, world: &World) -> Vec<&'static str> {
     let found = check_request(story, world, NOW);
-    found.iter().map(|violation| violation.promise).collect()
+    found.iter().map(|violation| violation.rule).collect()
 }
 
-/// Returns the promises that many requests break, beside an answered one.
+/// Returns the rules that many requests break, beside an answered one.
 pub(crate) fn broken_totals(stories: &[RequestStory], world: &World) -> Vec<&'static str> {
     let mut answered = story();
     answered.request.vm = 1;
@@ -129,7 +129,7 @@
     let mut stories: Vec<&RequestStory> = stories.iter().collect();
     stories.push(&answered);
     let found = check_totals(&stories, world, NOW);
-    found.iter().map(|violation| violation.promise).collect()
+    found.iter().map(|violation| violation.rule).collect()
 }
 
 pub(crate) const NONE: [&str; 0] = [];
--- a/crates/soak/tests/checks/main.rs
+++ b/crates/soak/tests/checks/main.rs
@@ -1,4 +1,4 @@
-//! Each check finds a history that breaks its promise, and only then.
+//! Each check finds a history that breaks its rule, and only then.
 
 mod fixtures;
 mod recovery;
--- a/crates/soak/tests/checks/requests.rs
+++ b/crates/soak/tests/checks/requests.rs
@@ -1,4 +1,4 @@
-//! Promises that one request shows.
+//! Rules that one request shows.
 
 use crate::fixtures::{
     broken, broken_totals, ms, refusal, respond, response, run, story, stream, world, FIRST, NONE,
@@ -18,7 +18,7 @@
     let mut refused = story();
     respond(&mut refused, refusal(503));
     let found = check_totals(&[&refused], &world(), NOW);
-    assert_eq!(found[0].promise, "requests are served");
+    assert_eq!(found[0].rule, "requests are served");
 }
 
 #[test]
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn failure_that_promises_nothing_is_allowed_after_a_run() {
+fn failure_that_states_nothing_is_allowed_after_a_run() {
     let mut story = story();
     respond(&mut story, refusal(502));
     assert_eq!(broken(&story, &world()), NONE);
--- a/crates/soak/tests/checks/rollouts.rs
+++ b/crates/soak/tests/checks/rollouts.rs
@@ -1,4 +1,4 @@
-//! Promises of rollouts.
+//! Rules of rollouts.
 
 use crate::fixtures::{broken_totals, ms, response, story, world, NONE, NOW, SENT_AT};
 use skylarkshed_soak::{
--- a/crates/soak/tests/checks/totals.rs
+++ b/crates/soak/tests/checks/totals.rs
@@ -1,11 +1,11 @@
-//! Promises that show in the configuration, the VMs and sums.
+//! Rules that show in the configuration, the VMs and sums.
 
 use crate::fixtures::{
     broken, broken_totals, ms, refusal, respond, response, run, story, stream, version, world,
     NONE, SENT_AT,
 };
 use rstest::rstest;
-use skylarkshed_soak::{CallKind, Outcome, Part, ReadinessRecord, RequestStory, World};
+use skylarkshed_soak::{CallKind, Outcome, Part, ReadinessRecord, RequestStory};
 
 #[test]
 fn late_request_of_a_leaving_upstream_is_found() {
