--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -1,4 +1,4 @@
-//! The promises, checked against what callers and upstreams saw.
+//! The rules, checked against what callers and upstreams saw.
 //!
 //! Each check states the cases that the platform's rules allow; no other case is left out.
 
@@ -17,7 +17,8 @@
 use std::collections::BTreeMap;
 
 pub(crate) use answers::excuse_cut;
-pub use recovery::PowerLoss;
+pub use recovery::{FailedTries, PowerLoss};
+pub(crate) use rollouts::is_end_judged;
 pub use rollouts::{RolloutEnd, RolloutRecord, VersionQuality};
 pub use totals::check_totals;
 
@@ -47,6 +48,10 @@
     pub rollouts: Vec<RolloutRecord>,
     /// The losses of power of all VMs.
     pub power_losses: Vec<PowerLoss>,
+    /// The tries of callers that reached no VM.
+    pub failed_tries: FailedTries,
+    /// When callers were told to stop, if they were.
+    pub load_until: Option<ClockTime>,
 }
 
 /// Checks one request as far as it is known at `now`.
@@ -82,13 +87,13 @@
     handling::check(story, world, now, &mut found);
     answers::check(story, world, &mut found);
     let id = Some(story.request.id.clone());
-    let to_violation = |(promise, detail)| Violation {
-        promise,
+    let to_violation = |(rule, detail)| Violation {
+        rule,
         request: id.clone(),
         detail,
     };
     found.into_iter().map(to_violation).collect()
 }
 
-/// The promises that are broken, each with what was seen.
+/// The rules that are broken, each with what was seen.
 type Findings = Vec<(&'static str, String)>;
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,4 +1,4 @@
-//! Promises that show only in sums over many requests.
+//! Rules that show only in sums over many requests.
 
 use super::handling::{allows, observed};
 use super::{abandoned, recovery, rollouts, World};
@@ -30,14 +30,14 @@
     check_readiness(world, &mut found);
     check_regress(stories, world, &mut found);
     abandoned::check(stories, world, now, &mut found);
-    recovery::check(stories, world, &mut found);
+    recovery::check(stories, world, now, &mut found);
     rollouts::check(stories, world, now, &mut found);
     found
 }
 
-pub(super) fn total(promise: &'static str, detail: String) -> Violation {
+pub(super) fn total(rule: &'static str, detail: String) -> Violation {
     Violation {
-        promise,
+        rule,
         request: None,
         detail,
     }
@@ -233,7 +233,7 @@
                 known.1
             );
             found.push(Violation {
-                promise: "no return to an older configuration",
+                rule: "no return to an older configuration",
                 request: Some(request.id.clone()),
                 detail,
             });
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,11 +1,12 @@
-//! The report of a soak: the broken promises, each with the lines of one request.
+//! The report of a soak: the broken rules, each with the lines of one request.
 
-use crate::checks::{excuse_cut, RolloutRecord};
+use crate::checks::{excuse_cut, is_end_judged, RolloutRecord};
 use crate::observer::{Observer, ObserverState};
 use crate::records::{Outcome, RequestStory, Violation};
 use crate::run::SoakOptions;
 use crate::timeline::{Part, Timeline};
 use crate::vms::SoakVm;
+use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
@@ -15,7 +16,7 @@
 const MAX_LOG_LINES: usize = 40;
 /// The characters of an outcome that are printed at most; bodies can be long.
 const MAX_OUTCOME_CHARS: usize = 400;
-/// Violations of one promise that are printed in full.
+/// Violations of one rule that are printed in full.
 const MAX_EXAMPLES: usize = 3;
 
 /// What a soak found.
@@ -32,6 +33,8 @@
     starved: Vec<String>,
     resumed: usize,
     rollouts: Vec<String>,
+    /// The rollouts without unplanned disturbances, whose end is checked in full.
+    judged_ends: usize,
     power_losses: usize,
     violations: Vec<(Violation, Vec<String>)>,
 }
@@ -75,17 +78,18 @@
             starved: starved_spans(&state.world.timeline),
             resumed: count_resumed(&state),
             rollouts: describe_rollouts(&state),
+            judged_ends: count_judged_ends(&state, observer.now()),
             power_losses: state.world.power_losses.len(),
             violations: state.violations.iter().map(explain).collect(),
         }
     }
 
-    /// Reports whether all promises were kept.
+    /// Reports whether all rules were kept.
     pub fn is_passed(&self) -> bool {
         self.violations.is_empty()
     }
 
-    /// Removes the logs if all promises were kept.
+    /// Removes the logs if all rules were kept.
     ///
     /// # Errors
     ///
@@ -102,11 +106,11 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
         for (violation, lines) in &self.violations {
-            let count = seen.entry(violation.promise).or_default();
+            let count = seen.entry(violation.rule).or_default();
             *count += 1;
             let request = violation.request.as_deref().unwrap_or("-");
-            let (promise, detail) = (violation.promise, &violation.detail);
-            writeln!(formatter, "BROKEN {promise}: request {request}: {detail}")?;
+            let (rule, detail) = (violation.rule, &violation.detail);
+            writeln!(formatter, "BROKEN {rule}: request {request}: {detail}")?;
             if *count <= MAX_EXAMPLES {
                 for line in lines {
                     writeln!(formatter, "    {line}")?;
@@ -132,18 +136,21 @@
             "{} streams resumed, {} losses of power, rollouts: {:?}",
             self.resumed, self.power_losses, self.rollouts
         )?;
+        writeln!(
+            formatter,
+            "rollouts judged for their end: {} of {}",
+            self.judged_ends,
+            self.rollouts.len()
+        )?;
         if self.is_passed() {
             return writeln!(formatter, "seed {seed}: PASSED");
         }
-        let promises: Vec<String> = seen
+        let rules: Vec<String> = seen
             .iter()
-            .map(|(promise, count)| format!("{promise} ({count})"))
+            .map(|(rule, count)| format!("{rule} ({count})"))
             .collect();
-        let (promises, folder) = (promises.join(", "), self.folder.display());
-        writeln!(
-            formatter,
-            "seed {seed}: FAILED: {promises}; logs in {folder}"
-        )
+        let (rules, folder) = (rules.join(", "), self.folder.display());
+        writeln!(formatter, "seed {seed}: FAILED: {rules}; logs in {folder}")
     }
 }
 
@@ -199,7 +206,7 @@
 }
 
 fn describe_disturbances(story: &RequestStory, timeline: &Timeline) -> Vec<String> {
-    let ended_at = story.ended_at(skylarkshed_core::ClockTime::NEVER);
+    let ended_at = story.ended_at(ClockTime::NEVER);
     let near = timeline.disturbances.iter().filter(|disturbance| {
         let is_of_vm = disturbance.part == Part::Vm(story.request.vm);
         let is_common = matches!(disturbance.part, Part::Store | Part::Machine);
@@ -247,6 +254,13 @@
     resumed.count()
 }
 
+fn count_judged_ends(state: &ObserverState, now: ClockTime) -> usize {
+    let world = &state.world;
+    let rollouts = world.rollouts.iter();
+    let judged = rollouts.filter(|rollout| is_end_judged(rollout, world, now));
+    judged.count()
+}
+
 fn describe_rollouts(state: &ObserverState) -> Vec<String> {
     let describe = |rollout: &RolloutRecord| {
         let RolloutRecord {
