Close the listener of a drained process at a fixed time

Callers that kept connecting to a process that had nothing left to do were accepted until its grace time ended, if less than 10 ms passed between two connections, and the process stayed up as long. The delay of 10 ms before the close was created again after each accepted connection, so it ended only in a pause. It is one future for all connections now.

The new test has four callers that connect every 2 ms to a leaving process with a grace time of 20 s.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -45,20 +45,22 @@
     mut stopping: watch::Receiver<bool>,
 ) {
     let max_connections = state.settings.descriptors * CALLER_DESCRIPTORS_PERCENT / 100;
+    // One future for all iterations, so that its delay does not start again after each
+    // connection.
+    let mut stop = pin!(async move {
+        // Without a sender the process is about to exit.
+        let _ = stopping.wait_for(|stopping| *stopping).await;
+        tokio::time::sleep(CLOSE_DELAY.to_duration()).await;
+    });
     loop {
         if state.connections.load(Ordering::Relaxed) >= max_connections {
             tokio::time::sleep(ACCEPT_RETRY_DELAY.to_duration()).await;
             continue;
         }
-        let stop = async {
-            // Without a sender the process is about to exit.
-            let _ = stopping.wait_for(|stopping| *stopping).await;
-            tokio::time::sleep(CLOSE_DELAY.to_duration()).await;
-        };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = stop => return,
+            () = stop.as_mut() => return,
         };
         match accepted {
             Ok((stream, _)) => {
--- a/tests/testsuite/tests/gateway/leaving.rs
+++ b/tests/testsuite/tests/gateway/leaving.rs
@@ -8,6 +8,10 @@
 
 /// When a leaving process closes idle connections, and may end.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(2_200);
+/// The time in which a process without connections ends, far below its grace.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
+/// Shorter than the time for which a process accepts connections before it ends.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(2);
 
 #[tokio::test]
 async fn terminating_process_finishes_the_requests_it_read() {
@@ -128,3 +132,25 @@
         assert_eq!(response.map(|response| response.status), Some(200));
     }
 }
+
+/// Guards against a listener that stays open as long as callers connect to it.
+#[tokio::test]
+async fn drained_process_ends_while_callers_connect() {
+    let mut harness = HarnessBuilder::default().grace_s(20).start().await;
+    harness.signal(Signal::SIGTERM);
+    let signalled = Instant::now();
+    let connect = || async {
+        while let Some(client) = harness.connect_if_listening().await {
+            drop(client);
+            tokio::time::sleep(CONNECT_INTERVAL).await;
+        }
+    };
+    // Several callers, so that a slow one does not leave a pause.
+    let connecting = async { tokio::join!(connect(), connect(), connect(), connect()) };
+    let limit = IDLE_CLOSE_DELAY + CLOSE_TIME;
+    let refused = tokio::time::timeout(limit, connecting).await;
+    assert!(refused.is_ok(), "callers could connect for {limit:?}");
+    assert!(signalled.elapsed() > IDLE_CLOSE_DELAY);
+    let ended = tokio::time::timeout(CLOSE_TIME, harness.process.wait()).await;
+    assert!(ended.unwrap().unwrap().success());
+}
