Give the listener its delay after a suspension

A process that was suspended until its grace time was over had no time left to accept what the kernel had accepted meanwhile: the limit for the close was zero, so the delay of 10 ms in which the listener is accepted from was cut. The limit is now at least twice the delay.

Found by reading, not seen in a run. No test shows it: a process resumed that late races with its own end.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -32,7 +32,7 @@
 /// How long a connection that has timed out is read again, and the listener is accepted
 /// from, before it is closed. In a process that was suspended, timers may fire before what
 /// has arrived meanwhile is noticed.
-const CLOSE_DELAY: ClockTime = ClockTime::from_millis(10);
+pub(crate) const CLOSE_DELAY: ClockTime = ClockTime::from_millis(10);
 /// The delay after a connection could not be accepted.
 pub(crate) const ACCEPT_RETRY_DELAY: ClockTime = ClockTime::from_millis(20);
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the tasks of a gateway process and serves until it is told to stop.
 
-use crate::caller::serve_callers;
+use crate::caller::{serve_callers, CLOSE_DELAY};
 use crate::gateway_state::GatewayState;
 use crate::peers::{announce_vm, FeedHandler};
 use crate::platform_api::{RoutingStore, WireProtocol};
@@ -25,6 +25,9 @@
 /// How long before the kill the process exits by itself.
 pub(crate) const KILL_MARGIN: ClockTime = ClockTime::from_millis(350);
 const CHECK_INTERVAL: ClockTime = ClockTime::from_millis(50);
+/// The time in which the listener is closed even if the grace time is over, as it is
+/// after the process was suspended: twice the delay of the close.
+const MIN_CLOSE_TIME: ClockTime = ClockTime::from_millis(2 * CLOSE_DELAY.as_millis());
 
 /// An error that keeps a gateway from serving.
 #[derive(Debug, Error)]
@@ -188,7 +191,9 @@
         tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
     }
     close.send_replace(true);
-    callers.stop(grace.since(elapsed())).await;
+    callers
+        .stop(grace.since(elapsed()).max(MIN_CLOSE_TIME))
+        .await;
     while elapsed() < grace && connections() > 0 {
         tokio::time::sleep(CHECK_INTERVAL.to_duration()).await;
     }
