Withdraw a version for the fleet only by a hub's quorum

A VM that heard no hub judged a completed version by its own samples, and the hubs took its withdrawal over: after a zone loss one VM could withdraw a good version for all VMs, for good.

A withdrawal now has a scope. A hub withdraws for all only on the merged samples while most VMs report. A VM without a hub withdraws for itself, until it hears a hub that did not withdraw. VMs report only a hub's decision, so that a VM that becomes a hub knows it.

--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -4,7 +4,7 @@
 //! and learns from them what the fleet knows, so that a bad version is known to all
 //! within a second, also without the store. Only the hubs use the store.
 
-use super::record::{RolloutRecord, VmReport};
+use super::record::{RolloutRecord, VmReport, WithdrawalScope};
 use crate::gateway_state::GatewayState;
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::{ClockTime, VmName};
@@ -23,7 +23,7 @@
 pub(super) struct RolloutWord {
     pub(super) state: RolloutState,
     pub(super) is_stored: bool,
-    /// Whether the version was withdrawn after the rollout was done.
+    /// Whether the version was withdrawn for all VMs after the rollout was done.
     #[serde(default)]
     pub(super) is_withdrawn: bool,
     /// Whether the hub hears from most VMs.
@@ -67,6 +67,13 @@
     }
 }
 
+/// The samples that a VM judges a version by.
+pub(super) struct JudgedSamples {
+    pub(super) samples: RolloutSamples,
+    /// Whether most VMs have reported lately.
+    pub(super) has_quorum: bool,
+}
+
 /// Returns the other hubs of a rollout, and whether this VM is one.
 pub(super) fn find_hubs(state: &GatewayState, record: &RolloutRecord) -> (Vec<SocketAddr>, bool) {
     let vms = state.roster.vms();
@@ -100,7 +107,7 @@
         vm: state.settings.name.to_string(),
         is_rolled_back: record.state() == RolloutState::RolledBack,
         samples: samples.to_owned(),
-        is_withdrawn: record.progress().is_withdrawn,
+        is_withdrawn: record.progress().is_withdrawn_for_all(),
     };
     let body = PeerBody::ReportRollout(report);
     let timeout = record.times.reply_timeout;
@@ -136,14 +143,15 @@
     if report.is_rolled_back {
         record.record_state(RolloutState::RolledBack);
     }
+    // A hub decided that: this VM may have become one since then.
     if report.is_withdrawn {
-        record.record_withdrawal();
+        record.record_withdrawal(WithdrawalScope::Fleet);
     }
     let progress = record.progress();
     let word = RolloutWord {
         state: progress.state,
         is_stored: progress.is_stored,
-        is_withdrawn: progress.is_withdrawn,
+        is_withdrawn: progress.is_withdrawn_for_all(),
         elapsed_ms: progress.elapsed(record.clock.now()).as_millis(),
         ..progress.word.clone()
     };
@@ -160,7 +168,7 @@
 }
 
 /// Returns the sum of the reports of all VMs, as a hub, and updates what it tells them.
-pub(super) fn review_reports(state: &GatewayState, record: &RolloutRecord) -> RolloutSamples {
+pub(super) fn review_reports(state: &GatewayState, record: &RolloutRecord) -> JudgedSamples {
     let now = record.clock.now();
     let mut sum = RolloutSamples::default();
     let mut heard = 0;
@@ -169,11 +177,12 @@
         sum.merge(&report.samples);
         heard += usize::from(now.since(report.received_at) < record.times.report_ttl);
     }
+    let has_quorum = heard * 2 > state.roster.count().unwrap_or(1);
     let word = RolloutWord {
         state: progress.state,
         is_stored: progress.is_stored,
-        is_withdrawn: progress.is_withdrawn,
-        has_quorum: heard * 2 > state.roster.count().unwrap_or(1),
+        is_withdrawn: progress.is_withdrawn_for_all(),
+        has_quorum,
         elapsed_ms: progress.elapsed(now).as_millis(),
         sent: sum.sent_to_new(),
         overdue_ms: to_millis(overdue_times(&sum)),
@@ -181,7 +190,10 @@
     };
     drop(progress);
     record.apply_word(word);
-    sum
+    JudgedSamples {
+        samples: sum,
+        has_quorum,
+    }
 }
 
 /// Reports whether another VM has reported lately.
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -26,6 +26,15 @@
     pub(super) received_at: ClockTime,
 }
 
+/// For whom a version is withdrawn.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum WithdrawalScope {
+    /// For this VM, which hears no hub, until it hears one.
+    Vm,
+    /// For all VMs, by a hub that heard from most of them.
+    Fleet,
+}
+
 #[derive(Debug)]
 pub(super) struct RolloutProgress {
     pub(super) state: RolloutState,
@@ -34,7 +43,7 @@
     /// When this VM learned that the rollout is done.
     done_at: Option<ClockTime>,
     /// Whether the version was found to be bad after the rollout was done.
-    pub(super) is_withdrawn: bool,
+    pub(super) withdrawal: Option<WithdrawalScope>,
     /// Whether another version has upstreams.
     pub(super) has_alternative: bool,
     pub(super) samples: RolloutSamples,
@@ -88,7 +97,7 @@
             state: RolloutState::Running,
             is_stored: false,
             done_at: None,
-            is_withdrawn: false,
+            withdrawal: None,
             has_alternative: false,
             samples: RolloutSamples::new(before),
             allowance,
@@ -147,28 +156,46 @@
     }
 
     /// Withdraws a version after its rollout is done.
-    pub(super) fn record_withdrawal(&self) {
+    pub(super) fn record_withdrawal(&self, scope: WithdrawalScope) {
         let mut progress = self.progress();
-        if progress.state != RolloutState::Done || progress.is_withdrawn {
+        if progress.state != RolloutState::Done || progress.withdrawal >= Some(scope) {
             return;
         }
-        progress.is_withdrawn = true;
+        progress.withdrawal = Some(scope);
         drop(progress);
         log::warn!(
             service:% = self.spec.service,
             to:% = self.spec.to,
             order = self.spec.revision,
+            scope:?,
             elapsed_ms = self.elapsed().as_millis();
             "version withdrawn"
         );
     }
 
+    /// Ends the withdrawal of a version by this VM alone.
+    pub(super) fn end_own_withdrawal(&self) {
+        let mut progress = self.progress();
+        if progress.withdrawal != Some(WithdrawalScope::Vm) {
+            return;
+        }
+        progress.withdrawal = None;
+        drop(progress);
+        log::info!(
+            service:% = self.spec.service,
+            to:% = self.spec.to,
+            order = self.spec.revision,
+            elapsed_ms = self.elapsed().as_millis();
+            "withdrawal ended"
+        );
+    }
+
     /// Returns which versions a request may be sent to; `is_canary` tells whether it was
     /// taken for the version under test.
     pub(super) fn version_rule(&self, is_canary: bool) -> VersionRule {
         let progress = self.progress();
         match progress.state {
-            RolloutState::Done => select_baking_rule(&self.spec.to, progress.is_withdrawn),
+            RolloutState::Done => select_baking_rule(&self.spec.to, progress.withdrawal.is_some()),
             state => select_version_rule(&self.spec.to, state, is_canary),
         }
     }
@@ -179,7 +206,7 @@
         match progress.state {
             RolloutState::Running => false,
             RolloutState::RolledBack => true,
-            RolloutState::Done => progress.is_withdrawn && progress.has_alternative,
+            RolloutState::Done => progress.withdrawal.is_some() && progress.has_alternative,
         }
     }
 
@@ -277,7 +304,7 @@
         let mut progress = self.progress();
         progress.state = previous.state;
         progress.done_at = previous.done_at;
-        progress.is_withdrawn = previous.is_withdrawn;
+        progress.withdrawal = previous.withdrawal;
         progress.samples = previous.samples.clone();
         progress.allowance = previous.allowance.clone();
         progress.needs_reserve = previous.needs_reserve;
@@ -288,7 +315,7 @@
     pub(super) fn apply_word(&self, word: RolloutWord) {
         self.record_state(word.state);
         if word.is_withdrawn {
-            self.record_withdrawal();
+            self.record_withdrawal(WithdrawalScope::Fleet);
         }
         let now = self.clock.now();
         let mut progress = self.progress();
@@ -302,6 +329,11 @@
 }
 
 impl RolloutProgress {
+    /// Reports whether the version is withdrawn for all VMs.
+    pub(super) fn is_withdrawn_for_all(&self) -> bool {
+        self.withdrawal == Some(WithdrawalScope::Fleet)
+    }
+
     /// Returns the time since the rollout began, at a time on this VM's clock.
     pub(super) fn elapsed(&self, at: ClockTime) -> ClockTime {
         self.elapsed_before + at.since(self.seen_at)
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -1,16 +1,17 @@
 //! Watches one rollout: until its end is stored, and then for faults that appear later.
 
 use super::bake::review_baking;
-use super::exchange::{find_hubs, has_reports, record_report, report_to, review_reports};
-use super::record::RolloutRecord;
+use super::exchange::{
+    find_hubs, has_reports, record_report, report_to, review_reports, JudgedSamples,
+};
+use super::record::{RolloutRecord, WithdrawalScope};
 use super::reserve::add_reserve;
 use crate::gateway_state::GatewayState;
 use crate::jitter::add_jitter;
 use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
 use skylarkshed_core::{ClockTime, RolloutSpec};
 use skylarkshed_policy::{
-    compare_rollout, decide_rollout, finish_time, RolloutDecision, RolloutFindings, RolloutSamples,
-    RolloutState,
+    compare_rollout, decide_rollout, finish_time, RolloutDecision, RolloutFindings, RolloutState,
 };
 use std::sync::Weak;
 
@@ -63,7 +64,7 @@
         &mut self,
         state: &GatewayState,
         record: &RolloutRecord,
-    ) -> Option<RolloutSamples> {
+    ) -> Option<JudgedSamples> {
         let (hubs, is_hub) = find_hubs(state, record);
         let samples = record.snapshot();
         let encoded = serde_json::to_string(&samples).unwrap_or_default();
@@ -74,14 +75,37 @@
         let now = state.clock.now();
         for word in words.into_iter().flatten() {
             self.heard_at = now;
+            if !word.is_withdrawn {
+                record.end_own_withdrawal();
+            }
             record.apply_word(word);
         }
         if is_hub {
             record_report(record, state.settings.name.clone(), samples);
             return Some(review_reports(state, record));
         }
-        let is_alone = now.since(self.heard_at) >= record.times.hub_timeout;
-        is_alone.then_some(samples)
+        self.is_alone(state, record).then_some(JudgedSamples {
+            samples,
+            has_quorum: false,
+        })
+    }
+
+    /// Reports whether this VM hears no other hub.
+    fn is_alone(&self, state: &GatewayState, record: &RolloutRecord) -> bool {
+        state.clock.now().since(self.heard_at) >= record.times.hub_timeout
+    }
+
+    /// Returns for whom this VM may withdraw a version.
+    fn withdrawal_scope(
+        &self,
+        state: &GatewayState,
+        record: &RolloutRecord,
+        has_quorum: bool,
+    ) -> Option<WithdrawalScope> {
+        match has_quorum {
+            true => Some(WithdrawalScope::Fleet),
+            false => self.is_alone(state, record).then_some(WithdrawalScope::Vm),
+        }
     }
 
     /// Watches a version after its rollout is done, without the store, for as long as
@@ -92,12 +116,16 @@
         record.progress().has_alternative = has_alternative;
         record.drop_old_samples();
         let is_known_elsewhere = has_reports(record);
-        let samples = match has_alternative {
+        let judged = match has_alternative {
             true => self.exchange(state, record).await,
             false => is_known_elsewhere.then(|| review_reports(state, record)),
         };
-        if let Some(samples) = samples {
-            review_baking(record, &samples, has_alternative || is_known_elsewhere);
+        let Some(judged) = judged else {
+            return;
+        };
+        if let Some(scope) = self.withdrawal_scope(state, record, judged.has_quorum) {
+            let has_alternative = has_alternative || is_known_elsewhere;
+            review_baking(record, &judged.samples, has_alternative, scope);
         }
     }
 
@@ -108,11 +136,11 @@
         record: &RolloutRecord,
     ) {
         add_reserve(state, record);
-        let Some(samples) = self.exchange(state, record).await else {
+        let Some(judged) = self.exchange(state, record).await else {
             return;
         };
         let now = state.clock.now();
-        let end = decide_end(record, &compare_rollout(&samples));
+        let end = decide_end(record, &compare_rollout(&judged.samples));
         let is_due = self
             .stored_at
             .is_none_or(|at| now.since(at) >= STORE_INTERVAL);
