Avoid a withdrawn version only while another one works

Callers of a withdrawn version were not served once the old version's engines had stopped while their entries remained, as without the store: every attempt preferred the dead upstreams.

The rule of a completed rollout is now chosen at the time of routing: the version is avoided only while another one has a healthy upstream.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -105,7 +105,9 @@
         let request = self.request;
         let is_first = self.tried.is_empty();
         let rollouts = &self.state.rollouts;
-        let next = rollouts.attempt_rule(&request.service, &request.route.name, is_first);
+        let upstreams = &self.state.upstreams;
+        let route = &request.route.name;
+        let next = rollouts.attempt_rule(&request.service, upstreams, route, is_first);
         (self.version_rule, self.ticket) = (next.rule, next.ticket);
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -174,7 +174,7 @@
             RETRY_AFTER_NOT_READY,
         ))
     })?;
-    let version_rule = state.rollouts.version_rule(&service);
+    let version_rule = state.rollouts.version_rule(&service, &state.upstreams);
     Ok(CallerRequest {
         parts,
         body,
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway_state::GatewayState;
 use crate::platform_api::RoutingStore;
+use crate::upstreams::UpstreamDirectory;
 use arc_swap::ArcSwap;
 pub(crate) use probe::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use recent::RecentSamples;
@@ -46,9 +47,15 @@
 
     /// Returns which versions of a service a request may be sent to if it isn't taken
     /// for the version under test.
-    pub(crate) fn version_rule(&self, service: &ServiceName) -> VersionRule {
+    pub(crate) fn version_rule(
+        &self,
+        service: &ServiceName,
+        upstreams: &UpstreamDirectory,
+    ) -> VersionRule {
         let record = self.find(service);
-        record.map_or(VersionRule::Any, |record| record.version_rule(false))
+        record.map_or(VersionRule::Any, |record| {
+            record.version_rule(upstreams, false)
+        })
     }
 
     /// Returns which versions the next attempt of a request may be sent to. Only the
@@ -56,6 +63,7 @@
     pub(crate) fn attempt_rule(
         &self,
         service: &ServiceName,
+        upstreams: &UpstreamDirectory,
         route: &str,
         is_first: bool,
     ) -> AttemptRule {
@@ -64,7 +72,7 @@
         };
         let is_canary = is_first && record.take_canary(route);
         AttemptRule {
-            rule: record.version_rule(is_canary),
+            rule: record.version_rule(upstreams, is_canary),
             ticket: is_canary.then(|| CanaryTicket {
                 record: Some(record),
             }),
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -1,6 +1,7 @@
 //! One rollout and what this VM knows of it.
 
 use super::exchange::RolloutWord;
+use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, RolloutSpec, VmName};
 use skylarkshed_policy::{
     bake_slice_at, drop_old_bake_slices, route_priority, select_baking_rule, select_version_rule,
@@ -191,11 +192,24 @@
     }
 
     /// Returns which versions a request may be sent to; `is_canary` tells whether it was
-    /// taken for the version under test.
-    pub(super) fn version_rule(&self, is_canary: bool) -> VersionRule {
-        let progress = self.progress();
-        match progress.state {
-            RolloutState::Done => select_baking_rule(&self.spec.to, progress.withdrawal.is_some()),
+    /// taken for the version under test. A withdrawn version is avoided only while another
+    /// one has upstreams that work normally.
+    pub(super) fn version_rule(
+        &self,
+        upstreams: &UpstreamDirectory,
+        is_canary: bool,
+    ) -> VersionRule {
+        let (state, is_withdrawn) = {
+            let progress = self.progress();
+            (progress.state, progress.withdrawal.is_some())
+        };
+        let spec = &self.spec;
+        match state {
+            RolloutState::Done => {
+                let is_avoided =
+                    is_withdrawn && upstreams.has_other_version(&spec.service, &spec.to);
+                select_baking_rule(&spec.to, is_avoided)
+            }
             state => select_version_rule(&self.spec.to, state, is_canary),
         }
     }
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -134,7 +134,9 @@
         let avoid = [upstream.name().clone()];
         let mut avoid_zones = self.failed_zones.clone();
         avoid_zones.push(upstream.record.zone.clone());
-        let rule = self.state.rollouts.version_rule(&self.request.service);
+        let state = &self.state;
+        let service = &self.request.service;
+        let rule = state.rollouts.version_rule(service, &state.upstreams);
         self.next_candidate(&avoid, &avoid_zones, &rule)
     }
 
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -229,7 +229,8 @@
         let request = &self.request;
         let is_first = self.tried.is_empty() && self.ledger.last().is_none();
         let rollouts = &self.state.rollouts;
-        rollouts.attempt_rule(&request.service, &request.route.name, is_first)
+        let upstreams = &self.state.upstreams;
+        rollouts.attempt_rule(&request.service, upstreams, &request.route.name, is_first)
     }
 
     /// Starts to observe an attempt for the comparison of versions.
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -122,7 +122,9 @@
     /// Reports whether another upstream could take over. One that was tried before or
     /// failed recently counts only if the silent one was waited for already.
     fn has_substitute(&self, silent: &UpstreamState, was_waited_for: bool) -> bool {
-        let rule = self.state.rollouts.version_rule(&self.request.service);
+        let state = &self.state;
+        let service = &self.request.service;
+        let rule = state.rollouts.version_rule(service, &state.upstreams);
         if was_waited_for {
             let avoid = [silent.name().clone()];
             let other = self.next_candidate(&avoid, &self.failed_zones, &rule);
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -123,6 +123,14 @@
         }
     }
 
+    /// Stops the old version's engines; their entries remain.
+    pub fn stop_old_version(&self) {
+        let engines = &self.harness.engines;
+        for engine in &engines[..engines.len() / 2] {
+            engine.stop();
+        }
+    }
+
     /// Sets the fault of the new version; `None` mends it.
     pub fn set_fault(&self, fault: Option<&VersionFault>) {
         for engine in self.new_engines() {
--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -182,6 +182,29 @@
     assert!(received >= 60, "{received} requests");
 }
 
+/// A VM without the store keeps the entries of the old version.
+#[tokio::test]
+async fn withdrawn_version_serves_once_the_old_one_does_not_answer() {
+    let mut trial = RolloutTrial::start(1).await;
+    trial.order(DURATION);
+    let load = trial.start_load(0, 20.0);
+    trial.assert_completed().await;
+    drop(load);
+    trial.set_fault(Some(&FAILING));
+    let load = trial.start_load(0, 60.0);
+    wait_until_avoided(&trial, &load).await;
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    trial.stop_old_version();
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    let before = trial.new_request_count();
+    let sent = load.sent_count();
+    while load.sent_count() < sent + 60 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let received = trial.new_request_count() - before;
+    assert!(received >= 60, "{received} requests");
+}
+
 /// Waits until the new version has got some requests, but none of the last 120.
 async fn wait_until_avoided(trial: &RolloutTrial, load: &CallerLoad) {
     let mut last = (0, 0);
