Compare error responses and missing responses of versions apart

Cause: requests that lost their upstream counted as failures of the old version. All of its 39 requests of the rollout failed so, and no failure rate of the new version is worse than that. The class: missing knowledge that is taken for knowledge, here of the old one. Ruled out: too few requests to the new version (36, 10 of them failed); samples before the rollout (25 good ones were known, but are used only if there are few others). Change: failures are recorded as an error response or as no response, and each kind has a test of its own with its own reference. A version that ends its connections is still found. The number of tests counts in the bound on false alarms. The log names the requests without a response. Result: lost_upstreams_of_the_old_version_do_not_hide_a_late_fault fails if both kinds are compared together, and passes.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -339,12 +339,13 @@
     fn record_outcome(&self, attempt: &OpenAttempt, outcome: &AttemptOutcome) {
         let request = self.request;
         let upstream = &attempt.upstream;
-        if attempt.is_first && outcome.is_failure() {
+        if let Some(kind) = outcome.failure_kind().filter(|_| attempt.is_first) {
             self.state.rollouts.record_failure(
                 &request.service,
                 &upstream.record.version,
                 &request.route.name,
                 request.customer.as_ref(),
+                kind,
             );
         }
         self.log_outcome(upstream, outcome);
--- a/crates/gateway/src/call_attempt.rs
+++ b/crates/gateway/src/call_attempt.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::{response, Response};
 use skylarkshed_core::ClockTime;
+use skylarkshed_policy::FailureKind;
 use std::sync::Arc;
 
 /// The outcome of one attempt.
@@ -38,11 +39,16 @@
         }
     }
 
-    pub(crate) const fn is_failure(&self) -> bool {
-        matches!(
-            self,
-            AttemptOutcome::UpstreamError(..) | AttemptOutcome::Failed(_)
-        )
+    /// Returns how the upstream's version failed, if it did.
+    pub(crate) const fn failure_kind(&self) -> Option<FailureKind> {
+        match self {
+            AttemptOutcome::Response(..) | AttemptOutcome::Unsent | AttemptOutcome::NotRun => None,
+            AttemptOutcome::UpstreamError(..)
+            | AttemptOutcome::Failed(FailureReason::BadResponse) => {
+                Some(FailureKind::ErrorResponse)
+            }
+            AttemptOutcome::Failed(_) => Some(FailureKind::NoResponse),
+        }
     }
 }
 
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -21,7 +21,9 @@
 use reserve::needs_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
-use skylarkshed_policy::{may_take_canary, CanaryAllowance, RolloutTimes, VersionRule};
+use skylarkshed_policy::{
+    may_take_canary, CanaryAllowance, FailureKind, RolloutTimes, VersionRule,
+};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
@@ -104,15 +106,16 @@
         version: &VersionName,
         route: &str,
         customer: Option<&CustomerName>,
+        kind: FailureKind,
     ) {
         let now = self.clock.now();
         let record = self.find(service);
         if !record.as_ref().is_some_and(|record| record.is_running()) {
-            self.recent.record_outcome(service, route, now, None);
+            self.recent.record_outcome(service, route, now, Err(kind));
         }
         if let Some(record) = record {
             let is_new = *version == record.spec.to;
-            record.record_outcome(is_new, route, customer, now, None);
+            record.record_outcome(is_new, route, customer, now, Err(kind));
         }
     }
 
--- a/crates/gateway/src/rollouts/probe.rs
+++ b/crates/gateway/src/rollouts/probe.rs
@@ -161,7 +161,7 @@
         if let Some(recent) = self.recent.as_ref().filter(|recent| recent.is_timed) {
             let (service, route) = (&recent.service, &recent.route);
             let samples = &recent.recent;
-            samples.record_outcome(service, route, self.clock.now(), Some(time));
+            samples.record_outcome(service, route, self.clock.now(), Ok(time));
         }
     }
 
@@ -269,7 +269,7 @@
         if self.is_timed {
             let customer = self.customer.as_ref();
             self.record
-                .record_outcome(self.is_new, &self.route, customer, sent_at, Some(time));
+                .record_outcome(self.is_new, &self.route, customer, sent_at, Ok(time));
         }
     }
 
--- a/crates/gateway/src/rollouts/recent.rs
+++ b/crates/gateway/src/rollouts/recent.rs
@@ -1,7 +1,7 @@
 //! What was seen of each service just before a rollout.
 
 use skylarkshed_core::{ClockTime, ServiceName};
-use skylarkshed_policy::VersionSamples;
+use skylarkshed_policy::{FailureKind, VersionSamples};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -22,21 +22,19 @@
 }
 
 impl RecentSamples {
-    /// Records how a request ended; `first` is the time to its response or first event,
-    /// none for a failure.
+    /// Records how a request ended; `first` is the time to its response or first event.
     pub(super) fn record_outcome(
         &self,
         service: &ServiceName,
         route: &str,
         now: ClockTime,
-        first: Option<ClockTime>,
+        first: Result<ClockTime, FailureKind>,
     ) {
         let mut services = self.lock();
         let samples = current(&mut services, service, now).route(route);
-        samples.total += 1;
         match first {
-            Some(first) => samples.first.record(first),
-            None => samples.failed += 1,
+            Ok(first) => samples.record_first(first),
+            Err(kind) => samples.record_failure(kind),
         }
     }
 
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -6,8 +6,8 @@
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, RolloutSpec};
 use skylarkshed_policy::{
     bake_slice_at, drop_old_bake_slices, select_baking_rule, select_untaken_use,
-    select_version_rule, CanaryAllowance, CanarySpread, CanaryUse, RolloutSamples, RolloutState,
-    RolloutTimes, VersionRule, VersionSamples,
+    select_version_rule, CanaryAllowance, CanarySpread, CanaryUse, FailureKind, RolloutSamples,
+    RolloutState, RolloutTimes, VersionRule, VersionSamples,
 };
 use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -215,10 +215,7 @@
             };
             let route = version.route(&attempt.route);
             match progress.is_overdue(&attempt.route, age) {
-                true => {
-                    route.total += 1;
-                    route.first.record(age);
-                }
+                true => route.record_first(age),
                 false => route.open += 1,
             }
         }
@@ -248,27 +245,25 @@
         progress.allowance.try_take(priority, elapsed, duration)
     }
 
-    /// Records how a request ended; `first` is the time to its response or first event,
-    /// none for a failure.
+    /// Records how a request ended; `first` is the time to its response or first event.
     pub(super) fn record_outcome(
         &self,
         is_new: bool,
         route: &str,
         customer: Option<&CustomerName>,
         sent_at: ClockTime,
-        first: Option<ClockTime>,
+        first: Result<ClockTime, FailureKind>,
     ) {
         let mut progress = self.progress();
         let slice = self.slice(&progress, sent_at);
         let samples = progress.version(slice, is_new).route(route);
-        samples.total += 1;
         match first {
-            Some(first) => samples.first.record(first),
-            None => samples.failed += 1,
+            Ok(first) => samples.record_first(first),
+            Err(kind) => samples.record_failure(kind),
         }
         if let Some(customer) = customer {
             let samples = &mut progress.samples;
-            samples.record_customer(customer, is_new, first.is_none());
+            samples.record_customer(customer, is_new, first.is_err());
         }
     }
 
--- a/crates/gateway/src/rollouts/summary.rs
+++ b/crates/gateway/src/rollouts/summary.rs
@@ -7,7 +7,7 @@
 const MAX_ROUTES: usize = 12;
 
 /// Returns the failed and all requests of both versions by route, those with the most
-/// requests first.
+/// requests first; and how many of the failed ones got no response, if any.
 pub(super) fn summarize_routes(samples: &RolloutSamples) -> String {
     let all = samples.since(0);
     let total = |route: &&String| {
@@ -29,6 +29,10 @@
 
 fn describe(samples: Option<&RouteSamples>) -> String {
     samples.map_or("0/0".to_owned(), |samples| {
-        format!("{}/{}", samples.failed, samples.total)
+        let counts = format!("{}/{}", samples.failed, samples.total);
+        match samples.unanswered {
+            0 => counts,
+            unanswered => format!("{counts} ({unanswered} unanswered)"),
+        }
     })
 }
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -13,7 +13,8 @@
 use http::Response;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    decide_recovery, silence_limit, LossCause, RecoveryDecision, StreamPhase, StreamState,
+    decide_recovery, silence_limit, FailureKind, LossCause, RecoveryDecision, StreamPhase,
+    StreamState,
 };
 use std::pin::pin;
 use std::sync::atomic::Ordering;
@@ -266,12 +267,13 @@
     }
 
     /// Records that an attempt failed at its upstream's version.
-    fn record_version_failure(&self, upstream: &UpstreamState) {
+    fn record_version_failure(&self, upstream: &UpstreamState, kind: FailureKind) {
         self.state.rollouts.record_failure(
             &self.request.service,
             &upstream.record.version,
             &self.request.route.name,
             self.request.customer.as_ref(),
+            kind,
         );
     }
 
@@ -294,7 +296,7 @@
         let status = response.parts.status;
         let is_signed_client_error = response.head.is_signed && status.is_client_error();
         if !is_signed_client_error || self.ledger.accepted() > 0 {
-            return Err(AttemptFailure(LossCause::Broken));
+            return Err(AttemptFailure(LossCause::ErrorResponse));
         }
         let body = response.collect().await?;
         let response = Response::from_parts(response.parts, ResponseBody::complete(body));
@@ -325,9 +327,8 @@
                 self.failed_zones.push(upstream.record.zone.clone());
             }
         }
-        // An overdue attempt counts as slow.
-        if self.is_first_send && !cause.is_not_run() && cause != LossCause::Overdue {
-            self.record_version_failure(upstream);
+        if let Some(kind) = cause.failure_kind().filter(|_| self.is_first_send) {
+            self.record_version_failure(upstream, kind);
         }
         counters::count_retry(cause.label());
         log::info!(
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -119,7 +119,8 @@
     select_version_rule, CanaryUse, RolloutDecision, RolloutState, VersionKnowledge, VersionRule,
 };
 pub use rollout_samples::{
-    RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples, ROLLOUT_SLICES,
+    FailureKind, RolloutSamples, RouteSamples, TimeHistogram, VersionPair, VersionSamples,
+    ROLLOUT_SLICES,
 };
 pub use rollout_times::RolloutTimes;
 pub use route_table::{choose_service, RouteTable};
--- a/crates/policy/src/rollout_bake.rs
+++ b/crates/policy/src/rollout_bake.rs
@@ -22,8 +22,9 @@
 const MIN_SLICE: ClockTime = ClockTime::from_millis(5_000);
 /// The probability of ever finding a fault in a good version.
 const FALSE_ALARM_PROBABILITY: f64 = 0.02;
-/// The number of tests of a route in each slice: failures, times to first events, paces.
-const ROUTE_TESTS: f64 = 3.0;
+/// The number of tests of a route in each slice: both kinds of failures, times to first
+/// events, paces.
+const ROUTE_TESTS: f64 = 4.0;
 /// A fault makes times several times as long; more load makes them a little longer.
 const SLOW_LIMIT: SlowLimit = SlowLimit {
     factor: 2.0,
--- a/crates/policy/src/rollout_comparison.rs
+++ b/crates/policy/src/rollout_comparison.rs
@@ -9,8 +9,8 @@
 
 use crate::evidence::{log_mixture, upper_rate, VersionVerdict};
 use crate::rollout_samples::{
-    buckets_of_factor, time_above, RolloutSamples, RouteSamples, TimeHistogram, VersionPair,
-    VersionSamples, ROLLOUT_SLICES,
+    buckets_of_factor, time_above, FailureCount, RolloutSamples, RouteSamples, TimeHistogram,
+    VersionPair, VersionSamples, ROLLOUT_SLICES,
 };
 use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
@@ -58,9 +58,19 @@
 /// A first event is overdue after this many times the usual longest wait: early enough
 /// that another upstream can send it within the target latency.
 const OVERDUE_FACTOR: f64 = 1.25;
-/// The number of tests of a route in each slice: failures, and all limits for the times
-/// to first events and for the paces.
-const ROUTE_TESTS: f64 = 7.0;
+/// The number of tests of a route in each slice: both kinds of failures, and all limits for
+/// the times to first events and for the paces.
+const ROUTE_TESTS: f64 = 8.0;
+
+/// Counts the failures of one kind.
+type FailureCounter = fn(&RouteSamples) -> FailureCount;
+
+/// The kinds of failures that are compared. Each has a test of its own, since upstreams of
+/// the old version that are lost would otherwise hide the error responses of the new one.
+const FAILURE_COUNTERS: [FailureCounter; 2] = [
+    RouteSamples::error_responses,
+    RouteSamples::missing_responses,
+];
 
 /// What the comparison found.
 #[derive(Clone, Debug, PartialEq)]
@@ -149,7 +159,7 @@
 
 fn has_only_failed(all: &VersionPair) -> bool {
     let usually_fails = |route: &String| {
-        let old = all.old.routes.get(route);
+        let old = all.old.routes.get(route).map(RouteSamples::error_responses);
         old.is_some_and(|old| old.failed * 2 > old.total)
     };
     let mut judged = RouteSamples::default();
@@ -212,7 +222,7 @@
         let mut routes = same_time.clone();
         for route in whole.routes.keys().chain(before.routes.keys()) {
             let known = routes.route(route);
-            if known.total < MIN_OLD_REQUESTS {
+            if known.error_responses().total < MIN_OLD_REQUESTS {
                 *known = RouteSamples::default();
                 let all = [whole.routes.get(route), before.routes.get(route)];
                 all.into_iter().flatten().for_each(|all| known.merge(all));
@@ -224,16 +234,16 @@
 
     /// Returns an upper bound of the failure rate. A route with few requests is compared
     /// with the worst of the others, but not with less than its own rate.
-    fn failure_rate(&self, route: &str) -> Option<f64> {
-        let is_known = |samples: &&RouteSamples| samples.total >= MIN_OLD_REQUESTS;
-        let bound = |samples: &RouteSamples| upper_rate(samples.failed, samples.total);
-        let own = self.routes.routes.get(route);
+    fn failure_rate(&self, route: &str, count: FailureCounter) -> Option<f64> {
+        let is_known = |samples: &FailureCount| samples.total >= MIN_OLD_REQUESTS;
+        let bound = |samples: FailureCount| upper_rate(samples.failed, samples.total);
+        let own = self.routes.routes.get(route).map(count);
         let own = own.filter(|own| own.total >= MIN_OWN_REQUESTS)?;
         if is_known(&own) {
             return Some(bound(own));
         }
         let own_rate = own.failed as f64 / own.total as f64;
-        let all = self.routes.routes.values().chain([&self.sum]);
+        let all = self.routes.routes.values().chain([&self.sum]).map(count);
         let worst = all.filter(is_known).map(bound).max_by(f64::total_cmp);
         Some(worst.map_or_else(|| bound(own), |worst| worst.max(own_rate)))
     }
@@ -241,10 +251,11 @@
     /// Returns an upper bound of the failure rate of all judged routes together, if the
     /// requests are those of the new version: the versions get different shares of the
     /// routes.
-    fn expected_rate(&self, new: &VersionSamples) -> Option<f64> {
+    fn expected_rate(&self, new: &VersionSamples, count: FailureCounter) -> Option<f64> {
         let rates = new.routes.iter().filter_map(|(route, samples)| {
-            let rate = self.failure_rate(route)?;
-            Some((rate * samples.total as f64, samples.total))
+            let rate = self.failure_rate(route, count)?;
+            let total = count(samples).total;
+            Some((rate * total as f64, total))
         });
         let (failed, total) = rates.fold((0.0, 0), |sum, route| (sum.0 + route.0, sum.1 + route.1));
         (total > 0).then(|| failed / total as f64)
@@ -281,23 +292,36 @@
     new: &VersionSamples,
     threshold: f64,
     findings: &mut RolloutFindings,
+) {
+    for count in FAILURE_COUNTERS {
+        compare_failures_of_kind(count, reference, new, threshold, findings);
+    }
+}
+
+fn compare_failures_of_kind(
+    count: FailureCounter,
+    reference: &Reference,
+    new: &VersionSamples,
+    threshold: f64,
+    findings: &mut RolloutFindings,
 ) {
     let mut judged = RouteSamples::default();
     let mut compare = |route: &str, rate: f64, samples: &RouteSamples| {
         // A failure may come sooner than a response, so a request that is still open counts
         // as one that does not fail.
-        let total = samples.total + samples.open;
-        let strength = log_mixture(rate + FAILURE_MARGIN, samples.failed, total);
+        let failures = count(samples);
+        let total = failures.total + samples.open;
+        let strength = log_mixture(rate + FAILURE_MARGIN, failures.failed, total);
         let route = route.to_owned();
         findings.note(VersionVerdict::Fails { route }, strength, threshold);
     };
     for (route, samples) in &new.routes {
-        if let Some(rate) = reference.failure_rate(route) {
+        if let Some(rate) = reference.failure_rate(route, count) {
             compare(route, rate, samples);
             judged.merge(samples);
         }
     }
-    if let Some(expected) = reference.expected_rate(new) {
+    if let Some(expected) = reference.expected_rate(new, count) {
         compare(ALL_ROUTES, expected, &judged);
     }
 }
@@ -336,7 +360,7 @@
 /// Looks for a customer for which the new version fails more often.
 fn compare_customers(samples: &RolloutSamples, all: &VersionPair, findings: &mut RolloutFindings) {
     let reference = Reference::new(&all.old, &all.old, samples.before());
-    let Some(expected) = reference.expected_rate(&all.new) else {
+    let Some(expected) = reference.expected_rate(&all.new, RouteSamples::all_failures) else {
         return;
     };
     let customers = samples.new_customers.len().max(1) as f64;
--- a/crates/policy/src/rollout_samples.rs
+++ b/crates/policy/src/rollout_samples.rs
@@ -75,6 +75,10 @@
     pub sent: u64,
     /// Requests that failed.
     pub failed: u64,
+    /// Those of the failed requests that got no response, or only a part of one: their
+    /// upstream was lost or silent.
+    #[serde(default)]
+    pub unanswered: u64,
     /// Requests that failed or were answered; streams count at their first event, and
     /// requests that are sent again at their first attempt.
     pub total: u64,
@@ -87,10 +91,65 @@
     pub pace: TimeHistogram,
 }
 
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureKind {
+    /// The upstream responded with an error, or with what is no valid response.
+    ErrorResponse,
+    /// The upstream was lost or silent, so that no response or only a part of one came. A
+    /// whole version of upstreams may be lost without a fault of the version.
+    NoResponse,
+}
+
+/// How many of some requests failed in one way.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct FailureCount {
+    pub(crate) failed: u64,
+    pub(crate) total: u64,
+}
+
 impl RouteSamples {
+    /// Records the time to a request's response or its first event.
+    pub fn record_first(&mut self, time: ClockTime) {
+        self.total += 1;
+        self.first.record(time);
+    }
+
+    /// Records a failed request.
+    pub fn record_failure(&mut self, kind: FailureKind) {
+        self.total += 1;
+        self.failed += 1;
+        self.unanswered += u64::from(kind == FailureKind::NoResponse);
+    }
+
+    /// Counts the error responses among the responses.
+    pub(crate) fn error_responses(&self) -> FailureCount {
+        FailureCount {
+            failed: self.failed.saturating_sub(self.unanswered),
+            total: self.total.saturating_sub(self.unanswered),
+        }
+    }
+
+    /// Counts the requests without a response.
+    pub(crate) fn missing_responses(&self) -> FailureCount {
+        FailureCount {
+            failed: self.unanswered,
+            total: self.total,
+        }
+    }
+
+    /// Counts the failures of both kinds.
+    pub(crate) fn all_failures(&self) -> FailureCount {
+        FailureCount {
+            failed: self.failed,
+            total: self.total,
+        }
+    }
+
     pub(crate) fn merge(&mut self, other: &RouteSamples) {
         self.sent += other.sent;
         self.failed += other.failed;
+        self.unanswered += other.unanswered;
         self.total += other.total;
         self.open += other.open;
         self.first.merge(&other.first);
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -4,6 +4,7 @@
 //! events, so a stream that has begun resumes from a copy of its KV cache if
 //! there is one.
 
+use crate::rollout_samples::FailureKind;
 use skylarkshed_core::ClockTime;
 
 /// The time to the first event in addition to the prefill: queueing and one step.
@@ -40,6 +41,8 @@
     /// Another upstream now has the address: the previous one has ended, and probably
     /// others of its zone as well.
     InstanceReplaced,
+    /// The upstream responded with an error.
+    ErrorResponse,
     /// The response broke off.
     Broken,
     /// The upstream sent nothing for too long.
@@ -59,6 +62,7 @@
             LossCause::Unsent => "unsent",
             LossCause::NotRun => "not_run",
             LossCause::InstanceReplaced => "replaced",
+            LossCause::ErrorResponse => "error_response",
             LossCause::Broken => "broken",
             LossCause::Silence => "silence",
             LossCause::Unreachable => "unreachable",
@@ -75,6 +79,21 @@
         )
     }
 
+    /// Returns how the upstream's version failed, if it did. An overdue attempt counts as
+    /// slow.
+    pub const fn failure_kind(self) -> Option<FailureKind> {
+        match self {
+            LossCause::Unsent
+            | LossCause::NotRun
+            | LossCause::InstanceReplaced
+            | LossCause::Overdue => None,
+            LossCause::ErrorResponse | LossCause::WrongEvent => Some(FailureKind::ErrorResponse),
+            LossCause::Broken | LossCause::Silence | LossCause::Unreachable => {
+                Some(FailureKind::NoResponse)
+            }
+        }
+    }
+
     /// Reports whether the upstream cannot have run the request.
     pub const fn is_not_run(self) -> bool {
         matches!(
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod prefill_timeout;
 mod rollout_bake;
+mod rollout_references;
 mod rollout_times;
 mod rollouts;
 mod routes;
