Notify all VMs of the end of a rollout when it is stored

Cause: the platform removes the old version when done is stored. The VMs learned of the end with their next report, up to 400 ms later, and until then the version under test was the only one left, which they may not send to. Ruled out: connections of the new version (the requests were refused without an attempt). Change: the hub that decides sends the end to all VMs, a rollback at once and a completion when it is stored. Reports remain the second way. Older builds ignore the message.

--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -38,6 +38,7 @@
                 PeerBody::Feed(serve_feed(&self.state, &request).await)
             }
             PeerBody::ReportRollout(report) => self.state.rollouts.receive_report(&report),
+            PeerBody::EndRollout(end) => self.state.rollouts.receive_end(&end),
             _ => PeerBody::Done(false),
         }
     }
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -2,6 +2,7 @@
 
 mod bake;
 mod exchange;
+mod notification;
 mod probe;
 mod progress;
 mod recent;
@@ -20,7 +21,7 @@
 use record::RolloutRecord;
 use reserve::needs_reserve;
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
-use skylarkshed_peer::wire::{PeerBody, RolloutReport};
+use skylarkshed_peer::wire::{PeerBody, RolloutEnd, RolloutReport};
 use skylarkshed_policy::{
     may_take_canary, CanaryAllowance, FailureKind, RolloutTimes, VersionRule,
 };
@@ -127,6 +128,14 @@
         }
     }
 
+    /// Handles the end of a rollout that another VM knows.
+    pub(crate) fn receive_end(&self, end: &RolloutEnd) -> PeerBody {
+        match self.find(&ServiceName::from(end.service.as_str())) {
+            Some(record) => notification::receive_end(&record, end),
+            None => PeerBody::Done(false),
+        }
+    }
+
     /// Starts a rollout, unless it is already running here. `is_initial` tells whether
     /// the order was found in a whole table, so that this process may have been
     /// restarted during the rollout.
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -4,6 +4,7 @@
 use super::exchange::{
     find_hubs, has_reports, record_report, report_to, review_reports, JudgedSamples, MAX_HUBS,
 };
+use super::notification::notify_vms;
 use super::progress::WithdrawalScope;
 use super::record::RolloutRecord;
 use super::reserve::add_reserve;
@@ -16,7 +17,7 @@
     compare_rollout, decide_rollout, end_delay, finish_time, RolloutDecision, RolloutSamples,
     RolloutState,
 };
-use std::sync::Weak;
+use std::sync::{Arc, Weak};
 
 /// How often a hub reads the stored state. Each read is a billed call.
 const STORE_INTERVAL: ClockTime = ClockTime::from_millis(1_600);
@@ -34,7 +35,7 @@
 
 /// Watches a rollout until it is removed, or rolled back and its end is stored.
 pub(super) async fn watch_rollout<S: RoutingStore>(
-    state: std::sync::Arc<GatewayState>,
+    state: Arc<GatewayState>,
     store: S,
     record: Weak<RolloutRecord>,
 ) {
@@ -142,7 +143,7 @@
 
     async fn step<S: RoutingStore>(
         &mut self,
-        state: &GatewayState,
+        state: &Arc<GatewayState>,
         store: &S,
         record: &RolloutRecord,
     ) {
@@ -155,7 +156,11 @@
             return;
         };
         let now = state.clock.now();
+        let was_running = record.is_running();
         let end = decide_end(record, &judged.samples, self.rank);
+        if was_running && end == RolloutState::RolledBack {
+            notify_vms(state, record);
+        }
         let is_due = self
             .stored_at
             .is_none_or(|at| now.since(at) >= STORE_INTERVAL);
@@ -165,6 +170,9 @@
                 log_store_error(record, &error);
             }
         }
+        if was_running && record.state() == RolloutState::Done {
+            notify_vms(state, record);
+        }
     }
 }
 
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -41,7 +41,8 @@
             | PeerBody::RequestFeed(_)
             | PeerBody::Feed(_)
             | PeerBody::ReportRollout(_)
-            | PeerBody::RolloutWord(_) => PeerBody::Done(false),
+            | PeerBody::RolloutWord(_)
+            | PeerBody::EndRollout(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -25,7 +25,7 @@
     /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
     )]
     pub body: Option<PeerBody>,
 }
@@ -74,6 +74,27 @@
     /// Replies with what the fleet knows of a rollout, as JSON.
     #[prost(string, tag = "14")]
     RolloutWord(String),
+    /// Tells a gateway how a rollout ended. Older builds ignore it, and learn of the end
+    /// with their next report.
+    #[prost(message, tag = "15")]
+    EndRollout(RolloutEnd),
+}
+
+/// The end of a rollout.
+#[derive(Clone, PartialEq, Message)]
+pub struct RolloutEnd {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The revision of the order.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Whether the new version was rolled back; otherwise it has all traffic.
+    #[prost(bool, tag = "3")]
+    pub is_rolled_back: bool,
+    /// Whether the end is stored.
+    #[prost(bool, tag = "4")]
+    pub is_stored: bool,
 }
 
 /// What a gateway sees of the versions of a rollout.
--- a/tests/testsuite/src/rollout_load.rs
+++ b/tests/testsuite/src/rollout_load.rs
@@ -11,10 +11,13 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
+const REFUSED: u16 = 503;
+
 /// Callers of one VM; they stop when this is dropped.
 #[derive(Debug)]
 pub struct CallerLoad {
     sent: Arc<AtomicUsize>,
+    refused: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -30,9 +33,12 @@
     /// identifiers do. Loads of one test need different seeds.
     pub fn start(vm: SocketAddr, path_prefix: &str, per_second: f64, seed: u64) -> Self {
         let sent = Arc::new(AtomicUsize::new(0));
-        let sending = send_requests(vm, path_prefix.to_owned(), per_second, seed, sent.clone());
+        let refused = Arc::new(AtomicUsize::new(0));
+        let counts = (sent.clone(), refused.clone());
+        let sending = send_requests(vm, path_prefix.to_owned(), per_second, seed, counts);
         CallerLoad {
             sent,
+            refused,
             task: tokio::spawn(sending),
         }
     }
@@ -41,6 +47,11 @@
     pub fn sent_count(&self) -> usize {
         self.sent.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of requests that were refused with status 503.
+    pub fn refused_count(&self) -> usize {
+        self.refused.load(Ordering::Relaxed)
+    }
 }
 
 async fn send_requests(
@@ -48,7 +59,7 @@
     path_prefix: String,
     per_second: f64,
     seed: u64,
-    sent: Arc<AtomicUsize>,
+    (sent, refused): (Arc<AtomicUsize>, Arc<AtomicUsize>),
 ) {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut next = tokio::time::Instant::now();
@@ -56,12 +67,15 @@
         let number = sent.fetch_add(1, Ordering::Relaxed);
         let path = format!("{path_prefix}{number}");
         let id = format!("load-{seed}-{number}");
+        let refused = refused.clone();
         tokio::spawn(async move {
             let request = GatewayHarness::build_request_with_id(&id, "POST", &path, DEPOT_KEY, "x");
             let mut client = RawClient::connect(vm).await;
             client.send(request.as_bytes()).await;
-            // Tests of rollouts judge by what the upstreams received.
-            let _ = client.read_response().await;
+            let response = client.read_response().await;
+            if response.is_some_and(|response| response.status == REFUSED) {
+                refused.fetch_add(1, Ordering::Relaxed);
+            }
         });
         let uniform: f64 = random.random_range(f64::EPSILON..1.0);
         next += Duration::from_secs_f64(-uniform.ln() / per_second);
--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -114,6 +114,20 @@
     assert_eq!(sent, 0, "requests of the second VM to the bad version");
 }
 
+/// By the knowledge of the other VMs the rollout was running, and the version under test was
+/// the only one left.
+#[tokio::test]
+async fn completion_of_a_rollout_refuses_no_requests() {
+    let mut trial = RolloutTrial::start(3).await;
+    trial.order(DURATION);
+    let load = start_load(&trial, 3, 30.0);
+    trial.wait_for_state("done").await;
+    trial.remove_old_version();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let refused = load.iter().map(CallerLoad::refused_count);
+    assert_eq!(refused.collect::<Vec<usize>>(), [0, 0, 0]);
+}
+
 /// The other two VMs have seen no bad response; one of them is not a hub.
 #[tokio::test]
 async fn vms_without_the_store_learn_of_a_version_that_turns_bad_after_its_completion() {
