--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -76,6 +76,20 @@
     trial.assert_completed().await;
 }
 
+/// The time limit counts from the order, which the VMs read when the store is back.
+#[tokio::test]
+async fn rollout_that_is_ordered_while_the_store_is_away_ends_in_time() {
+    let mut trial = RolloutTrial::start(2).await;
+    let _load = start_load(&trial, 2, 6.0);
+    trial.harness.store.set_mode(StoreMode::Unavailable);
+    // All VMs have seen that it is away.
+    tokio::time::sleep(CONFIGURATION_TIME).await;
+    trial.order(DURATION);
+    tokio::time::sleep(DURATION / 4).await;
+    trial.harness.store.set_mode(StoreMode::Available);
+    trial.assert_completed().await;
+}
+
 #[tokio::test]
 async fn vms_that_start_during_a_rollout_add_no_exposure() {
     let mut trial = RolloutTrial::start(1).await;
