Recover the report of a VM's earlier process during a rollout

Cause: a restarted VM can't know what its earlier process used of its part of the reserve, so it had none, and few requests were left for a test. Ruled out: the lease and the list of VMs (both there before the first request). Change: hubs keep the last report of a process until the VM has it. It goes on with those samples, and with what that process can't have used of the part: what it reported, and all that it may have sent in the time for which a report counts, is counted as used.

--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -6,7 +6,7 @@
 
 use super::progress::{VmReport, WithdrawalScope};
 use super::record::RolloutRecord;
-use super::word::RolloutWord;
+use super::word::{EarlierReport, RolloutWord};
 use crate::gateway_state::GatewayState;
 use skylarkshed_core::{ClockTime, VmName};
 use skylarkshed_peer::wire::{PeerBody, RolloutReport};
@@ -67,15 +67,7 @@
     hub: SocketAddr,
     samples: &str,
 ) -> Option<RolloutWord> {
-    let report = RolloutReport {
-        service: record.spec.service.to_string(),
-        revision: record.spec.revision,
-        vm: state.settings.name.to_string(),
-        is_rolled_back: record.state() == RolloutState::RolledBack,
-        samples: samples.to_owned(),
-        is_withdrawn: record.progress().is_withdrawn_for_all(),
-    };
-    let body = PeerBody::ReportRollout(report);
+    let body = PeerBody::ReportRollout(make_report(state, record, samples));
     let timeout = record.times.reply_timeout;
     let reply = state.peers.request(hub, body, timeout).await;
     match reply {
@@ -89,6 +81,21 @@
     }
 }
 
+fn make_report(state: &GatewayState, record: &RolloutRecord, samples: &str) -> RolloutReport {
+    let progress = record.progress();
+    RolloutReport {
+        service: record.spec.service.to_string(),
+        revision: record.spec.revision,
+        vm: state.settings.name.to_string(),
+        is_rolled_back: progress.state == RolloutState::RolledBack,
+        samples: samples.to_owned(),
+        is_withdrawn: progress.is_withdrawn_for_all(),
+        process: progress.process,
+        may_recover: progress.may_recover,
+        has_reserve: progress.has_reserve,
+    }
+}
+
 fn parse_word(word: &str) -> Option<RolloutWord> {
     serde_json::from_str(word)
         .map_err(|error| log::warn!("can't parse a hub's word on a rollout: {error}"))
@@ -100,12 +107,22 @@
     if record.spec.revision != report.revision {
         return PeerBody::Done(false);
     }
-    match serde_json::from_str::<RolloutSamples>(&report.samples) {
-        Ok(samples) => record_report(record, VmName::from(report.vm.as_str()), samples),
+    let earlier = match serde_json::from_str::<RolloutSamples>(&report.samples) {
+        Ok(samples) => {
+            let vm_report = VmReport {
+                process: report.process,
+                samples,
+                has_reserve: report.has_reserve,
+                received_at: record.clock.now(),
+            };
+            let vm = VmName::from(report.vm.as_str());
+            record_report(record, vm, vm_report, report.may_recover)
+        }
         Err(error) => {
             log::warn!(vm = report.vm.as_str(); "can't parse the samples of a VM: {error}");
+            None
         }
-    }
+    };
     if report.is_rolled_back {
         record.record_state(RolloutState::RolledBack);
     }
@@ -120,18 +137,50 @@
         is_withdrawn: progress.is_withdrawn_for_all(),
         is_other_expected: progress.knowledge.is_other_expected(),
         elapsed_ms: progress.elapsed(record.clock.now()).as_millis(),
+        earlier,
         ..progress.word.clone()
     };
     PeerBody::RolloutWord(serde_json::to_string(&word).unwrap_or_default())
 }
 
-pub(super) fn record_report(record: &RolloutRecord, vm: VmName, samples: RolloutSamples) {
-    let received_at = record.clock.now();
-    let report = VmReport {
-        samples,
-        received_at,
+/// Records this VM's samples, as a hub.
+pub(super) fn record_own_report(
+    state: &GatewayState,
+    record: &RolloutRecord,
+    samples: RolloutSamples,
+) {
+    let report = {
+        let progress = record.progress();
+        VmReport {
+            process: progress.process,
+            samples,
+            has_reserve: progress.has_reserve,
+            received_at: record.clock.now(),
+        }
     };
-    record.progress().reports.insert(vm, report);
+    record_report(record, state.settings.name.clone(), report, false);
+}
+
+/// Records the report of a VM. Returns the last one of an earlier process of the VM instead,
+/// which is kept until the VM has recovered it.
+pub(super) fn record_report(
+    record: &RolloutRecord,
+    vm: VmName,
+    report: VmReport,
+    may_recover: bool,
+) -> Option<EarlierReport> {
+    let mut progress = record.progress();
+    if let Some(known) = progress.reports.get_mut(&vm) {
+        if may_recover && known.process != report.process {
+            known.received_at = report.received_at;
+            return Some(EarlierReport {
+                samples: known.samples.clone(),
+                has_reserve: known.has_reserve,
+            });
+        }
+    }
+    progress.reports.insert(vm, report);
+    None
 }
 
 /// Returns the sum of the reports of all VMs, as a hub, and updates what it tells them.
@@ -156,6 +205,7 @@
         requests: sum.requests(),
         overdue_ms: to_millis(overdue_times(&sum)),
         slow_pace_ms: to_millis(slow_paces(&sum)),
+        earlier: None,
     };
     drop(progress);
     record.apply_word(word);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -7,6 +7,7 @@
 mod progress;
 mod recent;
 mod record;
+mod recovery;
 mod reserve;
 mod summary;
 mod task;
@@ -19,7 +20,7 @@
 pub(crate) use probe::{AttemptInfo, AttemptProbe, AttemptRule, CanaryTicket};
 use recent::RecentSamples;
 use record::RolloutRecord;
-use reserve::needs_reserve;
+use reserve::has_reserve;
 use skylarkshed_core::{
     ClockTime, CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName,
 };
@@ -168,9 +169,11 @@
         let record = RolloutRecord::new(spec, self.clock, times, allowance, before);
         {
             let mut progress = record.progress();
-            progress.needs_reserve = needs_reserve(state, is_initial);
-            progress.knowledge.may_have_ended = is_initial;
+            progress.has_reserve = has_reserve(state, is_initial);
+            progress.needs_reserve = progress.has_reserve;
+            progress.may_recover = is_initial;
             progress.elapsed_before = initial_elapsed(origin.max_age, record.spec.duration);
+            progress.knowledge.may_have_ended = is_initial;
         }
         let record = Arc::new(record);
         let is_inherited = previous.is_some_and(|previous| inherit(&record, previous));
--- a/crates/gateway/src/rollouts/progress.rs
+++ b/crates/gateway/src/rollouts/progress.rs
@@ -18,7 +18,11 @@
 /// What a hub knows of another VM.
 #[derive(Debug)]
 pub(super) struct VmReport {
+    /// Identifies the process of the VM.
+    pub(super) process: u64,
     pub(super) samples: RolloutSamples,
+    /// Whether the VM has a part of the reserve.
+    pub(super) has_reserve: bool,
     pub(super) received_at: ClockTime,
 }
 
@@ -44,8 +48,14 @@
     pub(super) has_alternative: bool,
     pub(super) samples: RolloutSamples,
     pub(super) allowance: CanaryAllowance,
-    /// Whether the allowance lacks this VM's part of the reserve.
+    /// Whether this VM has a part of the reserve.
+    pub(super) has_reserve: bool,
+    /// Whether the allowance lacks this part.
     pub(super) needs_reserve: bool,
+    /// Identifies this process in reports.
+    pub(super) process: u64,
+    /// Whether an earlier process of this VM may have reported on the rollout.
+    pub(super) may_recover: bool,
     pub(super) open: HashMap<u64, OpenAttempt>,
     next_attempt: u64,
     /// The reports of the VMs, if this VM is a hub.
@@ -72,7 +82,10 @@
             has_alternative: false,
             samples: RolloutSamples::new(before),
             allowance,
+            has_reserve: false,
             needs_reserve: false,
+            process: rand::random(),
+            may_recover: false,
             open: HashMap::new(),
             next_attempt: 0,
             reports: BTreeMap::new(),
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -277,6 +277,7 @@
         progress.withdrawal = previous.withdrawal;
         progress.samples = previous.samples.clone();
         progress.allowance = previous.allowance.clone();
+        progress.has_reserve = previous.has_reserve;
         progress.needs_reserve = previous.needs_reserve;
         progress.knowledge = previous.knowledge;
         progress.elapsed_before = previous.elapsed(now);
--- a/crates/gateway/src/rollouts/reserve.rs
+++ b/crates/gateway/src/rollouts/reserve.rs
@@ -3,7 +3,7 @@
 use super::record::RolloutRecord;
 use crate::gateway_state::GatewayState;
 use skylarkshed_core::{ClockTime, VmName};
-use skylarkshed_policy::{has_reserve, hash_rank};
+use skylarkshed_policy::hash_rank;
 
 /// How long the list of VMs must be unchanged before the reserve is divided among them.
 /// VMs that start together announce themselves within a second, and the others read it
@@ -11,10 +11,11 @@
 const STABLE_TIME: ClockTime = ClockTime::from_millis(2_000);
 
 /// Reports whether this VM has a part of the reserve of an order that it learns of now.
-pub(super) fn needs_reserve(state: &GatewayState, is_initial: bool) -> bool {
+pub(super) fn has_reserve(state: &GatewayState, is_initial: bool) -> bool {
     let vms = state.roster.vms();
     let names: Vec<VmName> = vms.iter().map(|vm| vm.name.clone()).collect();
-    state.roster.is_read() && has_reserve(&state.settings.name, &names, is_initial)
+    state.roster.is_read()
+        && skylarkshed_policy::has_reserve(&state.settings.name, &names, is_initial)
 }
 
 /// Adds this VM's part of the reserve, as soon as it knows among how many VMs the reserve
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -2,11 +2,12 @@
 
 use super::bake::review_baking;
 use super::exchange::{
-    find_hubs, has_reports, record_report, report_to, review_reports, JudgedSamples, MAX_HUBS,
+    find_hubs, has_reports, record_own_report, report_to, review_reports, JudgedSamples, MAX_HUBS,
 };
 use super::notification::notify_vms;
 use super::progress::WithdrawalScope;
 use super::record::RolloutRecord;
+use super::recovery::recover_report;
 use super::reserve::add_reserve;
 use super::summary::summarize_routes;
 use crate::gateway_state::GatewayState;
@@ -84,16 +85,20 @@
             .map(|hub| report_to(state, record, *hub, &encoded));
         let words = futures::future::join_all(reports).await;
         let now = state.clock.now();
-        for word in words.into_iter().flatten() {
+        for mut word in words.into_iter().flatten() {
             self.heard_at = now;
+            let earlier = word.earlier.take();
             if !word.is_withdrawn {
                 record.end_own_withdrawal();
             }
             record.apply_word(word);
+            if let Some(earlier) = earlier {
+                recover_report(record, earlier);
+            }
         }
         self.rank = hubs.own_rank.unwrap_or(LONE_RANK);
         if hubs.own_rank.is_some() {
-            record_report(record, state.settings.name.clone(), samples);
+            record_own_report(state, record, samples);
             return Some(review_reports(state, record));
         }
         self.is_alone(state, record).then_some(JudgedSamples {
--- a/crates/gateway/src/rollouts/word.rs
+++ b/crates/gateway/src/rollouts/word.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::RolloutState;
+use skylarkshed_policy::{RolloutSamples, RolloutState};
 use std::collections::BTreeMap;
 
 /// What a hub knows of a rollout.
@@ -29,6 +29,17 @@
     pub(super) overdue_ms: BTreeMap<String, u64>,
     /// From which interval on events are slow, by route.
     pub(super) slow_pace_ms: BTreeMap<String, u64>,
+    /// The last report of an earlier process of the VM that the message is sent to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) earlier: Option<EarlierReport>,
+}
+
+/// The last report of a VM's process that has ended.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct EarlierReport {
+    pub(super) samples: RolloutSamples,
+    /// Whether the process had a part of the reserve.
+    pub(super) has_reserve: bool,
 }
 
 impl Default for RolloutWord {
@@ -44,6 +55,7 @@
             requests: BTreeMap::new(),
             overdue_ms: BTreeMap::new(),
             slow_pace_ms: BTreeMap::new(),
+            earlier: None,
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -119,6 +119,16 @@
     /// Older builds don't send it.
     #[prost(bool, tag = "6")]
     pub is_withdrawn: bool,
+    /// Identifies the VM's process. Older builds don't send it.
+    #[prost(uint64, tag = "7")]
+    pub process: u64,
+    /// Whether an earlier process of the VM may have reported on the rollout; the reply has
+    /// its last report, if the hub has one.
+    #[prost(bool, tag = "8")]
+    pub may_recover: bool,
+    /// Whether the VM has a part of the reserve of requests to the new version.
+    #[prost(bool, tag = "9")]
+    pub has_reserve: bool,
 }
 
 /// Requests the change feed of a table of the platform's store.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -109,7 +109,7 @@
 pub use refusal_rate::RefusalRate;
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
-pub use rollout_allowance::{has_reserve, CanaryAllowance, ExposureLimits};
+pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
 pub use rollout_bake::{
     bake_slice_at, compare_baking, drop_old_bake_slices, select_baking_rule, should_withdraw,
 };
--- a/crates/policy/src/rollout_allowance.rs
+++ b/crates/policy/src/rollout_allowance.rs
@@ -9,6 +9,7 @@
 
 use crate::canary_spread::RoutePriority;
 use crate::rollout_plan::finish_time;
+use crate::rollout_samples::RolloutSamples;
 use skylarkshed_core::{ClockTime, VmName};
 
 const WHOLE_PERCENT: u64 = 100;
@@ -66,6 +67,33 @@
     !is_first_read && (vms.is_empty() || vms.contains(own))
 }
 
+/// Returns the most requests that a process may have sent to a version under test before it
+/// ended: those that it reported, and as many as it sent to any version in the time for which
+/// a report counts. `samples` are its last report, `elapsed` is the time of the rollout.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_policy::{bound_earlier_use, RolloutSamples};
+///
+/// let mut samples = RolloutSamples::default();
+/// samples.slice(0).old.route("ask").sent += 8;
+/// samples.slice(0).new.route("ask").sent += 2;
+/// let (elapsed, ttl) = (ClockTime::from_millis(10_000), ClockTime::from_millis(2_000));
+/// assert_eq!(bound_earlier_use(&samples, elapsed, ttl), 4);
+/// ```
+pub fn bound_earlier_use(
+    samples: &RolloutSamples,
+    elapsed: ClockTime,
+    report_ttl: ClockTime,
+) -> u64 {
+    let reported: u64 = samples.sent_to_new().values().sum();
+    let requests: u64 = samples.requests().values().sum();
+    let unreported = requests * report_ttl.as_millis();
+    reported + unreported.div_ceil(elapsed.as_millis().max(1))
+}
+
 /// The requests that one VM may send to a version under test.
 ///
 /// # Examples
@@ -123,6 +151,12 @@
         self.offset = index * WHOLE_PERCENT / vms;
     }
 
+    /// Records that an earlier process of this VM may have sent `used` requests to the
+    /// version, which this process can't send any more.
+    pub fn record_earlier_use(&mut self, used: u64) {
+        self.arrivals += used;
+    }
+
     /// Records a request of this VM that reached the service, at any version.
     pub fn record_request(&mut self) {
         self.requests += 1;
--- a/crates/policy/src/rollout_samples.rs
+++ b/crates/policy/src/rollout_samples.rs
@@ -296,6 +296,15 @@
         self.slices.retain(|slice, _| is_kept(*slice));
     }
 
+    /// Drops the requests that were still open, since the process that sent them has ended.
+    pub fn drop_open(&mut self) {
+        let pairs = self.slices.values_mut();
+        let versions = pairs.flat_map(|pair| [&mut pair.old, &mut pair.new]);
+        for samples in versions.flat_map(|version| version.routes.values_mut()) {
+            samples.open = 0;
+        }
+    }
+
     /// Returns the slices with samples of the new version.
     pub(crate) fn tested_slices(&self) -> impl Iterator<Item = u64> + '_ {
         let tested = self.slices.iter();
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod prefill_timeout;
 mod rollout_bake;
 mod rollout_references;
+mod rollout_restarts;
 mod rollout_times;
 mod rollouts;
 mod routes;
--- a/tests/testsuite/src/rollout_trial.rs
+++ b/tests/testsuite/src/rollout_trial.rs
@@ -223,6 +223,16 @@
         process.kill().await.expect("the process runs");
     }
 
+    /// Kills a VM but for the first, and starts it again; its callers have to be stopped
+    /// before.
+    pub async fn restart(&mut self, vm: usize) {
+        self.kill(vm).await;
+        let other = self.harness.start_other(&format!("vm-{}", vm + 1)).await;
+        let metric = config_metric(self.config_version);
+        wait_for_metric(other.metrics_address, &metric).await;
+        self.others[vm - 1] = other;
+    }
+
     /// Returns the state in the store, if there is one.
     pub fn state(&self) -> Option<String> {
         let status = self.harness.store.row("status", ORDER_KEY)?;
--- a/tests/testsuite/tests/gateway/rollout_fleet.rs
+++ b/tests/testsuite/tests/gateway/rollout_fleet.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 use skylarkshed_stand_ins::{FaultEffect, StoreMode, VersionFault};
-use skylarkshed_testsuite::{CallerLoad, RolloutTrial, ROLLBACK_TIME};
+use skylarkshed_testsuite::{CallerLoad, RolloutTrial, EXPOSURE_SHARE, ROLLBACK_TIME};
 use std::time::Duration;
 
 const DURATION: Duration = Duration::from_secs(8);
@@ -128,6 +128,28 @@
     assert_eq!(sent, 0, "requests of the second VM to the bad version");
 }
 
+/// They did not know how much of their parts of the reserve was used before.
+#[tokio::test]
+async fn vms_that_are_restarted_during_a_rollout_go_on_testing_the_version() {
+    let mut trial = RolloutTrial::start(3).await;
+    trial.order(Duration::from_secs(14));
+    let load: Vec<CallerLoad> = (1..3).map(|vm| trial.start_load(vm, 2.0)).collect();
+    trial.wait_for_state("running").await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    drop(load);
+    for vm in 1..3 {
+        trial.restart(vm).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let (new, all) = trial.exposure();
+    let _load: Vec<CallerLoad> = (1..3).map(|vm| trial.start_load(vm, 2.0)).collect();
+    trial.wait_for_end().await;
+    let (new, all) = (trial.exposure().0 - new, trial.exposure().1 - all);
+    let share = (all as f64 * EXPOSURE_SHARE).ceil() as usize;
+    assert!(new > share, "only {new} of {all} requests to the version");
+    trial.assert_exposure();
+}
+
 /// By the knowledge of the other VMs the rollout was running, and the version under test was
 /// the only one left.
 #[tokio::test]
