Roll back a version that was hardly tested

Cause: only a version without any response counted as untested. Change: a version that got less than a quarter of the requests that may be used for its test is rolled back at the end. Result: version_that_was_hardly_tested_is_not_completed failed before (its case of 6 tests of 42 requests), passes.

--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -15,8 +15,8 @@
 use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
 use skylarkshed_core::{ClockTime, RolloutSpec};
 use skylarkshed_policy::{
-    compare_rollout, decide_rollout, end_delay, finish_time, RolloutDecision, RolloutSamples,
-    RolloutState,
+    compare_rollout, decide_rollout, end_delay, finish_time, ExposureLimits, RolloutDecision,
+    RolloutSamples, RolloutState,
 };
 use std::sync::{Arc, Weak};
 
@@ -162,7 +162,8 @@
         };
         let now = state.clock.now();
         let was_running = record.is_running();
-        let end = decide_end(record, &judged.samples, self.rank);
+        let limits = state.settings.exposure;
+        let end = decide_end(record, limits, &judged.samples, self.rank);
         if was_running && end == RolloutState::RolledBack {
             notify_vms(state, record);
         }
@@ -183,7 +184,12 @@
 
 /// Decides whether the rollout ends now. A rollback takes effect at once, the opposite
 /// only when it is stored.
-fn decide_end(record: &RolloutRecord, samples: &RolloutSamples, rank: u64) -> RolloutState {
+fn decide_end(
+    record: &RolloutRecord,
+    limits: ExposureLimits,
+    samples: &RolloutSamples,
+    rank: u64,
+) -> RolloutState {
     let known = record.state();
     if known != RolloutState::Running {
         return known;
@@ -191,7 +197,8 @@
     let elapsed = record.elapsed();
     let findings = compare_rollout(samples);
     let delay = end_delay(&record.spec, rank);
-    let (end, verdict) = match decide_rollout(&record.spec, &findings, elapsed.since(delay)) {
+    let (end, verdict) = match decide_rollout(&record.spec, limits, &findings, elapsed.since(delay))
+    {
         RolloutDecision::Wait => return RolloutState::Running,
         RolloutDecision::Finish => (RolloutState::Done, findings.suspicion.clone()),
         RolloutDecision::RollBack(verdict) => (RolloutState::RolledBack, verdict),
--- a/crates/policy/examples/rollout_simulation/simulation.rs
+++ b/crates/policy/examples/rollout_simulation/simulation.rs
@@ -158,7 +158,7 @@
         if end.is_none() {
             let findings = compare_rollout(&simulation.known);
             let elapsed = ClockTime::from_millis(now + STEP_MS);
-            match decide_rollout(&spec, &findings, elapsed) {
+            match decide_rollout(&spec, LIMITS, &findings, elapsed) {
                 RolloutDecision::Wait => {}
                 RolloutDecision::Finish => end = Some((false, now)),
                 RolloutDecision::RollBack(_) => end = Some((true, now)),
--- a/crates/policy/src/evidence.rs
+++ b/crates/policy/src/evidence.rs
@@ -156,7 +156,8 @@
         /// The route; empty for all routes taken together.
         route: String,
     },
-    /// It responded to nothing before the decision, although there were requests.
+    /// It got hardly any requests or responded to none before the decision, although there
+    /// were some.
     Untested,
 }
 
--- a/crates/policy/src/rollout_allowance.rs
+++ b/crates/policy/src/rollout_allowance.rs
@@ -43,6 +43,25 @@
     pub reserve: u64,
 }
 
+impl ExposureLimits {
+    /// Returns how many of a service's requests are used to test a version.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_policy::ExposureLimits;
+    ///
+    /// let limits = ExposureLimits { percent: 10, reserve: 50 };
+    /// assert_eq!(limits.usable(20), 20);
+    /// assert_eq!(limits.usable(1_000), 120);
+    /// ```
+    pub fn usable(&self, requests: u64) -> u64 {
+        let share = requests * self.percent * USED_SHARE_PERCENT / (WHOLE_PERCENT * WHOLE_PERCENT);
+        let reserve = self.reserve * USED_RESERVE_PERCENT / WHOLE_PERCENT;
+        requests.min(share + reserve)
+    }
+}
+
 /// Reports whether a VM has a part of the reserve of a rollout; `vms` is the list of VMs
 /// that it has when it learns of the order, and `is_first_read` whether it found the order
 /// in the first table that it read.
--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -7,6 +7,7 @@
 //! version at once on its own evidence.
 
 use crate::evidence::VersionVerdict;
+use crate::rollout_allowance::ExposureLimits;
 use crate::rollout_comparison::RolloutFindings;
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::{ClockTime, RolloutSpec, VersionName};
@@ -20,6 +21,10 @@
 /// back can be rolled out again.
 const END_LIKELIHOOD_RATIO: f64 = 4.0;
 
+/// A version that got a smaller part of the usable requests, as a percentage, is rolled back
+/// at the end: a fault that appears late would not have been seen.
+const MIN_TESTED_PERCENT: u64 = 25;
+
 /// The highest rank of the VMs that may end a rollout.
 const LAST_RANK: u64 = 2;
 
@@ -243,14 +248,18 @@
     ClockTime::from_millis(left.as_millis() * rank.min(LAST_RANK) / (LAST_RANK + 1))
 }
 
-/// Decides the next step of a running rollout; `elapsed` is the time since it began.
+/// Decides the next step of a running rollout; `elapsed` is the time since it began, `limits`
+/// are those of the requests to the new version.
 ///
 /// # Examples
 ///
 /// ```
 /// use skylarkshed_core::{ClockTime, RolloutSpec};
-/// use skylarkshed_policy::{compare_rollout, decide_rollout, RolloutDecision, RolloutSamples};
+/// use skylarkshed_policy::{
+///     compare_rollout, decide_rollout, ExposureLimits, RolloutDecision, RolloutSamples,
+/// };
 ///
+/// let limits = ExposureLimits { percent: 10, reserve: 50 };
 /// let spec = RolloutSpec {
 ///     service: "stores".into(),
 ///     to: "v2".into(),
@@ -258,12 +267,13 @@
 ///     revision: 3,
 /// };
 /// let findings = compare_rollout(&RolloutSamples::default());
-/// let decide = |ms| decide_rollout(&spec, &findings, ClockTime::from_millis(ms));
+/// let decide = |ms| decide_rollout(&spec, limits, &findings, ClockTime::from_millis(ms));
 /// assert_eq!(decide(8_700), RolloutDecision::Wait);
 /// assert_eq!(decide(8_800), RolloutDecision::Finish);
 /// ```
 pub fn decide_rollout(
     spec: &RolloutSpec,
+    limits: ExposureLimits,
     findings: &RolloutFindings,
     elapsed: ClockTime,
 ) -> RolloutDecision {
@@ -273,7 +283,7 @@
     if elapsed < finish_time(spec.duration) {
         return RolloutDecision::Wait;
     }
-    if findings.is_untested {
+    if findings.is_untested || is_hardly_tested(limits, findings) {
         return RolloutDecision::RollBack(VersionVerdict::Untested);
     }
     match findings.strength >= END_LIKELIHOOD_RATIO.ln() || findings.has_only_failed {
@@ -281,3 +291,8 @@
         false => RolloutDecision::Finish,
     }
 }
+
+fn is_hardly_tested(limits: ExposureLimits, findings: &RolloutFindings) -> bool {
+    let usable = limits.usable(findings.old_total + findings.new_total);
+    findings.new_total * 100 < usable * MIN_TESTED_PERCENT
+}
--- a/crates/policy/tests/gateway/rollout_references.rs
+++ b/crates/policy/tests/gateway/rollout_references.rs
@@ -3,13 +3,17 @@
 use rstest::rstest;
 use skylarkshed_core::{ClockTime, RolloutSpec};
 use skylarkshed_policy::{
-    compare_rollout, decide_rollout, finish_time, FailureKind, RolloutDecision, RolloutSamples,
-    RouteSamples, VersionSamples, VersionVerdict,
+    compare_rollout, decide_rollout, finish_time, ExposureLimits, FailureKind, RolloutDecision,
+    RolloutSamples, RouteSamples, VersionSamples, VersionVerdict,
 };
 
 const ROUTE: &str = "ask";
 const DURATION: ClockTime = ClockTime::from_millis(15_000);
 const LAST_SLICE: u64 = 7;
+const LIMITS: ExposureLimits = ExposureLimits {
+    percent: 10,
+    reserve: 50,
+};
 
 fn record_good(samples: &mut RouteSamples, count: u64) {
     samples.sent += count;
@@ -43,7 +47,8 @@
         duration: DURATION,
         revision: 1,
     };
-    decide_rollout(&spec, &compare_rollout(samples), finish_time(DURATION))
+    let findings = compare_rollout(samples);
+    decide_rollout(&spec, LIMITS, &findings, finish_time(DURATION))
 }
 
 #[test]
@@ -68,6 +73,20 @@
     assert_eq!(decide(&samples), RolloutDecision::Finish);
 }
 
+/// As after a restart of all VMs: half of the requests could have failed unnoticed.
+#[rstest]
+#[case::hardly(6, RolloutDecision::RollBack(VersionVerdict::Untested))]
+#[case::enough(12, RolloutDecision::Finish)]
+fn version_that_was_hardly_tested_is_not_completed(
+    #[case] tests: u64,
+    #[case] expected: RolloutDecision,
+) {
+    let mut samples = RolloutSamples::default();
+    record_good(samples.slice(1).old.route(ROUTE), 36);
+    record_good(samples.slice(LAST_SLICE).new.route(ROUTE), tests);
+    assert_eq!(decide(&samples), expected);
+}
+
 /// A version that ends its connections is as bad as one that responds with errors.
 #[rstest]
 #[case::error_responses(FailureKind::ErrorResponse)]
--- a/crates/policy/tests/gateway/rollouts.rs
+++ b/crates/policy/tests/gateway/rollouts.rs
@@ -173,7 +173,12 @@
     samples.slice(0).new.route("book").failed += 30;
     let findings = compare_rollout(&samples);
     for elapsed_ms in [100, 8_400, 11_900, 14_900] {
-        let decision = decide_rollout(&spec(), &findings, ClockTime::from_millis(elapsed_ms));
+        let decision = decide_rollout(
+            &spec(),
+            LIMITS,
+            &findings,
+            ClockTime::from_millis(elapsed_ms),
+        );
         assert!(
             matches!(decision, RolloutDecision::RollBack(_)),
             "at {elapsed_ms} ms"
@@ -212,7 +217,7 @@
     let findings = compare_rollout(&samples);
     let end = finish_time(DURATION);
     assert!(matches!(
-        decide_rollout(&spec(), &findings, end),
+        decide_rollout(&spec(), LIMITS, &findings, end),
         RolloutDecision::RollBack(_)
     ));
 }
@@ -308,7 +313,7 @@
     let findings = compare_rollout(&samples);
     let end = finish_time(DURATION);
     assert_eq!(
-        decide_rollout(&spec(), &findings, end),
+        decide_rollout(&spec(), LIMITS, &findings, end),
         RolloutDecision::Finish,
         "{findings:?}"
     );
@@ -350,7 +355,7 @@
         samples.record_customer(&"depot".into(), number >= 10, true);
     }
     let findings = compare_rollout(&samples);
-    let decision = decide_rollout(&spec(), &findings, finish_time(DURATION));
+    let decision = decide_rollout(&spec(), LIMITS, &findings, finish_time(DURATION));
     assert_eq!(decision, RolloutDecision::Finish, "{findings:?}");
 }
 
@@ -373,7 +378,7 @@
     samples.slice(6).old.route("book").sent += 60;
     let findings = compare_rollout(&samples);
     assert_eq!(
-        decide_rollout(&spec(), &findings, finish_time(DURATION)),
+        decide_rollout(&spec(), LIMITS, &findings, finish_time(DURATION)),
         RolloutDecision::RollBack(VersionVerdict::Untested)
     );
 }
@@ -389,7 +394,7 @@
     }
     let findings = compare_rollout(&samples);
     assert_eq!(
-        decide_rollout(&spec(), &findings, finish_time(DURATION)),
+        decide_rollout(&spec(), LIMITS, &findings, finish_time(DURATION)),
         RolloutDecision::RollBack(VersionVerdict::Untested)
     );
 }
@@ -424,7 +429,7 @@
     new.failed += 3;
     let findings = compare_rollout(&samples);
     assert!(matches!(
-        decide_rollout(&spec(), &findings, finish_time(DURATION)),
+        decide_rollout(&spec(), LIMITS, &findings, finish_time(DURATION)),
         RolloutDecision::RollBack(_)
     ));
 }
