Count the time of a rollout from when the order is read again

Callers saw: nothing; found when the change was read. Cause: counts the time from the last time at which a VM knew the store's rows. That is an upper bound. A hub that was cut off before an order takes it for the time of all VMs, and decides up to half of the rollout early, so that a late fault is not seen. Ruled out: using the bound only if no VM has fresh rows (a zone that was cut off looks so).

--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -21,27 +21,15 @@
 use recent::RecentSamples;
 use record::RolloutRecord;
 use reserve::has_reserve;
-use skylarkshed_core::{
-    ClockTime, CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName,
-};
+use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutEnd, RolloutReport};
 use skylarkshed_policy::{
-    initial_elapsed, may_take_canary, CanaryAllowance, FailureKind, RolloutTimes, VersionRule,
+    may_take_canary, CanaryAllowance, FailureKind, RolloutTimes, VersionRule,
 };
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
-/// How this VM learned of an order.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct OrderOrigin {
-    /// Whether the order was found in a whole table, so that this process may have been
-    /// restarted during the rollout.
-    pub(crate) is_initial: bool,
-    /// The longest time since the order was given.
-    pub(crate) max_age: ClockTime,
-}
-
 type RolloutMap = HashMap<ServiceName, Arc<RolloutRecord>>;
 
 /// All rollouts, by service.
@@ -149,15 +137,16 @@
         }
     }
 
-    /// Starts a rollout, unless it is already running here.
+    /// Starts a rollout, unless it is already running here. `is_initial` tells whether
+    /// the order was found in a whole table, so that this process may have been
+    /// restarted during the rollout.
     pub(crate) fn start<S: RoutingStore>(
         &self,
         state: &Arc<GatewayState>,
         store: &S,
         spec: RolloutSpec,
-        origin: OrderOrigin,
+        is_initial: bool,
     ) {
-        let is_initial = origin.is_initial;
         let active = self.rollouts.load_full();
         let previous = active.get(&spec.service);
         if previous.is_some_and(|previous| previous.spec.revision == spec.revision) {
@@ -172,7 +161,6 @@
             progress.has_reserve = has_reserve(state, is_initial);
             progress.needs_reserve = progress.has_reserve;
             progress.may_recover = is_initial;
-            progress.elapsed_before = initial_elapsed(origin.max_age, record.spec.duration);
             progress.knowledge.may_have_ended = is_initial;
         }
         let record = Arc::new(record);
@@ -182,7 +170,6 @@
             to:% = record.spec.to,
             order = record.spec.revision,
             duration_ms = record.spec.duration.as_millis(),
-            elapsed_ms = record.elapsed().as_millis(),
             is_inherited,
             is_initial;
             "rollout started"
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -6,7 +6,6 @@
 use crate::platform_api::{
     ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate, VmUpdate,
 };
-use crate::rollouts::OrderOrigin;
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use skylarkshed_policy::{FeedPosition, UpstreamChange, UpstreamTable};
 use std::sync::Arc;
@@ -64,7 +63,6 @@
     let sink = ControlSink {
         state: state.clone(),
         store,
-        was_away: false,
     };
     run(&state, source, sink).await;
 }
@@ -164,8 +162,6 @@
 struct ControlSink<S> {
     state: Arc<GatewayState>,
     store: S,
-    /// Whether the store was away since the last update.
-    was_away: bool,
 }
 
 impl<S: RoutingStore> ControlSink<S> {
@@ -174,15 +170,7 @@
             ControlUpdate::Config(config) => self.accept(*config),
             ControlUpdate::Rollout(spec) => {
                 let rollouts = &self.state.rollouts;
-                let max_age = match self.was_away {
-                    true => self.state.config.age(),
-                    false => ClockTime::ZERO,
-                };
-                let origin = OrderOrigin {
-                    is_initial: is_complete,
-                    max_age,
-                };
-                rollouts.start(&self.state, &self.store, spec, origin);
+                rollouts.start(&self.state, &self.store, spec, is_complete);
             }
             ControlUpdate::RolloutRemoved(service) => self.state.rollouts.remove(&service),
             ControlUpdate::Unreadable { row, problem } => {
@@ -218,14 +206,12 @@
         for update in updates {
             self.apply_update(update, is_complete);
         }
-        self.was_away = false;
         self.state.config.mark_confirmed(fresh_at);
         self.state.config.set_fleet_stale(false);
         self.state.note_table();
     }
 
     fn mark_unavailable(&mut self, reason: &StoreError) {
-        self.was_away = true;
         // Other VMs are not asked in every round, so another error tells nothing of them.
         if matches!(reason, StoreError::Outdated(_)) {
             self.state.config.set_fleet_stale(true);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -115,7 +115,7 @@
 };
 pub use rollout_comparison::{compare_rollout, overdue_times, slow_paces, RolloutFindings};
 pub use rollout_plan::{
-    decide_rollout, end_delay, finish_time, initial_elapsed, may_take_canary, select_untaken_use,
+    decide_rollout, end_delay, finish_time, may_take_canary, select_untaken_use,
     select_version_rule, CanaryUse, RolloutDecision, RolloutState, VersionKnowledge, VersionRule,
 };
 pub use rollout_samples::{
--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -197,26 +197,6 @@
     }
 }
 
-/// Returns how long a rollout of `duration` has run, as far as a VM knows that learns of the
-/// order now; the order is at most `max_age` old. The time limit counts from the order, but
-/// half of the time is kept for testing the version.
-///
-/// # Examples
-///
-/// ```
-/// use skylarkshed_core::ClockTime;
-/// use skylarkshed_policy::initial_elapsed;
-///
-/// let elapsed = |max_age| {
-///     initial_elapsed(ClockTime::from_millis(max_age), ClockTime::from_millis(15_000))
-/// };
-/// assert_eq!(elapsed(4_000), ClockTime::from_millis(4_000));
-/// assert_eq!(elapsed(60_000), ClockTime::from_millis(7_500));
-/// ```
-pub fn initial_elapsed(max_age: ClockTime, duration: ClockTime) -> ClockTime {
-    max_age.min(ClockTime::from_millis(duration.as_millis() / 2))
-}
-
 /// Returns when a rollout that has not been rolled back is finished, as the time since
 /// it began; `duration` is its whole time.
 pub fn finish_time(duration: ClockTime) -> ClockTime {
