Complete a rollout of a service with few requests

Callers saw: nothing yet; found when the change was read. Cause: a version that got less than a quarter of the usable requests counts as hardly tested, also if the service had only a few, all before the version had upstreams. Ruled out: nothing. Change: with fewer than 20 requests of the service the part does not count, as for a version without any response. Result: version_that_was_hardly_tested_is_not_completed::case_3_few_requests failed before, passes.

--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -24,6 +24,8 @@
 /// A version that got a smaller part of the usable requests, as a percentage, is rolled back
 /// at the end: a fault that appears late would not have been seen.
 const MIN_TESTED_PERCENT: u64 = 25;
+/// With fewer requests of the service, all may have come before the version had upstreams.
+const MIN_REQUESTS: u64 = 20;
 
 /// The highest rank of the VMs that may end a rollout.
 const LAST_RANK: u64 = 2;
@@ -273,6 +275,7 @@
 }
 
 fn is_hardly_tested(limits: ExposureLimits, findings: &RolloutFindings) -> bool {
-    let usable = limits.usable(findings.old_total + findings.new_total);
-    findings.new_total * 100 < usable * MIN_TESTED_PERCENT
+    let requests = findings.old_total + findings.new_total;
+    let usable = limits.usable(requests);
+    requests >= MIN_REQUESTS && findings.new_total * 100 < usable * MIN_TESTED_PERCENT
 }
