--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -32,6 +32,8 @@
     pub prompt_tokens: u64,
     /// Identifies the part of the prompt that belongs to the request or its session.
     pub prompt_id: Option<FastStr>,
+    /// The parts of the prompt before that one, in order; other requests may share them.
+    pub shared_parts: Vec<FastStr>,
 }
 
 /// An error in the head of a request.
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -7,7 +7,7 @@
 use crate::rollouts::AttemptProbe;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
-use skylarkshed_policy::{silence_limit, LossCause, StreamPhase};
+use skylarkshed_policy::{silence_limit, AttemptProgress, LossCause, StreamPhase};
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,6 +20,8 @@
 const LIVENESS_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(250);
 /// A live host accepts a connection within a few milliseconds.
 const LIVENESS_CHECK_TIMEOUT: ClockTime = ClockTime::from_millis(100);
+/// How often a connection is tried before the end of an upstream remains unknown.
+const END_CHECKS: u32 = 3;
 
 /// An upstream's response that is being received.
 pub(super) struct StreamAttempt {
@@ -29,6 +31,7 @@
     pub(super) response: UpstreamResponse,
     pub(super) phase: StreamPhase,
     pub(super) last_event_at: ClockTime,
+    first_event_at: Option<ClockTime>,
     /// When the wait for the next event began; later than the last event if the
     /// upstream was waited for.
     waiting_since: ClockTime,
@@ -59,6 +62,7 @@
             response,
             phase,
             last_event_at: now,
+            first_event_at: None,
             waiting_since: now,
             probe,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
@@ -109,6 +113,11 @@
         self.timeout = PrefillTimeout::start(now, silence_limit(self.phase, true));
     }
 
+    /// Returns how far the upstream has come with the response.
+    pub(super) fn progress(&self, now: ClockTime) -> AttemptProgress {
+        AttemptProgress::after_head(self.first_event_at, now)
+    }
+
     /// Reports whether the upstream was silent for too long since its last event, and was
     /// waited for.
     pub(super) fn was_waited_for(&self) -> bool {
@@ -119,6 +128,7 @@
     /// byte now and then.
     fn record_event(&mut self, now: ClockTime) {
         self.phase = StreamPhase::Decoding;
+        self.first_event_at.get_or_insert(now);
         self.last_event_at = now;
         self.waiting_since = now;
         self.probe.record_event();
@@ -162,6 +172,21 @@
     }
 }
 
+/// Reports whether an upstream's process has ended: its host refuses connections. An answer
+/// that is lost on the way is waited for once more.
+pub(super) async fn has_ended(address: SocketAddr) -> bool {
+    for _ in 0..END_CHECKS {
+        let connecting = TcpStream::connect(address);
+        let limit = LIVENESS_CHECK_TIMEOUT.to_duration();
+        match tokio::time::timeout(limit, connecting).await {
+            Ok(Ok(_)) => return false,
+            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+            Err(_) => {}
+        }
+    }
+    false
+}
+
 async fn is_alive(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
     let connected = tokio::time::timeout(LIVENESS_CHECK_TIMEOUT.to_duration(), connecting).await;
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -1,6 +1,6 @@
 //! Opens a stream at an upstream, and tries others until one responds.
 
-use super::attempt::{AttemptFailure, StreamAttempt};
+use super::attempt::{has_ended, AttemptFailure, StreamAttempt};
 use super::prefill_watch::{watch_prefill, PrefillTimeout};
 use super::replacement::MIN_RETRY_PAUSE;
 use super::StreamForwarder;
@@ -13,8 +13,8 @@
 use http::Response;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    decide_recovery, silence_limit, FailureKind, LossCause, RecoveryDecision, StreamPhase,
-    StreamState,
+    decide_recovery, silence_limit, AttemptProgress, FailureKind, LossCause, RecoveryDecision,
+    StreamPhase, StreamState,
 };
 use std::pin::pin;
 use std::sync::atomic::Ordering;
@@ -304,7 +304,7 @@
     }
 
     /// Records an attempt that failed before its response began.
-    fn record_failed_opening(&mut self, upstream: &UpstreamState, cause: LossCause) {
+    fn record_failed_opening(&mut self, upstream: &Arc<UpstreamState>, cause: LossCause) {
         match cause {
             LossCause::Unsent => {
                 self.unsent += 1;
@@ -316,11 +316,16 @@
                 self.run_tracker.mark_may_have_run();
             }
         }
-        self.record_upstream_failure(upstream, cause);
+        self.record_upstream_failure(upstream, cause, AttemptProgress::Waiting);
     }
 
-    /// Records and logs that the stream lost its upstream.
-    pub(super) fn record_upstream_failure(&mut self, upstream: &UpstreamState, cause: LossCause) {
+    /// Records and logs that the stream lost its upstream, which had responded this far.
+    pub(super) fn record_upstream_failure(
+        &mut self,
+        upstream: &Arc<UpstreamState>,
+        cause: LossCause,
+        progress: AttemptProgress,
+    ) {
         if cause != LossCause::NotRun {
             upstream.mark_suspect(self.state.clock.now());
             if !self.failed_zones.contains(&upstream.record.zone) {
@@ -336,9 +341,28 @@
             upstream:% = upstream.name(),
             zone:% = upstream.record.zone,
             cause = cause.label(),
+            progress = progress.label(),
+            shared_parts = self.request.head.shared_parts.join(","),
             events = self.ledger.accepted(),
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream lost its upstream"
         );
+        if cause == LossCause::Broken && progress != AttemptProgress::Flowing {
+            check_end(self.request.id().to_owned(), upstream.clone(), progress);
+        }
     }
 }
+
+/// Finds out whether the upstream of a broken response has ended or only the response.
+fn check_end(request: String, upstream: Arc<UpstreamState>, progress: AttemptProgress) {
+    tokio::spawn(async move {
+        let has_ended = has_ended(upstream.record.address).await;
+        log::info!(
+            request = request.as_str(),
+            upstream:% = upstream.name(),
+            progress = progress.label(),
+            has_ended;
+            "upstream of a broken response checked"
+        );
+    });
+}
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -30,10 +30,11 @@
     ) -> Option<StreamAttempt> {
         let copy = attempt.copy.clone();
         let upstream = attempt.upstream.clone();
+        let progress = attempt.progress(self.state.clock.now());
         // Closing the connection stops the old upstream before the next one starts.
         drop(attempt);
         self.run_tracker.mark_may_have_run();
-        self.record_upstream_failure(&upstream, cause);
+        self.record_upstream_failure(&upstream, cause, progress);
         let opened = tokio::select! {
             opened = self.open(copy) => opened,
             () = parts.closed() => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 //! - [`MembershipTable`] tracks which VMs are alive.
 
 mod admission;
+mod attempt_progress;
 mod canary_spread;
 mod claim;
 mod concurrency_limiter;
@@ -76,6 +77,7 @@
 mod work_budget;
 
 pub use admission::{AdmissionQueue, AdmissionRefusal, AdmissionVerdict, TicketNumber};
+pub use attempt_progress::AttemptProgress;
 pub use canary_spread::{CanarySpread, RoutePriority};
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredResponse};
 pub use concurrency_limiter::ConcurrencyLimiter;
