Reproduce a part of a prompt that ends engine after engine

Three VMs, twelve engines that end when they begin to write an answer on one part, sound requests beside it.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -25,8 +25,9 @@
 pub use proxy::{forward_connection, run_proxy, ProxyFaults};
 pub use routing::headers;
 pub use routing::{
-    default_config, route, upstream_row, ControlCalls, EndlessResponse, FakeStore, FakeUpstream,
-    FaultEffect, GatewayFile, ReceivedRequest, ScriptedResponse, StoreCopy, StoreMode, StreamEnd,
-    StreamScript, VersionFault, APP_SERVICE, DEPOT_KEY, HOST, MODEL_SERVICE, VENDOR_KEY,
+    default_config, route, upstream_row, ControlCalls, CrashFault, EndlessResponse, FakeStore,
+    FakeUpstream, FaultEffect, GatewayFile, ReceivedRequest, ScriptedResponse, StoreCopy,
+    StoreMode, StreamEnd, StreamScript, VersionFault, APP_SERVICE, DEPOT_KEY, DOWNTIME, HOST,
+    MODEL_SERVICE, VENDOR_KEY,
 };
 pub use token_oracle::{check_answer, AnswerMismatch, TokenOracle};
--- a/crates/stand-ins/src/routing/mod.rs
+++ b/crates/stand-ins/src/routing/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod connection;
 mod control_calls;
+mod crash_fault;
 mod endless_response;
 mod event_stream;
 pub mod headers;
@@ -18,6 +19,7 @@
     VENDOR_KEY,
 };
 pub use control_calls::ControlCalls;
+pub use crash_fault::{CrashFault, DOWNTIME};
 pub use endless_response::EndlessResponse;
 pub use received_request::ReceivedRequest;
 pub use scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -2,6 +2,7 @@
 
 use super::connection::send_response;
 use super::control_calls::ControlCalls;
+use super::crash_fault::{CrashFault, DOWNTIME};
 use super::endless_response::EndlessResponse;
 use super::received_request::{read_body, read_head, ReceivedRequest};
 use super::scripted_response::ScriptedResponse;
@@ -23,6 +24,8 @@
     control: ControlCalls,
     fault: FaultState,
     closes_connections: bool,
+    crash_fault: Option<CrashFault>,
+    end_times: Vec<Instant>,
 }
 
 /// A fake upstream that runs until it is dropped or stopped.
@@ -32,6 +35,7 @@
     state: Arc<Mutex<UpstreamState>>,
     received_count: watch::Sender<usize>,
     closed_count: watch::Sender<usize>,
+    crash_count: watch::Sender<usize>,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -46,6 +50,7 @@
     state: Arc<Mutex<UpstreamState>>,
     received_count: watch::Sender<usize>,
     closed_count: watch::Sender<usize>,
+    crash_count: watch::Sender<usize>,
 }
 
 impl UpstreamShared {
@@ -82,13 +87,17 @@
             control: ControlCalls::default(),
             fault: FaultState::default(),
             closes_connections: false,
+            crash_fault: None,
+            end_times: Vec::new(),
         }));
         let (received_count, _) = watch::channel(0);
         let (closed_count, _) = watch::channel(0);
+        let (crash_count, _) = watch::channel(0);
         let shared = UpstreamShared {
             state: state.clone(),
             received_count: received_count.clone(),
             closed_count: closed_count.clone(),
+            crash_count: crash_count.clone(),
         };
         let task = tokio::spawn(serve(listener, shared));
         FakeUpstream {
@@ -96,6 +105,7 @@
             state,
             received_count,
             closed_count,
+            crash_count,
             task,
         }
     }
@@ -125,6 +135,22 @@
         self.lock().fault.set(fault);
     }
 
+    /// Sets the requests that end it from now on; `None` mends it.
+    pub fn set_crash_fault(&self, fault: Option<CrashFault>) {
+        self.lock().crash_fault = fault;
+    }
+
+    /// Ends all connections and refuses new ones for [`DOWNTIME`], as a process that is
+    /// killed and started again.
+    pub fn crash(&self) {
+        self.crash_count.send_modify(|count| *count += 1);
+    }
+
+    /// Returns when it has crashed.
+    pub fn end_times(&self) -> Vec<Instant> {
+        self.lock().end_times.clone()
+    }
+
     /// Resets all new connections immediately, as if it had too many.
     pub fn reset_connections(&self) {
         self.lock().closes_connections = true;
@@ -185,14 +211,38 @@
     }
 }
 
-async fn serve(listener: TcpListener, shared: UpstreamShared) {
+async fn serve(mut listener: TcpListener, shared: UpstreamShared) {
+    let address = listener.local_addr().expect("it is bound");
+    let mut crash_count = shared.crash_count.subscribe();
+    loop {
+        tokio::select! {
+            () = accept_all(&listener, &shared) => return,
+            // `shared` owns the sender, so this can't fail.
+            _ = crash_count.changed() => {}
+        }
+        shared.lock().end_times.push(Instant::now());
+        drop(listener);
+        tokio::time::sleep(DOWNTIME).await;
+        crash_count.mark_unchanged();
+        listener = TcpListener::bind(address).await.expect("its port is free");
+    }
+}
+
+async fn accept_all(listener: &TcpListener, shared: &UpstreamShared) {
     while let Ok((stream, _)) = listener.accept().await {
         if shared.lock().closes_connections {
             // Without it the client sees the end of the connection instead of a reset.
             let _ = stream.set_zero_linger();
             continue;
         }
-        tokio::spawn(serve_connection(stream, shared.clone()));
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let mut crash_count = shared.crash_count.subscribe();
+            tokio::select! {
+                () = serve_connection(stream, shared) => {}
+                _ = crash_count.changed() => {}
+            }
+        });
     }
 }
 
@@ -221,6 +271,11 @@
         let _ = stream.write_all(reply.as_bytes()).await;
         return;
     }
+    let fault = {
+        let state = shared.lock();
+        let fault = state.crash_fault.clone();
+        fault.filter(|fault| fault.is_hit_by(&request))
+    };
     let (response, is_bad, name) = {
         let mut state = shared.lock();
         state.received.push(request.clone());
@@ -237,6 +292,14 @@
         true => ScriptedResponse::Misdirected,
         false => response,
     };
+    let crashes = fault.filter(|_| !is_misdirected);
+    if let Some(fault) = crashes {
+        let is_begun = fault.begin(&mut stream, &request).await;
+        if is_begun.is_ok() {
+            shared.crash_count.send_modify(|count| *count += 1);
+        }
+        return;
+    }
     if send_response(&mut stream, &request, &response)
         .await
         .is_err()
--- a/tests/testsuite/src/lib.rs
+++ b/tests/testsuite/src/lib.rs
@@ -1,5 +1,6 @@
 //! Shared fixtures of the integration tests, which run real processes.
 
+mod crash_trial;
 mod fixture;
 mod gateway_harness;
 mod gateway_process;
@@ -9,6 +10,7 @@
 mod rollout_trial;
 mod running_generation;
 
+pub use crash_trial::{CrashTrial, SETTLE_WINDOW};
 pub use fixture::{assert_complete_answer, generation_spec, BOOKING_PATH};
 pub use gateway_harness::{GatewayHarness, OtherVm};
 pub use gateway_process::{config_metric, program_path, wait_for_metric};
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod caller_connections;
 mod caller_disconnects;
 mod configuration;
+mod crashing_parts;
 mod endless_responses;
 mod explain_command;
 mod fleet_start;
