Quarantine parts of prompts that end engines

The attempts of a request carried the fault to up to five engines, every VM began anew with each next request, and nothing told VMs which part such requests share.

A VM that sees an engine end under a response that had just begun tells all others which parts of its prompt are not known to be sound. Two such ends (or six under requests that waited, if no head arrived) block the part on all VMs: requests with it are refused at once, those on their way are given up. Parts on which a response has gone on for 500 ms are sound, so those that sound requests share are never blocked; parts that nothing tells apart are blocked together. One VM probes a block after 10, 80, 640 s; a response that goes on lifts it. Blocks go with the reads of the store's tables and are kept in the store, so restarted and cut-off VMs know them.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -95,3 +95,13 @@
 pub(crate) fn set_connections(connections: usize) {
     gauge!("gateway_connections").set(connections as f64);
 }
+
+/// Counts an event of the quarantine of prompt parts.
+pub(crate) fn count_quarantine(event: &'static str) {
+    counter!("gateway_quarantine_events_total", "event" => event).increment(1);
+}
+
+/// Sets the number of blocks of prompt parts in force.
+pub(crate) fn set_blocked_parts(blocks: usize) {
+    gauge!("gateway_blocked_parts").set(blocks as f64);
+}
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -3,6 +3,7 @@
 use crate::config_state::ConfigState;
 use crate::exchange::CallerRequest;
 use crate::peers::{FeedCaches, VmRoster};
+use crate::quarantine::QuarantineManager;
 use crate::rollouts::RolloutManager;
 use crate::settings::GatewaySettings;
 use crate::upstreams::UpstreamDirectory;
@@ -49,6 +50,7 @@
     pub(crate) table_server: Mutex<TableServer>,
     pub(crate) roster: VmRoster,
     pub(crate) rollouts: RolloutManager,
+    pub(crate) quarantine: QuarantineManager,
     pub(crate) peers: PeerClient,
     pub(crate) connections: AtomicUsize,
     /// How long event streams and application calls last.
@@ -70,6 +72,7 @@
             table_server: Mutex::new(TableServer::new(settings.transfer_rate)),
             roster: VmRoster::default(),
             rollouts: RolloutManager::new(clock),
+            quarantine: QuarantineManager::new(clock),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             config: ConfigState::new(boot_clock),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `call` forwards application calls and `stream` forwards event streams;
 //! - `store_watch` keeps the configuration and the upstream table up to date;
 //! - `peers` shares the store's change feeds between VMs;
+//! - `quarantine` keeps requests that end engines away from them;
 //! - `rollouts` shifts services to other versions;
 //! - `upstreams` tracks the upstreams and the load that this VM puts on them.
 //!
@@ -29,6 +30,7 @@
 mod log_writer;
 mod peers;
 mod platform_api;
+mod quarantine;
 mod refusal;
 mod rollouts;
 mod run;
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -35,10 +35,24 @@
     async fn handle(&self, body: PeerBody) -> PeerBody {
         match body {
             PeerBody::RequestFeed(request) => {
-                PeerBody::Feed(serve_feed(&self.state, &request).await)
+                let quarantine = &self.state.quarantine;
+                quarantine.receive_blocks(&request.blocks, false);
+                let reply = serve_feed(&self.state, &request).await;
+                PeerBody::Feed(FeedReply {
+                    blocks: quarantine.to_wire(),
+                    knows_earlier_blocks: quarantine.knows_earlier_blocks(),
+                    ..reply
+                })
             }
             PeerBody::ReportRollout(report) => self.state.rollouts.receive_report(&report),
             PeerBody::EndRollout(end) => self.state.rollouts.receive_end(&end),
+            PeerBody::ReportCrash(notice) => {
+                self.state.quarantine.receive_crash(&self.state, &notice)
+            }
+            PeerBody::ShareBlocks(shared) => {
+                self.state.quarantine.receive_blocks(&shared.blocks, false);
+                PeerBody::Done(true)
+            }
             _ => PeerBody::Done(false),
         }
     }
@@ -74,7 +88,7 @@
                 age_ms: state.config.now().since(changes.fresh_at).as_millis(),
                 proof: changes.confirmations,
                 held_ms: state.config.now().since(received).as_millis(),
-                alternatives: Vec::new(),
+                ..FeedReply::default()
             }
         }
         Err(error) => FeedReply {
@@ -165,6 +179,7 @@
         wait_ms: query.wait.as_millis(),
         accepts_packed: true,
         requester: state.settings.listen.peers.to_string(),
+        blocks: state.quarantine.to_wire(),
     };
     let sent_at = state.config.now();
     let timeout = match query.after {
@@ -179,6 +194,9 @@
     let PeerBody::Feed(reply) = reply else {
         return Err(StoreError::Unreadable(format!("{to}: unexpected reply")));
     };
+    state
+        .quarantine
+        .receive_blocks(&reply.blocks, reply.knows_earlier_blocks);
     match reply.outcome() {
         FeedOutcome::Rows => {
             let round_trip = state.config.now().since(sent_at);
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -9,7 +9,7 @@
 };
 use skylarkshed_http_link::BufferedRequest;
 use skylarkshed_policy::{
-    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, RolloutState, VmEntry,
+    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, PartBlock, RolloutState, VmEntry,
 };
 use std::future::Future;
 use std::net::SocketAddr;
@@ -339,6 +339,13 @@
     /// Removes a VM's entry.
     fn withdraw(&self, name: &VmName) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Reads the blocked parts of prompts.
+    fn read_blocks(&self) -> impl Future<Output = Result<Vec<PartBlock>, StoreError>> + Send;
+
+    /// Writes a block, in place of an earlier one of the same parts.
+    fn write_block(&self, block: &PartBlock)
+        -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Reads the state of a service's rollout.
     fn read_rollout(
         &self,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -55,6 +55,8 @@
     UpstreamsDeferred,
     RetryBudget,
     SlowRequest,
+    /// Its prompt has a part that ends engines.
+    PromptBlocked,
 }
 
 impl NotRunReason {
@@ -68,6 +70,7 @@
             NotRunReason::UpstreamsDeferred => "upstreams_deferred",
             NotRunReason::RetryBudget => "retry_budget",
             NotRunReason::SlowRequest => "slow_request",
+            NotRunReason::PromptBlocked => "prompt_blocked",
         }
     }
 
@@ -116,6 +119,8 @@
     UpstreamBroke,
     BadResponse,
     Timeout,
+    /// Its prompt has a part that ends engines.
+    PromptBlocked,
 }
 
 impl FailureReason {
@@ -124,6 +129,7 @@
             FailureReason::UpstreamBroke => "upstream_broke",
             FailureReason::BadResponse => "bad_answer",
             FailureReason::Timeout => "timeout",
+            FailureReason::PromptBlocked => "prompt_blocked",
         }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,6 +4,7 @@
 use crate::gateway_state::GatewayState;
 use crate::peers::{announce_vm, FeedHandler};
 use crate::platform_api::{RoutingStore, WireProtocol};
+use crate::quarantine::keep_blocks;
 use crate::settings::GatewaySettings;
 use crate::status_endpoints::{serve_metrics, serve_readiness};
 use crate::store_watch::{watch_control, watch_upstreams, watch_vms};
@@ -106,6 +107,7 @@
         tokio::spawn(serving);
     }
     tokio::spawn(announce_vm(state.clone(), store.clone()));
+    tokio::spawn(keep_blocks(state.clone(), store.clone()));
     tokio::spawn(watch_vms(state.clone(), store.clone()));
     tokio::spawn(watch_control(state.clone(), store.clone()));
     tokio::spawn(watch_upstreams(state.clone(), store.clone()));
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -220,6 +220,7 @@
 
     fn mark_restored(&mut self) {
         self.state.rollouts.mark_restored(&self.state, &self.store);
+        self.state.quarantine.mark_store_restored();
     }
 }
 
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -22,6 +22,8 @@
 const LIVENESS_CHECK_TIMEOUT: ClockTime = ClockTime::from_millis(100);
 /// How often a connection is tried before the end of an upstream remains unknown.
 const END_CHECKS: u32 = 3;
+/// The time in which a process that ends closes a connection that it accepted last.
+const CLOSE_TIME: ClockTime = ClockTime::from_millis(20);
 
 /// An upstream's response that is being received.
 pub(super) struct StreamAttempt {
@@ -32,6 +34,8 @@
     pub(super) phase: StreamPhase,
     pub(super) last_event_at: ClockTime,
     first_event_at: Option<ClockTime>,
+    /// Whether the response has gone on for long enough to show that its prompt is sound.
+    pub(super) is_sound: bool,
     /// When the wait for the next event began; later than the last event if the
     /// upstream was waited for.
     waiting_since: ClockTime,
@@ -63,6 +67,7 @@
             phase,
             last_event_at: now,
             first_event_at: None,
+            is_sound: false,
             waiting_since: now,
             probe,
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
@@ -113,6 +118,11 @@
         self.timeout = PrefillTimeout::start(now, silence_limit(self.phase, true));
     }
 
+    /// Reports whether an event has arrived.
+    pub(super) fn has_events(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     /// Returns how far the upstream has come with the response.
     pub(super) fn progress(&self, now: ClockTime) -> AttemptProgress {
         AttemptProgress::after_head(self.first_event_at, now)
@@ -172,16 +182,24 @@
     }
 }
 
-/// Reports whether an upstream's process has ended: its host refuses connections. An answer
-/// that is lost on the way is waited for once more.
+/// Reports whether an upstream's process has ended: its host refuses connections. A process
+/// that ends may still accept one, which is then closed at once, and an answer may be lost
+/// on the way; both are tried again.
 pub(super) async fn has_ended(address: SocketAddr) -> bool {
+    let limit = LIVENESS_CHECK_TIMEOUT.to_duration();
     for _ in 0..END_CHECKS {
         let connecting = TcpStream::connect(address);
-        let limit = LIVENESS_CHECK_TIMEOUT.to_duration();
         match tokio::time::timeout(limit, connecting).await {
-            Ok(Ok(_)) => return false,
-            Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
-            Err(_) => {}
+            Ok(Ok(stream)) => {
+                let mut byte = [0; 1];
+                let closing = stream.peek(&mut byte);
+                let limit = CLOSE_TIME.to_duration();
+                if tokio::time::timeout(limit, closing).await.is_err() {
+                    return false;
+                }
+            }
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
+            Ok(Err(_)) | Err(_) => {}
         }
     }
     false
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod opening;
 mod prefill_watch;
+mod quarantine_check;
 mod replacement;
 
 use crate::caller_response::{BodyPart, CallerResponse, ResponseBody};
@@ -13,6 +14,7 @@
 use crate::exchange::CallerRequest;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
+use crate::quarantine::ProbeTicket;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
 use attempt::{AttemptStep, StreamAttempt};
 use copy_manager::CopyManager;
@@ -56,6 +58,10 @@
     /// The next pause before another upstream is looked for.
     retry_pause: ClockTime,
     timings: EventTimings,
+    /// Set if the request probes a blocked part of its prompt.
+    probe_ticket: Option<ProbeTicket>,
+    /// Set once the request is blocked: the time until the next probe.
+    blocked_for: Option<ClockTime>,
     _protocol: PhantomData<P>,
 }
 
@@ -103,6 +109,8 @@
         is_send_reserved: AtomicBool::new(false),
         retry_pause: MIN_RETRY_PAUSE,
         timings: EventTimings::default(),
+        probe_ticket: None,
+        blocked_for: None,
         _protocol: PhantomData,
     };
     match forwarder.open(None).await {
@@ -118,7 +126,10 @@
             response
         }
         OpenedStream::Stopped => {
-            forwarder.log_end("not_begun");
+            forwarder.log_end(match forwarder.blocked_for {
+                Some(_) => "prompt_blocked",
+                None => "not_begun",
+            });
             forwarder.finish_unserved()
         }
     }
@@ -154,13 +165,20 @@
                     return self.log_end("caller_left");
                 }
                 () = tokio::time::sleep(remaining.to_duration()) => return self.log_end("timeout"),
+                () = self.wait_until_blocked(), if !attempt.is_sound => {
+                    return self.log_end("prompt_blocked");
+                }
             };
             let cause = match step {
                 AttemptStep::Event(event) => match self.forward_event(event, &parts).await {
-                    Ok(()) => continue,
+                    Ok(()) => {
+                        self.record_sound_parts(&mut attempt, false);
+                        continue;
+                    }
                     Err(cause) => cause,
                 },
                 AttemptStep::End => {
+                    self.record_sound_parts(&mut attempt, true);
                     copies.release::<P>(&self.state, &attempt);
                     // A caller that has disconnected needs no end.
                     let _ = parts.send(BodyPart::End).await;
@@ -253,6 +271,9 @@
 
     /// Returns the response for a stream of which the caller received nothing.
     fn finish_unserved(&self) -> CallerResponse {
+        if let Some(retry_after) = self.blocked_for {
+            return self.refuse_blocked(self.run_tracker.proof(), retry_after);
+        }
         match self.run_tracker.proof() {
             Some(proof) => self.refuse(proof),
             None if self.request.deadline.is_expired() => fail(FailureReason::Timeout),
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -1,6 +1,6 @@
 //! Opens a stream at an upstream, and tries others until one responds.
 
-use super::attempt::{has_ended, AttemptFailure, StreamAttempt};
+use super::attempt::{AttemptFailure, StreamAttempt};
 use super::prefill_watch::{watch_prefill, PrefillTimeout};
 use super::replacement::MIN_RETRY_PAUSE;
 use super::StreamForwarder;
@@ -37,6 +37,9 @@
     /// Finds an upstream that responds; `copy` is the KV cache copy to resume from.
     pub(super) async fn open(&mut self, mut copy: Option<KvCacheCopy>) -> OpenedStream {
         loop {
+            if !self.is_admitted() {
+                return OpenedStream::Stopped;
+            }
             let attempt_rule = self.next_rule();
             self.request.version_rule = attempt_rule.rule;
             let holder = copy.take().and_then(|copy| self.usable_holder(copy));
@@ -71,6 +74,11 @@
                     }
                 },
             };
+            // The choice may have taken a while.
+            if !self.is_admitted() {
+                self.refund_send();
+                return OpenedStream::Stopped;
+            }
             self.is_first_send = self.sends == 0 && self.ledger.last().is_none();
             let probe = self.observe(&upstream, copy_from.is_none(), attempt_rule.ticket);
             let new_copy = self.plan_continuous_copy(&upstream);
@@ -84,6 +92,8 @@
                 }
                 Err(AttemptFailure(cause)) => {
                     self.record_failed_opening(&upstream, cause);
+                    let progress = AttemptProgress::Waiting;
+                    self.examine_end(&upstream, cause, progress).await;
                     // An upstream that is full has room again later.
                     if cause == LossCause::NotRun {
                         self.pause_before_retry().await;
@@ -180,6 +190,11 @@
         );
         let has_attempts_left = self.sends + 1 < self.request.route.max_attempts;
         let response = tokio::select! {
+            // A block that arrived while the engine was chosen goes first.
+            biased;
+            () = self.wait_until_blocked() => {
+                return Err(AttemptFailure(LossCause::PromptBlocked));
+            }
             response = self.send_and_wait(&upstream, phase, &options) => response,
             () = probe.overdue(), if self.is_resumable && has_attempts_left => {
                 probe.record_overdue();
@@ -304,7 +319,7 @@
     }
 
     /// Records an attempt that failed before its response began.
-    fn record_failed_opening(&mut self, upstream: &Arc<UpstreamState>, cause: LossCause) {
+    fn record_failed_opening(&mut self, upstream: &UpstreamState, cause: LossCause) {
         match cause {
             LossCause::Unsent => {
                 self.unsent += 1;
@@ -322,11 +337,11 @@
     /// Records and logs that the stream lost its upstream, which had responded this far.
     pub(super) fn record_upstream_failure(
         &mut self,
-        upstream: &Arc<UpstreamState>,
+        upstream: &UpstreamState,
         cause: LossCause,
         progress: AttemptProgress,
     ) {
-        if cause != LossCause::NotRun {
+        if cause.is_upstream_fault() {
             upstream.mark_suspect(self.state.clock.now());
             if !self.failed_zones.contains(&upstream.record.zone) {
                 self.failed_zones.push(upstream.record.zone.clone());
@@ -347,22 +362,5 @@
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream lost its upstream"
         );
-        if cause == LossCause::Broken && progress != AttemptProgress::Flowing {
-            check_end(self.request.id().to_owned(), upstream.clone(), progress);
-        }
     }
 }
-
-/// Finds out whether the upstream of a broken response has ended or only the response.
-fn check_end(request: String, upstream: Arc<UpstreamState>, progress: AttemptProgress) {
-    tokio::spawn(async move {
-        let has_ended = has_ended(upstream.record.address).await;
-        log::info!(
-            request = request.as_str(),
-            upstream:% = upstream.name(),
-            progress = progress.label(),
-            has_ended;
-            "upstream of a broken response checked"
-        );
-    });
-}
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -35,6 +35,7 @@
         drop(attempt);
         self.run_tracker.mark_may_have_run();
         self.record_upstream_failure(&upstream, cause, progress);
+        self.examine_end(&upstream, cause, progress).await;
         let opened = tokio::select! {
             opened = self.open(copy) => opened,
             () = parts.closed() => {
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -42,7 +42,9 @@
             | PeerBody::Feed(_)
             | PeerBody::ReportRollout(_)
             | PeerBody::RolloutWord(_)
-            | PeerBody::EndRollout(_) => PeerBody::Done(false),
+            | PeerBody::EndRollout(_)
+            | PeerBody::ReportCrash(_)
+            | PeerBody::ShareBlocks(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -25,7 +25,7 @@
     /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
     )]
     pub body: Option<PeerBody>,
 }
@@ -78,6 +78,63 @@
     /// with their next report.
     #[prost(message, tag = "15")]
     EndRollout(RolloutEnd),
+    /// Tells a gateway that an engine ended. Older builds ignore it.
+    #[prost(message, tag = "16")]
+    ReportCrash(CrashNotice),
+    /// Tells a gateway which parts of prompts are blocked. Older builds ignore it.
+    #[prost(message, tag = "17")]
+    ShareBlocks(PartBlocks),
+}
+
+/// The end of an engine, as seen by a stream that it had not served for long.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashNotice {
+    /// The engine's service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The engine.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// The parts of the stream's prompt that are not known to be sound.
+    #[prost(string, repeated, tag = "3")]
+    pub parts: Vec<String>,
+    /// Whether the response had begun.
+    #[prost(bool, tag = "4")]
+    pub has_begun: bool,
+}
+
+/// The blocked parts of prompts that a gateway knows.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartBlocks {
+    /// The blocks, lifted ones included.
+    #[prost(message, repeated, tag = "1")]
+    pub blocks: Vec<PartBlockWire>,
+}
+
+/// Parts of prompts that end engines together.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartBlockWire {
+    /// The service of the engines.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The parts.
+    #[prost(string, repeated, tag = "2")]
+    pub parts: Vec<String>,
+    /// How often the parts have been blocked and lifted.
+    #[prost(uint64, tag = "3")]
+    pub round: u64,
+    /// Whether they have turned out to be sound.
+    #[prost(bool, tag = "4")]
+    pub is_lifted: bool,
+    /// How many probes have ended an engine.
+    #[prost(uint32, tag = "5")]
+    pub failed_probes: u32,
+    /// Milliseconds since the last end under the parts.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
+    /// Whether the store has the block in this state.
+    #[prost(bool, tag = "7")]
+    pub is_stored: bool,
 }
 
 /// The end of a rollout.
@@ -157,6 +214,9 @@
     /// alone.
     #[prost(uint64, optional, tag = "7")]
     pub era: Option<u64>,
+    /// The blocked parts of prompts that the requester knows.
+    #[prost(message, repeated, tag = "8")]
+    pub blocks: Vec<PartBlockWire>,
 }
 
 /// A part of the change feed of a table of the platform's store.
@@ -190,6 +250,13 @@
     /// The era of `revision`; absent from VMs that don't know eras.
     #[prost(uint64, optional, tag = "9")]
     pub era: Option<u64>,
+    /// The blocked parts of prompts that the replying VM knows.
+    #[prost(message, repeated, tag = "10")]
+    pub blocks: Vec<PartBlockWire>,
+    /// Whether these include the ones of an earlier time; otherwise the replying VM has
+    /// just started.
+    #[prost(bool, tag = "11")]
+    pub knows_earlier_blocks: bool,
 }
 
 /// The rows of a reply, to be compressed.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,8 @@
 //!   [`decide_copy`] keeps the KV cache copy that it can continue from.
 //!   [`judge_prefill`] decides whether to wait for a late first event, and
 //!   [`choose_engine`] selects the engine of a prompt.
+//! - [`PartQuarantine`] finds the parts of prompts that end engines, and keeps requests
+//!   with them away.
 //! - [`DurationEstimator`] tells which requests end before a draining VM is killed.
 //! - [`FeedCache`] caches what a VM has read from the platform's store, and
 //!   [`FeedRoute`] chooses the endpoints that it reads from. [`TableServer`] limits
@@ -40,6 +42,7 @@
 mod claim;
 mod concurrency_limiter;
 mod copy_plan;
+mod crash_evidence;
 mod deferral;
 mod duration_estimator;
 mod engine_choice;
@@ -55,6 +58,7 @@
 mod membership_types;
 mod minted_keys;
 mod move_plan;
+mod part_quarantine;
 mod placement;
 mod prefill_timeout;
 mod rate_limiter;
@@ -69,6 +73,7 @@
 mod rollout_times;
 mod route_table;
 mod routing;
+mod sound_parts;
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
@@ -82,6 +87,7 @@
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredResponse};
 pub use concurrency_limiter::ConcurrencyLimiter;
 pub use copy_plan::{decide_copy, CopyDecision, CopyKind, CopyState};
+pub use crash_evidence::CrashReport;
 pub use deferral::{deferred_until, outage_delay, return_delay};
 pub use duration_estimator::DurationEstimator;
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
@@ -103,6 +109,7 @@
 };
 pub use minted_keys::{MintedKeys, MintedState, MintedVerdict};
 pub use move_plan::{decide_move, first_share_ppm, MoveDecision};
+pub use part_quarantine::{PartBlock, PartQuarantine, PartVerdict};
 pub use placement::{choose_candidate, is_worth_attempt, PlacementQuery, UpstreamCandidate};
 pub use prefill_timeout::{
     judge_prefill, PrefillEstimator, PrefillStatus, PrefillVerdict, WaitingPrefill,
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -53,6 +53,8 @@
     WrongEvent,
     /// The upstream's version is under test, and its first event is overdue.
     Overdue,
+    /// The prompt has a part that ends engines; the attempt was given up.
+    PromptBlocked,
 }
 
 impl LossCause {
@@ -68,6 +70,7 @@
             LossCause::Unreachable => "unreachable",
             LossCause::WrongEvent => "wrong_event",
             LossCause::Overdue => "overdue",
+            LossCause::PromptBlocked => "prompt_blocked",
         }
     }
 
@@ -86,7 +89,8 @@
             LossCause::Unsent
             | LossCause::NotRun
             | LossCause::InstanceReplaced
-            | LossCause::Overdue => None,
+            | LossCause::Overdue
+            | LossCause::PromptBlocked => None,
             LossCause::ErrorResponse | LossCause::WrongEvent => Some(FailureKind::ErrorResponse),
             LossCause::Broken | LossCause::Silence | LossCause::Unreachable => {
                 Some(FailureKind::NoResponse)
@@ -94,6 +98,12 @@
         }
     }
 
+    /// Reports whether the loss tells something of the upstream: one that refused may be
+    /// full, and one whose attempt was given up is not to blame.
+    pub const fn is_upstream_fault(self) -> bool {
+        !matches!(self, LossCause::NotRun | LossCause::PromptBlocked)
+    }
+
     /// Reports whether the upstream cannot have run the request.
     pub const fn is_not_run(self) -> bool {
         matches!(
