Reset a connection without chunks whose response ends early

One test failed: to a caller that knows no chunks (HTTP/1.0) the end of the connection is the end of the response, and a stream that broke off was closed as after a complete one.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -6,7 +6,7 @@
 use crate::gateway_state::GatewayState;
 use crate::platform_api::WireProtocol;
 use crate::tracked_stream::TrackedStream;
-use http::Request;
+use http::{Request, Version};
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::rt::{Read, Write};
@@ -94,6 +94,9 @@
         service_fn(move |request: Request<Incoming>| {
             activity.extend_timeouts(current_limits(&state));
             let guard = activity.begin_request();
+            if request.version() < Version::HTTP_11 {
+                activity.mark_close_delimited();
+            }
             let has_body = !request.body().is_end_stream();
             let handling = handle::<P>(state.clone(), request);
             async move {
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -5,7 +5,7 @@
 use http_body::{Body, Frame, SizeHint};
 use skylarkshed_core::{CallerLimits, ClockTime, MonotonicClock};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -42,6 +42,8 @@
     /// later than this VM that they have become shorter.
     head_timeout_ms: AtomicU64,
     idle_timeout_ms: AtomicU64,
+    /// Whether the end of the connection is the end of a response.
+    is_close_delimited: AtomicBool,
 }
 
 impl ConnectionActivity {
@@ -55,9 +57,20 @@
             discarded_bytes: AtomicU64::new(0),
             head_timeout_ms: AtomicU64::new(0),
             idle_timeout_ms: AtomicU64::new(0),
+            is_close_delimited: AtomicBool::new(false),
         })
     }
 
+    /// Records that the caller knows no chunks, so that the end of the connection tells
+    /// that a response is complete.
+    pub(crate) fn mark_close_delimited(&self) {
+        self.is_close_delimited.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_close_delimited(&self) -> bool {
+        self.is_close_delimited.load(Ordering::Relaxed)
+    }
+
     /// Extends the timeouts to those of the limits in force.
     pub(crate) fn extend_timeouts(&self, limits: CallerLimits) {
         self.head_timeout_ms
--- a/crates/gateway/src/tracked_stream.rs
+++ b/crates/gateway/src/tracked_stream.rs
@@ -48,6 +48,17 @@
     }
 }
 
+impl Drop for TrackedStream {
+    fn drop(&mut self) {
+        // Without a reset, a response that ends early would look complete.
+        if self.linger.is_none() && self.activity.is_close_delimited() {
+            if let Err(error) = self.stream.set_zero_linger() {
+                log::debug!("can't reset a caller's connection: {error}");
+            }
+        }
+    }
+}
+
 impl AsyncRead for TrackedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -27,7 +27,7 @@
 pub use routing::{
     default_config, route, upstream_row, ControlCalls, CrashFault, EndlessResponse, FakeStore,
     FakeUpstream, FaultEffect, GatewayFile, ReceivedRequest, ScriptedResponse, StoreCopy,
-    StoreMode, StreamEnd, StreamScript, VersionFault, APP_SERVICE, DEPOT_KEY, DOWNTIME, HOST,
-    MODEL_SERVICE, VENDOR_KEY,
+    StoreMode, StreamEnd, StreamScript, UnframedEnd, VersionFault, APP_SERVICE, DEPOT_KEY,
+    DOWNTIME, HOST, MODEL_SERVICE, VENDOR_KEY,
 };
 pub use token_oracle::{check_answer, AnswerMismatch, TokenOracle};
--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -1,6 +1,6 @@
 //! Sends scripted responses on a connection.
 
-use super::event_stream::{reset, send_events, wait_unless_closed};
+use super::event_stream::{reset, send_events, send_unframed, wait_unless_closed};
 use super::received_request::ReceivedRequest;
 use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
 use std::time::Duration;
@@ -41,6 +41,12 @@
             let headers = format!("{signed}{not_run}{header}\r\n");
             respond(*status, &headers, "answer")
         }
+        ScriptedResponse::RepeatedRefusal => {
+            respond(503, "X-Attempt-Id: other\r\nX-Not-Executed: 1\r\n", "")
+        }
+        ScriptedResponse::UnframedStream { last_id, end } => {
+            return send_unframed(stream, request, &signed, *last_id, *end).await
+        }
         ScriptedResponse::Misdirected => respond(421, "X-Instance-Id: other\r\n", ""),
         ScriptedResponse::Truncated => {
             let text = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 100\r\n\r\nonly");
--- a/crates/stand-ins/src/routing/event_stream.rs
+++ b/crates/stand-ins/src/routing/event_stream.rs
@@ -1,7 +1,7 @@
 //! The event streams of a fake upstream.
 
 use super::received_request::ReceivedRequest;
-use super::scripted_response::{StreamEnd, StreamScript};
+use super::scripted_response::{StreamEnd, StreamScript, UnframedEnd};
 use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -54,6 +54,34 @@
     }
 }
 
+/// Sends the events that the request lacks without a length or chunks.
+pub(super) async fn send_unframed(
+    stream: &mut TcpStream,
+    request: &ReceivedRequest,
+    signed: &str,
+    last_id: u64,
+    end: UnframedEnd,
+) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n\r\n");
+    stream.write_all(head.as_bytes()).await?;
+    let after = request.header("last-event-id");
+    let after: u64 = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+    for id in after + 1..=last_id {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        stream.write_all(event.as_bytes()).await?;
+    }
+    if end == UnframedEnd::ClosedMidEvent {
+        let part = format!("id: {}\nda", last_id + 1);
+        stream.write_all(part.as_bytes()).await?;
+    }
+    if end == UnframedEnd::Reset {
+        // The events must arrive before the reset discards them.
+        wait_unless_closed(stream, Duration::from_millis(50)).await?;
+        return reset(stream);
+    }
+    Ok(())
+}
+
 async fn send_pieces(
     stream: &mut TcpStream,
     ids: RangeInclusive<u64>,
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -31,6 +31,17 @@
     Comments,
 }
 
+/// How a stream without a length ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum UnframedEnd {
+    /// The connection is closed after the last event.
+    Closed,
+    /// The connection is closed in the middle of the next event.
+    ClosedMidEvent,
+    /// The connection is reset after the last event.
+    Reset,
+}
+
 /// A scripted stream of server-sent events.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamScript {
@@ -63,6 +74,16 @@
     WrongAttemptId,
     /// Reports that it did not run the request (`X-Not-Executed`).
     NotExecuted,
+    /// Repeats the refusal of another request.
+    RepeatedRefusal,
+    /// Responds with a stream of events that ends with its connection, without a length
+    /// or chunks.
+    UnframedStream {
+        /// The identifier of the last complete event.
+        last_id: u64,
+        /// What follows the last event.
+        end: UnframedEnd,
+    },
     /// Responds with a status and this additional header line, without running the
     /// request if the status is 503.
     WithHeader {
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -20,5 +20,6 @@
 mod routing;
 mod silent_engines;
 mod store_restore;
+mod stream_ends;
 mod streams;
 mod upstream_notices;
--- a/tests/testsuite/tests/gateway/responses.rs
+++ b/tests/testsuite/tests/gateway/responses.rs
@@ -96,3 +96,42 @@
         assert!(body.as_bytes().starts_with(&request.body));
     }
 }
+
+/// Guards against a call that is reported as not run, or sent again, after an upstream has
+/// repeated the refusal of another request.
+#[tokio::test]
+async fn repeated_refusal_of_another_request_proves_nothing() {
+    let harness = HarnessBuilder::default().applications(2).start().await;
+    let mut config = harness.next_config();
+    config["routes"][0]["attempts"] = 3.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    for application in &harness.applications {
+        application.set_default_response(ScriptedResponse::RepeatedRefusal);
+    }
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!(response.status, 502);
+    assert_eq!(harness.application_request_count(), 1);
+}
+
+/// The same for a stream that only one upstream may run.
+#[tokio::test]
+async fn repeated_refusal_ends_a_stream_that_is_not_resumable() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let mut config = harness.next_config();
+    config["routes"][3]["stream_resumption"] = false.into();
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    for engine in &harness.engines {
+        engine.set_default_response(ScriptedResponse::RepeatedRefusal);
+    }
+    let response = harness.send_request("POST", "/write/7", "prompt").await;
+    assert_eq!(response.status, 502);
+    let received = harness
+        .engines
+        .iter()
+        .map(|engine| engine.received_requests().len());
+    assert_eq!(received.sum::<usize>(), 1);
+}
