--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -14,6 +14,8 @@
     pub(super) refuses_kv_moves: bool,
     /// The parts of prompts in the KV cache.
     pub(super) cached_parts: Vec<String>,
+    /// The load report instead of that of an idle engine.
+    pub(super) report: Option<String>,
     /// The response to all of these requests instead of the regular one.
     pub(super) endless: Option<EndlessResponse>,
 }
@@ -25,6 +27,11 @@
     pub fn respond(&mut self, request: &ReceivedRequest) -> Option<String> {
         let line = &request.request_line;
         let body = if line.starts_with("GET /-/report") {
+            if let Some(report) = &self.report {
+                let length = report.len();
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                return Some(format!("{head}{report}"));
+            }
             json!({"waiting": 0, "running": 0, "runs": []})
         } else if line.starts_with("GET /-/kv-list") {
             let parts = self.cached_parts.iter();
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -181,6 +181,11 @@
         self.lock().control.endless = Some(endless);
     }
 
+    /// Sets the body of its load reports.
+    pub fn set_report(&self, report: &str) {
+        self.lock().control.report = Some(report.to_owned());
+    }
+
     /// Sets the parts of prompts in the KV cache.
     pub fn set_cached_parts(&self, parts: &[&str]) {
         let parts = parts.iter().map(|part| (*part).to_owned());
