--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -43,6 +43,8 @@
     pub(crate) stop: watch::Receiver<bool>,
     /// Tells some callers to leave; the number chooses them.
     pub(crate) leave: watch::Receiver<u64>,
+    /// The part of prompts that ends upstreams, while some requests have one.
+    pub(crate) crashing_part: watch::Receiver<Option<String>>,
 }
 
 /// An open connection to a process of a VM.
@@ -260,6 +262,8 @@
             (0, _) => format!("order of {id} ").repeat(rng.random_range(1..60)),
             _ => format!("events={events} {single}prompt of {id}"),
         };
+        let crashing_part = self.context.crashing_part.borrow().clone();
+        let crashing_part = crashing_part.filter(|_| events > 0 && rng.random_ratio(1, 5));
         CallerRequest {
             vm: connection.vm,
             boot: connection.boot,
@@ -268,6 +272,7 @@
             path: format!("{}{}", route.prefix, rng.random_range(0..1_000)),
             body,
             key,
+            crashing_part,
             events,
             last_event: 0,
             sent_at: self.context.observer.now(),
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -4,6 +4,7 @@
 
 mod abandoned;
 mod answers;
+mod crashes;
 mod handling;
 mod recovery;
 mod rollouts;
@@ -71,6 +72,7 @@
 ///     path: "/book/1".into(),
 ///     body: String::new(),
 ///     key: None,
+///     crashing_part: None,
 ///     events: 0,
 ///     last_event: 0,
 ///     sent_at: ClockTime::ZERO,
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,7 +1,7 @@
 //! Rules that show only in sums over many requests.
 
 use super::handling::{allows, observed};
-use super::{abandoned, recovery, rollouts, World};
+use super::{abandoned, crashes, recovery, rollouts, World};
 use crate::bounds::{
     EXCESS_ATTEMPTS, READY_AFTER_SIGNAL, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, ROLLBACK_SLACK,
     TIMEOUT_SLACK,
@@ -29,6 +29,7 @@
     check_denied(stories, world, &mut found);
     check_readiness(world, &mut found);
     check_regress(stories, world, &mut found);
+    crashes::check(stories, world, &mut found);
     abandoned::check(stories, world, now, &mut found);
     recovery::check(stories, world, now, &mut found);
     rollouts::check(stories, world, now, &mut found);
--- a/crates/soak/src/exchange.rs
+++ b/crates/soak/src/exchange.rs
@@ -18,6 +18,10 @@
         .header(headers::TIME_LEFT, request.time_limit.as_millis());
     if request.events > 0 {
         message = message.header(headers::TOKENS, format!("800,{}", request.events));
+        let crashing = request.crashing_part.iter();
+        let crashing: String = crashing.map(|part| format!("{part}:300,")).collect();
+        let parts = format!("first:200,{crashing}own-{}:300", request.id);
+        message = message.header(headers::PROMPT_PARTS, parts);
     }
     if request.last_event > 0 {
         message = message.header(headers::LAST_EVENT, request.last_event);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -38,6 +38,8 @@
     pub(crate) context: Arc<VmContext>,
     /// Tells some callers to leave.
     pub(crate) leave: watch::Sender<u64>,
+    /// Tells callers which part of prompts ends upstreams.
+    pub(crate) crashing_part: watch::Sender<Option<String>>,
 }
 
 /// Injects a fault and, if it lasts, ends it.
@@ -61,6 +63,12 @@
         FaultKind::CallersLeave => {
             targets.leave.send_replace(fault.choice);
         }
+        FaultKind::CrashingPart => {
+            let part = format!("bad{}", fault.choice);
+            targets.crashing_part.send_replace(Some(part));
+            tokio::time::sleep(fault.duration.to_duration()).await;
+            targets.crashing_part.send_replace(None);
+        }
         FaultKind::Rollout => run_rollout(fault, &targets).await,
         FaultKind::PowerLoss(change) => {
             let mut rng = SmallRng::seed_from_u64(fault.choice);
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -175,6 +175,8 @@
 pub(crate) struct UpstreamLink {
     pub(crate) address: SocketAddr,
     target: watch::Sender<SocketAddr>,
+    /// Whether connections are refused, because the upstream's process has ended.
+    pub(crate) is_refusing: watch::Sender<bool>,
 }
 
 impl UpstreamLink {
@@ -191,27 +193,61 @@
     observer: Arc<Observer>,
     target: SocketAddr,
 ) -> std::io::Result<UpstreamLink> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let mut listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
-    let (sender, targets) = watch::channel(target);
+    let (target, targets) = watch::channel(target);
+    let (is_refusing, mut refusing) = watch::channel(false);
     tokio::spawn(async move {
-        while let Ok((inbound, source)) = listener.accept().await {
-            let (faults, observer) = (faults.clone(), observer.clone());
-            let target = *targets.borrow();
-            tokio::spawn(async move {
-                let id = peek_request_id(&inbound).await;
-                let vm = id.and_then(|id| observer.vm_of(&id));
-                let watch = faults.watch(vm);
-                forward_connection(inbound, source.ip(), target, watch).await;
-            });
+        loop {
+            tokio::select! {
+                () = accept_all(&listener, &faults, &observer, &targets) => return,
+                () = wait_for(&mut refusing, true) => {}
+            }
+            drop(listener);
+            wait_for(&mut refusing, false).await;
+            listener = match TcpListener::bind(address).await {
+                Ok(listener) => listener,
+                Err(error) => {
+                    let detail = format!("can't listen on {address} again: {error}");
+                    return observer.report("soak", detail);
+                }
+            };
         }
     });
     Ok(UpstreamLink {
         address,
-        target: sender,
+        target,
+        is_refusing,
     })
 }
 
+/// Waits until a link refuses connections or not; for ever once its upstream is gone.
+async fn wait_for(refusing: &mut watch::Receiver<bool>, wanted: bool) {
+    let changed = refusing.wait_for(|is_refusing| *is_refusing == wanted);
+    let is_gone = changed.await.is_err();
+    if is_gone {
+        std::future::pending().await
+    }
+}
+
+async fn accept_all(
+    listener: &TcpListener,
+    faults: &Arc<LinkFaults>,
+    observer: &Arc<Observer>,
+    targets: &watch::Receiver<SocketAddr>,
+) {
+    while let Ok((inbound, source)) = listener.accept().await {
+        let (faults, observer) = (faults.clone(), observer.clone());
+        let target = *targets.borrow();
+        tokio::spawn(async move {
+            let id = peek_request_id(&inbound).await;
+            let vm = id.and_then(|id| observer.vm_of(&id));
+            let watch = faults.watch(vm);
+            forward_connection(inbound, source.ip(), target, watch).await;
+        });
+    }
+}
+
 /// Returns the id of the request that arrives on a connection, without reading it.
 async fn peek_request_id(stream: &TcpStream) -> Option<String> {
     let peeking = async {
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -46,6 +46,8 @@
     pub body: String,
     /// The API key, unless it has none.
     pub key: Option<String>,
+    /// The part of its prompt that ends upstreams, if it has one.
+    pub crashing_part: Option<String>,
     /// The number of events of its stream; 0 if it is none.
     pub events: u64,
     /// The last event that its caller already has.
@@ -109,6 +111,8 @@
     pub due_at: ClockTime,
     /// Whether the upstream itself broke off, garbled or withheld its response.
     pub is_broken_off: bool,
+    /// Whether the request ended the upstream.
+    pub ends_upstream: bool,
     /// Whether the fault of its version shows in its response.
     pub is_bad: bool,
     /// The status code of its response.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -80,6 +80,7 @@
         rollouts: RolloutOrders::default(),
         context: context.clone(),
         leave: watch::channel(0).0,
+        crashing_part: watch::channel(None).0,
     });
     let mut processes = JoinSet::new();
     for vm in &vms {
@@ -122,6 +123,7 @@
         vms: targets.vms.clone(),
         stop: stopping,
         leave: targets.leave.subscribe(),
+        crashing_part: targets.crashing_part.subscribe(),
     });
     let mut calling = JoinSet::new();
     for number in 0..options.vms + COMMON_CALLERS {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -18,6 +18,10 @@
 const ROLLOUT_MS: std::ops::Range<u64> = 6_000..9_000;
 const ROLLOUT_PAUSE: ClockTime = ClockTime::from_millis(6_000);
 
+/// How long prompts have a part that ends engines, in milliseconds.
+const CRASH_MS: std::ops::Range<u64> = 6_000..15_000;
+const CRASH_SEED: u64 = 0x63_7261_7368;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum FaultKind {
@@ -46,6 +50,8 @@
     UpstreamAddressReused,
     CallersLeave,
     Rollout,
+    /// Some prompts have a part that ends each engine which begins to write on it.
+    CrashingPart,
     /// A change of the configuration, after which all VMs lose power.
     PowerLoss(ConfigChange),
     Config(ConfigChange),
@@ -144,10 +150,29 @@
     if !is_calm {
         faults.extend(draw_power_loss(&mut rng, length));
     }
+    if !is_calm {
+        faults.extend(draw_crashing_part(seed, length));
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws the time in which prompts have a part that ends engines, in two of three soaks. It
+/// has draws of its own, so that other faults of a seed stay as they were.
+fn draw_crashing_part(seed: u64, length: ClockTime) -> Option<PlannedFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CRASH_SEED);
+    let latest = length.since(LAST_FAULT);
+    if latest <= FIRST_FAULT || !rng.random_ratio(2, 3) {
+        return None;
+    }
+    Some(PlannedFault {
+        at: ClockTime::from_millis(rng.random_range(FIRST_FAULT.as_millis()..latest.as_millis())),
+        kind: FaultKind::CrashingPart,
+        duration: ClockTime::from_millis(rng.random_range(CRASH_MS)),
+        choice: rng.random_range(0..1 << 32),
+    })
+}
+
 /// Draws the groups of a seed and whether its configuration changes.
 fn draw_kinds(rng: &mut SmallRng) -> Vec<FaultKind> {
     let mut kinds: Vec<FaultKind> = Vec::new();
--- a/crates/soak/src/upstream_work.rs
+++ b/crates/soak/src/upstream_work.rs
@@ -15,6 +15,10 @@
 const SLOW_CALL_MS: std::ops::Range<u64> = 100..600;
 /// The time between two events, in milliseconds.
 const EVENT_MS: std::ops::Range<u64> = 5..40;
+/// The time from the head of a response to the end of its upstream, and one that is longer
+/// than until the upstream is down.
+const CRASH_MS: u64 = 50;
+const DOWNTIME_MS: u64 = 1_000;
 /// The lengths of the bodies of responses, in bytes; one in ten is long.
 const BODY_BYTES: std::ops::Range<usize> = 40..800;
 const LONG_BODY_BYTES: std::ops::Range<usize> = 20_000..200_000;
@@ -156,6 +160,16 @@
          Transfer-Encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
+    if has_crashing_part(request) {
+        wait(stream, context, CRASH_MS).await?;
+        context
+            .observer
+            .update_run(&run.key, |run| run.ends_upstream = true);
+        run.end(true);
+        context.crashed.notify_one();
+        // The connection ends with the upstream.
+        return wait(stream, context, DOWNTIME_MS).await;
+    }
     let is_single = String::from_utf8_lossy(&request.body).contains("single");
     for (number, delay) in (plan.after + 1..=plan.events).zip(&plan.delays[1..]) {
         wait(stream, context, *delay).await?;
@@ -183,6 +197,12 @@
     Ok(stream.write_all(b"0\r\n\r\n").await?)
 }
 
+/// Reports whether a prompt has a part that ends upstreams.
+fn has_crashing_part(request: &ReceivedRequest) -> bool {
+    let parts = request.header(headers::PROMPT_PARTS);
+    parts.is_some_and(|parts| parts.contains(",bad"))
+}
+
 fn request_rng(context: &UpstreamContext, id: &str) -> SmallRng {
     let mut hasher = DefaultHasher::new();
     (context.seed, &context.identity.name, id).hash(&mut hasher);
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -3,15 +3,16 @@
 use crate::links::{start_upstream_link, LinkFaults, UpstreamLink};
 use crate::observer::{Observer, RunKey};
 use crate::records::UpstreamRun;
+use crate::timeline::Part;
 use crate::upstream_work::{send, wait_while_silent, work};
 use crate::versions::UpstreamVersion;
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, ControlCalls, ReceivedRequest};
+use skylarkshed_stand_ins::{headers, ControlCalls, ReceivedRequest, DOWNTIME};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 /// The requests that an upstream runs at the same time; it refuses others.
 const SLOTS: usize = 24;
@@ -54,6 +55,8 @@
     pub(crate) seed: u64,
     pub(crate) observer: Arc<Observer>,
     pub(crate) faults: watch::Receiver<UpstreamFaults>,
+    /// Notified when a request ends the upstream.
+    pub(crate) crashed: Notify,
     running: AtomicUsize,
 }
 
@@ -74,9 +77,10 @@
             seed,
             observer: observer.clone(),
             faults: watching,
+            crashed: Notify::new(),
             running: AtomicUsize::new(0),
         });
-        tokio::spawn(serve(listener, context));
+        tokio::spawn(serve(listener, context.clone()));
         let link = match link {
             Some(link) => {
                 link.assign(real_address);
@@ -84,6 +88,8 @@
             }
             None => start_upstream_link(links.clone(), observer.clone(), real_address).await?,
         };
+        let is_refusing = link.is_refusing.clone();
+        tokio::spawn(restart_after_crashes(context, faults.clone(), is_refusing));
         Ok(SoakUpstream {
             identity,
             link,
@@ -92,6 +98,26 @@
     }
 }
 
+/// Ends all connections and refuses new ones for a while after each request that ends the
+/// upstream.
+async fn restart_after_crashes(
+    context: Arc<UpstreamContext>,
+    faults: watch::Sender<UpstreamFaults>,
+    is_refusing: watch::Sender<bool>,
+) {
+    loop {
+        context.crashed.notified().await;
+        let part = Part::Upstream(context.identity.name.clone());
+        let disturbance = context.observer.disturb(part, "crashed", false);
+        is_refusing.send_replace(true);
+        faults.send_modify(|faults| faults.is_down = true);
+        tokio::time::sleep(DOWNTIME).await;
+        faults.send_modify(|faults| faults.is_down = false);
+        is_refusing.send_replace(false);
+        context.observer.end_disturbance(disturbance);
+    }
+}
+
 async fn serve(listener: TcpListener, context: Arc<UpstreamContext>) {
     while let Ok((mut stream, _)) = listener.accept().await {
         let context = context.clone();
--- a/crates/soak/tests/checks/fixtures.rs
+++ b/crates/soak/tests/checks/fixtures.rs
@@ -88,6 +88,7 @@
             sent_at: SENT_AT,
             time_limit: ms(4_000),
             timeout: ms(1_000),
+            crashing_part: None,
             attempts: 1,
         },
         outcome: Some((SENT_AT + ms(60), Outcome::Response(response()))),
--- a/crates/stand-ins/src/routing/crash_fault.rs
+++ b/crates/stand-ins/src/routing/crash_fault.rs
@@ -1,6 +1,7 @@
 //! Requests that end a fake upstream.
 
 use super::event_stream::wait_unless_closed;
+use super::headers;
 use super::received_request::ReceivedRequest;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -34,7 +35,7 @@
 
     /// Reports whether a request ends the upstream.
     pub fn is_hit_by(&self, request: &ReceivedRequest) -> bool {
-        let parts = request.header("x-prompt-prefix").unwrap_or("");
+        let parts = request.header(headers::PROMPT_PARTS).unwrap_or("");
         let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
         ids.any(|id| id == self.part)
     }
--- a/crates/stand-ins/src/routing/headers.rs
+++ b/crates/stand-ins/src/routing/headers.rs
@@ -12,6 +12,8 @@
 pub const UPSTREAM: &str = "x-instance-id";
 /// The number of prompt tokens and the maximum number of output tokens.
 pub const TOKENS: &str = "x-token-usage";
+/// The parts of the prompt, in order, as identifiers and lengths.
+pub const PROMPT_PARTS: &str = "x-prompt-prefix";
 /// The last event that the receiver of a stream has.
 pub const LAST_EVENT: &str = "last-event-id";
 /// An upstream's signature of its response.
