Stop a stream after two engines ended as they began to answer it

The quarantine learns parts that requests share. A request whose own part ends engines shares none, and its attempts still ended five engines, with all streams there (new test: 5 ends on one request). Each engine that ended under the begun response of a request now counts; after two the request is not sent to another one, and its caller gets 502.

--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -51,6 +51,8 @@
     unsent: u32,
     tried: Vec<UpstreamName>,
     failed_zones: Vec<ZoneName>,
+    /// The number of engines that ended as they began to respond.
+    ended_engines: u32,
     /// Whether the caller has received the head of the response.
     is_begun: bool,
     /// Whether the next attempt has already been taken from the retry budget.
@@ -105,6 +107,7 @@
         unsent: 0,
         tried: Vec::new(),
         failed_zones: Vec::new(),
+        ended_engines: 0,
         is_begun: false,
         is_send_reserved: AtomicBool::new(false),
         retry_pause: MIN_RETRY_PAUSE,
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -108,6 +108,7 @@
         StreamState {
             sends: self.sends,
             max_sends: self.request.route.max_attempts,
+            ended_engines: self.ended_engines,
             is_resumable: self.is_resumable,
             may_have_run: self.run_tracker.may_have_run(),
             has_copy: false,
--- a/crates/gateway/src/stream/quarantine_check.rs
+++ b/crates/gateway/src/stream/quarantine_check.rs
@@ -66,8 +66,13 @@
         let service = &self.request.service;
         let parts = &self.request.head.shared_parts;
         let quarantine = &self.state.quarantine;
-        let is_suspicious = cause == LossCause::Broken && progress != AttemptProgress::Flowing;
-        if !is_suspicious || quarantine.is_sound(service, parts) {
+        let is_sound = quarantine.is_sound(service, parts);
+        let is_of_interest = match progress {
+            AttemptProgress::Waiting => !is_sound,
+            AttemptProgress::Begun => true,
+            AttemptProgress::Flowing => false,
+        };
+        if cause != LossCause::Broken || !is_of_interest {
             return;
         }
         let has_ended = has_ended(upstream.record.address).await;
@@ -81,6 +86,12 @@
         if !has_ended {
             return;
         }
+        if progress == AttemptProgress::Begun {
+            self.ended_engines += 1;
+        }
+        if is_sound {
+            return;
+        }
         let report = CrashReport {
             service: service.clone(),
             engine: upstream.name().clone(),
--- a/crates/policy/src/stream_recovery.rs
+++ b/crates/policy/src/stream_recovery.rs
@@ -31,6 +31,10 @@
 /// the copy means prefilling the prompt again, which takes more than a second.
 const RESUME_TIMEOUT: ClockTime = ClockTime::from_millis(1_200);
 
+/// A request under which this many engines ended as they began to respond is not sent to
+/// another one: it is likely to end that as well, with all streams there.
+const MAX_ENDED_ENGINES: u32 = 2;
+
 /// How a stream's upstream failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LossCause {
@@ -131,6 +135,8 @@
     pub sends: u32,
     /// The maximum number of upstreams that it may be sent to.
     pub max_sends: u32,
+    /// The number of engines that ended as they began to respond.
+    pub ended_engines: u32,
     /// Whether another upstream can continue the stream.
     pub is_resumable: bool,
     /// Whether an upstream may have run the request.
@@ -149,6 +155,7 @@
 /// let state = StreamState {
 ///     sends: 1,
 ///     max_sends: 5,
+///     ended_engines: 0,
 ///     is_resumable: true,
 ///     may_have_run: true,
 ///     has_copy: true,
@@ -158,7 +165,9 @@
 /// assert_eq!(decide_recovery(&state), RecoveryDecision::Stop);
 /// ```
 pub fn decide_recovery(state: &StreamState) -> RecoveryDecision {
-    if state.sends >= state.max_sends || (state.may_have_run && !state.is_resumable) {
+    let is_harmful = state.ended_engines >= MAX_ENDED_ENGINES;
+    let is_spent = state.sends >= state.max_sends;
+    if is_harmful || is_spent || (state.may_have_run && !state.is_resumable) {
         return RecoveryDecision::Stop;
     }
     match state.has_copy {
@@ -206,6 +215,7 @@
 /// let state = StreamState {
 ///     sends: 1,
 ///     max_sends: 5,
+///     ended_engines: 0,
 ///     is_resumable: true,
 ///     may_have_run: true,
 ///     has_copy: false,
--- a/crates/policy/tests/gateway/streams.rs
+++ b/crates/policy/tests/gateway/streams.rs
@@ -17,6 +17,7 @@
 const STARTED: StreamState = StreamState {
     sends: 1,
     max_sends: 5,
+    ended_engines: 0,
     is_resumable: true,
     may_have_run: true,
     has_copy: true,
@@ -26,6 +27,8 @@
 #[case::copy(STARTED, RecoveryDecision::ResumeFromCopy)]
 #[case::no_copy(StreamState { has_copy: false, ..STARTED }, RecoveryDecision::RestartPrefill)]
 #[case::spent(StreamState { sends: 5, ..STARTED }, RecoveryDecision::Stop)]
+#[case::one_engine_ended(StreamState { ended_engines: 1, ..STARTED }, RecoveryDecision::ResumeFromCopy)]
+#[case::two_engines_ended(StreamState { ended_engines: 2, ..STARTED }, RecoveryDecision::Stop)]
 #[case::not_resumable(StreamState { is_resumable: false, ..STARTED }, RecoveryDecision::Stop)]
 #[case::not_run(
     StreamState { is_resumable: false, may_have_run: false, has_copy: false, ..STARTED },
--- a/tests/testsuite/src/crash_trial.rs
+++ b/tests/testsuite/src/crash_trial.rs
@@ -152,6 +152,11 @@
         send_prompt(vm, &crashing_parts(number)).await
     }
 
+    /// Sends a request whose prompt has only a part of its own, which ends engines, to a VM.
+    pub async fn send_crashing_own_part(&self, vm: SocketAddr) -> Option<RawResponse> {
+        send_prompt(vm, &format!("{CRASHING_PART}:8000")).await
+    }
+
     /// Sends a crashing request to one VM after the other for a time, without waiting for
     /// the responses.
     pub async fn send_crashing_requests(&mut self, pause: Duration, time: Duration) {
--- a/tests/testsuite/tests/gateway/crashing_parts.rs
+++ b/tests/testsuite/tests/gateway/crashing_parts.rs
@@ -163,3 +163,16 @@
     let (sent, begun) = trial.sound_requests(started_at, Instant::now());
     assert!(begun * 10 >= sent * 9, "{begun} of {sent} began");
 }
+
+/// Guards against a request that ends one engine after the other although its prompt shares
+/// no part with others, so that nothing is learned for the next one.
+#[tokio::test]
+async fn request_with_only_its_own_part_ends_two_engines_at_most() {
+    let trial = CrashTrial::start(1, 6).await;
+    let vm = trial.harness.caller_address;
+    let response = trial.send_crashing_own_part(vm).await.unwrap();
+    assert!(!response.is_complete || response.status == 502);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let ends = trial.end_times().len();
+    assert!((1..=2).contains(&ends), "{ends} ends");
+}
