--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -144,6 +144,13 @@
         serde_json::from_slice(value).ok()
     }
 
+    /// Returns the number of rows of a table.
+    pub fn row_count(&self, table: &str) -> usize {
+        let state = lock(&self.service.state);
+        let keys = state.rows.keys();
+        keys.filter(|(other, _)| other == table).count()
+    }
+
     /// Removes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.change(table, key, None);
--- a/tests/testsuite/tests/gateway/crashing_parts.rs
+++ b/tests/testsuite/tests/gateway/crashing_parts.rs
@@ -7,6 +7,7 @@
 
 /// The number of crashing requests that may reach engines after all VMs know the part.
 const MAX_LATE_ARRIVALS: usize = 3;
+const BLOCK_TABLE: &str = "blocks";
 
 /// Guards against a kind of request that ends engine after engine: its attempts and the
 /// next requests were sent on, by all VMs.
@@ -109,8 +110,7 @@
 async fn part_is_known_after_all_vms_were_restarted() {
     let mut trial = start_warm(2, 6).await;
     let arrivals = block_part(&trial).await;
-    // The block is stored within a moment.
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    wait_for_block(&trial).await;
     trial.harness.process.kill().await.unwrap();
     trial.others[0].process.kill().await.unwrap();
     let vm = trial.add_vm("vm-9", &[]).await;
@@ -120,6 +120,31 @@
     assert_eq!(trial.crashing_arrivals().len(), arrivals);
 }
 
+/// Guards against a block that is lost with what the store had acknowledged.
+#[tokio::test]
+async fn part_is_stored_again_after_the_store_was_restored() {
+    let trial = start_warm(2, 6).await;
+    let store = &trial.harness.store;
+    let copy = store.copy();
+    block_part(&trial).await;
+    wait_for_block(&trial).await;
+    store.restore(&copy);
+    assert_eq!(store.row_count(BLOCK_TABLE), 0);
+    wait_for_block(&trial).await;
+}
+
+/// Waits until the store has a block.
+async fn wait_for_block(trial: &CrashTrial) {
+    let waiting = async {
+        while trial.harness.store.row_count(BLOCK_TABLE) == 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(12), waiting)
+        .await
+        .expect("the block is stored");
+}
+
 /// Guards against a part that stays blocked although engines no longer end under it.
 #[tokio::test]
 async fn part_that_is_sound_again_is_served_by_all_vms() {
