Bound the number of pieces in which an event arrives

Traced: the engine sends blank lines in chunks of one byte, and each of the 256 Ki pieces that were allowed before an event costs the same processor time as an event.

--- a/crates/gateway/src/stream/events.rs
+++ b/crates/gateway/src/stream/events.rs
@@ -6,6 +6,10 @@
 /// The maximum size of an event; usual ones have a few hundred bytes.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The maximum number of pieces in which an event arrives. Each piece costs processor time,
+/// however short it is.
+const MAX_EVENT_PIECES: u32 = 16 * 1024;
+
 /// One event, including the comments before it and the blank line that ends it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct StreamEvent {
@@ -13,7 +17,7 @@
     pub(crate) bytes: Bytes,
 }
 
-/// The error for an event that exceeds the maximum size.
+/// The error for an event that exceeds the maximum size or number of pieces.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the upstream's event is too long")]
 pub(crate) struct EventTooLong;
@@ -26,11 +30,14 @@
     event_start: usize,
     /// The number of bytes already searched for the end of an event.
     searched_bytes: usize,
+    /// The number of pieces that have arrived since the last event.
+    pieces: u32,
 }
 
 impl EventParser {
     pub(crate) fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.pieces += 1;
     }
 
     /// Returns the next complete event, if any. Comments are none: a stalled engine may
@@ -41,12 +48,13 @@
             if has_field(&self.buffer[self.event_start..end]) {
                 let bytes = self.buffer.split_to(end).freeze();
                 (self.event_start, self.searched_bytes) = (0, 0);
+                self.pieces = 0;
                 let id = read_id(&bytes);
                 return Ok(Some(StreamEvent { id, bytes }));
             }
             (self.event_start, self.searched_bytes) = (end, end);
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
+        if self.buffer.len() > MAX_EVENT_BYTES || self.pieces > MAX_EVENT_PIECES {
             return Err(EventTooLong);
         }
         // The last bytes may belong to the blank line that ends the event.
