Count only ends under a part against it

An end under requests that waited weighed one also for parts that were not there, so a zone that lost power blocked any part whose response had just begun. The new test failed on it.

--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -56,15 +56,14 @@
     fn weigh(&self, part: &FastStr) -> (u32, Vec<&CrashWitness>) {
         let witnesses = self.witnesses.iter();
         let with_part = witnesses.filter(|witness| witness.parts.contains(part));
-        let begun = with_part.clone().filter(|witness| witness.has_begun);
-        let begun: Vec<&CrashWitness> = begun.collect();
-        if !begun.is_empty() {
-            return (BEGUN_WEIGHT, begun);
-        }
+        let (begun, waiting): (Vec<&CrashWitness>, Vec<&CrashWitness>) =
+            with_part.partition(|witness| witness.has_begun);
         // A response that had begun is the likelier cause.
-        match self.witnesses.iter().any(|witness| witness.has_begun) {
-            true => (0, Vec::new()),
-            false => (WAITING_WEIGHT, with_part.collect()),
+        let has_likelier = self.witnesses.iter().any(|witness| witness.has_begun);
+        match (begun.is_empty(), waiting.is_empty() || has_likelier) {
+            (false, _) => (BEGUN_WEIGHT, begun),
+            (true, false) => (WAITING_WEIGHT, waiting),
+            (true, true) => (0, Vec::new()),
         }
     }
 
--- a/crates/policy/tests/gateway/part_quarantine.rs
+++ b/crates/policy/tests/gateway/part_quarantine.rs
@@ -233,3 +233,24 @@
     let verdict = quarantine.check(&service(), &last, after_ms(1_000), |_| false);
     assert!(matches!(verdict, PartVerdict::Blocked { .. }));
 }
+
+/// Guards against ends under other requests that count for a part, as when a zone loses
+/// power.
+#[test]
+fn ends_under_other_waiting_requests_do_not_count() {
+    let mut trial = Trial::default();
+    for (engine, part) in [
+        ("e1", "a"),
+        ("e2", "b"),
+        ("e3", "c"),
+        ("e4", "d"),
+        ("e5", "e"),
+    ] {
+        trial.waiting(engine, &[part]);
+    }
+    trial.begun("e6", &["rare"]);
+    trial.waiting("e7", &["other"]);
+    for part in ["rare", "other", "a"] {
+        assert!(!trial.is_blocked(&[part]), "{part}");
+    }
+}
