--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -14,6 +14,8 @@
 /// callers, so the memory is bounded.
 const MAX_ENDS: usize = 64;
 const MAX_WITNESSES: usize = 16;
+/// The number of parts of a report that are kept, the first ones.
+pub(crate) const MAX_REPORT_PARTS: usize = 64;
 /// The weight of an end under a response that had begun, and of one under a request that
 /// still waited, if no response was known to have begun there.
 const BEGUN_WEIGHT: u32 = 3;
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -7,7 +7,7 @@
 //! response has gone on for a while is sound. Parts that nothing tells apart are blocked
 //! together: only requests that have all of them are refused.
 
-use crate::crash_evidence::{CrashEvidence, CrashReport};
+use crate::crash_evidence::{CrashEvidence, CrashReport, MAX_REPORT_PARTS};
 use crate::sound_parts::SoundParts;
 use faststr::FastStr;
 use skylarkshed_core::{ClockTime, ServiceName};
@@ -157,8 +157,10 @@
         let parts = report.parts.iter();
         let parts = parts.filter(|part| !self.sound.contains(service, part, now));
         let report = CrashReport {
-            parts: parts.cloned().collect(),
-            ..report.clone()
+            parts: parts.take(MAX_REPORT_PARTS).cloned().collect(),
+            service: service.clone(),
+            engine: report.engine.clone(),
+            progress: report.progress,
         };
         if report.parts.is_empty() {
             return Vec::new();
--- a/crates/policy/tests/gateway/part_quarantine.rs
+++ b/crates/policy/tests/gateway/part_quarantine.rs
@@ -254,3 +254,22 @@
         assert!(!trial.is_blocked(&[part]), "{part}");
     }
 }
+
+/// A caller may state thousands of parts; only the first ones are compared.
+#[test]
+fn parts_of_a_report_are_bounded() {
+    let mut quarantine = PartQuarantine::default();
+    let ids: Vec<FastStr> = (0..10_000).map(|id| FastStr::new(id.to_string())).collect();
+    for engine in ["e1", "e2"] {
+        let report = CrashReport {
+            service: service(),
+            engine: engine.into(),
+            parts: ids.clone(),
+            progress: AttemptProgress::Begun,
+        };
+        quarantine.record_crash(&report, START);
+    }
+    let blocks = quarantine.blocks(START);
+    assert_eq!(blocks.len(), 1);
+    assert_eq!(blocks[0].0.parts.len(), 64);
+}
