Read blocks from the store only if no other VM can have them

Each VM read the blocks 1.2 to 2.2 s after its start if no other VM had told it by then, also the first one, whose read fell into the start of the second; and a VM that serves the feed never learned from the requests of the others that they know the blocks. A VM that has to read a whole table from the store reads the blocks at once now, and requests say as replies do whether the sender knows them.

--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -183,7 +183,10 @@
     async fn query_store(&mut self, after: Option<FeedPosition>) -> Result<FeedBatch, StoreError> {
         let requested = self.state.config.now();
         let batch = match after {
-            None => self.source.read().await,
+            None => {
+                self.state.quarantine.restore_from_store();
+                self.source.read().await
+            }
             Some(after) => self.source.watch(after, self.waits.store).await,
         };
         // The store does not report how long it held the response, so the rows may be
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -36,7 +36,7 @@
         match body {
             PeerBody::RequestFeed(request) => {
                 let quarantine = &self.state.quarantine;
-                quarantine.receive_blocks(&request.blocks, false);
+                quarantine.receive_blocks(&request.blocks, request.knows_earlier_blocks);
                 let reply = serve_feed(&self.state, &request).await;
                 PeerBody::Feed(FeedReply {
                     blocks: quarantine.to_wire(),
@@ -180,6 +180,7 @@
         accepts_packed: true,
         requester: state.settings.listen.peers.to_string(),
         blocks: state.quarantine.to_wire(),
+        knows_earlier_blocks: state.quarantine.knows_earlier_blocks(),
     };
     let sent_at = state.config.now();
     let timeout = match query.after {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 pub(crate) use storage::keep_blocks;
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 
 /// The blocked parts that this VM knows.
 pub(crate) struct QuarantineManager {
@@ -28,6 +28,8 @@
     changed: watch::Sender<()>,
     /// Whether the blocks of an earlier time are known, from another VM or from the store.
     is_restored: AtomicBool,
+    /// Notified when the blocks are to be read from the store without a wait.
+    restoring: Notify,
 }
 
 /// Whether a request may be sent to an engine.
@@ -72,6 +74,7 @@
             quarantine: Mutex::default(),
             changed: watch::channel(()).0,
             is_restored: AtomicBool::new(false),
+            restoring: Notify::new(),
         }
     }
 
@@ -194,6 +197,12 @@
         self.changed.send_replace(());
     }
 
+    /// Reads the blocks of an earlier time from the store, unless they are known: no other
+    /// VM had the tables of a VM that starts.
+    pub(crate) fn restore_from_store(&self) {
+        self.restoring.notify_one();
+    }
+
     fn mark_restored(&self) {
         self.is_restored.store(true, Ordering::Relaxed);
     }
--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -7,8 +7,8 @@
 use skylarkshed_policy::PartBlock;
 use std::sync::Arc;
 
-/// How long a VM that starts waits for the blocks from another VM before it reads the
-/// store; VMs that start together wait for different times.
+/// How long a VM that got its tables from another VM waits for the blocks from it before it
+/// reads the store; VMs that start together wait for different times.
 const RESTORE_DELAY_MS: std::ops::RangeInclusive<u64> = 1_200..=2_200;
 /// The pause after each round, also of failed calls.
 const ROUND_PAUSE: ClockTime = ClockTime::from_millis(500);
@@ -35,8 +35,11 @@
 }
 
 async fn restore<S: RoutingStore>(state: &GatewayState, store: &S) {
-    let delay_ms = rand::random_range(RESTORE_DELAY_MS);
-    tokio::time::sleep(ClockTime::from_millis(delay_ms).to_duration()).await;
+    let delay = ClockTime::from_millis(rand::random_range(RESTORE_DELAY_MS));
+    tokio::select! {
+        () = tokio::time::sleep(delay.to_duration()) => {}
+        () = state.quarantine.restoring.notified() => {}
+    }
     while !state.quarantine.is_restored() {
         match store.read_blocks().await {
             Ok(blocks) => {
--- a/crates/peer/src/wire/feed.rs
+++ b/crates/peer/src/wire/feed.rs
@@ -33,6 +33,10 @@
     /// The blocked parts of prompts that the requester knows.
     #[prost(message, repeated, tag = "8")]
     pub blocks: Vec<PartBlockWire>,
+    /// Whether these include the ones of an earlier time; otherwise the requester has just
+    /// started.
+    #[prost(bool, tag = "9")]
+    pub knows_earlier_blocks: bool,
 }
 
 /// A part of the change feed of a table of the platform's store.
