review: case 1, a rolled-back version gets half of the traffic again

Cause: the record of a service's next roll-out order replaces that of the earlier one, and with it the knowledge that the earlier target was rolled back; the rule of the new order takes each other version for the old one.

--- /dev/null
+++ b/review/stand-ins/src/cases/mod.rs
@@ -0,0 +1,5 @@
+//! The cases.
+
+pub mod next_rollout;
+pub mod refused_after_run;
+pub mod silent_store;
