review: case 1, two engine crashes end all new generations

Cause: two engines that crash under responses that have just begun put the prompt part that these share under quarantine, although other engines go on with the same part; streams that run there are closed.

Done: a script with three gateways, twelve engines and 30 generations of one shared prompt part.

--- a/review/stand-ins/src/cases/mod.rs
+++ b/review/stand-ins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
 pub mod next_rollout;
+pub mod quarantined_prompt;
 pub mod refused_after_run;
 pub mod silent_store;
--- a/review/stand-ins/src/client.rs
+++ b/review/stand-ins/src/client.rs
@@ -1,6 +1,6 @@
-//! A consumer: sends one request on a new connection and reads the answer.
+//! A consumer.
 
-use crate::http::{read_body, read_head, Message};
+use crate::http::{read_body, read_chunk, read_head, Message};
 use crate::record::Record;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -29,7 +29,88 @@
     }
 }
 
-/// Sends a request; `headers` are whole lines that are added.
+/// A connection that is kept for several requests.
+pub struct Connection {
+    record: Record,
+    to: SocketAddr,
+    reader: Option<BufReader<TcpStream>>,
+}
+
+impl Connection {
+    /// Connects; a failure shows as requests without an answer.
+    pub fn open(record: &Record, to: SocketAddr) -> Connection {
+        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok();
+        if let Some(stream) = &stream {
+            let _ = stream.set_nodelay(true);
+        }
+        Connection {
+            record: record.clone(),
+            to,
+            reader: stream.map(BufReader::new),
+        }
+    }
+
+    /// Sends a request and reads the answer; `headers` are whole lines that are added.
+    pub fn send(&mut self, method: &str, path: &str, headers: &str, time_limit_ms: u64) -> Answer {
+        let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{:x}{number:08x}", std::process::id());
+        let body = match method {
+            "GET" => "",
+            _ => "{\"n\":1}",
+        };
+        let length = body.len();
+        let request = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
+             X-Deadline-Remaining: {time_limit_ms}\r\nAuthorization: Token {KEY}\r\n\
+             {headers}Content-Length: {length}\r\n\r\n{body}"
+        );
+        let to = self.to;
+        let text = format!("consumer: {method} {path} {id} is sent to {to}");
+        let mut answer = Answer {
+            sent_at: self.record.note(&text),
+            id,
+            response: None,
+            is_complete: false,
+        };
+        if let Some(reader) = &mut self.reader {
+            let limit = Duration::from_millis(time_limit_ms + 1_000);
+            let _ = reader.get_ref().set_read_timeout(Some(limit));
+            if reader.get_mut().write_all(request.as_bytes()).is_ok() {
+                read_answer(reader, &mut answer);
+            }
+        }
+        let end = match answer.is_complete {
+            true => "",
+            false => ", and the connection ended before the answer was complete",
+        };
+        let (id, status) = (&answer.id, answer.status());
+        self.record
+            .note(&format!("consumer: {id} is answered {status}{end}"));
+        answer
+    }
+}
+
+/// Reads a response; the body is kept as far as it arrives.
+fn read_answer(reader: &mut BufReader<TcpStream>, answer: &mut Answer) {
+    let Ok(Some(mut response)) = read_head(reader) else {
+        return;
+    };
+    if response.header("transfer-encoding").is_none() {
+        answer.is_complete = read_body(reader, &mut response).is_ok();
+        answer.response = Some(response);
+        return;
+    }
+    while let Ok(chunk) = read_chunk(reader) {
+        if chunk.is_empty() {
+            answer.is_complete = true;
+            break;
+        }
+        response.body.extend(chunk);
+    }
+    answer.response = Some(response);
+}
+
+/// Sends a request on a connection of its own.
 pub fn send(
     record: &Record,
     to: SocketAddr,
@@ -38,44 +119,6 @@
     headers: &str,
     time_limit_ms: u64,
 ) -> Answer {
-    let number = NEXT_ID.fetch_add(1, Ordering::Relaxed);
-    let id = format!("{:x}{number:08x}", std::process::id());
-    let body = if method == "GET" { "" } else { "{\"n\":1}" };
-    let length = body.len();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Remaining: {time_limit_ms}\r\nAuthorization: Token {KEY}\r\n\
-         {headers}Content-Length: {length}\r\nConnection: close\r\n\r\n{body}"
-    );
-    let sent_at = record.note(&format!("consumer: {method} {path} {id} is sent to {to}"));
-    let mut answer = Answer {
-        id,
-        sent_at,
-        response: None,
-        is_complete: false,
-    };
-    let limit = Duration::from_millis(time_limit_ms + 1_000);
-    let connected = TcpStream::connect_timeout(&to, Duration::from_secs(1));
-    if let Ok(mut stream) = connected {
-        let _ = stream.set_read_timeout(Some(limit));
-        let _ = stream.set_nodelay(true);
-        if stream.write_all(request.as_bytes()).is_ok() {
-            let mut reader = BufReader::new(stream);
-            if let Ok(Some(mut response)) = read_head(&mut reader) {
-                answer.is_complete = read_body(&mut reader, &mut response).is_ok();
-                answer.response = Some(response);
-            }
-        }
-    }
-    record.note(&format!(
-        "consumer: {} is answered {}{}",
-        answer.id,
-        answer.status(),
-        if answer.is_complete {
-            ""
-        } else {
-            ", not complete"
-        }
-    ));
-    answer
+    let headers = format!("{headers}Connection: close\r\n");
+    Connection::open(record, to).send(method, path, &headers, time_limit_ms)
 }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -8,6 +8,7 @@
 mod cases;
 mod client;
 mod config;
+mod engine;
 mod gateway;
 mod http;
 mod json;
@@ -83,6 +84,7 @@
     let play = || match case {
         "silent-store" => cases::silent_store::play(&run),
         "next-rollout" => cases::next_rollout::play(&run),
+        "quarantined-prompt" => cases::quarantined_prompt::play(&run),
         "refused-after-run" => cases::refused_after_run::play(&run),
         _ => Outcome::Failed(format!("there is no case {case}")),
     };
