--- a/review/stand-ins/src/cases/quarantined_prompt.rs
+++ b/review/stand-ins/src/cases/quarantined_prompt.rs
@@ -81,7 +81,7 @@
     std::thread::sleep(Duration::from_millis(200) + CRASH_AFTER);
     if run.has_trouble {
         let mut by_streams: Vec<&Engine> = engines.iter().collect();
-        by_streams.sort_by_key(|engine| std::cmp::Reverse(engine.begun()));
+        by_streams.sort_by_key(|engine| std::cmp::Reverse(engine.begun("5c1e07a2")));
         by_streams[..CRASHED].iter().for_each(|engine| {
             engine.crash();
         });
--- a/review/stand-ins/src/engine.rs
+++ b/review/stand-ins/src/engine.rs
@@ -24,8 +24,9 @@
     record: Record,
     /// The requests that have reached it.
     arrivals: Arc<Mutex<Vec<Arrival>>>,
-    /// The requests whose first event it has sent, and that it still answers.
-    begun: Arc<Mutex<Vec<String>>>,
+    /// The requests whose first event it has sent and that it still answers, with the first
+    /// part of their prompts.
+    begun: Arc<Mutex<Vec<(String, String)>>>,
     running: Arc<AtomicU64>,
     has_crashed: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<TcpStream>>>,
@@ -89,9 +90,11 @@
         arrivals.iter().any(|arrival| arrival.id == id)
     }
 
-    /// Returns the number of streams that have begun and go on.
-    pub fn begun(&self) -> usize {
-        self.begun.lock().unwrap().len()
+    /// Returns the number of streams that have begun and go on, by the first part of their
+    /// prompts.
+    pub fn begun(&self, part: &str) -> usize {
+        let begun = self.begun.lock().unwrap();
+        begun.iter().filter(|(_, first)| first == part).count()
     }
 
     /// Ends: all connections break, and no new one is accepted.
@@ -158,9 +161,11 @@
         let arrival = Arrival { id: id.clone(), at };
         self.arrivals.lock().unwrap().push(arrival);
         self.running.fetch_add(1, Ordering::Relaxed);
-        let result = self.stream(&id, last, writer);
+        let parts = request.header("x-prompt-prefix").unwrap_or("");
+        let part = parts.split(':').next().unwrap_or("").to_owned();
+        let result = self.stream(&id, &part, last, writer);
         self.running.fetch_sub(1, Ordering::Relaxed);
-        self.begun.lock().unwrap().retain(|begun| *begun != id);
+        self.begun.lock().unwrap().retain(|(begun, _)| *begun != id);
         let end = match result {
             Ok(()) => "has ended",
             Err(_) => "broke off",
@@ -169,7 +174,13 @@
         result
     }
 
-    fn stream(&self, id: &str, last: u64, writer: &mut TcpStream) -> std::io::Result<()> {
+    fn stream(
+        &self,
+        id: &str,
+        part: &str,
+        last: u64,
+        writer: &mut TcpStream,
+    ) -> std::io::Result<()> {
         std::thread::sleep(PREFILL);
         let own = &self.id;
         write!(
@@ -185,7 +196,8 @@
             write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
             writer.flush()?;
             if number == last + 1 {
-                self.begun.lock().unwrap().push(id.to_owned());
+                let begun = (id.to_owned(), part.to_owned());
+                self.begun.lock().unwrap().push(begun);
             }
             std::thread::sleep(EVENT_INTERVAL);
         }
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -85,6 +85,7 @@
         "silent-store" => cases::silent_store::play(&run),
         "next-rollout" => cases::next_rollout::play(&run),
         "quarantined-prompt" => cases::quarantined_prompt::play(&run),
+        "quarantined-route" => cases::quarantined_route::play(&run),
         "refused-after-run" => cases::refused_after_run::play(&run),
         _ => Outcome::Failed(format!("there is no case {case}")),
     };
