--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -1,7 +1,7 @@
 //! Starts the project's gateway, with the command of the deploy file.
 
 use crate::http::{read_message, Message};
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::io::{BufReader, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -17,6 +17,8 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
+    root: PathBuf,
+    settings: PathBuf,
     process: Arc<Mutex<Child>>,
 }
 
@@ -56,6 +58,29 @@
     }
 }
 
+/// Starts a process with a settings file, beside which its log is written.
+fn spawn(root: &Path, settings: &Path) -> Arc<Mutex<Child>> {
+    let log = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(settings.with_extension("log"))
+        .expect("the temporary folder is writable");
+    let process = Command::new("target/release/skylarkshed")
+        .arg("gateway")
+        .current_dir(root)
+        .env("SKYLARKSHED_NODE_FILE", settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().expect("the log is open"))
+        .stderr(log)
+        .spawn()
+        .expect("the program is built");
+    let process = Arc::new(Mutex::new(process));
+    let processes = PROCESSES.lock();
+    let mut processes = processes.unwrap_or_else(PoisonError::into_inner);
+    processes.push(process.clone());
+    process
+}
+
 /// The folders of a run.
 pub struct Folders {
     /// The root of the repository.
@@ -129,29 +154,26 @@
         );
         let path = folders.temporary.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("the temporary folder is writable");
-        let log = File::create(folders.temporary.join(format!("{name}.log")));
-        let log = log.expect("the temporary folder is writable");
-        let process = Command::new("target/release/skylarkshed")
-            .arg("gateway")
-            .current_dir(&folders.root)
-            .env("SKYLARKSHED_NODE_FILE", &path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().expect("the log is open"))
-            .stderr(log)
-            .spawn()
-            .expect("the program is built");
-        let process = Arc::new(Mutex::new(process));
-        let processes = PROCESSES.lock();
-        let mut processes = processes.unwrap_or_else(PoisonError::into_inner);
-        processes.push(process.clone());
         Gateway {
             callers: (address, callers).into(),
             readiness: (address, readiness).into(),
             metrics: (address, first).into(),
-            process,
+            root: folders.root.clone(),
+            process: spawn(&folders.root, &path),
+            settings: path,
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&self) {
+        end(&self.process);
+    }
+
+    /// Starts the process again, with the same settings.
+    pub fn restart(&mut self) {
+        self.process = spawn(&self.root, &self.settings);
+    }
+
     /// Waits until it reports that it is ready; false if it doesn't.
     pub fn wait_for_ready(&self) -> bool {
         let deadline = Instant::now() + Duration::from_secs(15);
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -86,7 +86,7 @@
         "next-rollout" => cases::next_rollout::play(&run),
         "quarantined-prompt" => cases::quarantined_prompt::play(&run),
         "quarantined-route" => cases::quarantined_route::play(&run),
-        "refused-after-run" => cases::refused_after_run::play(&run),
+        "killed-rollout" => cases::killed_rollout::play(&run),
         _ => Outcome::Failed(format!("there is no case {case}")),
     };
     let outcome = catch_unwind(AssertUnwindSafe(play));
--- a/review/stand-ins/src/replica.rs
+++ b/review/stand-ins/src/replica.rs
@@ -4,6 +4,7 @@
 use crate::record::Record;
 use std::io::BufReader;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
     record: Record,
     answering: Answering,
     runs: Arc<Mutex<Vec<Arrival>>>,
+    is_stopped: Arc<AtomicBool>,
 }
 
 impl Replica {
@@ -68,10 +70,17 @@
             record: record.clone(),
             answering,
             runs: Arc::default(),
+            is_stopped: Arc::default(),
         };
+        listener.set_nonblocking(true).expect("a socket option");
         let accepting = replica.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !accepting.is_stopped.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
                 let replica = accepting.clone();
                 std::thread::spawn(move || replica.serve(stream));
             }
@@ -79,6 +88,12 @@
         replica
     }
 
+    /// Stops: no new connection is accepted.
+    pub fn stop(&self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        self.record.note(&format!("replica {}: stops", self.id));
+    }
+
     /// Returns its entry in the store.
     pub fn entry(&self, state: &str) -> String {
         let Replica {
