review: case 3 with a shorter order and an earlier drain

Cause: replicas that stay listed for 8 s after a rollback are more than the case needs.

Done: the order's time is 12 s, the next order comes after 0.3 s, the replicas drain after 6 s.

--- a/review/stand-ins/src/cases/next_rollout.rs
+++ b/review/stand-ins/src/cases/next_rollout.rs
@@ -18,12 +18,12 @@
 const EXPOSURE_SHARE: f64 = 0.1;
 const EXPOSURE_SLACK: f64 = 50.0;
 /// The time of the first order.
-const DURATION_S: u64 = 15;
+const DURATION_S: u64 = 12;
 /// The bad version fails this many of ten requests.
 const FAILED_OF_TEN: u64 = 5;
 /// From `rolled_back` to the next order, and to the draining of the bad version's replicas.
-const NEXT_ORDER_AFTER: Duration = Duration::from_millis(1_000);
-const DRAIN_AFTER: Duration = Duration::from_millis(8_000);
+const NEXT_ORDER_AFTER: Duration = Duration::from_millis(300);
+const DRAIN_AFTER: Duration = Duration::from_millis(6_000);
 /// Consumers of a VM, and the pause between two requests of each: 90 requests a second.
 const CONSUMERS: usize = 3;
 const PAUSE: Duration = Duration::from_millis(65);
