Keep versions that earlier orders rejected out of service

Cause: an order replaced the record of the one before, and with it the knowledge that its version was rolled back. The new rule names its own version only and takes all others for the version that was in service. The state row in the store is overwritten as well.

Related paths, each with a test: a version under test that is replaced by another order, an order of the version in service, a removed order, and a VM that restarts after the next order. The task of a replaced order also went on for as long as a stream held its record and could write over the next one's state; it is stopped now.

Change: RejectedVersions keeps the versions that earlier orders did not complete, and VersionFilter adds them to the rule of the current one. Hubs pass them on, and they are stored with the state of the rollout.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,7 +17,7 @@
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use futures::stream::{FuturesUnordered, StreamExt};
 use skylarkshed_core::{ClockTime, UpstreamName};
-use skylarkshed_policy::{is_worth_attempt, outage_delay, UpstreamHealth, VersionRule};
+use skylarkshed_policy::{is_worth_attempt, outage_delay, UpstreamHealth, VersionFilter};
 use std::future::Future;
 use std::sync::Arc;
 
@@ -50,7 +50,7 @@
     /// Whether the current attempt is slow and no other upstream is left.
     is_slow_alone: bool,
     /// Which versions the next attempt may be sent to.
-    version_rule: VersionRule,
+    version_filter: VersionFilter,
     /// The permission to send it to the version under test.
     ticket: Option<CanaryTicket>,
     /// Whether the next retry has already been taken from the budget.
@@ -76,14 +76,14 @@
         unsent: 0,
         current: None,
         is_slow_alone: false,
-        version_rule: VersionRule::Any,
+        version_filter: VersionFilter::default(),
         ticket: None,
         is_retry_reserved: false,
         fallback: None,
     };
     let mut open = FuturesUnordered::new();
     loop {
-        attempts.update_version_rule();
+        attempts.update_version_filter();
         let upstream = attempts.next_upstream();
         match upstream.filter(|upstream| attempts.is_worth_attempt(upstream)) {
             Some(upstream) => {
@@ -101,14 +101,14 @@
 
 impl CallAttempts<'_> {
     /// Determines which versions the next attempt may be sent to.
-    fn update_version_rule(&mut self) {
+    fn update_version_filter(&mut self) {
         let request = self.request;
         let is_first = self.tried.is_empty();
         let rollouts = &self.state.rollouts;
         let upstreams = &self.state.upstreams;
         let route = &request.route.name;
         let next = rollouts.attempt_rule(&request.service, upstreams, route, is_first);
-        (self.version_rule, self.ticket) = (next.rule, next.ticket);
+        (self.version_filter, self.ticket) = (next.filter, next.ticket);
     }
 
     /// Starts to observe an attempt for the comparison of versions.
@@ -131,7 +131,7 @@
             zone: &self.state.settings.zone,
             avoid: &self.tried,
             avoid_zones: &[],
-            version_rule: &self.version_rule,
+            version_filter: &self.version_filter,
             prompt_hash: None,
         })
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -174,7 +174,7 @@
             RETRY_AFTER_NOT_READY,
         ))
     })?;
-    let version_rule = state.rollouts.version_rule(&service, &state.upstreams);
+    let version_filter = state.rollouts.version_filter(&service, &state.upstreams);
     Ok(CallerRequest {
         parts,
         body,
@@ -182,7 +182,7 @@
         route,
         service,
         customer,
-        version_rule,
+        version_filter,
         deadline,
     })
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
 use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
-use skylarkshed_policy::VersionRule;
+use skylarkshed_policy::VersionFilter;
 use std::sync::Arc;
 
 /// A connection takes 1 ms and a round trip of 3 ms between zones; a slow VM takes
@@ -46,7 +46,7 @@
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerName>,
     /// Which versions of the service it may be sent to.
-    pub(crate) version_rule: VersionRule,
+    pub(crate) version_filter: VersionFilter,
     pub(crate) deadline: RequestDeadline,
 }
 
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -144,10 +144,10 @@
     /// serve it have asked for no requests for a while.
     pub(crate) fn deferral_of(&self, request: &CallerRequest) -> Option<ClockTime> {
         let now = self.config.now();
-        let rule = &request.version_rule;
+        let filter = &request.version_filter;
         let earliest = self
             .upstreams
-            .earliest_release(&request.service, rule, now)?;
+            .earliest_release(&request.service, filter, now)?;
         let time_left = request.deadline.remaining();
         Some(return_delay(earliest, time_left, rand::random()))
     }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -9,7 +9,8 @@
 };
 use skylarkshed_http_link::BufferedRequest;
 use skylarkshed_policy::{
-    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, PartBlock, RolloutState, VmEntry,
+    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, PartBlock, RolloutState,
+    VersionRejection, VmEntry,
 };
 use std::future::Future;
 use std::net::SocketAddr;
@@ -302,6 +303,8 @@
     pub spec_revision: u64,
     /// When the rollout was first seen, on the store's clock.
     pub started_at: ClockTime,
+    /// The versions that earlier rollouts of the service have not completed.
+    pub rejected: Vec<VersionRejection>,
 }
 
 /// A service's rollout state and when it was read.
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -137,6 +137,7 @@
         is_withdrawn: progress.is_withdrawn_for_all(),
         is_other_expected: progress.knowledge.is_other_expected(),
         elapsed_ms: progress.elapsed(record.clock.now()).as_millis(),
+        rejected: progress.rejected.rejections(),
         earlier,
         ..progress.word.clone()
     };
@@ -205,6 +206,7 @@
         requests: sum.requests(),
         overdue_ms: to_millis(overdue_times(&sum)),
         slow_pace_ms: to_millis(slow_paces(&sum)),
+        rejected: progress.rejected.rejections(),
         earlier: None,
     };
     drop(progress);
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -24,7 +24,8 @@
 use skylarkshed_core::{CustomerName, MonotonicClock, RolloutSpec, ServiceName, VersionName};
 use skylarkshed_peer::wire::{PeerBody, RolloutEnd, RolloutReport};
 use skylarkshed_policy::{
-    may_take_canary, CanaryAllowance, FailureKind, RolloutTimes, VersionRule,
+    may_take_canary, CanaryAllowance, FailureKind, RejectedVersions, RolloutTimes, VersionFilter,
+    VersionRule,
 };
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -36,6 +37,8 @@
 pub(crate) struct RolloutManager {
     clock: MonotonicClock,
     rollouts: ArcSwap<RolloutMap>,
+    /// The rejected versions of the services whose order was removed.
+    rejected: ArcSwap<HashMap<ServiceName, RejectedVersions>>,
     recent: Arc<RecentSamples>,
 }
 
@@ -44,6 +47,7 @@
         RolloutManager {
             clock,
             rollouts: ArcSwap::default(),
+            rejected: ArcSwap::default(),
             recent: Arc::default(),
         }
     }
@@ -54,15 +58,15 @@
 
     /// Returns which versions of a service a request may be sent to if it isn't taken
     /// for the version under test.
-    pub(crate) fn version_rule(
+    pub(crate) fn version_filter(
         &self,
         service: &ServiceName,
         upstreams: &UpstreamDirectory,
-    ) -> VersionRule {
-        let record = self.find(service);
-        record.map_or(VersionRule::Any, |record| {
-            record.version_rule(upstreams, false)
-        })
+    ) -> VersionFilter {
+        match self.find(service) {
+            Some(record) => record.version_filter(upstreams, false),
+            None => self.filter_without_order(service),
+        }
     }
 
     /// Returns which versions the next attempt of a request may be sent to. Only the first
@@ -75,19 +79,30 @@
         is_first: bool,
     ) -> AttemptRule {
         let Some(record) = self.find(service) else {
-            return AttemptRule::default();
+            return AttemptRule {
+                filter: self.filter_without_order(service),
+                ticket: None,
+            };
         };
-        let spec = &record.spec;
-        let has_other = || upstreams.lists_other_version(service, &spec.to);
+        let has_other = || record.lists_alternative(upstreams);
         let is_taken = may_take_canary(is_first, has_other) && record.take_canary(route);
         AttemptRule {
-            rule: record.version_rule(upstreams, is_taken),
+            filter: record.version_filter(upstreams, is_taken),
             ticket: is_taken.then(|| CanaryTicket {
                 record: Some(record),
             }),
         }
     }
 
+    /// Returns which versions of a service without an order a request may be sent to.
+    fn filter_without_order(&self, service: &ServiceName) -> VersionFilter {
+        let rejected = self.rejected.load();
+        let rejected = rejected.get(service);
+        rejected.map_or_else(VersionFilter::default, |rejected| {
+            rejected.restrict(VersionRule::Any, self.clock.now())
+        })
+    }
+
     /// Starts to observe an attempt that is about to be sent.
     pub(crate) fn start_attempt(
         &self,
@@ -162,6 +177,11 @@
             progress.needs_reserve = progress.has_reserve;
             progress.may_recover = is_initial;
             progress.knowledge.may_have_ended = is_initial;
+            progress.rejected = match previous {
+                Some(previous) => previous.rejected_after(),
+                None => self.rejected_of(&record.spec.service),
+            };
+            progress.rejected.remove(&record.spec.to);
         }
         let record = Arc::new(record);
         let is_inherited = previous.is_some_and(|previous| inherit(&record, previous));
@@ -171,11 +191,14 @@
             order = record.spec.revision,
             duration_ms = record.spec.duration.as_millis(),
             is_inherited,
-            is_initial;
+            is_initial,
+            rejected:? = record.progress().rejected.rejections();
             "rollout started"
         );
         let mut rollouts = (*active).clone();
-        rollouts.insert(record.spec.service.clone(), record.clone());
+        if let Some(previous) = rollouts.insert(record.spec.service.clone(), record.clone()) {
+            previous.stop_watching();
+        }
         self.rollouts.store(Arc::new(rollouts));
         start_watching(&record, state, store);
     }
@@ -192,10 +215,23 @@
     /// Stops a service's rollout.
     pub(crate) fn remove(&self, service: &ServiceName) {
         let mut rollouts = (*self.rollouts.load_full()).clone();
-        if rollouts.remove(service).is_some() {
-            log::info!(service:%; "rollout removed");
-            self.rollouts.store(Arc::new(rollouts));
-        }
+        let Some(record) = rollouts.remove(service) else {
+            return;
+        };
+        log::info!(service:%, to:% = record.spec.to, order = record.spec.revision; "rollout removed");
+        record.stop_watching();
+        let mut rejected = (*self.rejected.load_full()).clone();
+        rejected.insert(service.clone(), record.rejected_after());
+        self.rejected.store(Arc::new(rejected));
+        self.rollouts.store(Arc::new(rollouts));
+    }
+
+    fn rejected_of(&self, service: &ServiceName) -> RejectedVersions {
+        self.rejected
+            .load()
+            .get(service)
+            .cloned()
+            .unwrap_or_default()
     }
 }
 
--- a/crates/gateway/src/rollouts/notification.rs
+++ b/crates/gateway/src/rollouts/notification.rs
@@ -37,15 +37,16 @@
     }
 }
 
-/// Records the end that another VM knows, if the order is the same.
+/// Records the end of the order, or of an earlier one, that another VM knows.
 pub(super) fn receive_end(record: &RolloutRecord, end: &RolloutEnd) -> PeerBody {
-    if record.spec.revision != end.revision {
-        return PeerBody::Done(false);
-    }
     let state = match end.is_rolled_back {
         true => RolloutState::RolledBack,
         false => RolloutState::Done,
     };
+    if record.spec.revision != end.revision {
+        let rejected = &mut record.progress().rejected;
+        return PeerBody::Done(rejected.record_end(end.revision, state));
+    }
     match end.is_stored {
         true => record.record_stored_end(state),
         false => record.record_state(state),
--- a/crates/gateway/src/rollouts/probe.rs
+++ b/crates/gateway/src/rollouts/probe.rs
@@ -5,7 +5,7 @@
 use super::record::RolloutRecord;
 use crate::counters;
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, ServiceName, VersionName};
-use skylarkshed_policy::{RolloutState, VersionRule};
+use skylarkshed_policy::{RolloutState, VersionFilter};
 use std::sync::Arc;
 
 /// How often it is checked whether a first event is overdue.
@@ -31,7 +31,7 @@
 /// Which versions an attempt may be sent to.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptRule {
-    pub(crate) rule: VersionRule,
+    pub(crate) filter: VersionFilter,
     pub(crate) ticket: Option<CanaryTicket>,
 }
 
--- a/crates/gateway/src/rollouts/progress.rs
+++ b/crates/gateway/src/rollouts/progress.rs
@@ -3,7 +3,8 @@
 use super::word::RolloutWord;
 use skylarkshed_core::{ClockTime, VmName};
 use skylarkshed_policy::{
-    CanaryAllowance, CanarySpread, RolloutSamples, RolloutState, VersionKnowledge, VersionSamples,
+    CanaryAllowance, CanarySpread, RejectedVersions, RolloutSamples, RolloutState,
+    VersionKnowledge, VersionSamples,
 };
 use std::collections::{BTreeMap, HashMap};
 
@@ -67,6 +68,8 @@
     /// Until when requests may be sent to the new version.
     pub(super) lease_until: ClockTime,
     pub(super) knowledge: VersionKnowledge,
+    /// The versions that earlier rollouts of the service have not completed.
+    pub(super) rejected: RejectedVersions,
     seen_at: ClockTime,
     /// How long the rollout had run when this VM first saw it.
     pub(super) elapsed_before: ClockTime,
@@ -93,6 +96,7 @@
             spread: CanarySpread::default(),
             lease_until: ClockTime::ZERO,
             knowledge: VersionKnowledge::default(),
+            rejected: RejectedVersions::default(),
             seen_at: now,
             elapsed_before: ClockTime::ZERO,
         }
--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -2,12 +2,14 @@
 
 use super::progress::{RolloutProgress, WithdrawalScope};
 use super::word::RolloutWord;
+use crate::platform_api::RolloutStatus;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{ClockTime, CustomerName, MonotonicClock, RolloutSpec};
 use skylarkshed_policy::{
     bake_slice_at, drop_old_bake_slices, select_baking_rule, select_untaken_use,
-    select_version_rule, CanaryAllowance, CanarySpread, CanaryUse, FailureKind, RolloutSamples,
-    RolloutState, RolloutTimes, VersionRule, VersionSamples,
+    select_version_rule, CanaryAllowance, CanarySpread, CanaryUse, FailureKind, RejectedVersions,
+    RejectionReason, RolloutSamples, RolloutState, RolloutTimes, VersionFilter, VersionRejection,
+    VersionSamples,
 };
 use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -28,10 +30,7 @@
 
 impl Drop for RolloutRecord {
     fn drop(&mut self) {
-        let task = self.task.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(task) = task.as_ref() {
-            task.abort();
-        }
+        self.stop_watching();
     }
 }
 
@@ -146,27 +145,102 @@
     /// Returns which versions a request may be sent to; `is_taken` tells whether it was taken
     /// for the version under test. A withdrawn version is avoided only while another one has
     /// upstreams that work normally.
-    pub(super) fn version_rule(
+    pub(super) fn version_filter(
         &self,
         upstreams: &UpstreamDirectory,
         is_taken: bool,
-    ) -> VersionRule {
-        let (state, is_withdrawn, canary_use) = {
+    ) -> VersionFilter {
+        let (state, is_withdrawn, canary_use, rejected) = {
             let progress = self.progress();
             let canary_use = match is_taken {
                 true => CanaryUse::Taken,
                 false => self.untaken_use(&progress),
             };
-            (progress.state, progress.withdrawal.is_some(), canary_use)
+            let is_withdrawn = progress.withdrawal.is_some();
+            let rejected = progress.rejected.clone();
+            (progress.state, is_withdrawn, canary_use, rejected)
         };
-        let spec = &self.spec;
-        match state {
+        let to = &self.spec.to;
+        let rule = match state {
             RolloutState::Done => {
-                let is_avoided =
-                    is_withdrawn && upstreams.has_other_version(&spec.service, &spec.to);
-                select_baking_rule(&spec.to, is_avoided)
+                select_baking_rule(to, is_withdrawn && self.has_alternative(upstreams))
+            }
+            state => select_version_rule(to, state, canary_use),
+        };
+        rejected.restrict(rule, self.clock.now())
+    }
+
+    /// Reports whether a version that this or an earlier rollout has not rejected, and that
+    /// is not the new one, has upstreams that work normally.
+    pub(super) fn has_alternative(&self, upstreams: &UpstreamDirectory) -> bool {
+        let rejected = self.progress().rejected.clone();
+        let is_other = |version: &_| *version != self.spec.to && !rejected.contains(version);
+        upstreams.has_version(&self.spec.service, is_other)
+    }
+
+    /// Reports whether such a version has upstreams that are listed.
+    pub(super) fn lists_alternative(&self, upstreams: &UpstreamDirectory) -> bool {
+        let rejected = self.progress().rejected.clone();
+        let is_other = |version: &_| *version != self.spec.to && !rejected.contains(version);
+        upstreams.lists_version(&self.spec.service, is_other)
+    }
+
+    /// Returns the versions that are rejected once the order is replaced or removed.
+    pub(super) fn rejected_after(&self) -> RejectedVersions {
+        let progress = self.progress();
+        let mut rejected = progress.rejected.clone();
+        let reason = match progress.state {
+            RolloutState::RolledBack => Some(RejectionReason::RolledBack),
+            RolloutState::Running => Some(RejectionReason::Unfinished),
+            RolloutState::Done => progress.withdrawal.map(|_| RejectionReason::Withdrawn),
+        };
+        let Some(reason) = reason else {
+            return rejected;
+        };
+        let now = self.clock.now();
+        let forbidden_until = match (progress.state, self.untaken_use(&progress)) {
+            (RolloutState::Running, CanaryUse::Forbidden) => {
+                now + self.spec.duration.since(progress.elapsed(now))
             }
-            state => select_version_rule(&self.spec.to, state, canary_use),
+            _ => ClockTime::ZERO,
+        };
+        let rejection = VersionRejection {
+            version: self.spec.to.clone(),
+            order: self.spec.revision,
+            reason,
+        };
+        rejected.insert(rejection, forbidden_until);
+        rejected
+    }
+
+    /// Takes over what a stored state tells of earlier orders, its own one included.
+    pub(super) fn learn_rejections(&self, status: &RolloutStatus) {
+        let mut progress = self.progress();
+        let rejected = &mut progress.rejected;
+        rejected.merge(&status.rejected, &self.spec.to);
+        let order = status.spec_revision;
+        if order == self.spec.revision || rejected.record_end(order, status.state) {
+            return;
+        }
+        let reason = match status.state {
+            RolloutState::Running => RejectionReason::Unfinished,
+            RolloutState::RolledBack => RejectionReason::RolledBack,
+            RolloutState::Done => return,
+        };
+        let rejection = VersionRejection {
+            version: status.to.clone(),
+            order,
+            reason,
+        };
+        rejected.merge(&[rejection], &self.spec.to);
+    }
+
+    /// Stops the task that watches the rollout. Observed attempts may keep the record for
+    /// as long as their streams last.
+    pub(super) fn stop_watching(&self) {
+        let task = self.task.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(task) = task.as_ref() {
+            task.abort();
         }
     }
 
@@ -280,6 +354,7 @@
         progress.has_reserve = previous.has_reserve;
         progress.needs_reserve = previous.needs_reserve;
         progress.knowledge = previous.knowledge;
+        progress.rejected = previous.rejected.clone();
         progress.elapsed_before = previous.elapsed(now);
     }
 
@@ -300,6 +375,7 @@
         }
         progress.spread = CanarySpread::new(&word.sent, &word.requests);
         progress.knowledge.is_expected_by_hub = word.is_other_expected;
+        progress.rejected.merge(&word.rejected, &self.spec.to);
         progress.word = word;
     }
 }
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -13,7 +13,7 @@
 use crate::gateway_state::GatewayState;
 use crate::jitter::add_jitter;
 use crate::platform_api::{RolloutSnapshot, RolloutStatus, RoutingStore, StoreError};
-use skylarkshed_core::{ClockTime, RolloutSpec};
+use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
     compare_rollout, decide_rollout, end_delay, finish_time, ExposureLimits, RolloutDecision,
     RolloutSamples, RolloutState,
@@ -128,8 +128,7 @@
     /// Watches a version after its rollout is done, without the store, for as long as
     /// some VM knows an upstream of another version.
     async fn step_baking(&mut self, state: &GatewayState, record: &RolloutRecord) {
-        let spec = &record.spec;
-        let has_alternative = state.upstreams.has_other_version(&spec.service, &spec.to);
+        let has_alternative = record.has_alternative(&state.upstreams);
         record.progress().has_alternative = has_alternative;
         record.drop_old_samples();
         let is_known_elsewhere = has_reports(record);
@@ -153,8 +152,7 @@
         record: &RolloutRecord,
     ) {
         add_reserve(state, record);
-        let spec = &record.spec;
-        if state.upstreams.lists_other_version(&spec.service, &spec.to) {
+        if record.lists_alternative(&state.upstreams) {
             record.progress().knowledge.has_seen_other = true;
         }
         let Some(judged) = self.exchange(state, record).await else {
@@ -235,6 +233,9 @@
     let snapshot = store.read_rollout(&spec.service).await?;
     let current = snapshot.status.as_ref();
     record.progress().knowledge.may_have_ended = false;
+    if let Some(status) = current {
+        record.learn_rejections(status);
+    }
     let current = current.filter(|status| status.spec_revision == spec.revision);
     let started_at = match current {
         Some(current) if current.state != RolloutState::Running => {
@@ -252,7 +253,7 @@
     if current.is_some() && end == RolloutState::Running {
         return Ok(());
     }
-    write_state(store, spec, &snapshot, started_at, end).await?;
+    write_state(store, record, &snapshot, started_at, end).await?;
     if end != RolloutState::Running {
         record.record_stored_end(end);
     }
@@ -262,17 +263,19 @@
 /// Writes the state if the row is unchanged: one VM writes it, and the others read it.
 async fn write_state<S: RoutingStore>(
     store: &S,
-    spec: &RolloutSpec,
+    record: &RolloutRecord,
     snapshot: &RolloutSnapshot,
     started_at: ClockTime,
     state: RolloutState,
 ) -> Result<(), StoreError> {
+    let spec = &record.spec;
     let status = RolloutStatus {
         service: spec.service.clone(),
         to: spec.to.clone(),
         state,
         spec_revision: spec.revision,
         started_at,
+        rejected: record.progress().rejected.rejections(),
     };
     store.write_rollout(&status, snapshot.revision).await
 }
--- a/crates/gateway/src/rollouts/word.rs
+++ b/crates/gateway/src/rollouts/word.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{RolloutSamples, RolloutState};
+use skylarkshed_policy::{RolloutSamples, RolloutState, VersionRejection};
 use std::collections::BTreeMap;
 
 /// What a hub knows of a rollout.
@@ -29,6 +29,9 @@
     pub(super) overdue_ms: BTreeMap<String, u64>,
     /// From which interval on events are slow, by route.
     pub(super) slow_pace_ms: BTreeMap<String, u64>,
+    /// The versions that earlier rollouts of the service have not completed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) rejected: Vec<VersionRejection>,
     /// The last report of an earlier process of the VM that the message is sent to.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) earlier: Option<EarlierReport>,
@@ -55,6 +58,7 @@
             requests: BTreeMap::new(),
             overdue_ms: BTreeMap::new(),
             slow_pace_ms: BTreeMap::new(),
+            rejected: Vec::new(),
             earlier: None,
         }
     }
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -7,7 +7,7 @@
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable, VersionRule,
+    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable, VersionFilter,
 };
 use std::sync::Arc;
 
@@ -27,7 +27,10 @@
         let service = &self.request.service;
         let upstream = self.state.upstreams.find(service, &copy.holder)?;
         // The version under test gets only the requests that are taken for it.
-        let is_preferred = self.request.version_rule.prefers(&upstream.record.version);
+        let is_preferred = self
+            .request
+            .version_filter
+            .prefers(&upstream.record.version);
         (!upstream.is_retired() && is_preferred).then_some((upstream, copy))
     }
 
@@ -83,12 +86,12 @@
         let mut avoid = self.tried.clone();
         avoid.extend(queried.iter().map(|engine| engine.name().clone()));
         while queried.len() < known + QUERIED_ENGINES {
-            let rule = &self.request.version_rule;
-            let Some(engine) = self.next_candidate(&avoid, avoid_zones, rule) else {
+            let filter = &self.request.version_filter;
+            let Some(engine) = self.next_candidate(&avoid, avoid_zones, filter) else {
                 break;
             };
             // Reports do not tell the versions apart, so one version is asked only.
-            let prefers = |engine: &UpstreamState| rule.prefers(&engine.record.version);
+            let prefers = |engine: &UpstreamState| filter.prefers(&engine.record.version);
             if !prefers(&engine) && queried.iter().any(|engine| prefers(engine)) {
                 break;
             }
@@ -116,14 +119,14 @@
         &self,
         avoid: &[UpstreamName],
         avoid_zones: &[ZoneName],
-        version_rule: &VersionRule,
+        version_filter: &VersionFilter,
     ) -> Option<Arc<UpstreamState>> {
         self.state.upstreams.choose(&UpstreamQuery {
             service: &self.request.service,
             zone: &self.state.settings.zone,
             avoid,
             avoid_zones,
-            version_rule,
+            version_filter,
             prompt_hash: Some(self.prompt_hash()),
         })
     }
@@ -136,8 +139,8 @@
         avoid_zones.push(upstream.record.zone.clone());
         let state = &self.state;
         let service = &self.request.service;
-        let rule = state.rollouts.version_rule(service, &state.upstreams);
-        self.next_candidate(&avoid, &avoid_zones, &rule)
+        let filter = state.rollouts.version_filter(service, &state.upstreams);
+        self.next_candidate(&avoid, &avoid_zones, &filter)
     }
 
     /// Returns the continuous copy that an upstream will make, if it can make one.
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -41,7 +41,7 @@
                 return OpenedStream::Stopped;
             }
             let attempt_rule = self.next_rule();
-            self.request.version_rule = attempt_rule.rule;
+            self.request.version_filter = attempt_rule.filter;
             let holder = copy.take().and_then(|copy| self.usable_holder(copy));
             let state = StreamState {
                 has_copy: holder.is_some(),
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -126,14 +126,14 @@
     fn has_substitute(&self, silent: &UpstreamState, was_waited_for: bool) -> bool {
         let state = &self.state;
         let service = &self.request.service;
-        let rule = state.rollouts.version_rule(service, &state.upstreams);
+        let filter = state.rollouts.version_filter(service, &state.upstreams);
         if was_waited_for {
             let avoid = [silent.name().clone()];
-            let other = self.next_candidate(&avoid, &self.failed_zones, &rule);
+            let other = self.next_candidate(&avoid, &self.failed_zones, &filter);
             return other.is_some();
         }
         let now = self.state.clock.now();
-        let other = self.next_candidate(&self.tried, &self.failed_zones, &rule);
+        let other = self.next_candidate(&self.tried, &self.failed_zones, &filter);
         other.is_some_and(|other| other.health(now) == UpstreamHealth::Healthy)
     }
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -9,7 +9,7 @@
 };
 use skylarkshed_policy::{
     choose_candidate, deferred_until, PlacementQuery, RefusalRate, UpstreamCandidate,
-    UpstreamChange, UpstreamHealth, UpstreamTable, VersionRule,
+    UpstreamChange, UpstreamHealth, UpstreamTable, VersionFilter,
 };
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -222,7 +222,7 @@
     pub(crate) zone: &'a ZoneName,
     pub(crate) avoid: &'a [UpstreamName],
     pub(crate) avoid_zones: &'a [ZoneName],
-    pub(crate) version_rule: &'a VersionRule,
+    pub(crate) version_filter: &'a VersionFilter,
     /// Which upstream is preferred among equals: the same one for the same prompt, or a
     /// random one.
     pub(crate) prompt_hash: Option<u64>,
@@ -283,10 +283,10 @@
     pub(crate) fn choose(&self, query: &UpstreamQuery<'_>) -> Option<Arc<UpstreamState>> {
         let services = self.services.load();
         let states = services.get(query.service)?;
-        let version_rule = query.version_rule;
-        let allowed = |state: &UpstreamState| version_rule.allows(&state.record.version);
+        let version_filter = query.version_filter;
+        let allowed = |state: &UpstreamState| version_filter.allows(&state.record.version);
         let preferred =
-            |state: &UpstreamState| allowed(state) && version_rule.prefers(&state.record.version);
+            |state: &UpstreamState| allowed(state) && version_filter.prefers(&state.record.version);
         let chosen = self.choose_among(states, query, preferred);
         chosen.or_else(|| self.choose_among(states, query, allowed))
     }
@@ -325,21 +325,30 @@
         choose_candidate(&placement, &candidates).map(|index| states[index].clone())
     }
 
-    /// Reports whether a service has an upstream of another version that works normally.
-    pub(crate) fn has_other_version(&self, service: &ServiceName, version: &VersionName) -> bool {
-        let services = self.services.load();
+    /// Reports whether a service has an upstream of one of these versions that works
+    /// normally.
+    pub(crate) fn has_version(
+        &self,
+        service: &ServiceName,
+        is_wanted: impl Fn(&VersionName) -> bool,
+    ) -> bool {
         let now = self.clock.now();
+        let works_normally = |state: &UpstreamState| state.health(now) == UpstreamHealth::Healthy;
+        let services = self.services.load();
         let mut states = services.get(service).into_iter().flatten();
-        states.any(|state| {
-            state.record.version != *version && state.health(now) == UpstreamHealth::Healthy
-        })
+        states.any(|state| is_wanted(&state.record.version) && works_normally(state))
     }
 
-    /// Reports whether a service has an upstream of another version that is not retired.
-    pub(crate) fn lists_other_version(&self, service: &ServiceName, version: &VersionName) -> bool {
+    /// Reports whether a service has an upstream of one of these versions that is not
+    /// retired.
+    pub(crate) fn lists_version(
+        &self,
+        service: &ServiceName,
+        is_wanted: impl Fn(&VersionName) -> bool,
+    ) -> bool {
         let services = self.services.load();
         let mut states = services.get(service).into_iter().flatten();
-        states.any(|state| state.record.version != *version && !state.is_retired())
+        states.any(|state| is_wanted(&state.record.version) && !state.is_retired())
     }
 
     /// Returns the time until the first upstream of a service accepts requests again,
@@ -347,13 +356,13 @@
     pub(crate) fn earliest_release(
         &self,
         service: &ServiceName,
-        version_rule: &VersionRule,
+        version_filter: &VersionFilter,
         boot_now: ClockTime,
     ) -> Option<ClockTime> {
         let services = self.services.load();
         let states = services.get(service)?.iter();
         let states = states.filter(|state| !state.is_leaving() && !state.is_retired());
-        let states = states.filter(|state| version_rule.allows(&state.record.version));
+        let states = states.filter(|state| version_filter.allows(&state.record.version));
         let earliest = states.map(|state| state.deferred_for(boot_now)).min();
         earliest.filter(|earliest| *earliest > ClockTime::ZERO)
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -63,6 +63,7 @@
 mod prefill_timeout;
 mod rate_limiter;
 mod refusal_rate;
+mod rejected_versions;
 mod rendezvous;
 mod retry_budget;
 mod rollout_allowance;
@@ -116,6 +117,7 @@
 };
 pub use rate_limiter::RateLimiter;
 pub use refusal_rate::RefusalRate;
+pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
 pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod part_quarantine;
 mod placement;
 mod prefill_timeout;
+mod rejected_versions;
 mod rollout_bake;
 mod rollout_references;
 mod rollout_restarts;
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod rollout_faults;
 mod rollout_fleet;
 mod rollout_losses;
+mod rollout_orders;
 mod rollouts;
 mod routing;
 mod silent_engines;
