Take a removed entry for expired only after an outage of the store

Cause: each failed round of one VM counted as an outage of the store, after which missing entries are kept for 2 s; it did not matter that a gap was too short for heartbeats to be missed, or that other VMs had answers all the time. The entries were dropped with the next answer only, up to 0.8 s late.

Change: StoreContact judges by the gap between answers (two heartbeats or more, with a failure), and by what other VMs say: a VM whose gap lies within the time for which another one knows of no outage had none. VMs that keep missing entries ask three others. A timer ends the grace period. The first watch after a failure is not held by the store; a VM also confirms its configuration up to 0.7 s sooner after an outage.

The tests of UpstreamTable that used mark_store_unavailable and mark_store_available call record_store_return, which replaces both; their assertions are unchanged.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -6,6 +6,7 @@
 use crate::quarantine::QuarantineManager;
 use crate::rollouts::RolloutManager;
 use crate::settings::GatewaySettings;
+use crate::store_outage::StoreOutage;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
 use skylarkshed_peer::{PeerClient, PeerKey};
@@ -46,6 +47,7 @@
     pub(crate) clock: MonotonicClock,
     pub(crate) config: ConfigState,
     pub(crate) upstreams: UpstreamDirectory,
+    pub(crate) store_outage: StoreOutage,
     pub(crate) feed_caches: FeedCaches,
     pub(crate) table_server: Mutex<TableServer>,
     pub(crate) roster: VmRoster,
@@ -68,6 +70,7 @@
         let clock = MonotonicClock::start();
         let boot_clock = BootTimeClock::start();
         GatewayState {
+            store_outage: StoreOutage::new(clock, boot_clock, settings.times.outage),
             feed_caches: FeedCaches::new(),
             table_server: Mutex::new(TableServer::new(settings.transfer_rate)),
             roster: VmRoster::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod run;
 mod settings;
 mod status_endpoints;
+mod store_outage;
 mod store_watch;
 mod stream;
 mod tracked_stream;
--- a/crates/gateway/src/peers/feed_caches.rs
+++ b/crates/gateway/src/peers/feed_caches.rs
@@ -65,8 +65,13 @@
 
     /// Returns the era of a cached table; 0 if there is none.
     pub(crate) fn era(&self, source: &str) -> u64 {
+        self.position(source).map_or(0, |position| position.era)
+    }
+
+    /// Returns the newest known point in the history of a cached table.
+    pub(crate) fn position(&self, source: &str) -> Option<FeedPosition> {
         let caches = self.caches.lock().unwrap_or_else(PoisonError::into_inner);
-        caches.get(source).map_or(0, |cache| cache.position().era)
+        caches.get(source).map(FeedCache::position)
     }
 
     /// Waits, up to `wait`, for changes after a position or a new freshness
--- a/crates/gateway/src/peers/feed_reader.rs
+++ b/crates/gateway/src/peers/feed_reader.rs
@@ -42,6 +42,8 @@
     confirmations: Option<(SocketAddr, u64)>,
     /// The endpoint that no longer has the requested changes; its table is the newest.
     history_lost_at: Option<FeedEndpoint>,
+    /// Whether the last call to the store failed.
+    is_store_lost: bool,
     /// The newest era seen. A VM that has not heard of it yet has older rows.
     era: u64,
 }
@@ -63,6 +65,7 @@
             vms: Arc::default(),
             confirmations: None,
             history_lost_at: None,
+            is_store_lost: false,
             era: 0,
         }
     }
@@ -182,13 +185,22 @@
 
     async fn query_store(&mut self, after: Option<FeedPosition>) -> Result<FeedBatch, StoreError> {
         let requested = self.state.config.now();
+        // After a failure the answer shows that the store is back, so it must not be held.
+        let wait = match self.is_store_lost {
+            true => ClockTime::ZERO,
+            false => self.waits.store,
+        };
         let batch = match after {
             None => {
                 self.state.quarantine.restore_from_store();
                 self.source.read().await
             }
-            Some(after) => self.source.watch(after, self.waits.store).await,
+            Some(after) => self.source.watch(after, wait).await,
         };
+        self.is_store_lost = batch.is_err();
+        if batch.is_ok() {
+            self.state.store_outage.record_answer();
+        }
         // The store does not report how long it held the response, so the rows may be
         // as old as the request.
         let batch = batch.map(|batch| FeedBatch {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,5 +7,5 @@
 
 pub(crate) use feed_caches::FeedCaches;
 pub(crate) use feed_reader::{FeedReader, FeedWaits};
-pub(crate) use peer_feed::{FeedHandler, REPLY_TIMEOUT};
+pub(crate) use peer_feed::{confirm_contact, FeedHandler, REPLY_TIMEOUT};
 pub(crate) use roster::{announce_vm, VmRoster};
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -88,6 +88,7 @@
                 age_ms: state.config.now().since(changes.fresh_at).as_millis(),
                 proof: changes.confirmations,
                 held_ms: state.config.now().since(received).as_millis(),
+                steady_ms: state.store_outage.steady_for().as_millis(),
                 ..FeedReply::default()
             }
         }
@@ -203,6 +204,8 @@
             let round_trip = state.config.now().since(sent_at);
             let transit = round_trip.since(ClockTime::from_millis(reply.held_ms));
             let age = ClockTime::from_millis(reply.age_ms) + transit;
+            let steady = ClockTime::from_millis(reply.steady_ms);
+            state.store_outage.record_word(age, steady);
             let confirmations = reply.proof;
             let batch = to_batch(reply, age);
             let batch = batch.map_err(|error| StoreError::Unreadable(format!("{to}: {error}")))?;
@@ -218,6 +221,20 @@
     }
 }
 
+/// Asks a VM when the store answered it, and whether it knows of an outage.
+pub(crate) async fn confirm_contact(state: &GatewayState, vm: SocketAddr, source: &'static str) {
+    let query = PeerQuery {
+        source,
+        // No rows are needed.
+        after: state.feed_caches.position(source),
+        confirmations: 0,
+        wait: ClockTime::ZERO,
+    };
+    if let Err(error) = query_peer(state, vm, query).await {
+        log::debug!(vm:%; "can't ask a VM for its contact to the store: {error}");
+    }
+}
+
 fn parse_alternative(from: SocketAddr, address: &str) -> Option<SocketAddr> {
     address
         .parse()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     /// The grace period in which upstream entries that expired while the store was
     /// unavailable may come back.
     pub lapse: ClockTime,
+    /// The shortest outage of the store in which upstream entries can expire.
+    pub outage: ClockTime,
     /// How long the store takes to remove the entry of an upstream that no longer exists.
     pub silence: ClockTime,
     /// How long requests may be sent to a version after it was seen to be bad.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 use crate::platform_api::{
     ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate, VmUpdate,
 };
+use crate::store_outage::resolve_missing_upstreams;
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use skylarkshed_policy::{FeedPosition, UpstreamChange, UpstreamTable};
 use std::sync::Arc;
@@ -72,6 +73,7 @@
     let source = store.upstreams();
     let sink = UpstreamSink {
         state: state.clone(),
+        source: S::Upstreams::NAME,
     };
     run(&state, source, sink).await;
 }
@@ -145,6 +147,7 @@
                     );
                 }
                 failures += 1;
+                state.store_outage.record_failure();
                 sink.mark_unavailable(&error);
                 tokio::time::sleep(retry_delay(failures).to_duration()).await;
             }
@@ -226,6 +229,8 @@
 
 struct UpstreamSink {
     state: Arc<GatewayState>,
+    /// The name of its table.
+    source: &'static str,
 }
 
 impl FeedSink for UpstreamSink {
@@ -242,9 +247,9 @@
     }
 
     fn apply(&mut self, updates: Vec<UpstreamUpdate>, is_complete: bool, _fresh_at: ClockTime) {
+        let returned_at = self.state.store_outage.returned_at();
         let changes = self.state.upstreams.update(|table, now| {
-            table.mark_store_available(now);
-            let mut changes = table.expire(now);
+            let mut changes = table.record_store_return(returned_at, now);
             match is_complete {
                 true => {
                     let present = updates.into_iter().filter_map(present_record);
@@ -255,15 +260,16 @@
             changes
         });
         log_changes(&changes);
+        let is_missing = |change: &UpstreamChange| matches!(change, UpstreamChange::Missing(_));
+        if changes.iter().any(is_missing) {
+            let state = self.state.clone();
+            tokio::spawn(resolve_missing_upstreams(state, self.source));
+        }
         self.state.note_table();
     }
 
-    fn mark_unavailable(&mut self, _reason: &StoreError) {
-        self.state.upstreams.update(|table, now| {
-            table.mark_store_unavailable();
-            table.expire(now)
-        });
-    }
+    /// Missing entries are dropped in time whether the store answers or not.
+    fn mark_unavailable(&mut self, _reason: &StoreError) {}
 
     fn mark_restored(&mut self) {
         self.state.upstreams.update(|table, now| {
@@ -333,7 +339,7 @@
     log::warn!(upstream:% = name; "can't parse an upstream's entry: {problem}");
 }
 
-fn log_changes(changes: &[UpstreamChange]) {
+pub(crate) fn log_changes(changes: &[UpstreamChange]) {
     for change in changes {
         match change {
             UpstreamChange::Updated(record) => log::info!(
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -259,6 +259,12 @@
         changes
     }
 
+    /// Returns when the next missing entry is dropped.
+    pub(crate) fn next_expiry(&self) -> Option<ClockTime> {
+        let directory = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        directory.table.next_expiry()
+    }
+
     fn publish(&self, directory: &mut DirectoryTable) {
         let DirectoryTable { table, usages } = directory;
         if usages.len() > MAX_UNLISTED_USAGES + table.records().count() {
--- a/crates/peer/src/wire/feed.rs
+++ b/crates/peer/src/wire/feed.rs
@@ -77,6 +77,10 @@
     /// just started.
     #[prost(bool, tag = "11")]
     pub knows_earlier_blocks: bool,
+    /// For how long the replying VM has known of no outage of the store, in milliseconds; 0
+    /// if it can't tell.
+    #[prost(uint64, tag = "12")]
+    pub steady_ms: u64,
 }
 
 /// The rows of a reply, to be compressed.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -75,6 +75,7 @@
 mod route_table;
 mod routing;
 mod sound_parts;
+mod store_contact;
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
@@ -136,6 +137,7 @@
 pub use rollout_times::RolloutTimes;
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
+pub use store_contact::StoreContact;
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
     SilentUpstream, StreamPhase, StreamState,
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -44,8 +44,9 @@
     entries: BTreeMap<UpstreamName, TableEntry>,
     /// How long entries may take to reappear after an outage.
     grace: ClockTime,
-    is_store_unavailable: bool,
     grace_ends_at: ClockTime,
+    /// The end of the grace period after the store has returned from an older copy.
+    restore_grace_ends_at: ClockTime,
     departed: HashMap<UpstreamName, DepartedUpstream>,
     /// How long entries that came back with an older copy of the store are not used.
     quarantine: ClockTime,
@@ -75,8 +76,8 @@
         UpstreamTable {
             entries: BTreeMap::new(),
             grace,
-            is_store_unavailable: false,
             grace_ends_at: ClockTime::ZERO,
+            restore_grace_ends_at: ClockTime::ZERO,
             departed: HashMap::new(),
             quarantine,
             quarantine_ends_at: ClockTime::ZERO,
@@ -89,22 +90,25 @@
     /// Entries that the copy lacks have the grace period to reappear. Entries of
     /// upstreams that had gone are not used until it is clear that they are renewed.
     pub fn mark_store_restored(&mut self, now: ClockTime) {
-        self.is_store_unavailable = false;
-        self.grace_ends_at = now + self.grace;
+        self.restore_grace_ends_at = now + self.grace;
+        self.grace_ends_at = self.restore_grace_ends_at;
         self.quarantine_ends_at = now + self.quarantine;
     }
 
-    /// Records that the store does not respond.
-    pub fn mark_store_unavailable(&mut self) {
-        self.is_store_unavailable = true;
-    }
-
-    /// Records that the store responds; after an outage, this starts the grace period.
-    pub fn mark_store_available(&mut self, now: ClockTime) {
-        if self.is_store_unavailable {
-            self.is_store_unavailable = false;
-            self.grace_ends_at = now + self.grace;
+    /// Records when the store returned from its last outage; `None` if it was not away.
+    /// Entries that are missing are dropped at the end of the grace period that follows.
+    pub fn record_store_return(
+        &mut self,
+        returned_at: Option<ClockTime>,
+        now: ClockTime,
+    ) -> Vec<UpstreamChange> {
+        let outage_grace_ends_at = returned_at.map_or(ClockTime::ZERO, |at| at + self.grace);
+        self.grace_ends_at = outage_grace_ends_at.max(self.restore_grace_ends_at);
+        let missing = self.entries.values_mut();
+        for entry in missing.filter(|entry| entry.drop_at.is_some()) {
+            entry.drop_at = Some(self.grace_ends_at);
         }
+        self.expire(now)
     }
 
     /// Inserts or updates an upstream's entry.
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod rollout_times;
 mod rollouts;
 mod routes;
+mod store_contact;
 mod store_eras;
 mod streams;
 mod upstream_table;
--- a/crates/policy/tests/gateway/upstream_table.rs
+++ b/crates/policy/tests/gateway/upstream_table.rs
@@ -45,8 +45,7 @@
 #[test]
 fn an_entry_that_expired_in_an_outage_has_a_grace_period() {
     let mut table = table_with(vec![record("a", 1, 0), record("b", 2, 0)]);
-    table.mark_store_unavailable();
-    table.mark_store_available(at(9_000));
+    table.record_store_return(Some(at(9_000)), at(9_000));
     let changes = table.replace(vec![], at(9_000));
     assert_eq!(changes.len(), 2, "both entries expired");
     let mut changes = Vec::new();
@@ -59,6 +58,35 @@
     assert_eq!(names(&table), ["a"]);
 }
 
+/// Guards against requests to an upstream that left, because its missing entry is taken for
+/// one that expired while the store was away.
+#[test]
+fn an_entry_is_dropped_once_it_is_known_that_the_store_was_not_away() {
+    let mut table = table_with(vec![record("a", 1, 0)]);
+    table.record_store_return(Some(at(9_000)), at(9_000));
+    table.replace(vec![], at(9_000));
+    assert_eq!(names(&table), ["a"]);
+    assert_eq!(
+        table.record_store_return(None, at(9_100)),
+        [UpstreamChange::Removed("a".into())]
+    );
+    // It is gone at once if it is removed after the VM has learned that.
+    let mut changes = Vec::new();
+    table.put(record("b", 2, 0), at(9_200), &mut changes);
+    table.remove(&"b".into(), at(9_300), &mut changes);
+    assert!(names(&table).is_empty());
+}
+
+#[test]
+fn the_grace_period_after_an_older_copy_needs_no_outage() {
+    let mut table = table_with(vec![record("a", 1, 0)]);
+    table.mark_store_restored(at(9_000));
+    assert!(table.record_store_return(None, at(9_000)).is_empty());
+    table.replace(vec![], at(9_000));
+    assert_eq!(names(&table), ["a"]);
+    assert_eq!(table.expire(at(11_000)).len(), 1);
+}
+
 #[test]
 fn a_leaving_upstream_gets_no_grace_period() {
     let leaving = UpstreamRecord {
@@ -66,8 +94,7 @@
         ..record("a", 1, 0)
     };
     let mut table = table_with(vec![leaving]);
-    table.mark_store_unavailable();
-    table.mark_store_available(at(9_000));
+    table.record_store_return(Some(at(9_000)), at(9_000));
     table.replace(vec![], at(9_000));
     assert!(names(&table).is_empty());
 }
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fleet_start;
 mod framing;
 mod leaving;
+mod lost_store;
 mod odd_entries;
 mod open_files;
 mod peers;
