Copy the pieces of a body into one buffer and limit their number

Cause: the limit of a body counts bytes; each piece that was collected kept the read buffer of up to 32 KiB that it is a part of, and each costs processor time.

Change: read_body, used for the answers of upstreams, of the store and of engines' control calls, for callers' requests, and for the product's own interface, where answers had no limit. Pieces beyond the first 1,024 (requests: 8,192) must have 64 bytes on average.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,9 +14,9 @@
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RequestKind, RouteConfig, UnsentCall};
+use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
 use skylarkshed_policy::{choose_service, hash_rank, outage_delay, RouteTable};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -163,7 +163,7 @@
         _ => deadline,
     };
     let limit = table.limits().max_body_bytes;
-    let body = read_body(body, limit, &deadline)
+    let body = read_request_body(body, limit, &deadline)
         .await
         .map_err(refuse_with)?;
     let hash = hash_rank(&head.request);
@@ -242,18 +242,18 @@
     grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME + leaving_for)
 }
 
-async fn read_body(
+async fn read_request_body(
     body: Incoming,
     limit: usize,
     deadline: &RequestDeadline,
 ) -> Result<Bytes, RequestRefusal> {
-    let collecting = Limited::new(body, limit).collect();
-    match deadline.run_within(ClockTime::NEVER, collecting).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
+    let reading = read_body(body, BodyLimits::request(limit));
+    match deadline.run_within(ClockTime::NEVER, reading).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(BodyError::TooLong(_) | BodyError::TooManyPieces(_))) => {
             Err(RequestRefusal::Bad(BadRequestReason::BodyTooLong))
         }
-        Some(Err(_)) => Err(RequestRefusal::Bad(BadRequestReason::BrokenBody)),
+        Some(Err(BodyError::Broken(_))) => Err(RequestRefusal::Bad(BadRequestReason::BrokenBody)),
         None => Err(RequestRefusal::NotRun(
             NotRunReason::SlowRequest,
             RETRY_AFTER_LEAVING,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,9 +13,10 @@
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{request, response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
+use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
 use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
 use skylarkshed_policy::VersionFilter;
 use std::sync::Arc;
@@ -101,22 +102,23 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body; fails if it exceeds the maximum size, is incomplete
+    /// Returns the rest of the body; fails if it exceeds its limits, is incomplete
     /// at the request's deadline, or is that of an error and stops.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
         let limit = match self.parts.status.is_success() {
             true => ClockTime::NEVER,
             false => ERROR_BODY_TIMEOUT,
         };
-        let collecting = Limited::new(&mut self.body, MAX_BODY_BYTES).collect();
-        let collected = self.deadline.run_within(limit, collecting).await;
-        let body = collected.ok_or(SendError::Broken)?.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                counters::count_bad_response("long_body");
+        let reading = read_body(&mut self.body, BodyLimits::response(MAX_BODY_BYTES));
+        let body = self.deadline.run_within(limit, reading).await;
+        body.ok_or(SendError::Broken)?.map_err(|error| {
+            match error {
+                BodyError::TooLong(_) => counters::count_bad_response("long_body"),
+                BodyError::TooManyPieces(_) => counters::count_bad_response("many_pieces"),
+                BodyError::Broken(_) => {}
             }
             SendError::Broken
-        })?;
-        Ok(body.to_bytes())
+        })
     }
 
     /// Reports whether this is a signed success without a content encoding.
--- /dev/null
+++ b/crates/http-link/src/body.rs
@@ -0,0 +1,113 @@
+//! Reads whole bodies within limits.
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use std::error::Error as StdError;
+use std::pin::pin;
+use thiserror::Error;
+
+/// The smallest average size of many pieces.
+const MIN_PIECE_BYTES: usize = 64;
+/// Most responses of calls have fewer bytes.
+const FREE_RESPONSE_PIECES: usize = 1_024;
+/// A caller may send a body as it is written.
+const FREE_REQUEST_PIECES: usize = 8_192;
+
+/// The limits of a body that is buffered.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BodyLimits {
+    /// The maximum size in bytes.
+    pub bytes: usize,
+    /// How many pieces may be of any size. With more of them, they must have 64 bytes on
+    /// average: each costs processor time, however short it is.
+    pub free_pieces: usize,
+}
+
+impl BodyLimits {
+    /// Returns the limits of a response of at most this many bytes.
+    pub const fn response(bytes: usize) -> Self {
+        BodyLimits {
+            bytes,
+            free_pieces: FREE_RESPONSE_PIECES,
+        }
+    }
+
+    /// Returns the limits of a caller's request of at most this many bytes.
+    pub const fn request(bytes: usize) -> Self {
+        BodyLimits {
+            bytes,
+            free_pieces: FREE_REQUEST_PIECES,
+        }
+    }
+
+    /// Reports whether a body may arrive in this many pieces.
+    const fn allows(&self, pieces: usize, bytes: usize) -> bool {
+        pieces <= self.free_pieces + bytes / MIN_PIECE_BYTES
+    }
+}
+
+/// An error of a body that is read.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// It has too many bytes.
+    #[error("the body is longer than {0} bytes")]
+    TooLong(usize),
+    /// It arrives in too many pieces.
+    #[error("the body arrives in too many pieces, {0} until now")]
+    TooManyPieces(usize),
+    /// The connection failed, or the body is malformed.
+    #[error("the connection failed within the body: {0}")]
+    Broken(Box<dyn StdError + Send + Sync>),
+}
+
+/// Reads a body to its end. Its pieces are copied into one buffer: each may be a part of a
+/// larger read buffer, which would be kept as long as the piece.
+///
+/// # Errors
+///
+/// Fails if the body exceeds a limit or does not end.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::Bytes;
+/// use http_body_util::Full;
+/// use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let body = || Full::new(Bytes::from("answer"));
+/// let bytes = read_body(body(), BodyLimits::response(6)).await.unwrap();
+/// assert_eq!(bytes, "answer");
+/// let error = read_body(body(), BodyLimits::response(5)).await.unwrap_err();
+/// assert!(matches!(error, BodyError::TooLong(5)));
+/// # });
+/// ```
+pub async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
+{
+    let too_long = || BodyError::TooLong(limits.bytes);
+    let mut body = pin!(body);
+    if body.size_hint().lower() > limits.bytes as u64 {
+        return Err(too_long());
+    }
+    let mut buffer = BytesMut::new();
+    let mut pieces = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Broken(error.into()))?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        pieces += 1;
+        if buffer.len() + piece.len() > limits.bytes {
+            return Err(too_long());
+        }
+        if !limits.allows(pieces, buffer.len()) {
+            return Err(BodyError::TooManyPieces(pieces));
+        }
+        buffer.extend_from_slice(&piece);
+    }
+    Ok(buffer.freeze())
+}
--- a/crates/http-link/src/connection.rs
+++ b/crates/http-link/src/connection.rs
@@ -1,10 +1,11 @@
 //! A connection that carries one request at a time.
 
+use crate::body::{read_body, BodyError, BodyLimits};
 use crate::head_limit::{HeadLimit, LimitedStream};
 use crate::options::set_options;
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -38,12 +39,9 @@
     /// The connection was closed because the response head did not end.
     #[error("the response head is too long")]
     LongHead,
-    /// The connection was closed because the response body was too long.
-    #[error("the response body is longer than {0} bytes")]
-    LongBody(usize),
-    /// The connection failed within the response body.
-    #[error("the connection failed within the response body: {0}")]
-    BrokenBody(Box<dyn std::error::Error + Send + Sync>),
+    /// The connection was closed because of the response body.
+    #[error("the response is not complete: {0}")]
+    Body(#[from] BodyError),
 }
 
 impl ConnectionError {
@@ -53,10 +51,9 @@
             ConnectionError::Connect(_)
             | ConnectionError::ConnectTimeout(_)
             | ConnectionError::Unsent => true,
-            ConnectionError::Broken(_)
-            | ConnectionError::LongHead
-            | ConnectionError::LongBody(_)
-            | ConnectionError::BrokenBody(_) => false,
+            ConnectionError::Broken(_) | ConnectionError::LongHead | ConnectionError::Body(_) => {
+                false
+            }
         }
     }
 
@@ -185,7 +182,7 @@
     /// # Errors
     ///
     /// Fails as [`HttpConnection::send`] does, or if the connection is closed within
-    /// the body or the body is too long. The connection can't be used any more then.
+    /// the body, or if the body exceeds its limits. The connection can't be used any more then.
     ///
     /// # Examples
     ///
@@ -210,12 +207,8 @@
         max_body_bytes: usize,
     ) -> Result<Response<Bytes>, ConnectionError> {
         let (parts, body) = self.send(request).await?.into_parts();
-        let collected = Limited::new(body, max_body_bytes).collect().await;
-        let body = collected.map_err(|error| match error.is::<LengthLimitError>() {
-            true => ConnectionError::LongBody(max_body_bytes),
-            false => ConnectionError::BrokenBody(error),
-        })?;
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        let body = read_body(body, BodyLimits::response(max_body_bytes)).await?;
+        Ok(Response::from_parts(parts, body))
     }
 
     /// Reports whether the connection can't be used for another request.
--- a/crates/node/src/caller_api/request.rs
+++ b/crates/node/src/caller_api/request.rs
@@ -5,8 +5,8 @@
 use crate::state::{AdmissionError, AdmissionPermit, NodeShared};
 use bytes::Bytes;
 use http::HeaderMap;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use skylarkshed_core::{CatalogState, ClockTime, CustomerEntry, ServiceName, UnsentCall};
+use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use volo_http::request::Request;
@@ -38,13 +38,15 @@
     };
     let (parts, body) = request.into_parts();
     let limits = &shared.settings.limits;
-    let reading = Limited::new(body, limits.body_bytes).collect();
+    let reading = read_body(body, BodyLimits::request(limits.body_bytes));
     let body = match tokio::time::timeout(limits.body_time.to_duration(), reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLong(_) | BodyError::TooManyPieces(_))) => {
             return Err(Refusal::not_run(unsent, RefusalReason::BodyTooLong))
         }
-        Ok(Err(_)) => return Err(Refusal::not_run(unsent, RefusalReason::BadRequest)),
+        Ok(Err(BodyError::Broken(_))) => {
+            return Err(Refusal::not_run(unsent, RefusalReason::BadRequest))
+        }
         Err(_) => return Err(Refusal::not_run(unsent, RefusalReason::BodyTooSlow)),
     };
     let permit = match shared.admission.acquire(&customer).await {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,10 +9,13 @@
 use serde::{de::DeserializeOwned, Serialize};
 use skylarkshed_core::ClockTime;
 use skylarkshed_http_client::{is_unsent, make_client};
+use skylarkshed_http_link::{read_body, BodyLimits};
 use std::net::SocketAddr;
-use volo_http::body::BodyConversion;
 use volo_http::client::Client;
 
+/// The limits of a reply, which may hold all rows of a table.
+const RESPONSE_LIMITS: BodyLimits = BodyLimits::response(64 << 20);
+
 /// A client of the platform's HTTP service.
 #[derive(Clone)]
 pub struct HttpPlatformClient {
@@ -76,7 +79,7 @@
                 response.status()
             )));
         }
-        let bytes = response.into_bytes().await;
+        let bytes = read_body(response.into_body(), RESPONSE_LIMITS).await;
         let bytes = bytes.map_err(|error| PlatformError::ReplyLost(format!("{path}: {error}")))?;
         serde_json::from_slice(&bytes)
             .map_err(|error| PlatformError::Malformed(format!("{path}: {error}")))
--- a/crates/stand-ins/src/routing/endless_response.rs
+++ b/crates/stand-ins/src/routing/endless_response.rs
@@ -29,6 +29,8 @@
     ClientError,
     /// The chunks of a body.
     Chunks,
+    /// Chunks of one byte.
+    TinyChunks,
     /// The extension of a chunk.
     ChunkExtension,
     /// The trailer after a chunked body.
@@ -63,7 +65,7 @@
             Self::HeaderLines => String::new(),
             Self::AfterBody => "Content-Length: 6\r\n\r\nanswer".to_owned(),
             Self::UndelimitedBody | Self::ClientError => "\r\n".to_owned(),
-            Self::Chunks => CHUNKED.to_owned(),
+            Self::Chunks | Self::TinyChunks => CHUNKED.to_owned(),
             Self::ChunkExtension => format!("{CHUNKED}1;"),
             Self::Trailer => format!("{CHUNKED}6\r\nanswer\r\n0\r\nX-Long: "),
             Self::Event => format!("{EVENT_STREAM}{}", chunk("id: 1\n")),
@@ -82,6 +84,7 @@
             Self::Informational => "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned(),
             Self::HeaderLines => "X-More: x\r\n".to_owned(),
             Self::Chunks => chunk(&"x".repeat(1_024)),
+            Self::TinyChunks => chunk("x"),
             Self::Event => chunk("data: more\n"),
             Self::CommentLines => chunk(":\n"),
             Self::CommentBlocks => chunk(":\n\n"),
--- a/crates/upstream/src/http_application.rs
+++ b/crates/upstream/src/http_application.rs
@@ -4,10 +4,14 @@
 use crate::wire::{CALL_ID_HEADER, CALL_KEY_HEADER};
 use skylarkshed_core::UnsentCall;
 use skylarkshed_http_client::{is_unsent, make_client};
+use skylarkshed_http_link::{read_body, BodyLimits};
 use std::net::SocketAddr;
-use volo_http::body::{Body, BodyConversion};
+use volo_http::body::Body;
 use volo_http::client::Client;
 
+/// The limits of a response, which is kept to answer a repeated call.
+const RESPONSE_LIMITS: BodyLimits = BodyLimits::response(1 << 20);
+
 /// The HTTP client of plain applications; one client serves all addresses.
 #[derive(Clone)]
 pub struct HttpApplicationClient {
@@ -52,7 +56,7 @@
             return Err(CallError::MismatchedResponse(sent));
         }
         let status = response.status().as_u16();
-        match response.into_bytes().await {
+        match read_body(response.into_body(), RESPONSE_LIMITS).await {
             Ok(body) => Ok(ApplicationResponse { status, body }),
             Err(error) => Err(CallError::ResponseLost(sent, error.to_string())),
         }
--- a/crates/upstream/src/http_engine.rs
+++ b/crates/upstream/src/http_engine.rs
@@ -6,13 +6,17 @@
 };
 use serde::{de::DeserializeOwned, Serialize};
 use skylarkshed_http_client::{is_unsent, make_client};
+use skylarkshed_http_link::{read_body, BodyLimits};
 use std::net::SocketAddr;
-use volo_http::body::{Body, BodyConversion};
+use volo_http::body::Body;
 use volo_http::client::sse::{SseExt, SseReader};
 use volo_http::client::Client;
 use volo_http::error::client::ClientError;
 use volo_http::response::Response;
 
+/// Replies and reports are small.
+const RESPONSE_LIMITS: BodyLimits = BodyLimits::response(1 << 20);
+
 /// The HTTP client of model engines; one client serves all addresses.
 #[derive(Clone)]
 pub struct HttpEngineClient {
@@ -72,7 +76,7 @@
         request: &Q,
     ) -> Result<R, EngineError> {
         let response = self.post(address, path, request).await?;
-        let bytes = response.into_bytes().await;
+        let bytes = read_body(response.into_body(), RESPONSE_LIMITS).await;
         let bytes = bytes.map_err(|error| EngineError::Broken(error.to_string()))?;
         serde_json::from_slice(&bytes).map_err(|error| EngineError::Malformed(error.to_string()))
     }
--- a/tests/testsuite/tests/gateway/endless_responses.rs
+++ b/tests/testsuite/tests/gateway/endless_responses.rs
@@ -20,6 +20,10 @@
 const MAX_PEAK_KIB: u64 = 130 * 1024;
 /// How many requests get an endless response at the same time.
 const CONCURRENT: usize = 8;
+/// As many as the users had callers when a VM ran out of memory.
+const MANY: usize = 24;
+/// The bodies that are buffered may have 1 MiB each, and their connections some buffers.
+const MAX_GROWTH_KIB: u64 = MANY as u64 * 1_100;
 
 /// Sends the same request several times at once and returns the responses; meanwhile
 /// other requests are served in time.
@@ -84,6 +88,7 @@
 #[case::header_lines(EndlessResponse::HeaderLines)]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[case::chunk_extension(EndlessResponse::ChunkExtension)]
 #[case::trailer(EndlessResponse::Trailer)]
 #[tokio::test]
@@ -122,6 +127,7 @@
 #[case::header_lines(EndlessResponse::HeaderLines)]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[case::chunk_extension(EndlessResponse::ChunkExtension)]
 #[case::trailer(EndlessResponse::Trailer)]
 #[tokio::test]
@@ -167,6 +173,7 @@
 #[case::header_lines(EndlessResponse::HeaderLines)]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[case::chunk_extension(EndlessResponse::ChunkExtension)]
 #[case::trailer(EndlessResponse::Trailer)]
 #[case::client_error(EndlessResponse::ClientError)]
@@ -197,6 +204,7 @@
 #[case::informational(EndlessResponse::Informational)]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[case::trailer(EndlessResponse::Trailer)]
 #[tokio::test]
 async fn endless_reports_and_cache_lists_delay_nothing(#[case] endless: EndlessResponse) {
@@ -222,6 +230,7 @@
 #[rstest]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[tokio::test]
 async fn endless_reply_to_a_copy_request_is_bounded(#[case] endless: EndlessResponse) {
     let harness = HarnessBuilder::default().engines(3).start().await;
@@ -257,6 +266,7 @@
 #[case::header_value(EndlessResponse::HeaderValue)]
 #[case::undelimited_body(EndlessResponse::UndelimitedBody)]
 #[case::chunks(EndlessResponse::Chunks)]
+#[case::tiny_chunks(EndlessResponse::TinyChunks)]
 #[tokio::test]
 async fn endless_response_of_the_store_is_bounded(#[case] endless: EndlessResponse) {
     let harness = HarnessBuilder::default().start().await;
@@ -276,3 +286,24 @@
     harness.wait_for_config_version(version).await;
     assert_memory_is_bounded(&harness);
 }
+
+/// Guards against bodies in pieces of one byte, each of which kept the buffer that it was
+/// read into.
+#[tokio::test]
+async fn bodies_in_tiny_chunks_are_cut_off_early() {
+    let harness = HarnessBuilder::default().start().await;
+    for application in &harness.applications {
+        let endless = ScriptedResponse::Endless(EndlessResponse::TinyChunks);
+        application.set_default_response(endless);
+    }
+    serve_streams(&harness);
+    let before = harness.peak_memory_kib();
+    let (call, other) = (("POST", "/book/7"), ("POST", "/write/7"));
+    let responses = send_concurrently::<MANY>(&harness, call, other, CALL_BOUND).await;
+    for response in responses {
+        // The upstream is at fault, not the time.
+        assert_eq!(response.status, 502);
+    }
+    let growth = harness.peak_memory_kib() - before;
+    assert!(growth < MAX_GROWTH_KIB, "{growth} KiB");
+}
