Limit the memory that bodies of requests and responses occupy together

What callers saw: with six faulty replicas and 100 callers a VM of 260 MB grew to 57 and 72 MB (users' measurement); VMs of 88 and 110 MB are in use. Each body had its limit of 1 MiB, all together had none.

Change: bodies of more than 16 KiB take their memory from a budget of a quarter of the VM's (memory_mb of the settings), until they are sent on. A response beyond it is not read on; a request is refused with 503 and no_memory.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -16,7 +16,7 @@
 use http::{HeaderValue, Request};
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RequestKind, RouteConfig, UnsentCall};
-use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
+use skylarkshed_http_link::{read_body_within, BodyError, BodyLimits};
 use skylarkshed_policy::{choose_service, hash_rank, outage_delay, RouteTable};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -34,6 +34,9 @@
 /// VM has access, [`outage_delay`] is used.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
 
+/// Bodies are read within about this time; a caller that comes back reaches another VM.
+const RETRY_AFTER_NO_MEMORY: ClockTime = ClockTime::from_millis(200);
+
 /// Why a request is not forwarded.
 enum RequestRefusal {
     NotRun(NotRunReason, ClockTime),
@@ -163,7 +166,7 @@
         _ => deadline,
     };
     let limit = table.limits().max_body_bytes;
-    let body = read_request_body(body, limit, &deadline)
+    let body = read_request_body(state, body, limit, &deadline)
         .await
         .map_err(refuse_with)?;
     let hash = hash_rank(&head.request);
@@ -243,16 +246,21 @@
 }
 
 async fn read_request_body(
+    state: &GatewayState,
     body: Incoming,
     limit: usize,
     deadline: &RequestDeadline,
 ) -> Result<Bytes, RequestRefusal> {
-    let reading = read_body(body, BodyLimits::request(limit));
+    let reading = read_body_within(body, BodyLimits::request(limit), &state.body_budget);
     match deadline.run_within(ClockTime::NEVER, reading).await {
         Some(Ok(body)) => Ok(body),
         Some(Err(BodyError::TooLong(_) | BodyError::TooManyPieces(_))) => {
             Err(RequestRefusal::Bad(BadRequestReason::BodyTooLong))
         }
+        Some(Err(BodyError::NoMemory)) => Err(RequestRefusal::NotRun(
+            NotRunReason::NoMemory,
+            RETRY_AFTER_NO_MEMORY,
+        )),
         Some(Err(BodyError::Broken(_))) => Err(RequestRefusal::Bad(BadRequestReason::BrokenBody)),
         None => Err(RequestRefusal::NotRun(
             NotRunReason::SlowRequest,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
-use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
+use skylarkshed_http_link::{read_body_within, BodyBudget, BodyError, BodyLimits};
 use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
 use skylarkshed_policy::VersionFilter;
 use std::sync::Arc;
@@ -31,8 +31,7 @@
 /// after it is made, and a round trip to another zone takes 3 ms.
 const SETTLE_TIME: ClockTime = ClockTime::from_millis(5);
 
-/// The maximum size of a response that is buffered, as those to calls are. A VM with
-/// 260 MB buffers a hundred of them.
+/// The maximum size of a response that is buffered, as those to calls are.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// How long the body of an error may take. Sound upstreams are silent for a second or so.
@@ -77,6 +76,7 @@
     pub(crate) parts: response::Parts,
     body: Incoming,
     deadline: RequestDeadline,
+    budget: BodyBudget,
     _connection: HttpConnection,
     _load: LoadGuard,
 }
@@ -102,19 +102,21 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body; fails if it exceeds its limits, is incomplete
+    /// Returns the rest of the body; fails if it exceeds its limits or those of all bodies together, is incomplete
     /// at the request's deadline, or is that of an error and stops.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
         let limit = match self.parts.status.is_success() {
             true => ClockTime::NEVER,
             false => ERROR_BODY_TIMEOUT,
         };
-        let reading = read_body(&mut self.body, BodyLimits::response(MAX_BODY_BYTES));
+        let limits = BodyLimits::response(MAX_BODY_BYTES);
+        let reading = read_body_within(&mut self.body, limits, &self.budget);
         let body = self.deadline.run_within(limit, reading).await;
         body.ok_or(SendError::Broken)?.map_err(|error| {
             match error {
                 BodyError::TooLong(_) => counters::count_bad_response("long_body"),
                 BodyError::TooManyPieces(_) => counters::count_bad_response("many_pieces"),
+                BodyError::NoMemory => counters::count_bad_response("no_memory"),
                 BodyError::Broken(_) => {}
             }
             SendError::Broken
@@ -171,6 +173,7 @@
         parts,
         body,
         deadline: request.deadline,
+        budget: state.body_budget.clone(),
         _connection: connection,
         _load: load,
     })
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -9,6 +9,7 @@
 use crate::store_outage::StoreOutage;
 use crate::upstreams::UpstreamDirectory;
 use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
+use skylarkshed_http_link::BodyBudget;
 use skylarkshed_peer::{PeerClient, PeerKey};
 use skylarkshed_policy::{
     return_delay, DurationEstimator, LatencyEstimator, PrefillEstimator, RetryBudget, TableServer,
@@ -54,6 +55,8 @@
     pub(crate) rollouts: RolloutManager,
     pub(crate) quarantine: QuarantineManager,
     pub(crate) peers: PeerClient,
+    /// The memory for the bodies of requests and responses.
+    pub(crate) body_budget: BodyBudget,
     pub(crate) connections: AtomicUsize,
     /// How long event streams and application calls last.
     pub(crate) stream_time: DurationEstimator,
@@ -80,6 +83,7 @@
             clock,
             config: ConfigState::new(boot_clock),
             upstreams: UpstreamDirectory::new(clock, boot_clock, &settings.times),
+            body_budget: BodyBudget::new(settings.body_memory),
             connections: AtomicUsize::new(0),
             stream_time: DurationEstimator::new(MIN_STREAM_TIME),
             call_time: DurationEstimator::new(MIN_CALL_TIME),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -55,6 +55,8 @@
     UpstreamsDeferred,
     RetryBudget,
     SlowRequest,
+    /// Other bodies occupy the memory for its body.
+    NoMemory,
     /// Its prompt has a part that ends engines.
     PromptBlocked,
 }
@@ -70,6 +72,7 @@
             NotRunReason::UpstreamsDeferred => "upstreams_deferred",
             NotRunReason::RetryBudget => "retry_budget",
             NotRunReason::SlowRequest => "slow_request",
+            NotRunReason::NoMemory => "no_memory",
             NotRunReason::PromptBlocked => "prompt_blocked",
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -53,6 +53,8 @@
     pub times: GatewayTimes,
     /// The maximum number of file descriptors that the process may use.
     pub descriptors: usize,
+    /// The memory that bodies of requests and responses may occupy together, in bytes.
+    pub body_memory: usize,
     /// The VM's capacity to relay, in a unit that all VMs share.
     pub relay_capacity: u64,
     /// The rate at which the VM may send whole tables to others, in bytes per
--- a/crates/http-link/src/body.rs
+++ b/crates/http-link/src/body.rs
@@ -1,5 +1,6 @@
 //! Reads whole bodies within limits.
 
+use crate::body_budget::{BodyBudget, BodyReservation};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -56,6 +57,9 @@
     /// It arrives in too many pieces.
     #[error("the body arrives in too many pieces, {0} until now")]
     TooManyPieces(usize),
+    /// Other bodies occupy the memory that it needs.
+    #[error("other bodies occupy the memory for the body")]
+    NoMemory,
     /// The connection failed, or the body is malformed.
     #[error("the connection failed within the body: {0}")]
     Broken(Box<dyn StdError + Send + Sync>),
@@ -84,6 +88,55 @@
 /// # });
 /// ```
 pub async fn read_body<B>(body: B, limits: BodyLimits) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
+{
+    read_reserved(body, limits, BodyReservation::new(None)).await
+}
+
+/// Reads a body as [`read_body`] does, within what a budget has left for it. The body
+/// occupies its part of the budget until the returned bytes are dropped.
+///
+/// # Errors
+///
+/// Fails as [`read_body`] does, or with [`BodyError::NoMemory`].
+///
+/// # Examples
+///
+/// ```
+/// use bytes::Bytes;
+/// use http_body_util::Full;
+/// use skylarkshed_http_link::{read_body_within, BodyBudget, BodyError, BodyLimits};
+///
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let budget = BodyBudget::new(64 * 1_024);
+/// let limits = BodyLimits::response(1 << 20);
+/// let body = || Full::new(Bytes::from(vec![0; 60_000]));
+/// let first = read_body_within(body(), limits, &budget).await.unwrap();
+/// let error = read_body_within(body(), limits, &budget).await.unwrap_err();
+/// assert!(matches!(error, BodyError::NoMemory));
+/// drop(first);
+/// assert!(read_body_within(body(), limits, &budget).await.is_ok());
+/// # });
+/// ```
+pub async fn read_body_within<B>(
+    body: B,
+    limits: BodyLimits,
+    budget: &BodyBudget,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn StdError + Send + Sync>>,
+{
+    read_reserved(body, limits, BodyReservation::new(Some(budget))).await
+}
+
+async fn read_reserved<B>(
+    body: B,
+    limits: BodyLimits,
+    mut reservation: BodyReservation<'_>,
+) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn StdError + Send + Sync>>,
@@ -107,7 +160,10 @@
         if !limits.allows(pieces, buffer.len()) {
             return Err(BodyError::TooManyPieces(pieces));
         }
+        if !reservation.extend_to(buffer.len() + piece.len()) {
+            return Err(BodyError::NoMemory);
+        }
         buffer.extend_from_slice(&piece);
     }
-    Ok(buffer.freeze())
+    Ok(reservation.attach_to(buffer.freeze()))
 }
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -6,12 +6,14 @@
 //! work. Dropping it closes the connection. [`read_body`] reads a whole body within limits.
 
 mod body;
+mod body_budget;
 mod connection;
 mod head_limit;
 mod headers;
 mod options;
 
-pub use body::{read_body, BodyError, BodyLimits};
+pub use body::{read_body, read_body_within, BodyError, BodyLimits};
+pub use body_budget::BodyBudget;
 pub use connection::{BufferedRequest, ConnectionError, HttpConnection};
 pub use headers::strip_connection_headers;
 pub use options::set_options;
--- a/crates/node/src/caller_api/request.rs
+++ b/crates/node/src/caller_api/request.rs
@@ -44,9 +44,7 @@
         Ok(Err(BodyError::TooLong(_) | BodyError::TooManyPieces(_))) => {
             return Err(Refusal::not_run(unsent, RefusalReason::BodyTooLong))
         }
-        Ok(Err(BodyError::Broken(_))) => {
-            return Err(Refusal::not_run(unsent, RefusalReason::BadRequest))
-        }
+        Ok(Err(_)) => return Err(Refusal::not_run(unsent, RefusalReason::BadRequest)),
         Err(_) => return Err(Refusal::not_run(unsent, RefusalReason::BodyTooSlow)),
     };
     let permit = match shared.admission.acquire(&customer).await {
--- a/crates/stand-ins/src/routing/config.rs
+++ b/crates/stand-ins/src/routing/config.rs
@@ -155,6 +155,7 @@
 control = "{control}"
 [limits]
 file_descriptors = 4100
+memory_mb = 88
 [bounds]
 grace_s = {grace_s}
 revoke_ms = {revoke_ms}
--- a/tests/testsuite/tests/gateway/endless_responses.rs
+++ b/tests/testsuite/tests/gateway/endless_responses.rs
@@ -22,6 +22,9 @@
 const CONCURRENT: usize = 8;
 /// As many as the users had callers when a VM ran out of memory.
 const MANY: usize = 24;
+const CROWD: usize = 80;
+/// The memory in the VM's settings.
+const MEMORY_KIB: u64 = 88_000;
 /// The bodies that are buffered may have 1 MiB each, and their connections some buffers.
 const MAX_GROWTH_KIB: u64 = MANY as u64 * 1_100;
 
@@ -307,3 +310,29 @@
     let growth = harness.peak_memory_kib() - before;
     assert!(growth < MAX_GROWTH_KIB, "{growth} KiB");
 }
+
+/// Guards against bodies that are within their limits, but fill the memory together.
+#[tokio::test]
+async fn bodies_of_many_calls_share_a_part_of_the_memory() {
+    let harness = HarnessBuilder::default().start().await;
+    for application in &harness.applications {
+        let endless = ScriptedResponse::Endless(EndlessResponse::Chunks);
+        application.set_default_response(endless);
+    }
+    serve_streams(&harness);
+    let before = harness.peak_memory_kib();
+    let (call, other) = (("POST", "/book/7"), ("POST", "/write/7"));
+    let responses = send_concurrently::<CROWD>(&harness, call, other, CALL_BOUND).await;
+    for response in responses {
+        assert_eq!(response.status, 502);
+    }
+    let growth = harness.peak_memory_kib() - before;
+    assert!(growth < MEMORY_KIB / 2, "{growth} KiB");
+    // Large bodies are served again afterwards.
+    let long_body = ScriptedResponse::LongBody { bytes: 1_000_000 };
+    for application in &harness.applications {
+        application.set_default_response(long_body.clone());
+    }
+    let response = harness.send_request("POST", "/book/7", "x").await;
+    assert_eq!((response.status, response.body.len()), (200, 1_000_000));
+}
