Answer the requests that outlast the grace of a leaving process

What callers saw: a request that a process had begun to accept before a planned stop and that had no response when the grace ended was cut without an answer; one whose body arrived late in the grace was passed on to an upstream and then cut, a booking among them.

Cause: the time left was looked at once, before the body was read.

Change: it is looked at again when the body is complete. Requests without a response shortly before the exit get 504 (ending), or 503 as not run while their body is incomplete.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -7,8 +7,10 @@
 use crate::exchange::CallerRequest;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RequestHead, WireProtocol};
-use crate::refusal::{refuse, reject, BadRequestReason, NotRunReason, ProblemReason};
-use crate::run::KILL_MARGIN;
+use crate::refusal::{
+    fail, refuse, reject, BadRequestReason, FailureReason, NotRunReason, ProblemReason,
+};
+use crate::run::{FINAL_RESPONSE_TIME, KILL_MARGIN};
 use crate::stream::serve_stream;
 use crate::unanswered_request::UnansweredRequest;
 use bytes::Bytes;
@@ -28,8 +30,6 @@
 /// checks; a caller that retries soon reaches another VM. Also used for a request
 /// whose body did not arrive in time.
 const RETRY_AFTER_LEAVING: ClockTime = ClockTime::from_millis(20);
-/// The time in which a draining process sends its last responses.
-const FINAL_RESPONSE_TIME: ClockTime = ClockTime::from_millis(100);
 /// The load balancer skips a VM without access to the store after two checks. If no
 /// VM has access, [`outage_delay`] is used.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
@@ -70,7 +70,7 @@
     let unsent = UnsentCall::for_new_request();
     let mut unanswered = UnansweredRequest::new(state.clock, received);
     let mut response = match admit::<P>(&state, request, &mut unanswered).await {
-        Ok(request) => serve::<P>(&state, request).await,
+        Ok(request) => serve_until_ending::<P>(&state, request).await,
         Err((id, refusal)) => {
             log::info!(
                 request = id.as_deref().unwrap_or(""),
@@ -91,6 +91,33 @@
     Ok(response)
 }
 
+/// Serves a request, or fails it if its response has not begun when the process ends: a
+/// connection that is cut tells its caller less.
+async fn serve_until_ending<P: WireProtocol>(
+    state: &Arc<GatewayState>,
+    request: CallerRequest,
+) -> CallerResponse {
+    let (id, deadline) = (request.head.request.clone(), request.deadline);
+    let kind = request.route.kind.label();
+    tokio::select! {
+        biased;
+        response = serve::<P>(state, request) => response,
+        () = state.wait_for_ending() => {
+            let reason = FailureReason::Ending;
+            log::info!(
+                request = id.as_str(),
+                kind,
+                outcome = "failed",
+                reason = reason.label(),
+                ms = deadline.elapsed().as_millis();
+                "request ended"
+            );
+            counters::count_request(kind, "failed", deadline.elapsed());
+            fail(reason)
+        }
+    }
+}
+
 async fn serve<P: WireProtocol>(
     state: &Arc<GatewayState>,
     request: CallerRequest,
@@ -153,22 +180,14 @@
         ))
     })?;
     let (route, customer) = authorize(state, &table, &head, &parts).map_err(refuse_with)?;
-    if !can_finish_before_shutdown(state, route.kind) {
-        let refusal = RequestRefusal::NotRun(NotRunReason::Leaving, RETRY_AFTER_LEAVING);
-        return Err(refuse_with(refusal));
-    }
     let deadline = RequestDeadline::new(state.clock, unanswered.received, &route, head.time_left);
-    let deadline = match state.leaving_for() {
-        // A stream that has begun gets no other answer, so it may go on until the exit.
-        Some(leaving_for) if !matches!(route.kind, RequestKind::EventStream { .. }) => {
-            deadline.limit_to(time_until_exit(state, leaving_for))
-        }
-        _ => deadline,
-    };
+    let deadline = limit_to_grace(state, route.kind, deadline).map_err(refuse_with)?;
     let limit = table.limits().max_body_bytes;
     let body = read_request_body(state, body, limit, &deadline)
         .await
         .map_err(refuse_with)?;
+    // The process may have begun to leave while the body arrived.
+    let deadline = limit_to_grace(state, route.kind, deadline).map_err(refuse_with)?;
     let hash = hash_rank(&head.request);
     let service = choose_service(&route.targets, hash).cloned();
     let service = service.ok_or_else(|| {
@@ -227,16 +246,33 @@
     }
 }
 
-/// Reports whether a request can finish before a draining process is killed.
-fn can_finish_before_shutdown(state: &GatewayState, kind: RequestKind) -> bool {
+/// Returns the deadline of a request that a process accepts, which is not later than its
+/// exit; refuses the request if the process leaves and the request needs longer.
+fn limit_to_grace(
+    state: &GatewayState,
+    kind: RequestKind,
+    deadline: RequestDeadline,
+) -> Result<RequestDeadline, RequestRefusal> {
     let Some(leaving_for) = state.leaving_for() else {
-        return true;
+        return Ok(deadline);
     };
-    let needed = match kind {
-        RequestKind::EventStream { .. } => state.stream_time.upper_bound(),
-        RequestKind::Idempotent | RequestKind::NonIdempotent => state.call_time.upper_bound(),
+    let left = time_until_exit(state, leaving_for);
+    let is_stream = matches!(kind, RequestKind::EventStream { .. });
+    let needed = match is_stream {
+        true => state.stream_time.upper_bound(),
+        false => state.call_time.upper_bound(),
     };
-    needed <= time_until_exit(state, leaving_for)
+    if needed > left {
+        return Err(RequestRefusal::NotRun(
+            NotRunReason::Leaving,
+            RETRY_AFTER_LEAVING,
+        ));
+    }
+    // A stream that has begun gets no other answer, so it may go on until the exit.
+    Ok(match is_stream {
+        true => deadline,
+        false => deadline.limit_to(left),
+    })
 }
 
 /// Returns the time in which a draining process can still send a response.
@@ -252,7 +288,16 @@
     deadline: &RequestDeadline,
 ) -> Result<Bytes, RequestRefusal> {
     let reading = read_body_within(body, BodyLimits::request(limit), &state.body_budget);
-    match deadline.run_within(ClockTime::NEVER, reading).await {
+    let read = tokio::select! {
+        read = deadline.run_within(ClockTime::NEVER, reading) => read,
+        () = state.wait_for_ending() => {
+            return Err(RequestRefusal::NotRun(
+                NotRunReason::Leaving,
+                RETRY_AFTER_LEAVING,
+            ));
+        }
+    };
+    match read {
         Some(Ok(body)) => Ok(body),
         Some(Err(BodyError::TooLong(_) | BodyError::TooManyPieces(_))) => {
             Err(RequestRefusal::Bad(BadRequestReason::BodyTooLong))
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -66,6 +66,8 @@
     services: Mutex<HashMap<ServiceName, Arc<ServiceTraffic>>>,
     /// When draining began, in milliseconds on `clock`; 0 before that.
     leaving_ms: AtomicU64,
+    /// Whether the process is about to end.
+    is_ending: watch::Sender<bool>,
 }
 
 impl GatewayState {
@@ -90,6 +92,7 @@
             has_tables: watch::channel(false).0,
             services: Mutex::default(),
             leaving_ms: AtomicU64::new(0),
+            is_ending: watch::channel(false).0,
             settings,
         }
     }
@@ -164,6 +167,18 @@
         self.leaving_ms.store(now, Ordering::Relaxed);
     }
 
+    /// Records that only the time for the last responses is left.
+    pub(crate) fn start_ending(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Waits until only the time for the last responses is left.
+    pub(crate) async fn wait_for_ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender lives as long as this state.
+        let _ = is_ending.wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Returns how long the process has been draining, or none if it isn't.
     pub(crate) fn leaving_for(&self) -> Option<ClockTime> {
         let since = self.leaving_ms.load(Ordering::Relaxed);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -122,6 +122,8 @@
     UpstreamBroke,
     BadResponse,
     Timeout,
+    /// The process ends.
+    Ending,
     /// Its prompt has a part that ends engines.
     PromptBlocked,
 }
@@ -132,13 +134,14 @@
             FailureReason::UpstreamBroke => "upstream_broke",
             FailureReason::BadResponse => "bad_answer",
             FailureReason::Timeout => "timeout",
+            FailureReason::Ending => "ending",
             FailureReason::PromptBlocked => "prompt_blocked",
         }
     }
 
     const fn status(self) -> StatusCode {
         match self {
-            FailureReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            FailureReason::Timeout | FailureReason::Ending => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,6 +25,8 @@
 const IDLE_CLOSE_DELAY: ClockTime = ClockTime::from_millis(2_200);
 /// How long before the kill the process exits by itself.
 pub(crate) const KILL_MARGIN: ClockTime = ClockTime::from_millis(350);
+/// The time in which a draining process sends its last responses.
+pub(crate) const FINAL_RESPONSE_TIME: ClockTime = ClockTime::from_millis(100);
 const CHECK_INTERVAL: ClockTime = ClockTime::from_millis(50);
 /// The time in which the listener is closed even if the grace time is over, as it is
 /// after the process was suspended: twice the delay of the close.
@@ -122,6 +124,7 @@
     tokio::spawn(reload_on_signal(hang_up, state.clone(), reload));
     wait_for_signal(terminate).await;
     state.start_leaving();
+    tokio::spawn(end_requests(state.clone()));
     tokio::join!(drain(&state, &close, callers), withdraw(&state, &store));
     Ok(())
 }
@@ -145,6 +148,14 @@
     settings
 }
 
+/// Lets the requests that have no response yet be answered before the process ends.
+async fn end_requests(state: Arc<GatewayState>) {
+    let grace = state.settings.times.grace;
+    let wait = grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME);
+    tokio::time::sleep(wait.to_duration()).await;
+    state.start_ending();
+}
+
 async fn withdraw<S: RoutingStore>(state: &GatewayState, store: &S) {
     if let Err(error) = store.withdraw(&state.settings.name).await {
         log::info!(reason = error.label(); "can't remove this VM's entry: {error}");
--- a/tests/testsuite/tests/gateway/leaving.rs
+++ b/tests/testsuite/tests/gateway/leaving.rs
@@ -154,3 +154,86 @@
     let ended = tokio::time::timeout(CLOSE_TIME, harness.process.wait()).await;
     assert!(ended.unwrap().unwrap().success());
 }
+
+const GRACE_S: u64 = 4;
+const LONG_TIME: Duration = Duration::from_secs(10);
+/// A process ends within this time after the signal.
+const END_TIME: Duration = Duration::from_secs(GRACE_S);
+
+/// Starts a harness whose routes allow requests to last longer than the grace.
+async fn start_with_long_timeouts(response: ScriptedResponse) -> GatewayHarness {
+    let harness = HarnessBuilder::default().grace_s(GRACE_S).start().await;
+    let mut config = harness.next_config();
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = serde_json::json!(20_000);
+    }
+    harness.put_config(&config);
+    let version = config["version"].as_u64().unwrap();
+    harness.wait_for_config_version(version).await;
+    for upstream in harness.applications.iter().chain(&harness.engines) {
+        upstream.set_default_response(response.clone());
+    }
+    harness
+}
+
+/// Guards against requests that were accepted before the signal and are cut without an
+/// answer when the grace ends.
+#[rstest]
+#[case::booking("POST", "/book/7")]
+#[case::lookup("GET", "/find/7")]
+#[case::stream("POST", "/write/7")]
+#[tokio::test]
+async fn request_that_outlasts_the_grace_gets_an_answer(#[case] method: &str, #[case] path: &str) {
+    let slow = ScriptedResponse::Status {
+        status: 200,
+        delay: LONG_TIME,
+    };
+    let harness = start_with_long_timeouts(slow).await;
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request(method, path, DEPOT_KEY, "x");
+    client.send(request.as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    harness.signal(Signal::SIGTERM);
+    let response = tokio::time::timeout(END_TIME, client.read_response()).await;
+    let response = response.expect("the process ends in its grace");
+    let response = response.expect("a request that was read gets an answer");
+    assert_eq!(response.status, 504);
+}
+
+/// Guards against a request whose body arrives late in the grace: it would be passed on and
+/// cut.
+#[tokio::test]
+async fn request_whose_body_ends_late_in_the_grace_is_not_run() {
+    let slow = ScriptedResponse::Status {
+        status: 200,
+        delay: Duration::from_secs(1),
+    };
+    let harness = start_with_long_timeouts(slow).await;
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "body");
+    let (first, last) = request.split_at(request.len() - 1);
+    client.send(first.as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    harness.signal(Signal::SIGTERM);
+    tokio::time::sleep(Duration::from_millis(2_900)).await;
+    client.send(last.as_bytes()).await;
+    let response = client.read_response().await;
+    let response = response.expect("a request that was read gets an answer");
+    assert_eq!(response.status, 503);
+    assert!(response.body.contains("not_run"));
+    assert_eq!(harness.application_request_count(), 0);
+}
+
+/// A request whose body never ends is told that it has not run.
+#[tokio::test]
+async fn request_without_a_whole_body_is_refused_when_the_grace_ends() {
+    let harness = start_with_long_timeouts(ScriptedResponse::success()).await;
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "body");
+    client.send(&request.as_bytes()[..request.len() - 1]).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    harness.signal(Signal::SIGTERM);
+    let response = tokio::time::timeout(END_TIME, client.read_response()).await;
+    let response = response.expect("the process ends in its grace");
+    assert_eq!(response.map(|response| response.status), Some(503));
+}
