Test responses that break off in their head or are reset without a length

A report of other operators: a replica stopped in the middle of its answer's head, and callers got a 200 with an empty or short body, framed as whole.

--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -2,11 +2,14 @@
 
 use super::event_stream::{reset, send_events, send_unframed, wait_unless_closed};
 use super::received_request::ReceivedRequest;
-use super::scripted_response::{ScriptedResponse, StreamEnd, StreamScript};
+use super::scripted_response::{ResponsePart, ScriptedResponse, StreamEnd, StreamScript};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// The time between the last bytes of a response and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// Sends the scripted response; fails if the client closed the connection first.
 pub(super) async fn send_response(
     stream: &mut TcpStream,
@@ -53,6 +56,9 @@
             stream.write_all(text.as_bytes()).await?;
             return stream.shutdown().await;
         }
+        ScriptedResponse::Part { last, is_reset } => {
+            return send_part(stream, &signed, *last, *is_reset).await
+        }
         ScriptedResponse::StalledBody { status } => {
             let text = format!("HTTP/1.1 {status} Status\r\n{signed}Content-Length: 9\r\n\r\nhalf");
             stream.write_all(text.as_bytes()).await?;
@@ -81,3 +87,30 @@
     };
     stream.write_all(text.as_bytes()).await
 }
+
+/// Sends a response up to a part, and ends the connection.
+async fn send_part(
+    stream: &mut TcpStream,
+    signed: &str,
+    last: ResponsePart,
+    is_reset: bool,
+) -> std::io::Result<()> {
+    let first_header = signed.split_inclusive("\r\n").next().unwrap_or_default();
+    let status_line = "HTTP/1.1 200 OK\r\n";
+    let text = match last {
+        ResponsePart::HalfStatusLine => "HTTP/1.1 20".to_owned(),
+        ResponsePart::StatusLine => status_line.to_owned(),
+        ResponsePart::FirstHeader => format!("{status_line}{first_header}"),
+        ResponsePart::HalfLastHeader => format!("{status_line}{signed}Content-Len"),
+        ResponsePart::Headers => format!("{status_line}{signed}Content-Length: 6\r\n"),
+        ResponsePart::Head => format!("{status_line}{signed}Content-Length: 6\r\n\r\n"),
+        ResponsePart::UnframedBody => format!("{status_line}{signed}\r\nanswer"),
+    };
+    stream.write_all(text.as_bytes()).await?;
+    if !is_reset {
+        return stream.shutdown().await;
+    }
+    // The client reads the part before the reset.
+    tokio::time::sleep(RESET_DELAY).await;
+    reset(stream)
+}
--- a/crates/stand-ins/src/routing/mod.rs
+++ b/crates/stand-ins/src/routing/mod.rs
@@ -22,7 +22,7 @@
 pub use crash_fault::{CrashFault, DOWNTIME};
 pub use endless_response::EndlessResponse;
 pub use received_request::ReceivedRequest;
-pub use scripted_response::{ScriptedResponse, StreamEnd, StreamScript, UnframedEnd};
+pub use scripted_response::{ResponsePart, ScriptedResponse, StreamEnd, StreamScript, UnframedEnd};
 pub use store::{FakeStore, StoreCopy, StoreMode};
 pub use upstream::FakeUpstream;
 pub use version_fault::{FaultEffect, VersionFault};
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -42,6 +42,25 @@
     Reset,
 }
 
+/// The last part of a response that is sent before its connection ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ResponsePart {
+    /// A part of the status line.
+    HalfStatusLine,
+    /// The status line.
+    StatusLine,
+    /// The first header.
+    FirstHeader,
+    /// A part of the last header.
+    HalfLastHeader,
+    /// All headers, without the empty line that ends the head.
+    Headers,
+    /// The whole head; the body has a length.
+    Head,
+    /// The body, which has no length.
+    UnframedBody,
+}
+
 /// A scripted stream of server-sent events.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamScript {
@@ -98,6 +117,13 @@
     Reset,
     /// Closes the connection in the middle of the response body.
     Truncated,
+    /// Ends the connection after a part of the response.
+    Part {
+        /// The last part that is sent.
+        last: ResponsePart,
+        /// Whether the connection is reset, not closed.
+        is_reset: bool,
+    },
     /// Responds with this status, and stops in the middle of the body with the connection
     /// open.
     StalledBody {
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod lost_store;
 mod odd_entries;
 mod open_files;
+mod partial_responses;
 mod peers;
 mod responses;
 mod retries;
