Quarantine calls that end applications

Cause: the quarantine knows parts of prompts only. The calls that end servers are the same call again, under other identifiers; each was sent to the next application.

Change: CallGuard puts a call into the quarantine by its customer, method, target and body. Two ends block it at all VMs; any response shows that it is sound.

The tests of crashing_parts pass.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use crate::call_attempt::{
     run_attempt, to_caller_response, AttemptOutcome, EndedAttempt, OpenAttempt,
 };
+use crate::call_guard::CallGuard;
 use crate::caller_response::CallerResponse;
 use crate::counters;
 use crate::exchange::CallerRequest;
@@ -40,6 +41,7 @@
     state: &'a GatewayState,
     traffic: Arc<ServiceTraffic>,
     request: &'a CallerRequest,
+    guard: CallGuard,
     run_tracker: RunTracker,
     tried: Vec<UpstreamName>,
     /// How many upstreams may have received the call, without `current`.
@@ -61,7 +63,7 @@
 
 /// Forwards a call and returns the response for its caller.
 pub(crate) async fn serve_call<P: WireProtocol>(
-    state: &GatewayState,
+    state: &Arc<GatewayState>,
     request: &CallerRequest,
 ) -> CallerResponse {
     let traffic = state.traffic(&request.service);
@@ -70,6 +72,7 @@
         state,
         traffic,
         request,
+        guard: CallGuard::new(state.clone(), request),
         run_tracker: RunTracker::default(),
         tried: Vec::new(),
         sends: 0,
@@ -84,7 +87,11 @@
     let mut open = FuturesUnordered::new();
     loop {
         attempts.update_version_filter();
-        let upstream = attempts.next_upstream();
+        let blocked_for = attempts.guard.blocked_for();
+        if let Some(retry_after) = blocked_for.filter(|_| open.is_empty()) {
+            return attempts.finish_blocked(retry_after);
+        }
+        let upstream = attempts.next_upstream().filter(|_| blocked_for.is_none());
         match upstream.filter(|upstream| attempts.is_worth_attempt(upstream)) {
             Some(upstream) => {
                 let (attempt, probe) = attempts.start(upstream);
@@ -253,6 +260,7 @@
         }
         match outcome {
             AttemptOutcome::Response(parts, body) => {
+                self.guard.record_response();
                 let time = self.state.clock.now().since(attempt.started);
                 if parts.status.is_success() && is_current {
                     attempt.upstream.mark_healthy();
@@ -261,10 +269,14 @@
                 return NextStep::Respond(to_caller_response(parts, body));
             }
             AttemptOutcome::UpstreamError(parts, body) => {
+                self.guard.record_response();
                 self.run_tracker.mark_may_have_run();
                 self.fallback = Some(to_caller_response(parts, body));
             }
             AttemptOutcome::Failed(reason) => {
+                if reason == FailureReason::UpstreamBroke {
+                    self.guard.examine_loss(attempt.upstream.clone());
+                }
                 self.run_tracker.mark_may_have_run();
                 self.fallback = Some(fail(reason));
             }
@@ -324,6 +336,17 @@
         }
     }
 
+    /// Ends a call that must not be sent, because upstreams have ended under its like.
+    fn finish_blocked(&mut self, retry_after: ClockTime) -> CallerResponse {
+        match self.run_tracker.proof() {
+            Some(proof) => refuse(proof, NotRunReason::PromptBlocked, retry_after),
+            None => self
+                .fallback
+                .take()
+                .unwrap_or_else(|| fail(FailureReason::PromptBlocked)),
+        }
+    }
+
     fn retry_after(&self, reason: NotRunReason) -> ClockTime {
         let request = self.request;
         match reason {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod call;
 mod call_attempt;
+mod call_guard;
 mod caller;
 mod caller_response;
 mod config_state;
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -185,7 +185,7 @@
 /// Reports whether an upstream's process has ended: its host refuses connections. A process
 /// that ends may still accept one, which is then closed at once, and an answer may be lost
 /// on the way; both are tried again.
-pub(super) async fn has_ended(address: SocketAddr) -> bool {
+pub(crate) async fn has_ended(address: SocketAddr) -> bool {
     let limit = LIVENESS_CHECK_TIMEOUT.to_duration();
     for _ in 0..END_CHECKS {
         let connecting = TcpStream::connect(address);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -9,6 +9,8 @@
 mod quarantine_check;
 mod replacement;
 
+pub(crate) use attempt::has_ended;
+
 use crate::caller_response::{BodyPart, CallerResponse, ResponseBody};
 use crate::counters;
 use crate::exchange::CallerRequest;
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -13,7 +13,7 @@
 /// The number of ends and of reports on one of them that are kept. Parts are chosen by
 /// callers, so the memory is bounded.
 const MAX_ENDS: usize = 64;
-const MAX_WITNESSES: usize = 16;
+const MAX_WITNESSES: usize = 32;
 /// The number of parts of a report that are kept, the first ones.
 pub(crate) const MAX_REPORT_PARTS: usize = 64;
 /// The weight of an end under a response that had begun, and of one under a request that
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod caller_connections;
 mod caller_disconnects;
 mod configuration;
+mod crashing_calls;
 mod crashing_parts;
 mod endless_responses;
 mod explain_command;
