Let VMs take turns to probe a blocked prompt part

Cause: one VM of the fleet may probe a block. It stood in an availability zone without callers of that route, so no probe was made; a VM that is gone would have the same effect.

Change: the others follow in the order of their ranks, 3 s apart.

--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -13,7 +13,7 @@
 use faststr::FastStr;
 use skylarkshed_core::{ClockTime, MonotonicClock, ServiceName, VmName};
 use skylarkshed_policy::{
-    is_top_ranked, CrashReport, PartBlock, PartQuarantine, PartVerdict, VmEntry,
+    index_in_ranking, CrashReport, PartBlock, PartQuarantine, PartVerdict, VmEntry,
 };
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -94,9 +94,9 @@
     ) -> Admission {
         let now = self.clock.now();
         let vms = state.roster.vms();
-        let is_prober = |block: &PartBlock| is_prober(&state.settings.name, &vms, block);
+        let turn = |block: &PartBlock| Some(probe_turn(&state.settings.name, &vms, block));
         let mut quarantine = self.lock();
-        match quarantine.check(service, parts, now, is_prober) {
+        match quarantine.check(service, parts, now, turn) {
             PartVerdict::Allowed => Admission::Allowed,
             PartVerdict::Blocked { retry_after } => Admission::Blocked { retry_after },
             PartVerdict::Probe(block) => {
@@ -117,7 +117,7 @@
         let mut changed = self.changed.subscribe();
         loop {
             let now = self.clock.now();
-            let verdict = self.lock().check(service, parts, now, |_| false);
+            let verdict = self.lock().check(service, parts, now, |_| None);
             if verdict != PartVerdict::Allowed {
                 return;
             }
@@ -212,8 +212,8 @@
     }
 }
 
-/// Reports whether this VM is the one that probes a block and stores it first.
-fn is_prober(own: &VmName, vms: &[VmEntry], block: &PartBlock) -> bool {
+/// Returns how many VMs probe a block before this one, and store it first.
+fn probe_turn(own: &VmName, vms: &[VmEntry], block: &PartBlock) -> usize {
     let others = vms.iter().map(|vm| &vm.name).filter(|name| *name != own);
-    is_top_ranked(own, others, &(&block.service, &block.parts), 1)
+    index_in_ranking(own, others, &(&block.service, &block.parts))
 }
--- a/crates/gateway/src/quarantine/storage.rs
+++ b/crates/gateway/src/quarantine/storage.rs
@@ -1,6 +1,6 @@
 //! Keeps the blocks in the store, for the case that all VMs are restarted.
 
-use super::is_prober;
+use super::probe_turn;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RoutingStore, StoreError};
 use skylarkshed_core::ClockTime;
@@ -72,7 +72,7 @@
 
 /// Stores a block, unless another VM has done so after a while.
 async fn store_block<S: RoutingStore>(state: &Arc<GatewayState>, store: &S, block: PartBlock) {
-    if !is_prober(&state.settings.name, &state.roster.vms(), &block) {
+    if probe_turn(&state.settings.name, &state.roster.vms(), &block) > 0 {
         let delay_ms = rand::random_range(TAKEOVER_DELAY_MS);
         tokio::time::sleep(ClockTime::from_millis(delay_ms).to_duration()).await;
         if !unstored_blocks(state).contains(&block) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -119,7 +119,7 @@
 pub use rate_limiter::RateLimiter;
 pub use refusal_rate::RefusalRate;
 pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
-pub use rendezvous::{hash_rank, is_top_ranked, weighted_rank};
+pub use rendezvous::{hash_rank, index_in_ranking, is_top_ranked, weighted_rank};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
 pub use rollout_bake::{
--- a/crates/policy/src/part_quarantine.rs
+++ b/crates/policy/src/part_quarantine.rs
@@ -20,6 +20,14 @@
 const PROBE_DELAY_FACTOR: u64 = 8;
 const MAX_PROBE_DELAY: ClockTime = ClockTime::from_millis(6 * 3_600_000);
 
+/// The time after which the next VM probes, because the one before got no request or is
+/// gone. The end of an engine under a probe is known to all VMs by then.
+const PROBE_TURN_TIME: ClockTime = ClockTime::from_millis(3_000);
+
+fn delay_of_turn(turn: usize) -> ClockTime {
+    ClockTime::from_millis(PROBE_TURN_TIME.as_millis() * turn as u64)
+}
+
 /// Parts of prompts that end engines, as VMs tell each other and the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PartBlock {
@@ -107,7 +115,7 @@
 /// }
 /// let check = |parts: &[&'static str]| {
 ///     let parts: Vec<_> = parts.iter().map(|part| (*part).into()).collect();
-///     quarantine.check(&"scribe".into(), &parts, now, |_| true)
+///     quarantine.check(&"scribe".into(), &parts, now, |_| Some(0))
 /// };
 /// assert!(matches!(check(&["0a", "5c1e"]), PartVerdict::Blocked { .. }));
 /// assert_eq!(check(&["0a"]), PartVerdict::Allowed);
@@ -273,14 +281,14 @@
         self.insert(block, last_end_at, is_stored)
     }
 
-    /// Returns whether a request may be sent. `is_prober` tells whether this VM probes a
-    /// block, which only one of the fleet does.
+    /// Returns whether a request may be sent. `probe_turn` tells when it is this VM's turn to
+    /// probe a block, counted from 0; one VM of the fleet has each turn.
     pub fn check(
         &self,
         service: &ServiceName,
         parts: &[FastStr],
         now: ClockTime,
-        is_prober: impl Fn(&PartBlock) -> bool,
+        probe_turn: impl Fn(&PartBlock) -> Option<usize>,
     ) -> PartVerdict {
         let mut verdict = PartVerdict::Allowed;
         for known in self.blocks.iter().filter(|known| !known.block.is_lifted) {
@@ -288,7 +296,9 @@
                 continue;
             }
             let probe_at = known.probe_at();
-            if now < probe_at || known.is_probed || !is_prober(&known.block) {
+            let turn = probe_turn(&known.block);
+            let is_due = turn.is_some_and(|turn| now >= probe_at + delay_of_turn(turn));
+            if !is_due || known.is_probed {
                 let retry_after = probe_at.since(now).max(FIRST_PROBE_DELAY);
                 return PartVerdict::Blocked { retry_after };
             }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -63,9 +63,32 @@
     subject: &S,
     count: usize,
 ) -> bool {
+    index_in_ranking(own, others, subject) < count
+}
+
+/// Returns how many of the other candidates are ranked above this one for a subject.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::index_in_ranking;
+///
+/// let candidates = ["vm-1", "vm-2", "vm-3"];
+/// let index = |own: &&str| {
+///     let others = candidates.iter().filter(|other| *other != own);
+///     index_in_ranking(own, others, &"engine-1")
+/// };
+/// let mut indexes: Vec<usize> = candidates.iter().map(index).collect();
+/// indexes.sort();
+/// assert_eq!(indexes, [0, 1, 2]);
+/// ```
+pub fn index_in_ranking<'a, C: Hash + 'a, S: Hash>(
+    own: &C,
+    others: impl Iterator<Item = &'a C>,
+    subject: &S,
+) -> usize {
     let own_rank = hash_rank((own, subject));
     others
         .filter(|other| hash_rank((*other, subject)) > own_rank)
         .count()
-        < count
 }
--- a/crates/policy/tests/gateway/part_quarantine.rs
+++ b/crates/policy/tests/gateway/part_quarantine.rs
@@ -57,7 +57,7 @@
     fn verdict(&self, ids: &[&'static str], at_ms: u64, is_prober: bool) -> PartVerdict {
         let now = after_ms(at_ms);
         self.quarantine
-            .check(&service(), &parts(ids), now, |_| is_prober)
+            .check(&service(), &parts(ids), now, |_| is_prober.then_some(0))
     }
 
     fn block(&self) -> PartBlock {
@@ -170,7 +170,7 @@
     let other = ServiceName::from("other");
     let verdict = trial
         .quarantine
-        .check(&other, &parts(&["bad"]), START, |_| false);
+        .check(&other, &parts(&["bad"]), START, |_| None);
     assert_eq!(verdict, PartVerdict::Allowed);
 }
 
@@ -230,7 +230,7 @@
     }
     assert!(quarantine.count() <= 256);
     let last = [FastStr::new("999")];
-    let verdict = quarantine.check(&service(), &last, after_ms(1_000), |_| false);
+    let verdict = quarantine.check(&service(), &last, after_ms(1_000), |_| None);
     assert!(matches!(verdict, PartVerdict::Blocked { .. }));
 }
 
@@ -273,3 +273,31 @@
     assert_eq!(blocks.len(), 1);
     assert_eq!(blocks[0].0.parts.len(), 64);
 }
+
+/// Guards against a block that stays because the VM that probes it gets no such request, or
+/// is gone.
+#[test]
+fn another_vm_probes_if_the_first_one_does_not() {
+    let mut trial = PartQuarantine::default();
+    for engine in ["e1", "e2"] {
+        let report = CrashReport {
+            service: service(),
+            engine: engine.into(),
+            parts: parts(&["bad"]),
+            progress: AttemptProgress::Begun,
+        };
+        trial.record_crash(&report, START);
+    }
+    let is_probe = |at_ms: u64, turn: usize| {
+        let verdict = trial.check(&service(), &parts(&["bad"]), after_ms(at_ms), |_| {
+            Some(turn)
+        });
+        matches!(verdict, PartVerdict::Probe(_))
+    };
+    assert!(!is_probe(9_999, 0));
+    assert!(is_probe(10_000, 0));
+    assert!(!is_probe(12_999, 1));
+    assert!(is_probe(13_000, 1));
+    assert!(!is_probe(15_999, 2));
+    assert!(is_probe(16_000, 2));
+}
