Let begun streams go on when the parts of their prompt are blocked

Cause: a block ended responses that had begun.

Change: only requests that wait, and new ones, are refused.

--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -150,7 +150,8 @@
 
 impl<P: WireProtocol> StreamForwarder<P> {
     /// Forwards events until the response is complete, can't be continued or the
-    /// caller disconnects.
+    /// caller disconnects. It goes on if the parts of its prompt are blocked meanwhile: if
+    /// its engine does not end, the block is a mistake.
     async fn run(mut self, first: StreamAttempt, parts: mpsc::Sender<BodyPart>) {
         let mut attempt = first;
         let mut copies = CopyManager::new();
@@ -170,9 +171,6 @@
                     return self.log_end("caller_left");
                 }
                 () = tokio::time::sleep(remaining.to_duration()) => return self.log_end("timeout"),
-                () = self.wait_until_blocked(), if !attempt.is_sound => {
-                    return self.log_end("prompt_blocked");
-                }
             };
             let cause = match step {
                 AttemptStep::Event(event) => match self.forward_event(event, &parts).await {
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod leaving;
 mod lost_store;
+mod mistaken_blocks;
 mod odd_entries;
 mod open_files;
 mod partial_responses;
