Roll back a version if the beginning of its rollout is lost

Cause: samples are in memory only. The new processes judged by what little they saw, and counted it as seen from the beginning on.

The price is that a good version is rolled back, too.

--- a/crates/gateway/src/rollouts/record.rs
+++ b/crates/gateway/src/rollouts/record.rs
@@ -9,7 +9,7 @@
     bake_slice_at, drop_old_bake_slices, select_baking_rule, select_untaken_use,
     select_version_rule, CanaryAllowance, CanarySpread, CanaryUse, FailureKind, RejectedVersions,
     RejectionReason, RolloutSamples, RolloutState, RolloutTimes, VersionFilter, VersionRejection,
-    VersionSamples,
+    VersionSamples, ROLLOUT_SLICES,
 };
 use std::sync::atomic::AtomicBool;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -274,6 +274,23 @@
         self.progress().elapsed(self.clock.now())
     }
 
+    /// Records how long the rollout has run by the knowledge of another. A process that was
+    /// restarted takes its first samples for the rollout's first ones until then.
+    pub(super) fn record_elapsed(&self, elapsed: ClockTime) {
+        let now = self.clock.now();
+        let duration = self.spec.duration;
+        let mut progress = self.progress();
+        let assumed = progress.elapsed(now);
+        progress.record_elapsed(now, elapsed);
+        let actual = progress.elapsed(now);
+        // VMs learn of an order one after another, so small differences are usual.
+        let is_late = actual.since(assumed).as_millis() * ROLLOUT_SLICES >= duration.as_millis();
+        if is_late && progress.state == RolloutState::Running {
+            let slice = RolloutSamples::slice_at(actual, duration);
+            progress.samples.move_to(slice);
+        }
+    }
+
     /// Returns this VM's samples, including the attempts that are open or overdue.
     pub(super) fn snapshot(&self) -> RolloutSamples {
         let now = self.clock.now();
@@ -367,9 +384,9 @@
         if word.is_withdrawn {
             self.record_withdrawal(WithdrawalScope::Fleet);
         }
+        self.record_elapsed(ClockTime::from_millis(word.elapsed_ms));
         let now = self.clock.now();
         let mut progress = self.progress();
-        progress.record_elapsed(now, ClockTime::from_millis(word.elapsed_ms));
         if word.has_quorum {
             progress.lease_until = now + self.times.lease;
         }
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -244,8 +244,7 @@
         }
         Some(current) => {
             let elapsed = snapshot.now.since(current.started_at);
-            let now = record.clock.now();
-            record.progress().record_elapsed(now, elapsed);
+            record.record_elapsed(elapsed);
             current.started_at
         }
         None => snapshot.now.since(record.elapsed()),
--- a/crates/policy/src/rollout_bake.rs
+++ b/crates/policy/src/rollout_bake.rs
@@ -97,6 +97,7 @@
         new_failed: new_sum.failed,
         has_only_failed: false,
         is_untested: false,
+        lacks_beginning: false,
     };
     let reference = Reference::new(&old, &old, samples.before());
     let slices = samples.tested_slices();
--- a/crates/policy/src/rollout_comparison.rs
+++ b/crates/policy/src/rollout_comparison.rs
@@ -28,6 +28,9 @@
 const MIN_OWN_REQUESTS: u64 = 5;
 /// The first slice of the last part of a rollout, in which a version has to be tested.
 const LAST_SLICES: u64 = 5;
+/// The first slice before which samples are missing if all VMs have lost them; a fault may
+/// have shown in a quarter of the rollout.
+const LOST_SLICES: u64 = 2;
 const ALL_ROUTES: &str = "";
 /// A time is slow if it is above this quantile of the old version, times the factor of
 /// a [`SlowLimit`].
@@ -93,6 +96,9 @@
     /// Whether the new version responded to nothing in the whole or the last part of the
     /// rollout, although there were requests.
     pub is_untested: bool,
+    /// Whether nothing is known of a large first part of the rollout: all VMs that saw it
+    /// have ended.
+    pub lacks_beginning: bool,
 }
 
 impl RolloutFindings {
@@ -143,6 +149,9 @@
         new_failed: new_sum.failed,
         has_only_failed: has_only_failed(&all),
         is_untested: is_untested(samples),
+        lacks_beginning: samples
+            .first_slice()
+            .is_some_and(|first| first >= LOST_SLICES),
     };
     let routes = all.new.routes.len() as f64 + 1.0;
     let tests = ROUTE_TESTS * routes * ROLLOUT_SLICES as f64;
--- a/crates/policy/src/rollout_plan.rs
+++ b/crates/policy/src/rollout_plan.rs
@@ -265,7 +265,7 @@
     if elapsed < finish_time(spec.duration) {
         return RolloutDecision::Wait;
     }
-    if findings.is_untested || is_hardly_tested(limits, findings) {
+    if findings.is_untested || has_lost_samples(findings) || is_hardly_tested(limits, findings) {
         return RolloutDecision::RollBack(VersionVerdict::Untested);
     }
     match findings.strength >= END_LIKELIHOOD_RATIO.ln() || findings.has_only_failed {
@@ -274,6 +274,12 @@
     }
 }
 
+/// Reports whether the samples of the beginning are lost: with as many requests since then,
+/// some would have come before.
+fn has_lost_samples(findings: &RolloutFindings) -> bool {
+    findings.lacks_beginning && findings.old_total + findings.new_total >= MIN_REQUESTS
+}
+
 fn is_hardly_tested(limits: ExposureLimits, findings: &RolloutFindings) -> bool {
     let requests = findings.old_total + findings.new_total;
     let usable = limits.usable(requests);
--- a/crates/policy/src/rollout_samples.rs
+++ b/crates/policy/src/rollout_samples.rs
@@ -296,6 +296,17 @@
         self.slices.retain(|slice, _| is_kept(*slice));
     }
 
+    /// Moves all samples to a slice: they were recorded while it was not known for how long
+    /// the rollout had run.
+    pub fn move_to(&mut self, slice: u64) {
+        let all = self.since(0);
+        let is_empty = all.old.routes.is_empty() && all.new.routes.is_empty();
+        self.slices.clear();
+        if !is_empty {
+            self.slices.insert(slice, all);
+        }
+    }
+
     /// Drops the requests that were still open, since the process that sent them has ended.
     pub fn drop_open(&mut self) {
         let pairs = self.slices.values_mut();
@@ -305,6 +316,11 @@
         }
     }
 
+    /// Returns the first slice with samples of any version.
+    pub(crate) fn first_slice(&self) -> Option<u64> {
+        self.slices.keys().next().copied()
+    }
+
     /// Returns the slices with samples of the new version.
     pub(crate) fn tested_slices(&self) -> impl Iterator<Item = u64> + '_ {
         let tested = self.slices.iter();
--- a/crates/policy/tests/gateway/rollout_restarts.rs
+++ b/crates/policy/tests/gateway/rollout_restarts.rs
@@ -1,9 +1,10 @@
 //! What a VM may send to a version under test after its process was restarted.
 
 use rstest::rstest;
-use skylarkshed_core::ClockTime;
+use skylarkshed_core::{ClockTime, RolloutSpec};
 use skylarkshed_policy::{
-    bound_earlier_use, CanaryAllowance, ExposureLimits, RolloutSamples, RoutePriority,
+    bound_earlier_use, compare_rollout, decide_rollout, CanaryAllowance, ExposureLimits,
+    RolloutDecision, RolloutSamples, RoutePriority, VersionVerdict, ROLLOUT_SLICES,
 };
 
 const DURATION: ClockTime = ClockTime::from_millis(15_000);
@@ -51,3 +52,50 @@
     let part = LIMITS.reserve.div_ceil(VMS as u64) + 2 * requests * LIMITS.percent / 100;
     assert!(used <= part, "{used} of {part}");
 }
+
+/// Returns the decision at the end of a rollout without a failure, of which the samples from
+/// this slice on are known.
+fn decide_at_end(first_slice: u64) -> RolloutDecision {
+    let mut samples = RolloutSamples::default();
+    let time = ClockTime::from_millis(30);
+    for slice in first_slice..ROLLOUT_SLICES {
+        let pair = samples.slice(slice);
+        for (version, count) in [(&mut pair.old, 100), (&mut pair.new, 20)] {
+            let route = version.route("ask");
+            route.sent += count;
+            (0..count).for_each(|_| route.record_first(time));
+        }
+    }
+    let spec = RolloutSpec {
+        service: "stores".into(),
+        to: "v2".into(),
+        duration: DURATION,
+        revision: 3,
+    };
+    decide_rollout(&spec, LIMITS, &compare_rollout(&samples), DURATION)
+}
+
+/// Guards against a bad version that is kept because all VMs that saw its failures were
+/// killed.
+#[rstest]
+#[case::all_is_known(0, RolloutDecision::Finish)]
+#[case::little_is_lost(1, RolloutDecision::Finish)]
+#[case::a_quarter_is_lost(2, RolloutDecision::RollBack(VersionVerdict::Untested))]
+#[case::half_is_lost(4, RolloutDecision::RollBack(VersionVerdict::Untested))]
+fn version_is_kept_only_if_most_of_its_rollout_was_seen(
+    #[case] first_slice: u64,
+    #[case] decision: RolloutDecision,
+) {
+    assert_eq!(decide_at_end(first_slice), decision);
+}
+
+#[test]
+fn samples_of_a_restarted_vm_belong_to_the_time_after_its_start() {
+    let mut samples = RolloutSamples::default();
+    samples.slice(0).new.route("ask").sent += 3;
+    samples.slice(1).old.route("ask").sent += 5;
+    samples.move_to(4);
+    assert_eq!(samples.since(4), samples.since(0));
+    assert_eq!(samples.since(4).new.route("ask").sent, 3);
+    assert_eq!(samples.since(4).old.route("ask").sent, 5);
+}
