--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -102,8 +102,8 @@
         Ok(None)
     }
 
-    /// Returns the rest of the body; fails if it exceeds its limits or those of all bodies together, is incomplete
-    /// at the request's deadline, or is that of an error and stops.
+    /// Returns the rest of the body; fails if it exceeds its limits or those of all bodies
+    /// together, is incomplete at the request's deadline, or is that of an error and stops.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
         let limit = match self.parts.status.is_success() {
             true => ClockTime::NEVER,
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -1,4 +1,5 @@
-//! The parts of prompts that end engines, as this VM knows them.
+//! The parts of prompts that end engines, as this VM knows them. A call to an application
+//! counts as a part of its own.
 //!
 //! VMs tell each other of each end of an engine under a response that had just begun, and
 //! of each block that follows. Blocks also go with the reads of the store's tables, so that
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -268,8 +268,10 @@
         self.state.note_table();
     }
 
-    /// Missing entries are dropped in time whether the store answers or not.
-    fn mark_unavailable(&mut self, _reason: &StoreError) {}
+    fn mark_unavailable(&mut self, _reason: &StoreError) {
+        let changes = self.state.upstreams.update(|table, now| table.expire(now));
+        log_changes(&changes);
+    }
 
     fn mark_restored(&mut self) {
         self.state.upstreams.update(|table, now| {
