--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -25,8 +25,7 @@
 /// The step in which this VM's load on an engine counts, in thousandths of its slots.
 /// The engines' own reports tell more.
 const PROMPT_LOAD_STEP: u64 = 250;
-/// The number of starts of upstreams that are remembered after their entries have
-/// vanished; a fleet replaces fewer within an hour.
+/// The number of remembered starts without an entry; a fleet replaces fewer in an hour.
 const MAX_UNLISTED_USAGES: usize = 4_096;
 /// The load of one request, in thousandths of a slot.
 const REQUEST_LOAD: u64 = 1_000;
@@ -45,8 +44,7 @@
     suspect_until_ms: AtomicU64,
     /// Until when it is expected to close new connections.
     closing_until_ms: AtomicU64,
-    /// When the last prompt was sent. With `recent_prompts` it estimates the
-    /// prompts that are missing from the last load report.
+    /// When the last prompt was sent; `recent_prompts` are missing from the load report.
     last_prompt_ms: AtomicU64,
     recent_prompts: AtomicU64,
     /// Its address turned out to belong to another upstream.
@@ -331,8 +329,7 @@
         choose_candidate(&placement, &candidates).map(|index| states[index].clone())
     }
 
-    /// Reports whether a service has an upstream of one of these versions that works
-    /// normally.
+    /// Reports whether a service has a healthy upstream of a wanted version.
     pub(crate) fn has_version(
         &self,
         service: &ServiceName,
@@ -345,8 +342,7 @@
         states.any(|state| is_wanted(&state.record.version) && works_normally(state))
     }
 
-    /// Reports whether a service has an upstream of one of these versions that is not
-    /// retired.
+    /// Reports whether a service has an upstream of a wanted version that is not retired.
     pub(crate) fn lists_version(
         &self,
         service: &ServiceName,
