Read the start and the room of engines from their reports, judge prefills without the queue

Prompts waited at engines whose memory was taken by running requests and copies.

Cause: the report of an engine was used without looking at which start of an engine made it; the time in the queue counted towards the time of the prefill; the cost of an engine left out the room in its KV cache.

Change: an upstream whose address reports another start is retired; a prefill is judged from when the engine last reported waiting prompts; an engine without room for another prompt and its answer costs three prompts more. In the test of prefills that hang, the time is now the one since the queue.

--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -27,6 +27,14 @@
     let body = call_engine::<P>(state, engine, request, REPORT_TIMEOUT).await;
     let report = body.and_then(|body| P::read_report(&body));
     let now = state.clock.now();
+    let report = report.and_then(|report| match engine.is_other_start(report.started) {
+        true => {
+            engine.retire();
+            log::info!(upstream:% = engine.name(); "the address of an engine belongs to another one");
+            Err("the report is of another engine".to_owned())
+        }
+        false => Ok(report),
+    });
     let report = report.map(|report| EngineLoad {
         unreported: engine.unreported_prompts(now),
         is_suspect: engine.health(now) == UpstreamHealth::Suspect,
--- a/crates/gateway/src/stream/prefill_watch.rs
+++ b/crates/gateway/src/stream/prefill_watch.rs
@@ -25,12 +25,18 @@
 pub(super) struct PrefillTimeout {
     since: ClockTime,
     limit: ClockTime,
+    /// When the engine last reported that prompts wait, or when the wait began.
+    queued_until: ClockTime,
 }
 
 impl PrefillTimeout {
     /// Starts the wait for the first event.
     pub(super) fn start(now: ClockTime, limit: ClockTime) -> Self {
-        PrefillTimeout { since: now, limit }
+        PrefillTimeout {
+            since: now,
+            limit,
+            queued_until: now,
+        }
     }
 }
 
@@ -57,10 +63,9 @@
             Err(LossCause::Silence) if !watch.request.deadline.is_expired() => {}
             result => return result,
         }
-        let waited = clock.now().since(since);
         tokio::select! {
             output = &mut future => return Ok(output),
-            wait = ask_engine::<P>(watch, upstream, waited) => {
+            wait = ask_engine::<P>(watch, upstream, timeout) => {
                 let wait = wait.ok_or(LossCause::Silence)?;
                 let wait = wait.min(watch.request.deadline.remaining());
                 timeout.limit = clock.now().since(since) + wait;
@@ -73,9 +78,13 @@
 async fn ask_engine<P: WireProtocol>(
     watch: PrefillWatch<'_>,
     upstream: &UpstreamState,
-    waited: ClockTime,
+    timeout: &mut PrefillTimeout,
 ) -> Option<ClockTime> {
     let report = request_report::<P>(watch.state, upstream).await?;
+    let now = watch.state.clock.now();
+    if report.waiting > 0 {
+        timeout.queued_until = now;
+    }
     let request = watch.request;
     let estimator = &watch.traffic.prefill;
     let prompt_tokens = request.head.prompt_tokens;
@@ -85,7 +94,8 @@
         prompt_tokens,
         other_tokens: report.other_tokens(estimator.usual_prompt(), status, prompt_tokens),
         status,
-        waited,
+        waited: now.since(timeout.since),
+        prefilling_for: now.since(timeout.queued_until),
         target_time_left: target_latency.since(request.deadline.elapsed()),
     };
     let verdict = judge_prefill(&waiting, estimator);
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -10,11 +10,18 @@
 
 use crate::prefill_timeout::PrefillStatus;
 use faststr::FastStr;
+use skylarkshed_core::ClockTime;
 
 /// The cost of placing a new request beside a running generation, as a percentage of
 /// the usual prompt. The running generation lengthens each step by one percent, and the
 /// prefill of the new prompt slows it down.
 const RUNNING_COST_PERCENT: u64 = 10;
+/// The cost, as a percentage of the usual prompt, of an engine whose KV cache has no room
+/// for another prompt: it waits until a running generation ends, which takes seconds.
+const NO_ROOM_COST_PERCENT: u64 = 300;
+/// The room that a prompt and its answer take, as a percentage of the prompt. Without room
+/// for the answer, the engine preempts a running request.
+const ROOM_PERCENT: u64 = 110;
 /// From this cost on, as a percentage of the usual prompt, engines of other zones are
 /// queried as well: another prompt has to be prefilled first.
 const BUSY_COST_PERCENT: u64 = 40;
@@ -38,6 +45,8 @@
 /// The load that an engine reports.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineLoad {
+    /// When the engine that made the report started, by its own wall clock; zero if unknown.
+    pub started: ClockTime,
     /// Requests that wait for a slot.
     pub waiting: u64,
     /// Running requests, with those whose prompt is being prefilled.
@@ -47,6 +56,9 @@
     /// The tokens of running requests in the KV cache. The room for a whole prompt is
     /// taken when its prefill begins.
     pub used_tokens: u64,
+    /// The tokens of the KV cache that new requests can use; unknown if the report does not
+    /// tell the capacity.
+    pub free_tokens: Option<u64>,
     /// Prompts that this VM sent too recently to be included in the report.
     pub unreported: u64,
     /// Whether a request of this VM has just failed at the engine.
@@ -74,8 +86,20 @@
             true => usual_prompt,
             false => 0,
         };
+        let shortage = match self.has_room(usual_prompt) {
+            true => 0,
+            false => usual_prompt * NO_ROOM_COST_PERCENT / 100,
+        };
         // A prefill of unknown progress is half done on average.
-        queued + self.prefilling_tokens() / 2 + running + suspicion
+        queued + self.prefilling_tokens() / 2 + running + suspicion + shortage
+    }
+
+    /// Reports whether a prompt of the usual length fits in the KV cache, beside those that
+    /// wait for room. An engine that does not tell its capacity counts as having room.
+    pub fn has_room(&self, usual_prompt: u64) -> bool {
+        let prompts = self.waiting + self.unreported + 1;
+        let needed = prompts * usual_prompt * ROOM_PERCENT / 100;
+        self.free_tokens.is_none_or(|free| free >= needed)
     }
 
     /// Returns the number of requests whose prompt is being prefilled.
--- a/crates/policy/src/prefill_timeout.rs
+++ b/crates/policy/src/prefill_timeout.rs
@@ -128,6 +128,9 @@
     pub status: PrefillStatus,
     /// The time since it was sent.
     pub waited: ClockTime,
+    /// The time since it was last known to wait behind other prompts; the time since it was
+    /// sent if it never did.
+    pub prefilling_for: ClockTime,
     /// The time left in which the first event still meets its target latency.
     pub target_time_left: ClockTime,
 }
@@ -157,6 +160,7 @@
 ///     other_tokens: 0,
 ///     status: PrefillStatus::Running,
 ///     waited: ClockTime::from_millis(2_300),
+///     prefilling_for: ClockTime::from_millis(2_300),
 ///     target_time_left: ClockTime::from_millis(1_000),
 /// };
 /// assert!(matches!(judge_prefill(&waiting, &estimator), PrefillVerdict::Wait(_)));
@@ -173,8 +177,14 @@
         PrefillStatus::Running => ClockTime::from_millis(own.as_millis() / 2) + others,
         PrefillStatus::Queued => own + others,
     };
-    let longest_wait = ClockTime::from_millis(own.as_millis() * MAX_PREFILL_FACTOR) + others;
-    if waiting.waited > longest_wait {
+    // The time in the queue is not the engine's fault, and giving up a prompt that is
+    // being prefilled wastes the part that is done.
+    let (elapsed, limit) = match waiting.status {
+        PrefillStatus::Queued => (waiting.waited, own + others),
+        _ => (waiting.prefilling_for, own),
+    };
+    let longest_wait = ClockTime::from_millis(limit.as_millis() * MAX_PREFILL_FACTOR);
+    if elapsed > longest_wait + others {
         return PrefillVerdict::Abandon;
     }
     let restart = own + RESTART_OVERHEAD;
--- a/crates/policy/tests/gateway/engines.rs
+++ b/crates/policy/tests/gateway/engines.rs
@@ -183,3 +183,32 @@
     assert!(are_all_busy(&[Some(waiting.clone())], 2_000));
     assert_eq!(waiting.cost(8_000), 8_000);
 }
+
+/// Replays engines whose memory is taken by running requests and copies: nothing is being
+/// prefilled there, but a prompt would wait until a generation ends.
+#[test]
+fn an_engine_without_room_is_chosen_after_one_that_prefills() {
+    let full = EngineLoad {
+        free_tokens: Some(6_000),
+        ..decoding(4)
+    };
+    let prefills = EngineLoad {
+        free_tokens: Some(60_000),
+        ..prefilling(8_000)
+    };
+    assert!(!full.has_room(USUAL_PROMPT));
+    let reports = [Some(full.clone()), Some(prefills)];
+    assert_eq!(choose_engine(&reports, &[], USUAL_PROMPT), Some(1));
+    assert!(are_all_busy(&[Some(full)], USUAL_PROMPT));
+    // Prompts that wait there take the room first.
+    let queued = EngineLoad {
+        waiting: 2,
+        free_tokens: Some(20_000),
+        ..decoding(1)
+    };
+    assert!(!queued.has_room(USUAL_PROMPT));
+    assert!(
+        decoding(9).has_room(USUAL_PROMPT),
+        "its capacity is unknown"
+    );
+}
--- a/tests/testsuite/tests/gateway/upstream_notices.rs
+++ b/tests/testsuite/tests/gateway/upstream_notices.rs
@@ -1,7 +1,7 @@
-//! What upstreams say of themselves in their responses: that they leave, or that they
-//! want no requests for a while.
+//! What upstreams say of themselves in their responses and reports: that they leave, that
+//! they want no requests for a while, or when they started.
 
-use skylarkshed_stand_ins::ScriptedResponse;
+use skylarkshed_stand_ins::{ScriptedResponse, StreamEnd};
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder};
 use std::time::{Duration, Instant};
 
@@ -116,3 +116,22 @@
     }
     assert_eq!(received(&harness, 0) + received(&harness, 1), 2);
 }
+
+/// Guards against prompts that are sent to the address of an engine that is gone: another
+/// engine started there, can't list itself because the store is away, and reports that it
+/// is idle. Each such prompt gets 421 and costs an attempt.
+#[tokio::test]
+async fn report_of_a_later_start_keeps_prompts_from_an_address() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    harness.engines[0].set_report("{\"born\": 2000, \"waiting\": 0, \"running\": 0}");
+    // Both are asked, and the other one looks busy.
+    harness.engines[1].set_report("{\"born\": 1000, \"waiting\": 3, \"running\": 4}");
+    let stream = ScriptedResponse::stream(3, StreamEnd::Complete);
+    harness.engines[1].set_default_response(stream);
+    for _ in 0..6 {
+        let response = harness.send_request("POST", "/write/7", "prompt").await;
+        assert_eq!(response.status, 200);
+    }
+    assert!(harness.engines[0].received_requests().is_empty());
+    assert_eq!(harness.engines[1].received_requests().len(), 6);
+}
