Tell engines how urgent a request is

Change: where the routes of a model service differ in priority, their rank is sent as X-Request-Urgency.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -197,6 +197,7 @@
         ))
     })?;
     let version_filter = state.rollouts.version_filter(&service, &state.upstreams);
+    let urgency = table.urgency().rank(&service, &route);
     Ok(CallerRequest {
         parts,
         body,
@@ -204,6 +205,7 @@
         route,
         service,
         customer,
+        urgency,
         version_filter,
         deadline,
     })
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,6 +45,8 @@
     pub(crate) route: Arc<RouteConfig>,
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerName>,
+    /// The request's rank by priority, 0 being the most urgent, if they differ.
+    pub(crate) urgency: Option<u8>,
     /// Which versions of the service it may be sent to.
     pub(crate) version_filter: VersionFilter,
     pub(crate) deadline: RequestDeadline,
@@ -65,6 +67,7 @@
             resume_after: self.head.resume_after,
             copy_from: None,
             copy_to: None,
+            urgency: self.urgency,
         }
     }
 }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -82,6 +82,8 @@
     pub copy_from: Option<&'a KvCacheCopy>,
     /// Where the upstream continuously copies the KV cache of the request.
     pub copy_to: Option<SocketAddr>,
+    /// The request's rank by priority, 0 being the most urgent, if they differ.
+    pub urgency: Option<u8>,
 }
 
 /// The parsed head of an upstream's response.
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -185,6 +185,7 @@
             sends = self.sends,
             resume_after = self.ledger.last(),
             is_from_copy = copy_from.is_some(),
+            urgency = self.request.urgency,
             holder = new_copy.as_ref().map(|copy| copy.holder.to_string()),
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream request sent"
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod refusal_rate;
 mod rejected_versions;
 mod rendezvous;
+mod request_urgency;
 mod retry_budget;
 mod rollout_allowance;
 mod rollout_bake;
@@ -120,6 +121,7 @@
 pub use refusal_rate::RefusalRate;
 pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
 pub use rendezvous::{hash_rank, index_in_ranking, is_top_ranked, weighted_rank};
+pub use request_urgency::UrgencyRanks;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
 pub use rollout_bake::{
--- a/crates/policy/src/route_table.rs
+++ b/crates/policy/src/route_table.rs
@@ -1,5 +1,6 @@
 //! Looks up the route, the service and the customer of a request.
 
+use crate::request_urgency::UrgencyRanks;
 use faststr::FastStr;
 use skylarkshed_core::{
     CallerLimits, CustomerConfig, EngineCapabilities, KeyHash, RouteConfig, RoutingConfig,
@@ -28,12 +29,14 @@
     hosts: HashMap<FastStr, Vec<Arc<RouteConfig>>>,
     customers: HashMap<KeyHash, Arc<CustomerConfig>>,
     engines: HashMap<ServiceName, EngineCapabilities>,
+    urgency: UrgencyRanks,
     has_customers: bool,
 }
 
 impl RouteTable {
     /// Indexes a configuration.
     pub fn new(config: RoutingConfig) -> Self {
+        let urgency = UrgencyRanks::new(&config);
         let mut hosts: HashMap<FastStr, Vec<Arc<RouteConfig>>> = HashMap::new();
         for route in config.routes {
             let routes = hosts.entry(route.host.clone()).or_default();
@@ -58,6 +61,7 @@
             hosts,
             customers,
             engines: engines.collect(),
+            urgency,
             has_customers,
         }
     }
@@ -93,6 +97,11 @@
     pub fn engine(&self, service: &ServiceName) -> Option<EngineCapabilities> {
         self.engines.get(service).copied()
     }
+
+    /// Returns the ranks of requests by priority.
+    pub fn urgency(&self) -> &UrgencyRanks {
+        &self.urgency
+    }
 }
 
 /// Chooses the service of a request by the route's weights.
--- a/crates/policy/tests/gateway/routes.rs
+++ b/crates/policy/tests/gateway/routes.rs
@@ -2,9 +2,10 @@
 
 use rstest::rstest;
 use skylarkshed_core::{
-    ClockTime, CustomerConfig, KeyHash, RequestKind, RouteConfig, RoutingConfig, ServiceWeight,
+    ClockTime, CustomerConfig, EngineCapabilities, KeyHash, RequestKind, RouteConfig,
+    RoutingConfig, ServiceConfig, ServiceWeight,
 };
-use skylarkshed_policy::{choose_service, RouteTable};
+use skylarkshed_policy::{choose_service, RouteTable, UrgencyRanks};
 
 fn route(name: &'static str, host: &'static str, prefix: &'static str) -> RouteConfig {
     RouteConfig {
@@ -87,3 +88,50 @@
     assert_eq!(new.count(), 100);
     assert!(choose_service(&[target("none", 0)], 5).is_none());
 }
+
+/// Returns a configuration with a route of each of these priorities to one service.
+fn config_with_priorities(priorities: &[u8], is_engine: bool) -> RoutingConfig {
+    let engine = EngineCapabilities {
+        slots: 16,
+        cache_capacity_tokens: 88_000,
+        can_back_up_cache: true,
+        can_move_cache: true,
+        copy_ttl: ClockTime::from_millis(4_000),
+    };
+    let with_priority = |priority: &u8| RouteConfig {
+        priority: *priority,
+        ..route("any", "a.example", "/write/")
+    };
+    RoutingConfig {
+        routes: priorities.iter().map(with_priority).collect(),
+        services: vec![ServiceConfig {
+            name: "stores".into(),
+            engine: is_engine.then_some(engine),
+        }],
+        ..RoutingConfig::default()
+    }
+}
+
+/// Guards against urgent prompts that wait behind routine ones at full engines, and against
+/// a change of what engines are told where all prompts are equally urgent.
+#[rstest]
+#[case::two_kinds(&[0, 2, 2], true, [Some(0), Some(1)])]
+#[case::out_of_order(&[7, 0, 2, 255], true, [Some(0), Some(1)])]
+#[case::one_kind(&[2, 2], true, [None, None])]
+#[case::application(&[0, 2], false, [None, None])]
+fn urgency_is_the_rank_among_the_priorities_of_a_service(
+    #[case] priorities: &[u8],
+    #[case] is_engine: bool,
+    #[case] expected: [Option<u8>; 2],
+) {
+    let config = config_with_priorities(priorities, is_engine);
+    let ranks = UrgencyRanks::new(&config);
+    let ranks = [0, 2].map(|priority| {
+        let of_priority = RouteConfig {
+            priority,
+            ..config.routes[0].clone()
+        };
+        ranks.rank(&"stores".into(), &of_priority)
+    });
+    assert_eq!(ranks, expected);
+}
