Log the first table of upstreams as one line

One line for each of 3,000 upstreams delayed the start, and lines beyond the limit were lost, 'configuration activated' of eight VMs among them.

Change: the first table is one line, 'upstreams listed'.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -248,6 +248,7 @@
 
     fn apply(&mut self, updates: Vec<UpstreamUpdate>, is_complete: bool, _fresh_at: ClockTime) {
         let returned_at = self.state.store_outage.returned_at();
+        let is_first = self.state.upstreams.is_empty();
         let changes = self.state.upstreams.update(|table, now| {
             let mut changes = table.record_store_return(returned_at, now);
             match is_complete {
@@ -259,7 +260,10 @@
             }
             changes
         });
-        log_changes(&changes);
+        match is_first {
+            true => log_first_table(&changes),
+            false => log_changes(&changes),
+        }
         let is_missing = |change: &UpstreamChange| matches!(change, UpstreamChange::Missing(_));
         if changes.iter().any(is_missing) {
             let state = self.state.clone();
@@ -341,6 +345,17 @@
     log::warn!(upstream:% = name; "can't parse an upstream's entry: {problem}");
 }
 
+/// Logs the first table as one line: a line for each of thousands of upstreams delays the
+/// start, and the lines beyond the limit of the log are lost, others among them.
+fn log_first_table(changes: &[UpstreamChange]) {
+    let is_leaving = |change: &&UpstreamChange| matches!(change, UpstreamChange::Leaving(_));
+    log::info!(
+        upstreams = changes.len(),
+        leaving = changes.iter().filter(is_leaving).count();
+        "upstreams listed"
+    );
+}
+
 pub(crate) fn log_changes(changes: &[UpstreamChange]) {
     for change in changes {
         match change {
