Keep a silent engine whose stream's KV cache copy is gone

Cause: a silent engine was left for its copy without a look at the holder.

Change: the holder is connected to first. If that fails, the copy is dropped, another one is made, and the engine is granted the silence without a copy.

--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -205,6 +205,13 @@
     false
 }
 
+/// Reports whether an upstream's host accepts a connection.
+pub(super) async fn accepts_connections(address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    let connected = tokio::time::timeout(LIVENESS_CHECK_TIMEOUT.to_duration(), connecting).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 async fn is_alive(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
     let connected = tokio::time::timeout(LIVENESS_CHECK_TIMEOUT.to_duration(), connecting).await;
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -193,6 +193,10 @@
                 }
                 AttemptStep::Lost(cause) => cause,
             };
+            if cause == LossCause::Silence && self.has_lost_copy(&mut attempt).await {
+                // Without the copy, the upstream is granted a longer silence.
+                continue;
+            }
             if cause.may_go_on() && self.waits_for(&attempt, cause) {
                 if cause != LossCause::Overdue {
                     attempt.wait_on(self.state.clock.now());
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -1,6 +1,6 @@
 //! Decides when a running stream leaves its upstream, and continues it at another one.
 
-use super::attempt::StreamAttempt;
+use super::attempt::{accepts_connections, StreamAttempt};
 use super::opening::OpenedStream;
 use super::StreamForwarder;
 use crate::caller_response::BodyPart;
@@ -74,6 +74,31 @@
         self.waits_for_upstream(upstream, &state, silent)
     }
 
+    /// Reports whether the holder of the copy that a silent upstream would be left for accepts
+    /// no connection; the copy is dropped then, and another one is made.
+    ///
+    /// A silent upstream is often only slow. Leaving it for a copy that is gone costs another
+    /// prefill.
+    pub(super) async fn has_lost_copy(&self, attempt: &mut StreamAttempt) -> bool {
+        let copy = attempt.copy.clone();
+        let Some((holder, _)) = copy.and_then(|copy| self.usable_holder(copy)) else {
+            return false;
+        };
+        if accepts_connections(holder.record.address).await {
+            return false;
+        }
+        holder.mark_suspect(self.state.clock.now());
+        attempt.copy = None;
+        log::info!(
+            request = self.request.id(),
+            upstream:% = attempt.upstream.name(),
+            holder:% = holder.name(),
+            events = self.ledger.accepted();
+            "holder of the KV cache copy is gone"
+        );
+        true
+    }
+
     /// Like [`Self::waits_for`], for an upstream whose response has not begun.
     pub(super) fn waits_for_response(
         &self,
--- a/tests/testsuite/tests/gateway/silent_engines.rs
+++ b/tests/testsuite/tests/gateway/silent_engines.rs
@@ -240,3 +240,27 @@
     let copies = harness.engines[0].kv_move_requests().len();
     assert!((1..=6).contains(&copies), "{copies} requests for a copy");
 }
+
+/// Guards against a slow engine that is left for a KV cache copy whose holder is gone: the
+/// prompt would be prefilled again.
+#[tokio::test]
+async fn slow_engine_is_not_left_for_a_copy_that_is_gone() {
+    /// Longer than the silence after which a stream goes on from its copy, and shorter than
+    /// the one without a copy.
+    const SHORT_PAUSE: Duration = Duration::from_millis(1_000);
+    let harness = HarnessBuilder::default().engines(3).start().await;
+    for engine in &harness.engines {
+        engine.set_default_response(ScriptedResponse::stream(
+            5,
+            StreamEnd::Pause {
+                pause: SHORT_PAUSE,
+                last_id: 9,
+            },
+        ));
+    }
+    // The request goes to the engine in the VM's own zone, so a copy is in one of these.
+    harness.engines[1].stop();
+    harness.engines[2].stop();
+    assert_whole(&harness).await;
+    assert_eq!(harness.engines[0].received_requests().len(), 1);
+}
