Count the capacity of the buffers of bodies in their budget

Cause: the budget counted the bytes of a body, and its buffer, which grows by doubling, occupied up to twice as much.

Change: the capacity is chosen and reserved before the buffer grows. It doubles, but not beyond the longest body possible: the limit, or the length that the sender has declared. A body without a declared length may therefore be refused for memory (no_memory) that its bytes alone would not need.

The new unit test fails without the change.

--- a/crates/http-link/src/body.rs
+++ b/crates/http-link/src/body.rs
@@ -1,7 +1,7 @@
 //! Reads whole bodies within limits.
 
 use crate::body_budget::{BodyBudget, BodyReservation};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use std::error::Error as StdError;
@@ -95,8 +95,9 @@
     read_reserved(body, limits, BodyReservation::new(None)).await
 }
 
-/// Reads a body as [`read_body`] does, within what a budget has left for it. The body
-/// occupies its part of the budget until the returned bytes are dropped.
+/// Reads a body as [`read_body`] does, within what a budget has left for it. The capacity
+/// of the body's buffer is reserved before the buffer grows and occupies the budget until
+/// the returned bytes are dropped.
 ///
 /// # Errors
 ///
@@ -146,7 +147,7 @@
     if body.size_hint().lower() > limits.bytes as u64 {
         return Err(too_long());
     }
-    let mut buffer = BytesMut::new();
+    let mut buffer = Vec::new();
     let mut pieces = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Broken(error.into()))?;
@@ -160,10 +161,31 @@
         if !limits.allows(pieces, buffer.len()) {
             return Err(BodyError::TooManyPieces(pieces));
         }
-        if !reservation.extend_to(buffer.len() + piece.len()) {
-            return Err(BodyError::NoMemory);
+        let needed = buffer.len() + piece.len();
+        if needed > buffer.capacity() {
+            let rest = body.size_hint().upper().unwrap_or(u64::MAX);
+            let rest = usize::try_from(rest).unwrap_or(usize::MAX);
+            let longest = needed.saturating_add(rest).min(limits.bytes);
+            let capacity = grown_capacity(buffer.capacity(), needed, longest);
+            if !reservation.extend_to(capacity) {
+                return Err(BodyError::NoMemory);
+            }
+            buffer.reserve_exact(capacity - buffer.len());
         }
         buffer.extend_from_slice(&piece);
     }
-    Ok(reservation.attach_to(buffer.freeze()))
+    Ok(reservation.attach_to(Bytes::from(buffer)))
+}
+
+/// Returns the next capacity of a buffer that has to hold `needed` bytes. It doubles, so
+/// that the bytes are copied a constant number of times on average, but does not exceed the
+/// longest body possible.
+const fn grown_capacity(capacity: usize, needed: usize, longest: usize) -> usize {
+    let doubled = capacity.saturating_mul(2);
+    let target = if doubled < longest { doubled } else { longest };
+    if target > needed {
+        target
+    } else {
+        needed
+    }
 }
--- a/crates/http-link/src/body_budget.rs
+++ b/crates/http-link/src/body_budget.rs
@@ -6,7 +6,7 @@
 
 /// The size of a share of the budget.
 const SHARE_BYTES: usize = 1_024;
-/// A body of this size needs no share, so that small ones are read whatever others take.
+/// A buffer of this capacity needs no share, so that small ones are read whatever others take.
 const FREE_BYTES: usize = 16 * 1_024;
 
 /// The memory that bodies of a process may occupy at the same time.
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Extends the reservation to a body of this size; false if the budget is exhausted.
+    /// Extends the reservation to a buffer of this capacity; false if the budget is exhausted.
     pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
         let Some(budget) = self.budget.filter(|_| bytes > self.bytes) else {
             return true;
--- a/crates/http-link/tests/bodies.rs
+++ b/crates/http-link/tests/bodies.rs
@@ -2,18 +2,21 @@
 
 use bytes::Bytes;
 use http_body_util::StreamBody;
-use hyper::body::Frame;
+use hyper::body::{Body, Frame};
 use rstest::rstest;
-use skylarkshed_http_link::{read_body, BodyError, BodyLimits};
+use skylarkshed_http_link::{read_body, read_body_within, BodyBudget, BodyError, BodyLimits};
 use std::convert::Infallible;
 
 const MAX_BYTES: usize = 1 << 20;
 
-async fn read(pieces: Vec<Bytes>) -> Result<Bytes, BodyError> {
+fn make_body(pieces: Vec<Bytes>) -> impl Body<Data = Bytes, Error = Infallible> {
     let frames = pieces.into_iter();
-    let frames = frames.map(|piece| Ok::<_, Infallible>(Frame::data(piece)));
-    let body = StreamBody::new(futures::stream::iter(frames));
-    read_body(body, BodyLimits::response(MAX_BYTES)).await
+    let frames = frames.map(|piece| Ok(Frame::data(piece)));
+    StreamBody::new(futures::stream::iter(frames))
+}
+
+async fn read(pieces: Vec<Bytes>) -> Result<Bytes, BodyError> {
+    read_body(make_body(pieces), BodyLimits::response(MAX_BYTES)).await
 }
 
 /// Returns `count` pieces of `size` bytes.
@@ -53,3 +56,22 @@
     assert_eq!(read(pieces).await.unwrap().len(), 1_000);
     assert!(buffer.is_unique());
 }
+
+/// Guards against a budget that counts the bytes of bodies while their buffers, which grow
+/// by doubling, occupy up to twice as much.
+#[rstest]
+#[case::doubled_buffer(33, false)]
+#[case::full_buffer(32, true)]
+#[tokio::test]
+async fn budget_counts_the_capacity_of_buffers(#[case] pieces: usize, #[case] has_room: bool) {
+    // Each body has 16 KiB outside the budget. 33 KiB need a buffer of 64 KiB.
+    let budget = BodyBudget::new(64 * 1_024);
+    let limits = BodyLimits::response(MAX_BYTES);
+    let body = || make_body(make_pieces(pieces, 1_024));
+    let first = read_body_within(body(), limits, &budget).await.unwrap();
+    let second = read_body_within(body(), limits, &budget).await;
+    assert_eq!(second.is_ok(), has_room);
+    drop((first, second));
+    let again = read_body_within(body(), limits, &budget).await;
+    assert_eq!(again.unwrap().len(), pieces * 1_024);
+}
