Check a configuration before it is sent

Cause: VMs take a configuration as it is. Unknown services, weights of zero, doubled names, routes and keys that never match and limits that contradict each other passed silently, and only callers noticed them.

Keys are counted, not shown. It ends with exit code 2 if there are errors, and with 0 otherwise. The checks are pure and stand in crates/policy; platform/ reports what decoding loses.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,7 +10,6 @@
 use crate::refusal::{
     fail, refuse, reject, BadRequestReason, FailureReason, NotRunReason, ProblemReason,
 };
-use crate::run::{FINAL_RESPONSE_TIME, KILL_MARGIN};
 use crate::stream::serve_stream;
 use crate::unanswered_request::UnansweredRequest;
 use bytes::Bytes;
@@ -277,8 +276,7 @@
 
 /// Returns the time in which a draining process can still send a response.
 fn time_until_exit(state: &GatewayState, leaving_for: ClockTime) -> ClockTime {
-    let grace = state.settings.times.grace;
-    grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME + leaving_for)
+    state.settings.times.longest_response().since(leaving_for)
 }
 
 async fn read_request_body(
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -150,8 +150,7 @@
 
 /// Lets the requests that have no response yet be answered before the process ends.
 async fn end_requests(state: Arc<GatewayState>) {
-    let grace = state.settings.times.grace;
-    let wait = grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME);
+    let wait = state.settings.times.longest_response();
     tokio::time::sleep(wait.to_duration()).await;
     state.start_ending();
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway process.
 
+use crate::run::{FINAL_RESPONSE_TIME, KILL_MARGIN};
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
 use skylarkshed_policy::{ExposureLimits, RetryLimits};
 use std::net::SocketAddr;
@@ -40,6 +41,27 @@
     pub rollback: ClockTime,
 }
 
+impl GatewayTimes {
+    /// Returns the time from a termination signal until the last response has to be sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_gateway::GatewayTimes;
+    ///
+    /// let time = ClockTime::from_millis(8_000);
+    /// let times = GatewayTimes {
+    ///     revocation: time, grace: time, drain: time, lapse: time, outage: time,
+    ///     silence: time, rollback: time,
+    /// };
+    /// assert_eq!(times.longest_response().as_millis(), 7_550);
+    /// ```
+    pub fn longest_response(&self) -> ClockTime {
+        self.grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME)
+    }
+}
+
 /// The settings of a gateway process. The `check` command prints the field names.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GatewaySettings {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,12 +35,17 @@
 //!   [`FeedRoute`] chooses the endpoints that it reads from. [`TableServer`] limits
 //!   how fast a VM sends whole tables to VMs that start.
 //! - [`MembershipTable`] tracks which VMs are alive.
+//! - [`check_config`] finds faults of a routing configuration before it is sent, and
+//!   [`ConfigDiff`] compares it with the version in force.
 
 mod admission;
 mod attempt_progress;
 mod canary_spread;
 mod claim;
 mod concurrency_limiter;
+mod config_check;
+mod config_diff;
+mod config_finding;
 mod copy_plan;
 mod crash_evidence;
 mod deferral;
@@ -88,6 +93,9 @@
 pub use canary_spread::{CanarySpread, RoutePriority};
 pub use claim::{ClaimAction, ClaimInput, ClaimMachine, ClaimRow, ClaimState, StoredResponse};
 pub use concurrency_limiter::ConcurrencyLimiter;
+pub use config_check::check_config;
+pub use config_diff::{ConfigDiff, EntryChange, EntryChanges, FieldChange, VersionChange};
+pub use config_finding::{ConfigFinding, EntryKind, FindingKind, FindingLabel};
 pub use copy_plan::{decide_copy, CopyDecision, CopyKind, CopyState};
 pub use crash_evidence::CrashReport;
 pub use deferral::{deferred_until, outage_delay, return_delay};
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -1,6 +1,8 @@
 //! The gateway's decisions, each tested with the load or failure that it handles.
 
 mod budgets;
+mod config_check;
+mod config_diff;
 mod copies;
 mod deferral;
 mod duration_estimator;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one module each.
 
 pub(crate) mod check;
+mod config_report;
 pub(crate) mod customer;
 pub(crate) mod describe;
 pub(crate) mod explain;
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -24,6 +24,14 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     PlatformSettings(#[from] PlatformSettingsError),
+    /// A configuration has errors, which are printed as findings.
+    #[error("the check of {} found errors: {errors}", path.display())]
+    Configuration {
+        /// The file.
+        path: PathBuf,
+        /// The number of errors.
+        errors: usize,
+    },
     /// The gateway failed.
     #[error("the gateway failed: {0}")]
     Gateway(GatewayError),
@@ -67,9 +75,9 @@
         return ExitCode::SUCCESS;
     };
     let code = match &error {
-        CommandError::Settings(_) | CommandError::PlatformSettings(_) => {
-            ExitCode::from(EXIT_SETTINGS)
-        }
+        CommandError::Settings(_)
+        | CommandError::PlatformSettings(_)
+        | CommandError::Configuration { .. } => ExitCode::from(EXIT_SETTINGS),
         CommandError::Refused(_) => ExitCode::from(EXIT_REFUSED),
         CommandError::Gateway(_)
         | CommandError::Node(_)
--- a/tests/testsuite/tests/suite/main.rs
+++ b/tests/testsuite/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod change_conflicts;
 mod command_line;
+mod config_command;
 mod configuration;
 mod documentation;
 mod fault_schedules;
