Add the interface of engine load ledgers

Cause: callers and ledgers are built at the same time and need one interface. Change: the public types and functions, without their decisions.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,8 @@
 //!   [`decide_copy`] keeps the KV cache copy that it can continue from.
 //!   [`judge_prefill`] decides whether to wait for a late first event, and
 //!   [`choose_engine`] selects the engine of a prompt.
+//! - [`EngineLedger`] keeps what all VMs have placed at one engine since its last report,
+//!   and [`choose_by_time`] selects the engine of a prompt from a few ledgers.
 //! - [`PartQuarantine`] finds the parts of prompts that end engines, and keeps requests
 //!   with them away.
 //! - [`DurationEstimator`] tells which requests end before a draining VM is killed.
@@ -46,6 +48,8 @@
 mod deferral;
 mod duration_estimator;
 mod engine_choice;
+mod engine_ledger;
+mod engine_placement;
 mod event_ledger;
 mod evidence;
 mod feed_cache;
@@ -93,6 +97,11 @@
 pub use deferral::{deferred_until, outage_delay, return_delay};
 pub use duration_estimator::DurationEstimator;
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
+pub use engine_ledger::{EngineLedger, LedgerView, PlacedWork, PromptEvent, WorkKind};
+pub use engine_placement::{
+    choose_by_time, choose_holder, expected_first_event, is_choice_outdated, EngineChoice,
+    PromptSize,
+};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
 pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
