Share the load of engines between VMs (not yet tested)

Cause: VMs choose engines at the same moment from reports that are 200 ms old. Change: from 16 VMs on, a VM asks the owners of the candidates' ledgers instead of the engines, tells them what it sends there, and how that goes on. Holders of KV cache copies are chosen by the room in the ledgers.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -65,6 +65,17 @@
     counter!("gateway_log_lines_dropped_total").increment(1);
 }
 
+/// Counts a question about the load of an engine by how it was answered.
+pub(crate) fn count_ledger_request(result: &'static str) {
+    counter!("gateway_engine_ledger_requests_total", "result" => result).increment(1);
+}
+
+/// Counts a prompt that was placed at another engine, because other VMs had placed prompts
+/// at the first one meanwhile.
+pub(crate) fn count_revised_placement() {
+    counter!("gateway_placements_revised_total").increment(1);
+}
+
 /// Sets the version of the active configuration.
 pub(crate) fn set_config_version(version: u64) {
     gauge!("gateway_config_version").set(version as f64);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of a gateway process share.
 
 use crate::config_state::ConfigState;
+use crate::engine_ledgers::EngineLedgers;
 use crate::exchange::CallerRequest;
 use crate::peers::{FeedCaches, VmRoster};
 use crate::quarantine::QuarantineManager;
@@ -54,6 +55,7 @@
     pub(crate) roster: VmRoster,
     pub(crate) rollouts: RolloutManager,
     pub(crate) quarantine: QuarantineManager,
+    pub(crate) engine_ledgers: EngineLedgers,
     pub(crate) peers: PeerClient,
     /// The memory for the bodies of requests and responses.
     pub(crate) body_budget: BodyBudget,
@@ -81,6 +83,7 @@
             roster: VmRoster::default(),
             rollouts: RolloutManager::new(clock),
             quarantine: QuarantineManager::new(clock),
+            engine_ledgers: EngineLedgers::new(clock),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
             clock,
             config: ConfigState::new(boot_clock),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `call` forwards application calls and `stream` forwards event streams;
 //! - `store_watch` keeps the configuration and the upstream table up to date;
 //! - `peers` shares the store's change feeds between VMs;
+//! - `engine_ledgers` shares the loads of engines between VMs;
 //! - `quarantine` keeps requests that end engines away from them;
 //! - `rollouts` shifts services to other versions;
 //! - `upstreams` tracks the upstreams and the load that this VM puts on them.
@@ -25,6 +26,7 @@
 mod deadline;
 mod dispatch;
 mod engine_calls;
+mod engine_ledgers;
 mod exchange;
 mod gateway_state;
 mod jitter;
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -1,13 +1,15 @@
 //! Requests feeds from other VMs and serves their requests.
 
 use super::feed_caches::{to_wire, FeedChanges};
+use crate::engine_ledgers::{answer_query, receive_placement, receive_progress};
 use crate::gateway_state::GatewayState;
-use crate::platform_api::StoreError;
+use crate::platform_api::{StoreError, WireProtocol};
 use bytes::Bytes;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, PeerBody};
 use skylarkshed_peer::{unpack_rows, PeerError, PeerHandler};
 use skylarkshed_policy::{FeedBatch, FeedError, FeedPosition, FeedRow};
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
@@ -26,12 +28,27 @@
 const MAX_TABLE_TRANSIT: ClockTime = ClockTime::from_millis(4_000);
 
 /// Handles the requests of other VMs.
-#[derive(Clone)]
-pub(crate) struct FeedHandler {
-    pub(crate) state: Arc<GatewayState>,
+pub(crate) struct FeedHandler<P> {
+    state: Arc<GatewayState>,
+    _protocol: PhantomData<P>,
 }
 
-impl PeerHandler for FeedHandler {
+impl<P> FeedHandler<P> {
+    pub(crate) fn new(state: Arc<GatewayState>) -> Self {
+        FeedHandler {
+            state,
+            _protocol: PhantomData,
+        }
+    }
+}
+
+impl<P> Clone for FeedHandler<P> {
+    fn clone(&self) -> Self {
+        Self::new(self.state.clone())
+    }
+}
+
+impl<P: WireProtocol> PeerHandler for FeedHandler<P> {
     async fn handle(&self, body: PeerBody) -> PeerBody {
         match body {
             PeerBody::RequestFeed(request) => {
@@ -53,6 +70,13 @@
                 self.state.quarantine.receive_blocks(&shared.blocks, false);
                 PeerBody::Done(true)
             }
+            PeerBody::AskLedgers(query) => {
+                PeerBody::LedgerViews(answer_query::<P>(&self.state, &query).await)
+            }
+            PeerBody::PlacePrompt(placement) => receive_placement(&self.state, &placement),
+            PeerBody::PromptProgress(progress) => {
+                PeerBody::Done(receive_progress(&self.state, &progress))
+            }
             _ => PeerBody::Done(false),
         }
     }
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -31,6 +31,8 @@
     pub resume_after: Option<u64>,
     /// The number of prompt tokens; zero if unknown.
     pub prompt_tokens: u64,
+    /// The largest number of output tokens; zero if unknown.
+    pub output_tokens: u64,
     /// Identifies the part of the prompt that belongs to the request or its session.
     pub prompt_id: Option<FastStr>,
     /// The parts of the prompt before that one, in order; other requests may share them.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -99,9 +99,7 @@
         "the process starts"
     );
     let (close, closing) = watch::channel(false);
-    let handler = FeedHandler {
-        state: state.clone(),
-    };
+    let handler = FeedHandler::<P>::new(state.clone());
     for listener in std::iter::once(peers).chain(seed) {
         let serving = serve_peers(listener, key.clone(), handler.clone(), |error| {
             log::debug!("peer connection ended: {error}");
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to serve a stream, at one upstream.
 
 use super::events::{EventParser, StreamEvent};
+use super::ledger_selection::AttemptWork;
 use super::prefill_watch::{watch_prefill, PrefillTimeout, PrefillWatch};
 use crate::exchange::{SendError, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
@@ -40,6 +41,8 @@
     /// upstream was waited for.
     waiting_since: ClockTime,
     pub(super) probe: AttemptProbe,
+    /// What the attempt has placed at engines.
+    pub(super) work: AttemptWork,
     timeout: PrefillTimeout,
     parser: EventParser,
 }
@@ -70,11 +73,17 @@
             is_sound: false,
             waiting_since: now,
             probe,
+            work: AttemptWork::default(),
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
         }
     }
 
+    /// Adds what was placed at engines for the attempt.
+    pub(super) fn with_work(self, work: AttemptWork) -> Self {
+        StreamAttempt { work, ..self }
+    }
+
     /// Waits for the next event.
     pub(super) async fn next<P: WireProtocol>(&mut self, watch: PrefillWatch<'_>) -> AttemptStep {
         let clock = watch.state.clock;
@@ -142,6 +151,9 @@
         self.last_event_at = now;
         self.waiting_since = now;
         self.probe.record_event();
+        if let Some(prompt) = &mut self.work.prompt {
+            prompt.record_event(now);
+        }
     }
 }
 
--- a/crates/gateway/src/stream/copy_manager.rs
+++ b/crates/gateway/src/stream/copy_manager.rs
@@ -1,7 +1,9 @@
 //! Maintains a KV cache copy of a running request while engines come and go.
 
 use super::attempt::StreamAttempt;
+use super::ledger_selection::HolderSearch;
 use crate::engine_calls::{copy_kv_cache, drop_copy};
+use crate::engine_ledgers::PlacedGuard;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::UpstreamState;
@@ -18,7 +20,14 @@
 /// Maintains the KV cache copy of one request.
 pub(super) struct CopyManager {
     ticks: Interval,
-    copying: Option<JoinHandle<Option<KvCacheCopy>>>,
+    copying: Option<JoinHandle<Option<MadeCopy>>>,
+}
+
+/// A copy that was made.
+pub(super) struct MadeCopy {
+    pub(super) copy: KvCacheCopy,
+    /// What counts in the ledger of its holder.
+    pub(super) work: Option<PlacedGuard>,
 }
 
 impl CopyManager {
@@ -32,7 +41,7 @@
     }
 
     /// Waits until a copy has been made or the next check is due.
-    pub(super) async fn next(&mut self) -> Option<KvCacheCopy> {
+    pub(super) async fn next(&mut self) -> Option<MadeCopy> {
         if let Some(copying) = &mut self.copying {
             // A task that was cancelled or panicked made no copy.
             let copy = copying.await.unwrap_or(None);
@@ -54,7 +63,7 @@
         service: &ServiceName,
         request: &str,
         attempt: &StreamAttempt,
-        choose: impl FnOnce() -> Option<Arc<UpstreamState>>,
+        choose: impl FnOnce() -> HolderSearch,
     ) {
         let capabilities = state.config.table().and_then(|table| table.engine(service));
         let Some(capabilities) = capabilities.filter(|capabilities| capabilities.can_move_cache)
@@ -64,18 +73,26 @@
         if self.copying.is_some() || attempt.phase != StreamPhase::Decoding {
             return;
         }
-        let holder = match copy_decision(state, service, attempt, capabilities) {
+        let search = match copy_decision(state, service, attempt, capabilities) {
             CopyDecision::Keep => return,
-            CopyDecision::Renew => available_holder(state, service, attempt),
+            CopyDecision::Renew => HolderSearch {
+                candidates: available_holder(state, service, attempt)
+                    .into_iter()
+                    .collect(),
+                copy: None,
+            },
             CopyDecision::Replace => choose(),
         };
-        let Some(holder) = holder else {
+        if search.candidates.is_empty() {
             return;
-        };
+        }
         let (state, source) = (state.clone(), attempt.upstream.clone());
         let request = request.to_owned();
         self.copying = Some(tokio::spawn(async move {
-            copy_kv_cache::<P>(&state, &source, &request, &holder).await
+            let holder = search.run::<P>(&state).await?;
+            let copy = copy_kv_cache::<P>(&state, &source, &request, &holder.engine).await?;
+            let work = holder.work;
+            Some(MadeCopy { copy, work })
         }));
     }
 
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -1,13 +1,16 @@
 //! Chooses the engines of a stream: one for the prefill, one to hold the KV cache
 //! copy.
 
+use super::ledger_selection::{AttemptWork, EngineSelection, HolderSearch};
 use super::StreamForwarder;
 use crate::engine_calls::{has_cached, request_report};
+use crate::engine_ledgers::uses_ledgers;
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
 use skylarkshed_policy::{
     are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable, VersionFilter,
+    WorkKind,
 };
 use std::sync::Arc;
 
@@ -34,8 +37,15 @@
         (!upstream.is_retired() && is_preferred).then_some((upstream, copy))
     }
 
-    /// Chooses the upstream for the prefill by the load reports of a few engines.
-    pub(super) async fn choose_upstream(&self) -> Option<Arc<UpstreamState>> {
+    /// Chooses the upstream for the prefill by the loads of a few engines.
+    pub(super) async fn choose_upstream(&self) -> Option<EngineSelection> {
+        match uses_ledgers(&self.state, &self.request.service) {
+            true => self.choose_by_ledgers().await,
+            false => self.choose_by_reports().await.map(EngineSelection::from),
+        }
+    }
+
+    async fn choose_by_reports(&self) -> Option<Arc<UpstreamState>> {
         let usual_prompt = self.traffic.prefill.usual_prompt();
         let mut queried = Vec::new();
         let mut reports = self.query_engines(&mut queried, &self.failed_zones).await;
@@ -53,7 +63,7 @@
 
     /// Returns which engines have the prompt of a caller that returns for the rest of a
     /// stream. Others are not asked: their prompts are new.
-    async fn find_cached_prompt(&self, engines: &[Arc<UpstreamState>]) -> Vec<bool> {
+    pub(super) async fn find_cached_prompt(&self, engines: &[Arc<UpstreamState>]) -> Vec<bool> {
         let head = &self.request.head;
         let part = head
             .prompt_id
@@ -82,6 +92,25 @@
         queried: &mut Vec<Arc<UpstreamState>>,
         avoid_zones: &[ZoneName],
     ) -> Vec<Option<EngineLoad>> {
+        let known = queried.len();
+        self.add_candidates(queried, avoid_zones);
+        let service = &self.request.service;
+        let is_engine = |table: Arc<RouteTable>| table.engine(service).is_some();
+        if !self.state.config.table().is_some_and(is_engine) {
+            return Vec::new();
+        }
+        let reports = queried[known..]
+            .iter()
+            .map(|engine| request_report::<P>(&self.state, engine));
+        futures::future::join_all(reports).await
+    }
+
+    /// Adds a few more upstreams to `queried`.
+    pub(super) fn add_candidates(
+        &self,
+        queried: &mut Vec<Arc<UpstreamState>>,
+        avoid_zones: &[ZoneName],
+    ) {
         let known = queried.len();
         let mut avoid = self.tried.clone();
         avoid.extend(queried.iter().map(|engine| engine.name().clone()));
@@ -98,15 +127,6 @@
             avoid.push(engine.name().clone());
             queried.push(engine);
         }
-        let service = &self.request.service;
-        let is_engine = |table: Arc<RouteTable>| table.engine(service).is_some();
-        if !self.state.config.table().is_some_and(is_engine) {
-            return Vec::new();
-        }
-        let reports = queried[known..]
-            .iter()
-            .map(|engine| request_report::<P>(&self.state, engine));
-        futures::future::join_all(reports).await
     }
 
     /// Returns a hash that is the same for a request and for its caller's later attempts.
@@ -131,29 +151,60 @@
         })
     }
 
-    /// Chooses the engine to hold a copy: not in the upstream's zone, and not in one
-    /// where an attempt failed. A version under test holds none, if there is another.
-    pub(super) fn choose_holder(&self, upstream: &UpstreamState) -> Option<Arc<UpstreamState>> {
-        let avoid = [upstream.name().clone()];
+    /// Returns the engines that may hold a copy: not in the upstream's zone, and not in one
+    /// where an attempt failed. A version under test holds none, if there is another. There
+    /// are several only if the holder is chosen by its room.
+    pub(super) fn find_holders(&self, upstream: &UpstreamState) -> HolderSearch {
+        let mut avoid = vec![upstream.name().clone()];
         let mut avoid_zones = self.failed_zones.clone();
         avoid_zones.push(upstream.record.zone.clone());
         let state = &self.state;
         let service = &self.request.service;
         let filter = state.rollouts.version_filter(service, &state.upstreams);
-        self.next_candidate(&avoid, &avoid_zones, &filter)
+        let uses_ledgers = uses_ledgers(state, service);
+        let count = match uses_ledgers {
+            true => QUERIED_ENGINES,
+            false => 1,
+        };
+        let mut candidates: Vec<Arc<UpstreamState>> = Vec::new();
+        while candidates.len() < count {
+            let Some(holder) = self.next_candidate(&avoid, &avoid_zones, &filter) else {
+                break;
+            };
+            let is_second_choice = avoid_zones.contains(&holder.record.zone)
+                || !filter.prefers(&holder.record.version);
+            if is_second_choice && !candidates.is_empty() {
+                break;
+            }
+            avoid.push(holder.name().clone());
+            candidates.push(holder);
+        }
+        let size = self.prompt_size();
+        let copy = || (self.placed_work(WorkKind::Copy, &size), size);
+        HolderSearch {
+            candidates,
+            copy: uses_ledgers.then(copy),
+        }
     }
 
-    /// Returns the continuous copy that an upstream will make, if it can make one.
-    pub(super) fn plan_continuous_copy(&self, upstream: &UpstreamState) -> Option<KvCacheCopy> {
+    /// Returns the continuous copy that an upstream will make, if it can make one, and adds it
+    /// to the attempt's work.
+    pub(super) async fn plan_continuous_copy(
+        &self,
+        upstream: &UpstreamState,
+        work: &mut AttemptWork,
+    ) -> Option<KvCacheCopy> {
         let table = self.state.config.table()?;
         let engine = table.engine(&self.request.service)?;
         if !engine.can_back_up_cache || !self.is_resumable {
             return None;
         }
-        let holder = self.choose_holder(upstream)?;
+        let holder = self.find_holders(upstream).run::<P>(&self.state).await?;
+        work.copy = holder.work;
+        let engine = holder.engine;
         Some(KvCacheCopy {
-            holder: holder.name().clone(),
-            address: holder.record.address,
+            holder: engine.name().clone(),
+            address: engine.record.address,
             handle: self.request.head.request.clone(),
             kind: CopyKind::Continuous,
         })
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -4,6 +4,7 @@
 mod copy_manager;
 mod engine_selection;
 mod events;
+mod ledger_selection;
 mod opening;
 mod prefill_watch;
 mod quarantine_check;
@@ -15,11 +16,11 @@
 use crate::counters;
 use crate::exchange::CallerRequest;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
-use crate::platform_api::{KvCacheCopy, WireProtocol};
+use crate::platform_api::WireProtocol;
 use crate::quarantine::ProbeTicket;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
 use attempt::{AttemptStep, StreamAttempt};
-use copy_manager::CopyManager;
+use copy_manager::{CopyManager, MadeCopy};
 use events::StreamEvent;
 use http::{response, Response};
 use opening::OpenedStream;
@@ -220,9 +221,9 @@
         &self,
         copies: &mut CopyManager,
         attempt: &mut StreamAttempt,
-        copy: Option<KvCacheCopy>,
+        copy: Option<MadeCopy>,
     ) {
-        if let Some(copy) = copy {
+        if let Some(MadeCopy { copy, work }) = copy {
             log::info!(
                 request = self.request.id(),
                 upstream:% = attempt.upstream.name(),
@@ -231,12 +232,14 @@
                 "KV cache copied"
             );
             attempt.copy = Some(copy);
+            // A renewed copy stays at its holder.
+            attempt.work.copy = work.or(attempt.work.copy.take());
         }
         if !self.is_resumable {
             return;
         }
         let service = &self.request.service;
-        let choose = || self.choose_holder(&attempt.upstream);
+        let choose = || self.find_holders(&attempt.upstream);
         copies.check::<P>(&self.state, service, self.request.id(), attempt, choose);
     }
 
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -1,6 +1,7 @@
 //! Opens a stream at an upstream, and tries others until one responds.
 
 use super::attempt::{AttemptFailure, StreamAttempt};
+use super::ledger_selection::{AttemptWork, EngineSelection};
 use super::prefill_watch::{watch_prefill, PrefillTimeout};
 use super::replacement::MIN_RETRY_PAUSE;
 use super::StreamForwarder;
@@ -59,10 +60,10 @@
                 self.unsent = 0;
                 continue;
             }
-            let (upstream, copy_from) = match holder {
-                Some((upstream, copy)) => (upstream, Some(copy)),
+            let (selection, copy_from) = match holder {
+                Some((upstream, copy)) => (EngineSelection::from(upstream), Some(copy)),
                 None => match self.choose_upstream().await {
-                    Some(upstream) => (upstream, None),
+                    Some(selection) => (selection, None),
                     None => {
                         self.refund_send();
                         if !self.pause_before_retry().await {
@@ -74,6 +75,8 @@
                     }
                 },
             };
+            let EngineSelection { upstream, mut work } = selection;
+            let new_copy = self.plan_continuous_copy(&upstream, &mut work).await;
             // The choice may have taken a while.
             if !self.is_admitted() {
                 self.refund_send();
@@ -81,11 +84,8 @@
             }
             self.is_first_send = self.sends == 0 && self.ledger.last().is_none();
             let probe = self.observe(&upstream, copy_from.is_none(), attempt_rule.ticket);
-            let new_copy = self.plan_continuous_copy(&upstream);
-            match self
-                .start(upstream.clone(), copy_from.as_ref(), new_copy, probe)
-                .await
-            {
+            let copies = (copy_from.as_ref(), new_copy);
+            match self.start(upstream.clone(), copies, work, probe).await {
                 Ok(opened) => {
                     self.retry_pause = MIN_RETRY_PAUSE;
                     return opened;
@@ -152,13 +152,13 @@
 
     /// Sends the request to an upstream and waits for the head of its response.
     ///
-    /// `copy_from` is the KV cache copy to resume from, and `new_copy` the one that the
-    /// upstream continuously updates.
+    /// The copies are the one to resume from, and the one that the upstream continuously
+    /// updates.
     async fn start(
         &mut self,
         upstream: Arc<UpstreamState>,
-        copy_from: Option<&KvCacheCopy>,
-        new_copy: Option<KvCacheCopy>,
+        (copy_from, new_copy): (Option<&KvCacheCopy>, Option<KvCacheCopy>),
+        work: AttemptWork,
         mut probe: AttemptProbe,
     ) -> Result<OpenedStream, AttemptFailure> {
         self.tried.push(upstream.name().clone());
@@ -186,6 +186,7 @@
             resume_after = self.ledger.last(),
             is_from_copy = copy_from.is_some(),
             holder = new_copy.as_ref().map(|copy| copy.holder.to_string()),
+            expected_first_event_ms = work.expected_first_event.map(ClockTime::as_millis),
             after_ms = self.request.deadline.elapsed().as_millis();
             "stream request sent"
         );
@@ -226,6 +227,7 @@
         self.sends += 1;
         let now = self.state.clock.now();
         let attempt = StreamAttempt::new(upstream, new_copy, response, phase, probe, now);
+        let attempt = attempt.with_work(work);
         Ok(OpenedStream::Running(Box::new(attempt)))
     }
 
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -24,11 +24,13 @@
     /// Continues the stream at another upstream.
     pub(super) async fn replace(
         &mut self,
-        attempt: StreamAttempt,
+        mut attempt: StreamAttempt,
         cause: LossCause,
         parts: &mpsc::Sender<BodyPart>,
     ) -> Option<StreamAttempt> {
         let copy = attempt.copy.clone();
+        // The copy takes room until the stream has continued.
+        let _copy_work = attempt.work.copy.take();
         let upstream = attempt.upstream.clone();
         let progress = attempt.progress(self.state.clock.now());
         // Closing the connection stops the old upstream before the next one starts.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -2,9 +2,14 @@
 //!
 //! A field number is never reused for another field.
 
+mod engine_ledger;
 mod feed;
 mod quarantine;
 
+pub use engine_ledger::{
+    LedgerAnswer, LedgerEngine, LedgerKnowledge, LedgerQuery, LedgerViews, PlacementReply,
+    PromptPlacement, PromptProgress,
+};
 pub use feed::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, FeedRows};
 pub use quarantine::{CrashNotice, PartBlockWire, PartBlocks};
 
@@ -30,7 +35,7 @@
     /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24"
     )]
     pub body: Option<PeerBody>,
 }
@@ -89,6 +94,22 @@
     /// Tells a gateway which parts of prompts are blocked. Older builds ignore it.
     #[prost(message, tag = "17")]
     ShareBlocks(PartBlocks),
+    /// Requests the loads of engines from the VM that keeps their ledgers. Older builds
+    /// reply `Done(false)`.
+    #[prost(message, tag = "20")]
+    AskLedgers(LedgerQuery),
+    /// Replies with the loads of engines.
+    #[prost(message, tag = "21")]
+    LedgerViews(LedgerViews),
+    /// Tells the VM that keeps an engine's ledger of work that is sent to the engine.
+    #[prost(message, tag = "22")]
+    PlacePrompt(PromptPlacement),
+    /// Replies with what was placed at the engine meanwhile.
+    #[prost(message, tag = "23")]
+    PlacementReply(PlacementReply),
+    /// Tells the VM that keeps an engine's ledger how placed work goes on.
+    #[prost(message, tag = "24")]
+    PromptProgress(PromptProgress),
 }
 
 /// The end of a rollout.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,6 +58,7 @@
 mod generation_types;
 mod interval_estimator;
 mod latency_estimator;
+mod ledger_owner;
 mod membership;
 mod membership_types;
 mod minted_keys;
@@ -113,6 +114,7 @@
 };
 pub use interval_estimator::{IntervalEstimator, SilenceBounds};
 pub use latency_estimator::LatencyEstimator;
+pub use ledger_owner::{find_ledger_owner, needs_more_candidates, MIN_LEDGER_VMS};
 pub use membership::MembershipTable;
 pub use membership_types::{
     GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState, MembershipAction,
--- a/crates/policy/src/prefill_timeout.rs
+++ b/crates/policy/src/prefill_timeout.rs
@@ -90,10 +90,14 @@
         self.prompt_tokens.load(Ordering::Relaxed)
     }
 
+    /// Returns the usual speed of prefills, in tokens per second.
+    pub fn tokens_per_s(&self) -> u64 {
+        self.tokens_per_s.load(Ordering::Relaxed).max(1)
+    }
+
     /// Returns the time that prompts of this total length take.
     pub fn duration(&self, tokens: u64) -> ClockTime {
-        let tokens_per_s = self.tokens_per_s.load(Ordering::Relaxed).max(1);
-        ClockTime::from_millis(tokens * 1_000 / tokens_per_s)
+        ClockTime::from_millis(tokens * 1_000 / self.tokens_per_s())
     }
 }
 
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod fleet_start;
 mod latency_estimator;
+mod ledger_owner;
 mod part_quarantine;
 mod placement;
 mod prefill_timeout;
