Decide engines by ledgers of what all VMs have placed

Cause: VMs choose at the same moment from reports that are 200 ms old. Change: a ledger adds placed prompts and copies to the last report; the engine with the soonest expected first event is chosen, engines without room last.

--- a/crates/policy/src/engine_ledger.rs
+++ b/crates/policy/src/engine_ledger.rs
@@ -8,6 +8,34 @@
 use faststr::FastStr;
 use skylarkshed_core::ClockTime;
 
+/// The engine is asked again after this time: its reports are 200 ms old.
+const REPORT_INTERVAL: ClockTime = ClockTime::from_millis(200);
+/// A report that is asked for this time after a placement includes it: reports are 200 ms
+/// old, and the prompt needs some time to the engine.
+const REPORT_DELAY: ClockTime = ClockTime::from_millis(300);
+/// An engine prefills its whole queue in some seconds, so an older report tells nothing.
+const REPORT_LIFETIME: ClockTime = ClockTime::from_millis(2_000);
+/// The VM that placed the work may have died without a word.
+const WORK_LIFETIME: ClockTime = ClockTime::from_millis(10_000);
+/// A speed without a new sample is forgotten, so that an engine that was slow gets prompts
+/// again; so is a ledger without any message.
+const IDLE_LIFETIME: ClockTime = ClockTime::from_millis(30_000);
+
+/// The expected answer as a percentage of the prompt, if nothing is known of it.
+const ANSWER_PERCENT: u64 = 10;
+/// A new sample has a weight of one in this many in the average of the speed.
+const SPEED_SAMPLES: u64 = 4;
+/// A sample counts at most this many times the average and at least its inverse: engines
+/// are slow for some hundred milliseconds, and prompts may be in the cache.
+const MAX_SAMPLE_FACTOR: u64 = 2;
+/// Prompts below this length take about as long as the steps around them.
+const MIN_SAMPLE_TOKENS: u64 = 1_000;
+
+/// Larger numbers of requests in a report are faults: engines have some 16 slots.
+const MAX_REQUESTS: u64 = 10_000;
+/// Larger numbers of tokens in a report are faults: engines hold some 100,000.
+const MAX_TOKENS: u64 = 10_000_000;
+
 /// Work that a VM has sent to an engine.
 #[derive(Clone, Debug)]
 pub struct PlacedWork {
@@ -17,7 +45,7 @@
     pub kind: WorkKind,
     /// The length of the prompt, or of the copy.
     pub prompt_tokens: u64,
-    /// The expected length of the answer; zero if unknown.
+    /// The expected length of the answer in tokens; zero if unknown.
     pub output_tokens: u64,
 }
 
@@ -33,7 +61,7 @@
 /// What became of placed work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PromptEvent {
-    /// The first event came this time after the prompt was sent.
+    /// The first event came.
     FirstEvent {
         /// The time from the send to the first event.
         elapsed: ClockTime,
@@ -45,7 +73,8 @@
 /// The load of an engine as its owner knows it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LedgerView {
-    /// The prompts that are due: waiting, being prefilled and placed since the report.
+    /// The length of the prompts that are due: waiting, being prefilled and placed since the
+    /// report. Of those being prefilled, half is due on average.
     pub due_tokens: u64,
     /// The running generations that have produced events.
     pub running: u64,
@@ -56,41 +85,299 @@
     pub tokens_per_s: Option<u64>,
     /// The time since the last report was asked for; [`ClockTime::NEVER`] without one.
     pub age: ClockTime,
-    /// Whether a request of the choosing VM has just failed at the engine.
+    /// Whether a request of the VM that asked for the report has just failed at the engine.
     pub is_suspect: bool,
 }
 
+impl LedgerView {
+    /// Returns the view of an engine whose owner does not answer, from a report that this VM
+    /// asked for itself. It counts the prompts that this VM has sent.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_policy::{EngineLoad, LedgerView};
+    ///
+    /// let load = EngineLoad { waiting: 1, unreported: 1, ..EngineLoad::default() };
+    /// assert_eq!(LedgerView::from_load(&load, 8_000).due_tokens, 16_000);
+    /// ```
+    pub fn from_load(load: &EngineLoad, usual_prompt: u64) -> LedgerView {
+        let mut ledger = EngineLedger::default();
+        ledger.record_report(load, ClockTime::ZERO);
+        let mut view = ledger.view(ClockTime::ZERO, usual_prompt);
+        let unreported = load.unreported.min(MAX_REQUESTS) * usual_prompt;
+        view.due_tokens += unreported;
+        let taken = unreported + expected_answer(unreported, 0);
+        view.free_tokens = view.free_tokens.map(|free| free.saturating_sub(taken));
+        view
+    }
+}
+
 /// What is known of one engine's load.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_policy::{EngineLedger, EngineLoad, PlacedWork, WorkKind};
+///
+/// let at = ClockTime::from_millis;
+/// let mut ledger = EngineLedger::default();
+/// ledger.record_report(&EngineLoad::default(), at(1_000));
+/// let work = PlacedWork {
+///     request: "request-1".into(),
+///     kind: WorkKind::Prompt,
+///     prompt_tokens: 8_000,
+///     output_tokens: 800,
+/// };
+/// ledger.place(work, at(1_010));
+/// assert_eq!(ledger.view(at(1_020), 8_000).due_tokens, 8_000);
+/// // A later report includes the prompt.
+/// ledger.record_report(&EngineLoad { waiting: 1, ..EngineLoad::default() }, at(1_310));
+/// assert_eq!(ledger.view(at(1_320), 8_000).due_tokens, 8_000);
+/// ```
 #[derive(Debug, Default)]
-pub struct EngineLedger;
+pub struct EngineLedger {
+    report: Option<LedgerReport>,
+    entries: Vec<LedgerEntry>,
+    speed: Option<SpeedSample>,
+    used_at: ClockTime,
+}
+
+/// An engine's last report.
+#[derive(Debug)]
+struct LedgerReport {
+    load: EngineLoad,
+    asked_at: ClockTime,
+    /// Whether the numbers of requests and of their tokens can be true.
+    has_queue: bool,
+    /// Whether all figures can be true.
+    is_plausible: bool,
+}
+
+/// Placed work that has not ended.
+#[derive(Debug)]
+struct LedgerEntry {
+    work: PlacedWork,
+    placed_at: ClockTime,
+    has_started: bool,
+    /// Whether the prompt found no other one due, and none was placed after it.
+    is_alone: bool,
+}
+
+/// The average speed of an engine's prefills.
+#[derive(Clone, Copy, Debug)]
+struct SpeedSample {
+    tokens_per_s: u64,
+    sampled_at: ClockTime,
+}
 
 impl EngineLedger {
     /// Reports whether the last report is so old that the engine has to be asked.
-    pub fn needs_report(&self, _now: ClockTime) -> bool {
-        true
+    pub fn needs_report(&self, now: ClockTime) -> bool {
+        let report = self.report.as_ref();
+        report.is_none_or(|report| now.since(report.asked_at) >= REPORT_INTERVAL)
     }
 
-    /// Records a report of the engine.
-    pub fn record_report(&mut self, _load: &EngineLoad, _asked_at: ClockTime) {}
+    /// Reports whether a figure of the last report can't be true; it counts as unknown.
+    pub fn has_absurd_report(&self) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|report| !report.is_plausible)
+    }
 
-    /// Adds work that a VM sends to the engine.
-    pub fn place(&mut self, _work: PlacedWork, _now: ClockTime) {}
+    /// Records a report of the engine. One that was asked for earlier than the last is ignored.
+    pub fn record_report(&mut self, load: &EngineLoad, asked_at: ClockTime) {
+        let last = self.report.as_ref().map(|report| report.asked_at);
+        if last.is_some_and(|last| asked_at < last) {
+            return;
+        }
+        let has_queue = load.waiting.max(load.running) <= MAX_REQUESTS
+            && load.used_tokens <= MAX_TOKENS
+            && load.runs.iter().all(|run| run.tokens <= MAX_TOKENS);
+        let free_tokens = load.free_tokens.filter(|free| *free <= MAX_TOKENS);
+        self.report = Some(LedgerReport {
+            is_plausible: has_queue && free_tokens.is_some(),
+            load: EngineLoad {
+                free_tokens,
+                ..load.clone()
+            },
+            asked_at,
+            has_queue,
+        });
+        self.touch(asked_at);
+    }
+
+    /// Adds work that a VM sends to the engine. Work of the same request and kind is replaced.
+    pub fn place(&mut self, work: PlacedWork, now: ClockTime) {
+        self.touch(now);
+        let is_alone = self.view(now, 1).due_tokens == 0 && work.kind == WorkKind::Prompt;
+        self.entries.retain(|entry| {
+            let is_same = entry.work.request == work.request && entry.work.kind == work.kind;
+            !is_same && entry.is_alive(now)
+        });
+        if work.kind == WorkKind::Prompt {
+            for entry in &mut self.entries {
+                entry.is_alone &= entry.has_started;
+            }
+        }
+        self.entries.push(LedgerEntry {
+            work: PlacedWork {
+                prompt_tokens: work.prompt_tokens.min(MAX_TOKENS),
+                output_tokens: work.output_tokens.min(MAX_TOKENS),
+                ..work
+            },
+            placed_at: now,
+            has_started: false,
+            is_alone,
+        });
+    }
 
     /// Records what became of placed work.
-    pub fn record_event(&mut self, _request: &str, _event: PromptEvent, _now: ClockTime) {}
+    pub fn record_event(&mut self, request: &str, event: PromptEvent, now: ClockTime) {
+        self.touch(now);
+        match event {
+            PromptEvent::FirstEvent { elapsed } => self.record_first_event(request, elapsed, now),
+            PromptEvent::Ended => self.entries.retain(|entry| entry.work.request != request),
+        }
+    }
 
     /// Returns the engine's load; `usual_prompt` is the usual length of prompts.
-    pub fn view(&self, _now: ClockTime, _usual_prompt: u64) -> LedgerView {
-        LedgerView::default()
+    pub fn view(&self, now: ClockTime, usual_prompt: u64) -> LedgerView {
+        let usual_prompt = usual_prompt.min(MAX_TOKENS);
+        let report = self.report.as_ref();
+        let age = report.map_or(ClockTime::NEVER, |report| now.since(report.asked_at));
+        let report = report.filter(|_| age < REPORT_LIFETIME);
+        let mut view = match report {
+            Some(report) => report.view(usual_prompt),
+            None => LedgerView::default(),
+        };
+        for entry in self.entries.iter().filter(|entry| entry.is_alive(now)) {
+            let covering = report.filter(|report| report.covers(entry));
+            if covering.is_none_or(|report| !report.has_queue) {
+                view.due_tokens += entry.due_tokens();
+                view.running += u64::from(entry.has_started);
+            }
+            let taken = entry.taken_tokens(covering);
+            view.free_tokens = view.free_tokens.map(|free| free.saturating_sub(taken));
+        }
+        let speed = self.speed;
+        let speed = speed.filter(|speed| now.since(speed.sampled_at) < IDLE_LIFETIME);
+        view.tokens_per_s = speed.map(|speed| speed.tokens_per_s);
+        view.age = age;
+        view
     }
 
     /// Returns the total length of the prompts that any VM has placed after `since`.
-    pub fn placed_tokens_since(&self, _since: ClockTime) -> u64 {
-        0
+    pub fn placed_tokens_since(&self, since: ClockTime) -> u64 {
+        let entries = self.entries.iter();
+        let placed = entries
+            .filter(|entry| entry.placed_at > since && entry.work.kind == WorkKind::Prompt)
+            .map(|entry| entry.work.prompt_tokens);
+        placed.sum()
     }
 
     /// Reports whether nothing was recorded for so long that the ledger may be dropped.
-    pub fn is_unused(&self, _now: ClockTime) -> bool {
-        false
+    pub fn is_unused(&self, now: ClockTime) -> bool {
+        now.since(self.used_at) >= IDLE_LIFETIME
+    }
+
+    fn touch(&mut self, now: ClockTime) {
+        self.used_at = self.used_at.max(now);
+    }
+
+    fn record_first_event(&mut self, request: &str, elapsed: ClockTime, now: ClockTime) {
+        let mut entries = self.entries.iter_mut();
+        let entry = entries
+            .find(|entry| entry.work.request == request && entry.work.kind == WorkKind::Prompt);
+        let Some(entry) = entry.filter(|entry| !entry.has_started) else {
+            return;
+        };
+        entry.has_started = true;
+        let tokens = entry.work.prompt_tokens;
+        if !entry.is_alone || tokens < MIN_SAMPLE_TOKENS {
+            return;
+        }
+        let sample = (tokens * 1_000 / elapsed.as_millis().max(1)).max(1);
+        let last = self.speed;
+        let last = last.filter(|speed| now.since(speed.sampled_at) < IDLE_LIFETIME);
+        let tokens_per_s = match last.map(|speed| speed.tokens_per_s) {
+            Some(mean) => {
+                let sample = sample.clamp(mean / MAX_SAMPLE_FACTOR, mean * MAX_SAMPLE_FACTOR);
+                (mean * (SPEED_SAMPLES - 1) + sample) / SPEED_SAMPLES
+            }
+            None => sample,
+        };
+        self.speed = Some(SpeedSample {
+            tokens_per_s: tokens_per_s.max(1),
+            sampled_at: now,
+        });
+    }
+}
+
+impl LedgerReport {
+    /// Reports whether the engine had the work when it made the report.
+    fn covers(&self, entry: &LedgerEntry) -> bool {
+        self.asked_at >= entry.placed_at + REPORT_DELAY
+    }
+
+    fn view(&self, usual_prompt: u64) -> LedgerView {
+        let load = &self.load;
+        let free_tokens = load.free_tokens;
+        if !self.has_queue {
+            return LedgerView {
+                free_tokens,
+                is_suspect: load.is_suspect,
+                ..LedgerView::default()
+            };
+        }
+        let waiting = load.waiting * usual_prompt;
+        LedgerView {
+            // A prefill of unknown progress is half done on average.
+            due_tokens: waiting + load.prefilling_tokens() / 2,
+            running: load.running.saturating_sub(load.prefills()),
+            free_tokens: free_tokens.map(|free| free.saturating_sub(waiting)),
+            is_suspect: load.is_suspect,
+            ..LedgerView::default()
+        }
+    }
+}
+
+impl LedgerEntry {
+    fn is_alive(&self, now: ClockTime) -> bool {
+        now.since(self.placed_at) < WORK_LIFETIME
+    }
+
+    /// Returns the length of the prompt until its first event.
+    fn due_tokens(&self) -> u64 {
+        match self.work.kind {
+            WorkKind::Prompt if !self.has_started => self.work.prompt_tokens,
+            WorkKind::Prompt | WorkKind::Copy => 0,
+        }
+    }
+
+    /// Returns the room that the work takes beyond what the report counts as used: all of it
+    /// if the report doesn't cover it, else the rest of its answer.
+    fn taken_tokens(&self, covering: Option<&LedgerReport>) -> u64 {
+        let work = &self.work;
+        let answer = expected_answer(work.prompt_tokens, work.output_tokens);
+        match (covering, work.kind) {
+            (None, WorkKind::Prompt) => work.prompt_tokens + answer,
+            (None, WorkKind::Copy) => work.prompt_tokens,
+            (Some(_), WorkKind::Copy) => 0,
+            (Some(report), WorkKind::Prompt) => {
+                let mut runs = report.load.runs.iter();
+                let run = runs.find(|run| run.request == work.request);
+                let produced = run.map_or(0, |run| run.tokens.saturating_sub(work.prompt_tokens));
+                answer.saturating_sub(produced)
+            }
+        }
+    }
+}
+
+/// Returns the expected length of an answer, in tokens; `output_tokens` is zero if unknown.
+pub(crate) fn expected_answer(prompt_tokens: u64, output_tokens: u64) -> u64 {
+    match output_tokens {
+        0 => prompt_tokens * ANSWER_PERCENT / 100,
+        known => known,
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -99,8 +99,8 @@
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
 pub use engine_ledger::{EngineLedger, LedgerView, PlacedWork, PromptEvent, WorkKind};
 pub use engine_placement::{
-    choose_by_time, choose_holder, expected_first_event, is_choice_outdated, EngineChoice,
-    PromptSize,
+    are_ledgers_busy, choose_by_time, choose_holder, expected_first_event, is_choice_outdated,
+    EngineChoice, PromptSize,
 };
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
