--- a/crates/gateway/src/engine_ledgers/client.rs
+++ b/crates/gateway/src/engine_ledgers/client.rs
@@ -9,7 +9,7 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{LedgerAnswer, LedgerKnowledge, LedgerQuery, LedgerViews, PeerBody};
-use skylarkshed_policy::{find_ledger_owner, EngineLedger, LedgerView, UpstreamHealth};
+use skylarkshed_policy::{find_ledger_owner, LedgerView, UpstreamHealth};
 use std::sync::Arc;
 
 /// What owners may do to answer.
@@ -163,12 +163,9 @@
     usual_prompt: u64,
 ) -> CandidateLoad {
     counters::count_ledger_request("fallback");
-    let asked_at = state.clock.now();
     let report = request_report::<P>(state, engine).await;
     let view = report.map(|load| {
-        let mut ledger = EngineLedger::default();
-        ledger.record_report(&load, asked_at);
-        let view = ledger.view(state.clock.now(), usual_prompt);
+        let view = LedgerView::from_load(&load, usual_prompt);
         LedgerView {
             is_suspect: view.is_suspect || load.is_suspect,
             ..view
--- a/crates/gateway/src/engine_ledgers/owned.rs
+++ b/crates/gateway/src/engine_ledgers/owned.rs
@@ -17,7 +17,7 @@
 /// The least time between two status checks, also of an engine that does not answer.
 const REPORT_INTERVAL: ClockTime = ClockTime::from_millis(200);
 /// An older report says nothing about the load any more.
-const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(3_000);
+const MAX_REPORT_AGE: ClockTime = ClockTime::from_millis(2_000);
 /// How often unused ledgers are dropped.
 const SWEEP_INTERVAL: ClockTime = ClockTime::from_millis(10_000);
 /// The number of messages to owners that may be on their way; further ones are left out, and
@@ -184,15 +184,6 @@
         let report = request_report::<P>(state, engine).await;
         let mut slot = self.lock();
         slot.has_failed = report.is_none();
-        let problem = match &report {
-            None => Some("no load report"),
-            Some(load) if load.free_tokens.is_none() => Some("the load report states no room"),
-            Some(_) => None,
-        };
-        if let Some(problem) = problem.filter(|_| !slot.is_problem_logged) {
-            slot.is_problem_logged = true;
-            log::info!(upstream:% = engine.name(), problem; "load of an engine partly unknown");
-        }
         if let Some(report) = report {
             let load = EngineLoad {
                 // The ledger has this VM's prompts like those of all others.
@@ -201,6 +192,14 @@
             };
             slot.ledger.record_report(&load, asked_at);
         }
+        let problem = match slot.has_failed {
+            true => Some("no report"),
+            false => slot.ledger.has_absurd_report().then_some("absurd report"),
+        };
+        if let Some(problem) = problem.filter(|_| !slot.is_problem_logged) {
+            slot.is_problem_logged = true;
+            log::info!(upstream:% = engine.name(), problem; "load of an engine is partly unknown");
+        }
     }
 
     /// Returns the engine's load, or none if the last report is too old.
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -8,8 +8,8 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    choose_by_time, choose_holder, is_choice_outdated, needs_more_candidates, EngineChoice,
-    LedgerView, PlacedWork, PromptSize, WorkKind,
+    are_ledgers_busy, choose_by_time, choose_holder, is_choice_outdated, EngineChoice, LedgerView,
+    PlacedWork, PromptSize, WorkKind,
 };
 use std::sync::Arc;
 
@@ -83,8 +83,7 @@
         let mut engines = Vec::new();
         self.add_candidates(&mut engines, &self.failed_zones);
         let mut loads = self.query_loads(&engines, &size).await;
-        let choice = choose_by_time(&views(&loads), &[], &size);
-        if choice.is_some_and(|choice| needs_more_candidates(&choice, &size)) {
+        if are_ledgers_busy(&views(&loads), &size) {
             let mut avoid_zones = self.failed_zones.clone();
             avoid_zones.extend(engines.iter().map(|engine| engine.record.zone.clone()));
             let known = engines.len();
--- a/crates/policy/src/ledger_owner.rs
+++ b/crates/policy/src/ledger_owner.rs
@@ -1,11 +1,9 @@
-//! Decides which VM keeps the load ledger of an engine, and when ledgers are used.
+//! Decides which VM keeps the load ledger of an engine.
 //!
 //! Load pattern: many VMs choose engines at the same moment from stale reports. All ask the
 //! one VM that knows what the others have just placed, so that an engine is neither
 //! overloaded by them nor asked by each of them.
 
-use crate::engine_ledger::LedgerView;
-use crate::engine_placement::{expected_first_event, EngineChoice, PromptSize};
 use crate::feed_route::VmEntry;
 use crate::rendezvous::weighted_rank;
 use skylarkshed_core::{UpstreamName, ZoneName};
@@ -13,9 +11,6 @@
 /// The number of VMs from which on ledgers are used. In smaller fleets each VM knows a large
 /// part of the load itself.
 pub const MIN_LEDGER_VMS: usize = 16;
-/// The additional time, as a percentage of the usual prompt's, from which on engines of other
-/// zones are considered as well: another prompt has to be prefilled first.
-const BUSY_PERCENT: u64 = 40;
 
 /// Returns the VM that keeps the ledger of an engine: one of the engine's zone, or of all VMs
 /// if its zone has none. VMs keep a number of ledgers in proportion to their capacity.
@@ -48,30 +43,3 @@
         .max_by_key(rank)
         .or_else(|| vms.iter().max_by_key(rank))
 }
-
-/// Reports whether even the best of the candidates is so busy that engines of other zones
-/// should be considered as well; `choice` is the best one.
-///
-/// # Examples
-///
-/// ```
-/// use skylarkshed_core::ClockTime;
-/// use skylarkshed_policy::{needs_more_candidates, EngineChoice, PromptSize};
-///
-/// let size = PromptSize {
-///     prompt_tokens: 8_000,
-///     output_tokens: 100,
-///     usual_prompt: 8_000,
-///     usual_tokens_per_s: 8_000,
-/// };
-/// let idle = EngineChoice { index: 0, expected: ClockTime::from_millis(1_000), has_room: true };
-/// assert!(!needs_more_candidates(&idle, &size));
-/// let busy = EngineChoice { expected: ClockTime::from_millis(2_000), ..idle };
-/// assert!(needs_more_candidates(&busy, &size));
-/// ```
-pub fn needs_more_candidates(choice: &EngineChoice, size: &PromptSize) -> bool {
-    let idle = expected_first_event(&LedgerView::default(), size).as_millis();
-    let usual_ms = size.usual_prompt * 1_000 / size.usual_tokens_per_s.max(1);
-    let busy_ms = idle + usual_ms * BUSY_PERCENT / 100;
-    !choice.has_room || choice.expected.as_millis() >= busy_ms
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -114,7 +114,7 @@
 };
 pub use interval_estimator::{IntervalEstimator, SilenceBounds};
 pub use latency_estimator::LatencyEstimator;
-pub use ledger_owner::{find_ledger_owner, needs_more_candidates, MIN_LEDGER_VMS};
+pub use ledger_owner::{find_ledger_owner, MIN_LEDGER_VMS};
 pub use membership::MembershipTable;
 pub use membership_types::{
     GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState, MembershipAction,
