Test that VMs of a large fleet share what they place at engines

Cause: the ledgers were untested. Change: real processes of a fleet of 16 listed VMs: a prompt avoids the engine at which another VM has just placed one; owners that are gone, paused or of an older build. The older peers answer Done(false) to the new messages.

--- a/crates/gateway/src/engine_ledgers/owned.rs
+++ b/crates/gateway/src/engine_ledgers/owned.rs
@@ -194,7 +194,10 @@
         }
         let problem = match slot.has_failed {
             true => Some("no report"),
-            false => slot.ledger.has_absurd_report().then_some("absurd report"),
+            false => slot
+                .ledger
+                .has_absurd_report()
+                .then_some("a figure is missing or absurd"),
         };
         if let Some(problem) = problem.filter(|_| !slot.is_problem_logged) {
             slot.is_problem_logged = true;
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -44,7 +44,12 @@
             | PeerBody::RolloutWord(_)
             | PeerBody::EndRollout(_)
             | PeerBody::ReportCrash(_)
-            | PeerBody::ShareBlocks(_) => PeerBody::Done(false),
+            | PeerBody::ShareBlocks(_)
+            | PeerBody::AskLedgers(_)
+            | PeerBody::LedgerViews(_)
+            | PeerBody::PlacePrompt(_)
+            | PeerBody::PlacementReply(_)
+            | PeerBody::PromptProgress(_) => PeerBody::Done(false),
         }
     }
 }
--- /dev/null
+++ b/tests/testsuite/tests/gateway/engine_ledgers.rs
@@ -0,0 +1,222 @@
+//! VMs of a large fleet share what they place at engines.
+
+use serde_json::json;
+use skylarkshed_core::ClockTime;
+use skylarkshed_peer::wire::PeerBody;
+use skylarkshed_peer::{serve_peers, PeerHandler, PeerKey};
+use skylarkshed_stand_ins::ScriptedResponse;
+use skylarkshed_testsuite::{
+    wait_for_metric, GatewayHarness, HarnessBuilder, OtherVm, RawClient, DEPOT_KEY,
+};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+/// The number of VMs from which on ledgers are used.
+const MIN_VMS: usize = 16;
+/// How long an engine prefills a prompt.
+const PREFILL: Duration = Duration::from_millis(1_500);
+const LEDGER_REQUESTS: &str = "gateway_engine_ledger_requests_total";
+const FALLBACK: &str = "gateway_engine_ledger_requests_total{result=\"fallback\"}";
+
+/// A fleet of two VMs that run, and others that are only listed.
+struct LargeFleet {
+    harness: GatewayHarness,
+    other: OtherVm,
+}
+
+impl LargeFleet {
+    /// Starts two VMs of the first engine's zone, and lists others in a zone at an address.
+    async fn start(zone: &str, address: SocketAddr) -> Self {
+        Self::start_with(
+            HarnessBuilder::default().engines(2).start().await,
+            zone,
+            address,
+        )
+        .await
+    }
+
+    async fn start_with(harness: GatewayHarness, zone: &str, address: SocketAddr) -> Self {
+        let other = harness.start_other("vm-2").await;
+        for engine in &harness.engines {
+            engine.set_default_response(ScriptedResponse::LateStream {
+                delay: PREFILL,
+                last_id: 9,
+            });
+        }
+        let now = ClockTime::wall_clock_now().as_millis();
+        for number in 2..MIN_VMS {
+            let row = json!({"zone": zone, "address": address, "announced_ms": now, "capacity": 1});
+            harness.store.put("vms", &format!("listed-{number}"), &row);
+        }
+        wait_for_metric(
+            other.metrics_address,
+            "gateway_upstreams{state=\"present\"} 4",
+        )
+        .await;
+        let fleet = LargeFleet { harness, other };
+        fleet.wait_for_ledgers().await;
+        fleet
+    }
+
+    /// Waits until both VMs use ledgers, which the owners count.
+    async fn wait_for_ledgers(&self) {
+        for caller in [self.harness.caller_address, self.other.caller_address] {
+            let before = self.ledger_requests().await;
+            while self.ledger_requests().await == before {
+                // The caller leaves, so the engine is free again.
+                let _client = send_prompt(caller).await;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }
+        // Reports and placements of these prompts are out of date by then.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+
+    /// Returns the number of questions about engines that the VMs have counted.
+    async fn ledger_requests(&self) -> u64 {
+        let mut sum = 0;
+        for address in [self.harness.metrics_address, self.other.metrics_address] {
+            let metrics = metrics_text(address).await;
+            let lines = metrics.lines();
+            let lines = lines.filter(|line| line.starts_with(LEDGER_REQUESTS));
+            let counts = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
+            sum += counts.sum::<u64>();
+        }
+        sum
+    }
+
+    fn received(&self) -> [usize; 2] {
+        [0, 1].map(|index| self.harness.engines[index].received_requests().len())
+    }
+
+    /// Waits until the engines have received a number of requests more than `before`.
+    async fn wait_for_prompts(&self, before: [usize; 2], count: usize) -> [usize; 2] {
+        loop {
+            let received = self.received();
+            let new = [received[0] - before[0], received[1] - before[1]];
+            if new[0] + new[1] >= count {
+                return new;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+/// Sends a prompt of the usual length.
+async fn send_prompt(address: SocketAddr) -> RawClient {
+    let mut client = RawClient::connect(address).await;
+    let request = GatewayHarness::build_request("POST", "/write/7", DEPOT_KEY, "prompt");
+    let request = request.replace("800,80", "8000,800");
+    client.send(request.as_bytes()).await;
+    client
+}
+
+/// An address at which nothing listens.
+fn closed_address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+/// Guards against many VMs that choose the same idle engine at the same moment: its report
+/// does not show the prompts that other VMs have just placed.
+#[tokio::test]
+async fn prompt_avoids_an_engine_at_which_another_vm_has_just_placed_one() {
+    let fleet = LargeFleet::start("zone-9", closed_address()).await;
+    let callers = [fleet.harness.caller_address, fleet.other.caller_address];
+    for callers in [callers, [callers[1], callers[0]]] {
+        let before = fleet.received();
+        let _first = send_prompt(callers[0]).await;
+        // Both VMs prefer the engine of their zone.
+        assert_eq!(fleet.wait_for_prompts(before, 1).await, [1, 0]);
+        let _second = send_prompt(callers[1]).await;
+        assert_eq!(fleet.wait_for_prompts(before, 2).await, [1, 1]);
+        drop((_first, _second));
+        // Prompts that have ended count no more.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
+/// Guards against a rule for large fleets that changes small ones.
+#[tokio::test]
+async fn small_fleet_asks_the_engines() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let response = harness.send_request("POST", "/write/7", "prompt").await;
+    assert_eq!(response.status, 200);
+    let metrics = metrics_text(harness.metrics_address).await;
+    assert!(!metrics.contains(LEDGER_REQUESTS));
+}
+
+async fn metrics_text(address: SocketAddr) -> String {
+    let mut client = RawClient::connect(address).await;
+    let request = "GET /metrics HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n";
+    client.send(request.as_bytes()).await;
+    client.read_response().await.unwrap().body
+}
+
+/// Handles requests like a build that does not know ledgers.
+#[derive(Clone)]
+struct OlderBuild;
+
+impl PeerHandler for OlderBuild {
+    async fn handle(&self, _: PeerBody) -> PeerBody {
+        PeerBody::Done(false)
+    }
+}
+
+/// Handles requests like a VM that is paused.
+#[derive(Clone)]
+struct PausedVm;
+
+impl PeerHandler for PausedVm {
+    async fn handle(&self, _: PeerBody) -> PeerBody {
+        std::future::pending().await
+    }
+}
+
+async fn start_peer<H: PeerHandler>(harness: &GatewayHarness, handler: H) -> SocketAddr {
+    let store = harness.store.address().to_string();
+    let key = PeerKey::parse(blake3::hash(store.as_bytes()).to_hex().as_str()).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve_peers(listener, key, handler, |_| {}));
+    address
+}
+
+/// Guards against prompts that wait for owners that can't answer: the VM then asks the engine
+/// itself, and goes around one that reports prompts.
+async fn assert_engines_are_asked(fleet: &LargeFleet) {
+    fleet.harness.engines[0].set_report(r#"{"waiting": 5, "running": 3, "runs": []}"#);
+    // A report of the idle engine is too old by then.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = fleet.received();
+    let started_at = Instant::now();
+    let _client = send_prompt(fleet.harness.caller_address).await;
+    assert_eq!(fleet.wait_for_prompts(before, 1).await, [0, 1]);
+    let elapsed = started_at.elapsed();
+    assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
+    fleet.harness.wait_for_metric(FALLBACK).await;
+}
+
+/// All owners of the zone's engine but for the VM itself are gone.
+#[tokio::test]
+async fn engine_is_asked_if_its_owner_is_gone() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let fleet = LargeFleet::start_with(harness, "zone-1", closed_address()).await;
+    assert_engines_are_asked(&fleet).await;
+}
+
+#[tokio::test]
+async fn engine_is_asked_if_its_owner_is_paused() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let address = start_peer(&harness, PausedVm).await;
+    let fleet = LargeFleet::start_with(harness, "zone-1", address).await;
+    assert_engines_are_asked(&fleet).await;
+}
+
+#[tokio::test]
+async fn engine_is_asked_if_its_owner_is_an_older_build() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    let address = start_peer(&harness, OlderBuild).await;
+    let fleet = LargeFleet::start_with(harness, "zone-1", address).await;
+    assert_engines_are_asked(&fleet).await;
+}
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashing_calls;
 mod crashing_parts;
 mod endless_responses;
+mod engine_ledgers;
 mod explain_command;
 mod fleet_start;
 mod framing;
