--- a/crates/policy/src/engine_placement.rs
+++ b/crates/policy/src/engine_placement.rs
@@ -108,14 +108,31 @@
 
 /// Reports whether even the best candidate is so busy that engines of other zones should be
 /// candidates as well: another prompt has to be prefilled first, or none has room.
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_policy::{are_ledgers_busy, LedgerView, PromptSize};
+///
+/// let size = PromptSize {
+///     prompt_tokens: 8_000,
+///     output_tokens: 800,
+///     usual_prompt: 8_000,
+///     usual_tokens_per_s: 8_000,
+/// };
+/// let busy = LedgerView { due_tokens: 8_000, ..LedgerView::default() };
+/// assert!(are_ledgers_busy(&[Some(busy), None], &size));
+/// assert!(!are_ledgers_busy(&[Some(busy), Some(LedgerView::default())], &size));
+/// ```
 pub fn are_ledgers_busy(views: &[Option<LedgerView>], size: &PromptSize) -> bool {
-    let own = size.duration(size.prompt_tokens, size.usual_tokens_per_s);
-    let busy = size.duration(
-        size.usual_prompt * BUSY_PERCENT / 100,
-        size.usual_tokens_per_s,
-    );
-    let best = choose_by_time(views, &[], size);
-    best.is_none_or(|best| !best.has_room || best.expected >= own + busy)
+    let Some(best) = choose_by_time(views, &[], size) else {
+        return true;
+    };
+    let view = views[best.index].unwrap_or_default();
+    let busy = size.prompt_tokens + size.usual_prompt * BUSY_PERCENT / 100;
+    // A slow engine that is idle is not busy, nor is a fast one that still is in time.
+    let tokens_per_s = size.speed(&view).min(size.usual_tokens_per_s);
+    !best.has_room || best.expected >= size.duration(busy, tokens_per_s)
 }
 
 /// Returns the next candidate, if the prompts that others placed at the chosen engine since
