--- a/tests/testsuite/tests/gateway/engine_ledgers.rs
+++ b/tests/testsuite/tests/gateway/engine_ledgers.rs
@@ -14,9 +14,11 @@
 
 /// The number of VMs from which on ledgers are used.
 const MIN_VMS: usize = 16;
+const PROMPTS: usize = 12;
 /// How long an engine prefills a prompt.
 const PREFILL: Duration = Duration::from_millis(1_500);
 const LEDGER_REQUESTS: &str = "gateway_engine_ledger_requests_total";
+const REPORTS: &str = "gateway_engine_ledger_requests_total{result=\"report\"}";
 const FALLBACK: &str = "gateway_engine_ledger_requests_total{result=\"fallback\"}";
 
 /// A fleet of two VMs that run, and others that are only listed.
@@ -49,11 +51,9 @@
             let row = json!({"zone": zone, "address": address, "announced_ms": now, "capacity": 1});
             harness.store.put("vms", &format!("listed-{number}"), &row);
         }
-        wait_for_metric(
-            other.metrics_address,
-            "gateway_upstreams{state=\"present\"} 4",
-        )
-        .await;
+        let present = harness.applications.len() + harness.engines.len();
+        let present = format!("gateway_upstreams{{state=\"present\"}} {present}");
+        wait_for_metric(other.metrics_address, &present).await;
         let fleet = LargeFleet { harness, other };
         fleet.wait_for_ledgers().await;
         fleet
@@ -62,8 +62,8 @@
     /// Waits until both VMs use ledgers, which the owners count.
     async fn wait_for_ledgers(&self) {
         for caller in [self.harness.caller_address, self.other.caller_address] {
-            let before = self.ledger_requests().await;
-            while self.ledger_requests().await == before {
+            let before = self.count(LEDGER_REQUESTS).await;
+            while self.count(LEDGER_REQUESTS).await == before {
                 // The caller leaves, so the engine is free again.
                 let _client = send_prompt(caller).await;
                 tokio::time::sleep(Duration::from_millis(200)).await;
@@ -73,13 +73,13 @@
         tokio::time::sleep(Duration::from_millis(500)).await;
     }
 
-    /// Returns the number of questions about engines that the VMs have counted.
-    async fn ledger_requests(&self) -> u64 {
+    /// Returns the sum of a metric over its labels and both VMs.
+    async fn count(&self, metric: &str) -> u64 {
         let mut sum = 0;
         for address in [self.harness.metrics_address, self.other.metrics_address] {
             let metrics = metrics_text(address).await;
             let lines = metrics.lines();
-            let lines = lines.filter(|line| line.starts_with(LEDGER_REQUESTS));
+            let lines = lines.filter(|line| line.starts_with(metric));
             let counts = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
             sum += counts.sum::<u64>();
         }
@@ -136,6 +136,60 @@
     }
 }
 
+/// Guards against status checks that grow with the prompts, which are billed.
+#[tokio::test]
+async fn prompts_of_the_same_moment_share_the_status_checks() {
+    let fleet = LargeFleet::start("zone-9", closed_address()).await;
+    let callers = [fleet.harness.caller_address, fleet.other.caller_address];
+    let (before, checks_before) = (fleet.received(), fleet.count(REPORTS).await);
+    let started_at = Instant::now();
+    let sending = (0..PROMPTS).map(|number| tokio::spawn(send_prompt(callers[number % 2])));
+    let mut clients = Vec::new();
+    for task in sending.collect::<Vec<_>>() {
+        clients.push(task.await.unwrap());
+    }
+    let received = fleet.wait_for_prompts(before, PROMPTS).await;
+    let intervals = started_at.elapsed().as_millis() as u64 / 200 + 1;
+    let checks = fleet.count(REPORTS).await - checks_before;
+    // Both engines, once in each 200 ms; without ledgers each prompt asks both.
+    assert!((1..=2 * intervals).contains(&checks), "{checks} checks");
+    assert!(
+        received.iter().all(|count| *count >= PROMPTS / 3),
+        "{received:?}"
+    );
+}
+
+/// Guards against copies that take the room of prompts.
+#[tokio::test]
+async fn copy_is_held_where_there_is_room() {
+    let harness = HarnessBuilder::default().engines(3).start().await;
+    let fleet = LargeFleet::start_with(harness, "zone-9", closed_address()).await;
+    let engines = &fleet.harness.engines;
+    let set_used = |index: usize, used: u64| {
+        let report = json!({"waiting": 0, "running": 0, "runs": [],
+                            "cache_used": used, "cache_total": 88_000});
+        engines[index].set_report(&report.to_string());
+    };
+    let send = async || {
+        // Earlier reports are too old by then.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let before = engines[0].received_requests().len();
+        let _client = send_prompt(fleet.harness.caller_address).await;
+        engines[0].wait_for_requests(before + 1).await;
+        let sent = engines[0].received_requests().pop().unwrap();
+        sent.header("x-cache-backup").map(str::to_owned)
+    };
+    set_used(0, 0);
+    for (used, holder) in [([40_000, 10_000], 2), ([20_000, 50_000], 1)] {
+        set_used(1, used[0]);
+        set_used(2, used[1]);
+        assert_eq!(send().await, Some(engines[holder].address().to_string()));
+    }
+    set_used(1, 80_000);
+    set_used(2, 80_000);
+    assert_eq!(send().await, None);
+}
+
 /// Guards against a rule for large fleets that changes small ones.
 #[tokio::test]
 async fn small_fleet_asks_the_engines() {
