Leave silent owners out of notices, test the token counts of requests

Cause: messages to an owner that hangs could use up the bound of messages on their way, and a copy at another holder could stay counted at the former one. Change: notices to owners that have just not answered are left out.

--- a/crates/gateway/src/engine_ledgers/placed_work.rs
+++ b/crates/gateway/src/engine_ledgers/placed_work.rs
@@ -132,12 +132,16 @@
 }
 
 /// Sends a message to an owner for whose answer nothing waits. If too many are on their way,
-/// it is left out: placed work lapses by itself.
+/// or the owner has just not answered, it is left out: placed work lapses by itself.
 fn send_notice(state: &Arc<GatewayState>, owner: SocketAddr, body: PeerBody) {
+    if state.engine_ledgers.is_silent(owner) {
+        log::debug!(owner:%; "a message about the load of an engine is left out: the VM is silent");
+        return;
+    }
     let permit = state.engine_ledgers.notices.clone().try_acquire_owned();
     // Work may be dropped after the end of the runtime, when there is nobody left to tell.
     let (Ok(permit), Ok(runtime)) = (permit, Handle::try_current()) else {
-        log::debug!(owner:%; "a message about the load of an engine is left out");
+        log::debug!(owner:%; "a message about the load of an engine is left out: too many are on their way");
         return;
     };
     let state = state.clone();
@@ -145,6 +149,7 @@
         let _permit = permit;
         if let Err(error) = state.peers.request(owner, body, OWNER_RETRY_DELAY).await {
             log::debug!(owner:%; "can't tell of the load of an engine: {error}");
+            state.engine_ledgers.mark_silent(owner);
         }
     });
 }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -16,7 +16,7 @@
 use crate::counters;
 use crate::exchange::CallerRequest;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
-use crate::platform_api::WireProtocol;
+use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::quarantine::ProbeTicket;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
 use attempt::{AttemptStep, StreamAttempt};
@@ -231,9 +231,12 @@
                 events = self.ledger.accepted();
                 "KV cache copied"
             );
+            let is_held_by = |old: &KvCacheCopy| old.holder == copy.holder;
+            // A renewed copy stays counted at its holder.
+            if work.is_some() || !attempt.copy.as_ref().is_some_and(is_held_by) {
+                attempt.work.copy = work;
+            }
             attempt.copy = Some(copy);
-            // A renewed copy stays at its holder.
-            attempt.work.copy = work.or(attempt.work.copy.take());
         }
         if !self.is_resumable {
             return;
--- a/crates/policy/src/prefill_timeout.rs
+++ b/crates/policy/src/prefill_timeout.rs
@@ -46,6 +46,7 @@
 ///
 /// let estimator = PrefillEstimator::default();
 /// assert_eq!(estimator.duration(8_000).as_millis(), 1_000);
+/// assert_eq!(estimator.tokens_per_s(), 8_000);
 /// for _ in 0..100 {
 ///     estimator.record_first_event(8_000, ClockTime::from_millis(2_000));
 /// }
