--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -4,6 +4,7 @@
 mod copy_manager;
 mod engine_selection;
 mod events;
+mod ledger_selection;
 mod opening;
 mod prefill_watch;
 mod quarantine_check;
@@ -19,7 +20,7 @@
 use crate::quarantine::ProbeTicket;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
 use attempt::{AttemptStep, StreamAttempt};
-use copy_manager::CopyManager;
+use copy_manager::{CopyManager, MadeCopy};
 use events::StreamEvent;
 use http::{response, Response};
 use opening::OpenedStream;
@@ -224,9 +225,9 @@
         &self,
         copies: &mut CopyManager,
         attempt: &mut StreamAttempt,
-        copy: Option<KvCacheCopy>,
+        copy: Option<MadeCopy>,
     ) {
-        if let Some(copy) = copy {
+        if let Some(MadeCopy { copy, work }) = copy {
             log::info!(
                 request = self.request.id(),
                 upstream:% = attempt.upstream.name(),
@@ -234,13 +235,18 @@
                 events = self.ledger.accepted();
                 "KV cache copied"
             );
+            let is_held_by = |old: &KvCacheCopy| old.holder == copy.holder;
+            // A renewed copy stays counted at its holder.
+            if work.is_some() || !attempt.copy.as_ref().is_some_and(is_held_by) {
+                attempt.work.copy = work;
+            }
             attempt.copy = Some(copy);
         }
         if !self.is_resumable {
             return;
         }
         let service = &self.request.service;
-        let choose = || self.choose_holder(&attempt.upstream);
+        let choose = || self.find_holders(&attempt.upstream);
         copies.check::<P>(&self.state, service, self.request.id(), attempt, choose);
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,9 @@
 //!   [`decide_copy`] keeps the KV cache copy that it can continue from.
 //!   [`judge_prefill`] decides whether to wait for a late first event, and
 //!   [`choose_engine`] selects the engine of a prompt.
+//! - [`EngineLedger`] keeps what all VMs have placed at one engine since its last report,
+//!   and [`choose_by_time`] selects the engine of a prompt from a few ledgers.
+//!   [`decide_admission`] refuses streams that no engine can serve in time.
 //! - [`PartQuarantine`] finds the parts of prompts that end engines, and keeps requests
 //!   with them away.
 //! - [`DurationEstimator`] tells which requests end before a draining VM is killed.
@@ -51,6 +54,8 @@
 mod deferral;
 mod duration_estimator;
 mod engine_choice;
+mod engine_ledger;
+mod engine_placement;
 mod event_ledger;
 mod evidence;
 mod feed_cache;
@@ -59,6 +64,7 @@
 mod generation_types;
 mod interval_estimator;
 mod latency_estimator;
+mod ledger_owner;
 mod membership;
 mod membership_types;
 mod minted_keys;
@@ -82,6 +88,7 @@
 mod routing;
 mod sound_parts;
 mod store_contact;
+mod stream_admission;
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
@@ -102,6 +109,11 @@
 pub use deferral::{deferred_until, outage_delay, return_delay};
 pub use duration_estimator::DurationEstimator;
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
+pub use engine_ledger::{EngineLedger, LedgerView, PlacedWork, PromptEvent, WorkKind};
+pub use engine_placement::{
+    are_ledgers_busy, choose_by_time, choose_holder, expected_first_event, is_choice_outdated,
+    EngineChoice, PromptSize,
+};
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
 pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
@@ -113,6 +125,7 @@
 };
 pub use interval_estimator::{IntervalEstimator, SilenceBounds};
 pub use latency_estimator::LatencyEstimator;
+pub use ledger_owner::{find_ledger_owner, MIN_LEDGER_VMS};
 pub use membership::MembershipTable;
 pub use membership_types::{
     GossipKind, GossipMessage, LeavingNotice, MemberRecord, MemberState, MembershipAction,
@@ -148,6 +161,7 @@
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use store_contact::StoreContact;
+pub use stream_admission::{decide_admission, AdmissionDecision, AdmissionInput, LateStreams};
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
     SilentUpstream, StreamPhase, StreamState,
--- a/crates/policy/src/prefill_timeout.rs
+++ b/crates/policy/src/prefill_timeout.rs
@@ -46,6 +46,7 @@
 ///
 /// let estimator = PrefillEstimator::default();
 /// assert_eq!(estimator.duration(8_000).as_millis(), 1_000);
+/// assert_eq!(estimator.tokens_per_s(), 8_000);
 /// for _ in 0..100 {
 ///     estimator.record_first_event(8_000, ClockTime::from_millis(2_000));
 /// }
@@ -90,10 +91,14 @@
         self.prompt_tokens.load(Ordering::Relaxed)
     }
 
+    /// Returns the usual speed of prefills, in tokens per second.
+    pub fn tokens_per_s(&self) -> u64 {
+        self.tokens_per_s.load(Ordering::Relaxed).max(1)
+    }
+
     /// Returns the time that prompts of this total length take.
     pub fn duration(&self, tokens: u64) -> ClockTime {
-        let tokens_per_s = self.tokens_per_s.load(Ordering::Relaxed).max(1);
-        ClockTime::from_millis(tokens * 1_000 / tokens_per_s)
+        ClockTime::from_millis(tokens * 1_000 / self.tokens_per_s())
     }
 }
 
