--- a/crates/policy/src/stream_admission.rs
+++ b/crates/policy/src/stream_admission.rs
@@ -12,6 +12,10 @@
 const LATE_PERIOD: ClockTime = ClockTime::from_millis(2_000);
 /// Priorities are 0 to 9; larger values count as 9.
 const PRIORITIES: usize = 10;
+/// A stream that is more urgent than others overtakes them in the queues of engines. It waits
+/// for this many times its own prefill at most: for the prompt that is being prefilled, and
+/// for room.
+const MAX_URGENT_PREFILLS: u64 = 4;
 
 /// A new stream of which nothing was sent, and what the candidates' ledgers tell.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +32,8 @@
     pub usual_duration: ClockTime,
     /// The time left in which the first event still meets its target latency.
     pub target_time_left: ClockTime,
+    /// Whether no stream of the service is less urgent; engines begin with the more urgent.
+    pub is_least_urgent: bool,
     /// Whether more urgent streams were late recently; see [`LateStreams`].
     pub urgent_late_recently: bool,
     /// A random number that spreads the returns of callers.
@@ -65,6 +71,7 @@
 ///     time_left: ClockTime::from_millis(20_000),
 ///     usual_duration: ClockTime::from_millis(5_000),
 ///     target_time_left: ClockTime::from_millis(4_000),
+///     is_least_urgent: true,
 ///     urgent_late_recently: false,
 ///     random: 7_919,
 /// };
@@ -76,10 +83,13 @@
 /// assert!((5_000..=6_250).contains(&retry_after.as_millis()));
 /// ```
 pub fn decide_admission(input: &AdmissionInput) -> AdmissionDecision {
-    let serving_time = input.expected_first_event + input.usual_duration;
-    let is_too_late = serving_time > input.time_left;
-    let gives_way =
-        input.urgent_late_recently && input.expected_first_event > input.target_time_left;
+    let longest = ClockTime::from_millis(input.own_prefill.as_millis() * MAX_URGENT_PREFILLS);
+    let first_event = match input.is_least_urgent {
+        true => input.expected_first_event,
+        false => input.expected_first_event.min(longest),
+    };
+    let is_too_late = first_event + input.usual_duration > input.time_left;
+    let gives_way = input.urgent_late_recently && first_event > input.target_time_left;
     match !input.has_room && (is_too_late || gives_way) {
         true => {
             let earliest = input.expected_first_event.since(input.own_prefill);
--- a/crates/policy/tests/gateway/engine_replay.rs
+++ b/crates/policy/tests/gateway/engine_replay.rs
@@ -1,6 +1,6 @@
 //! Replays many VMs that choose engines at the same moment, with and without ledgers.
 
-mod fleet;
+pub mod fleet;
 mod outcome;
 
 use fleet::{at, Engine, StreamEvent, ANSWER_TOKENS, PROMPT_TOKENS, STEP_MS, TOKENS_PER_S};
@@ -128,14 +128,14 @@
                 self.place(&question, now);
             }
             self.step(now);
-            if now % 100 == 0 && now < START_MS + ARRIVALS_MS {
+            if now.is_multiple_of(100) && now < START_MS + ARRIVALS_MS {
                 let due: Vec<u64> = self.engines.iter().map(Engine::due).collect();
                 let total: u64 = due.iter().sum();
                 let busiest = due.iter().max().copied().unwrap_or(0);
                 self.outcome
                     .ratios
                     .push(busiest * due.len() as u64 * 100 / total.max(1));
-                if now % 500 == 0 {
+                if now.is_multiple_of(500) {
                     let change = due
                         .iter()
                         .zip(&last_due)
@@ -185,7 +185,7 @@
 
     fn look(&mut self, question: &mut Question, index: usize, now: u64) {
         question.candidates.push(index);
-        let has_owner = !(self.scenario.is_owner_gone && index % 3 == 0);
+        let has_owner = !(self.scenario.is_owner_gone && index.is_multiple_of(3));
         if self.rule == Rule::Ledgers && has_owner {
             if self.ledgers[index].needs_report(at(now)) {
                 if let Some(load) = self.report(index) {
@@ -215,7 +215,7 @@
             return None;
         }
         let load = self.engines[index].report();
-        if self.scenario.are_reports_absurd && index % 5 == 0 {
+        if self.scenario.are_reports_absurd && index.is_multiple_of(5) {
             return Some(match self.faults.random_range(0..3) {
                 0 => EngineLoad {
                     waiting: MAX_COUNT,
@@ -280,7 +280,7 @@
     }
 
     fn record_place(&mut self, engine: usize, number: usize, kind: WorkKind, now: u64) {
-        if self.scenario.is_owner_gone && engine % 3 == 0 {
+        if self.scenario.is_owner_gone && engine.is_multiple_of(3) {
             return;
         }
         let work = PlacedWork {
@@ -327,7 +327,7 @@
             Rule::Reports => Some(0),
             Rule::Ledgers => {
                 let views = candidates.iter().map(|&index| {
-                    let has_owner = !(self.scenario.is_owner_gone && index % 3 == 0);
+                    let has_owner = !(self.scenario.is_owner_gone && index.is_multiple_of(3));
                     has_owner.then(|| self.ledgers[index].view(at(now), PROMPT_TOKENS))
                 });
                 choose_holder(&views.collect::<Vec<_>>(), &SIZE)
--- a/crates/policy/tests/gateway/engine_replay/fleet.rs
+++ b/crates/policy/tests/gateway/engine_replay/fleet.rs
@@ -19,8 +19,9 @@
 /// A stream at an engine, from its arrival on.
 #[derive(Clone, Debug)]
 pub struct Stream {
-    pub number: usize,
-    pub sent_at: u64,
+    number: usize,
+    priority: u8,
+    sent_at: u64,
     /// The prompt tokens, thousandths of them, that are still to be prefilled.
     prefill_left: u64,
     /// Seventh parts of produced tokens.
@@ -62,13 +63,36 @@
 
     /// `asked_at` is when the caller's VM began to choose.
     pub fn send(&mut self, number: usize, asked_at: u64) {
-        self.waiting.push_back(Stream {
+        self.send_with_priority(number, asked_at, 0);
+    }
+
+    /// Engines begin with the lowest priority number.
+    pub fn send_with_priority(&mut self, number: usize, asked_at: u64, priority: u8) {
+        let position = self
+            .waiting
+            .partition_point(|other| other.priority <= priority);
+        let stream = Stream {
             number,
+            priority,
             sent_at: asked_at,
             prefill_left: PROMPT_TOKENS * 1_000,
             produced: 0,
             has_started: false,
-        });
+        };
+        self.waiting.insert(position, stream);
+    }
+
+    /// Ends a stream whose caller has left, and returns the tokens that were prefilled for it.
+    pub fn cancel(&mut self, number: usize) -> u64 {
+        self.waiting.retain(|stream| stream.number != number);
+        let position = self
+            .running
+            .iter()
+            .position(|stream| stream.number == number);
+        let stream = position.map(|position| self.running.remove(position));
+        stream.map_or(0, |stream| {
+            PROMPT_TOKENS.saturating_sub(stream.prefill_left / 1_000)
+        })
     }
 
     pub fn hold_copy(&mut self, now: u64) {
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! The gateway's decisions, each tested with the load or failure that it handles.
 
+mod admission_replay;
 mod budgets;
 mod copies;
 mod deferral;
