--- a/crates/policy/src/engine_ledger.rs
+++ b/crates/policy/src/engine_ledger.rs
@@ -33,8 +33,8 @@
 
 /// Larger numbers of requests in a report are faults: engines have some 16 slots.
 const MAX_REQUESTS: u64 = 10_000;
-/// Larger numbers of tokens in a report are faults: engines hold some 100,000.
-const MAX_TOKENS: u64 = 10_000_000;
+/// Larger numbers of tokens in reports and messages are faults: engines hold some 100,000.
+pub(crate) const MAX_TOKENS: u64 = 10_000_000;
 
 /// Work that a VM has sent to an engine.
 #[derive(Clone, Debug)]
--- a/crates/policy/src/engine_placement.rs
+++ b/crates/policy/src/engine_placement.rs
@@ -4,7 +4,7 @@
 //! would have its first event soonest is used; one without room for the prompt and its
 //! answer only if no candidate has room, since a prompt waits there until a generation ends.
 
-use crate::engine_ledger::{expected_answer, LedgerView};
+use crate::engine_ledger::{expected_answer, LedgerView, MAX_TOKENS};
 use skylarkshed_core::ClockTime;
 
 /// The cost of a running generation, as a percentage of the usual prompt: it lengthens the
@@ -163,9 +163,10 @@
     size: &PromptSize,
 ) -> Option<EngineChoice> {
     let view = views.get(choice.index)?.as_ref()?;
+    let placed_tokens = placed_tokens.min(MAX_TOKENS);
     let taken = placed_tokens + expected_answer(placed_tokens, 0);
     let updated = LedgerView {
-        due_tokens: view.due_tokens + placed_tokens,
+        due_tokens: view.due_tokens.saturating_add(placed_tokens),
         free_tokens: view.free_tokens.map(|free| free.saturating_sub(taken)),
         ..*view
     };
@@ -216,7 +217,7 @@
         };
         let free = view.free_tokens.unwrap_or(needed);
         let is_known = view.free_tokens.is_some();
-        let rank = free + u64::from(is_known);
+        let rank = free.saturating_add(u64::from(is_known));
         if free >= needed && best.is_none_or(|(highest, _)| rank > highest) {
             best = Some((rank, index));
         }
--- a/crates/policy/tests/gateway/engine_ledgers.rs
+++ b/crates/policy/tests/gateway/engine_ledgers.rs
@@ -103,6 +103,23 @@
     assert_eq!(expected_first_event(&view, &SIZE), at(2_000));
 }
 
+/// Guards against sums that overflow for a faulty answer of another VM.
+#[test]
+fn absurd_views_are_the_last_choice() {
+    let absurd = LedgerView {
+        due_tokens: u64::MAX,
+        running: u64::MAX,
+        free_tokens: Some(u64::MAX),
+        ..LedgerView::default()
+    };
+    let views = [Some(absurd), Some(LedgerView::default())];
+    assert_eq!(choose_by_time(&views, &[], &SIZE).unwrap().index, 1);
+    let choice = choose_by_time(&views[..1], &[], &SIZE).unwrap();
+    let next = is_choice_outdated(&choice, &views, u64::MAX, &SIZE);
+    assert_eq!(next.map(|next| next.index), Some(1));
+    assert_eq!(choose_holder(&views, &SIZE), Some(0));
+}
+
 /// Guards against a slow engine that gets as many prompts as the others, and against one
 /// that gets none for good after it was slow.
 #[test]
