Lend retries between VMs, so that a begun stream borrows instead of sleeping

Cause: in a fleet of 86 VMs a VM's part of the retry reserve is a retry or two. A begun stream whose VM had none left slept 0.2 to 1.6 s at a time without a log line, while its KV cache copy lived 4 s and other VMs had retries to spare.

A lender counts a loan for the window plus 1.5 s. What a borrower does not need goes back at once. Where VMs lend (reserve below 4 a VM), the four additional retries of each VM are no longer granted on top of the window, as 86 times four alone exceed the bound, and a process has no part of the reserve before its age covers the loans of an earlier process.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -13,6 +13,23 @@
     counter!("gateway_retries_total", "reason" => reason).increment(1);
 }
 
+/// Counts retries that were lent, borrowed, or borrowed and not made in time.
+pub(crate) fn count_retry_loans(side: &'static str, retries: u32) {
+    if retries > 0 {
+        counter!("gateway_retry_loans_total", "side" => side).increment(retries.into());
+    }
+}
+
+/// Counts a stream that waits for a retry.
+pub(crate) fn count_retry_wait() {
+    counter!("gateway_retry_waits_total").increment(1);
+}
+
+/// Records how long a stream waited for a retry until it got one.
+pub(crate) fn record_retry_wait(waited: ClockTime) {
+    histogram!("gateway_retry_wait_ms").record(waited.as_millis() as f64);
+}
+
 /// Counts a request that is sent to a version under test, by its permission.
 pub(crate) fn count_canary(permission: &'static str) {
     counter!("gateway_rollout_sends_total", "permission" => permission).increment(1);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -4,6 +4,7 @@
 use crate::exchange::CallerRequest;
 use crate::peers::{FeedCaches, VmRoster};
 use crate::quarantine::QuarantineManager;
+use crate::retry_loans::{LoanPeers, RetryDesk};
 use crate::rollouts::RolloutManager;
 use crate::settings::GatewaySettings;
 use crate::store_outage::StoreOutage;
@@ -12,7 +13,8 @@
 use skylarkshed_http_link::BodyBudget;
 use skylarkshed_peer::{PeerClient, PeerKey};
 use skylarkshed_policy::{
-    return_delay, DurationEstimator, LatencyEstimator, PrefillEstimator, RetryBudget, TableServer,
+    return_delay, DurationEstimator, LatencyEstimator, PrefillEstimator, RetryBudget, StreamPace,
+    TableServer,
 };
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -40,6 +42,10 @@
     pub(crate) latency: LatencyEstimator,
     /// The rate of prefills.
     pub(crate) prefill: PrefillEstimator,
+    /// The streams that wait for a retry.
+    pub(crate) desk: RetryDesk,
+    /// How long streams last after their first event.
+    pub(crate) pace: StreamPace,
 }
 
 /// The state of one gateway process.
@@ -55,6 +61,7 @@
     pub(crate) rollouts: RolloutManager,
     pub(crate) quarantine: QuarantineManager,
     pub(crate) peers: PeerClient,
+    pub(crate) loan_peers: LoanPeers,
     /// The memory for the bodies of requests and responses.
     pub(crate) body_budget: BodyBudget,
     pub(crate) connections: AtomicUsize,
@@ -82,6 +89,7 @@
             rollouts: RolloutManager::new(clock),
             quarantine: QuarantineManager::new(clock),
             peers: PeerClient::new(key, settings.listen.peers.ip()),
+            loan_peers: LoanPeers::new(),
             clock,
             config: ConfigState::new(boot_clock),
             upstreams: UpstreamDirectory::new(clock, boot_clock, &settings.times),
@@ -100,15 +108,26 @@
     /// Returns the traffic state of a service, which it creates at first use.
     pub(crate) fn traffic(&self, service: &ServiceName) -> Arc<ServiceTraffic> {
         let make = || ServiceTraffic {
-            budget: RetryBudget::new(self.settings.retries, self.vm_count()),
+            budget: RetryBudget::with_loans(self.settings.retries, self.vm_count()),
             latency: LatencyEstimator::default(),
             prefill: PrefillEstimator::default(),
+            desk: RetryDesk::default(),
+            pace: StreamPace::default(),
         };
         let mut services = self.lock_services();
         let traffic = services.entry(service.clone());
         traffic.or_insert_with(|| Arc::new(make())).clone()
     }
 
+    /// Returns the traffic state of a service that this VM knows.
+    pub(crate) fn known_traffic(&self, service: &ServiceName) -> Option<Arc<ServiceTraffic>> {
+        let known = self.lock_services().get(service).cloned();
+        known.or_else(|| {
+            let table = self.config.table()?;
+            table.engine(service).map(|_| self.traffic(service))
+        })
+    }
+
     /// Divides the retry budgets' reserves among the known VMs.
     pub(crate) fn divide_budgets(&self) {
         let vms = self.vm_count();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `store_watch` keeps the configuration and the upstream table up to date;
 //! - `peers` shares the store's change feeds between VMs;
 //! - `quarantine` keeps requests that end engines away from them;
+//! - `retry_loans` borrows retries from other VMs and lends them some;
 //! - `rollouts` shifts services to other versions;
 //! - `upstreams` tracks the upstreams and the load that this VM puts on them.
 //!
@@ -33,6 +34,7 @@
 mod platform_api;
 mod quarantine;
 mod refusal;
+mod retry_loans;
 mod rollouts;
 mod run;
 mod settings;
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -3,6 +3,7 @@
 use super::feed_caches::{to_wire, FeedChanges};
 use crate::gateway_state::GatewayState;
 use crate::platform_api::StoreError;
+use crate::retry_loans::receive_request;
 use bytes::Bytes;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, PeerBody};
@@ -46,6 +47,7 @@
             }
             PeerBody::ReportRollout(report) => self.state.rollouts.receive_report(&report),
             PeerBody::EndRollout(end) => self.state.rollouts.receive_end(&end),
+            PeerBody::RequestRetries(request) => receive_request(&self.state, &request),
             PeerBody::ReportCrash(notice) => {
                 self.state.quarantine.receive_crash(&self.state, &notice)
             }
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -8,6 +8,7 @@
 mod prefill_watch;
 mod quarantine_check;
 mod replacement;
+mod retry_wait;
 
 pub(crate) use attempt::has_ended;
 
@@ -18,6 +19,7 @@
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::quarantine::ProbeTicket;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason, RunTracker};
+use crate::retry_loans::BegunStream;
 use attempt::{AttemptStep, StreamAttempt};
 use copy_manager::CopyManager;
 use events::StreamEvent;
@@ -25,11 +27,11 @@
 use opening::OpenedStream;
 use prefill_watch::PrefillWatch;
 use replacement::MIN_RETRY_PAUSE;
+use retry_wait::StreamRetries;
 use skylarkshed_core::{ClockTime, UpstreamName, ZoneName};
 use skylarkshed_policy::{EventLedger, EventVerdict, LossCause};
 use std::marker::PhantomData;
-use std::sync::atomic::AtomicBool;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc;
 
 /// How many events are buffered for a slow caller before the upstream is slowed
@@ -57,8 +59,12 @@
     ended_engines: u32,
     /// Whether the caller has received the head of the response.
     is_begun: bool,
-    /// Whether the next attempt has already been taken from the retry budget.
-    is_send_reserved: AtomicBool,
+    /// Counts the stream as a begun one.
+    begun_stream: Option<BegunStream>,
+    /// What the stream has of the retry budget.
+    retries: Mutex<StreamRetries>,
+    /// Whether it stopped waiting for a retry because it can't be served in time.
+    has_given_up: bool,
     /// The next pause before another upstream is looked for.
     retry_pause: ClockTime,
     timings: EventTimings,
@@ -111,18 +117,22 @@
         failed_zones: Vec::new(),
         ended_engines: 0,
         is_begun: false,
-        is_send_reserved: AtomicBool::new(false),
+        begun_stream: None,
+        retries: Mutex::default(),
+        has_given_up: false,
         retry_pause: MIN_RETRY_PAUSE,
         timings: EventTimings::default(),
         probe_ticket: None,
         blocked_for: None,
         _protocol: PhantomData,
     };
+    forwarder.record_demand();
     match forwarder.open(None).await {
         OpenedStream::Running(attempt) => {
             let (parts, body) = mpsc::channel(MAX_BUFFERED_EVENTS);
             let response = begin_response(&attempt.response.parts, body);
             forwarder.is_begun = true;
+            forwarder.begun_stream = Some(BegunStream::start(&forwarder.traffic));
             tokio::spawn(forwarder.run(*attempt, parts));
             response
         }
@@ -170,6 +180,11 @@
                     copies.release::<P>(&self.state, &attempt);
                     return self.log_end("caller_left");
                 }
+                () = self.wait_for_loan() => match attempt.was_waited_for() {
+                    true => AttemptStep::Lost(LossCause::Silence),
+                    // It is not silent any more.
+                    false => continue,
+                },
                 () = tokio::time::sleep(remaining.to_duration()) => return self.log_end("timeout"),
             };
             let cause = match step {
@@ -188,6 +203,7 @@
                     if self.request.head.resume_after.is_none() {
                         let duration = self.request.deadline.elapsed();
                         self.state.stream_time.record(duration);
+                        self.record_pace();
                     }
                     return self.log_end("served");
                 }
@@ -279,7 +295,9 @@
         }
         match self.run_tracker.proof() {
             Some(proof) => self.refuse(proof),
-            None if self.request.deadline.is_expired() => fail(FailureReason::Timeout),
+            None if self.has_given_up || self.request.deadline.is_expired() => {
+                fail(FailureReason::Timeout)
+            }
             None => fail(FailureReason::UpstreamBroke),
         }
     }
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -17,7 +17,6 @@
     StreamPhase, StreamState,
 };
 use std::pin::pin;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 /// How many upstreams may refuse a connection before the request is refused.
@@ -51,7 +50,7 @@
             if is_stopped || self.request.deadline.is_expired() {
                 return OpenedStream::Stopped;
             }
-            if self.unsent >= MAX_UNSENT || !self.may_send() {
+            if self.unsent >= MAX_UNSENT {
                 copy = holder.map(|(_, copy)| copy);
                 if !self.pause_before_retry().await {
                     return OpenedStream::Stopped;
@@ -59,6 +58,13 @@
                 self.unsent = 0;
                 continue;
             }
+            if !self.may_send() {
+                copy = holder.map(|(_, copy)| copy);
+                if !self.wait_for_retry(copy.is_some()).await {
+                    return OpenedStream::Stopped;
+                }
+                continue;
+            }
             let (upstream, copy_from) = match holder {
                 Some((upstream, copy)) => (upstream, Some(copy)),
                 None => match self.choose_upstream().await {
@@ -79,6 +85,11 @@
                 self.refund_send();
                 return OpenedStream::Stopped;
             }
+            if !self.is_retry_usable() {
+                self.refund_send();
+                copy = copy_from;
+                continue;
+            }
             self.is_first_send = self.sends == 0 && self.ledger.last().is_none();
             let probe = self.observe(&upstream, copy_from.is_none(), attempt_rule.ticket);
             let new_copy = self.plan_continuous_copy(&upstream);
@@ -115,41 +126,6 @@
         }
     }
 
-    /// Takes the next attempt from the retry budget, unless that was already done.
-    ///
-    /// `sends` counts the attempts that were made, with the current one.
-    pub(super) fn reserve_send(&self, sends: u32) -> bool {
-        let is_reserved =
-            self.is_send_reserved.load(Ordering::Relaxed) || self.take_from_budget(sends);
-        self.is_send_reserved.store(is_reserved, Ordering::Relaxed);
-        is_reserved
-    }
-
-    /// Reports whether an attempt may be made. Once the request has been sent, each
-    /// further attempt takes a retry from the budget.
-    fn may_send(&self) -> bool {
-        if self.is_send_reserved.swap(false, Ordering::Relaxed) {
-            return true;
-        }
-        self.take_from_budget(self.sends)
-    }
-
-    fn take_from_budget(&self, sends: u32) -> bool {
-        let now = self.state.clock.now();
-        match (sends, self.is_resumable) {
-            (0, _) => true,
-            (_, true) => self.traffic.budget.try_resume(now),
-            (_, false) => self.traffic.budget.try_retry(now),
-        }
-    }
-
-    /// Refunds the retry that [`Self::may_send`] took from the budget.
-    fn refund_send(&self) {
-        if self.sends > 0 {
-            self.traffic.budget.refund(self.state.clock.now());
-        }
-    }
-
     /// Sends the request to an upstream and waits for the head of its response.
     ///
     /// `copy_from` is the KV cache copy to resume from, and `new_copy` the one that the
@@ -244,7 +220,11 @@
             let mut timeout = PrefillTimeout::start(clock.now(), limit);
             let watch = self.prefill_watch();
             let response = watch_prefill::<P, _>(&mut sending, watch, upstream, &mut timeout);
-            let cause = match response.await {
+            let response = tokio::select! {
+                response = response => response,
+                () = self.wait_for_loan() => Err(LossCause::Silence),
+            };
+            let cause = match response {
                 Ok(response) => return response.map_err(AttemptFailure::from),
                 Err(cause) => cause,
             };
@@ -294,7 +274,7 @@
     }
 
     /// Returns the time left to send the first event within the target latency.
-    fn target_time_left(&self) -> ClockTime {
+    pub(super) fn target_time_left(&self) -> ClockTime {
         match self.ledger.accepted() {
             0 => {
                 let target_latency = self.request.route.target_latency;
--- a/crates/gateway/src/stream/replacement.rs
+++ b/crates/gateway/src/stream/replacement.rs
@@ -11,7 +11,6 @@
 use skylarkshed_policy::{
     decide_silence, LossCause, SilenceDecision, SilentUpstream, StreamState, UpstreamHealth,
 };
-use std::sync::atomic::Ordering;
 use tokio::sync::mpsc;
 
 /// The first pause before a begun stream looks for an upstream again, if none could take it.
@@ -150,11 +149,3 @@
         true
     }
 }
-
-impl<P> Drop for StreamForwarder<P> {
-    fn drop(&mut self) {
-        if self.is_send_reserved.load(Ordering::Relaxed) {
-            self.traffic.budget.refund(self.state.clock.now());
-        }
-    }
-}
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -44,7 +44,9 @@
             | PeerBody::RolloutWord(_)
             | PeerBody::EndRollout(_)
             | PeerBody::ReportCrash(_)
-            | PeerBody::ShareBlocks(_) => PeerBody::Done(false),
+            | PeerBody::ShareBlocks(_)
+            | PeerBody::RequestRetries(_)
+            | PeerBody::LendRetries(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -4,9 +4,11 @@
 
 mod feed;
 mod quarantine;
+mod retries;
 
 pub use feed::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, FeedRows};
 pub use quarantine::{CrashNotice, PartBlockWire, PartBlocks};
+pub use retries::{RetryLoan, RetryRequest};
 
 use prost::{Message, Oneof};
 
@@ -30,7 +32,7 @@
     /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub body: Option<PeerBody>,
 }
@@ -89,6 +91,13 @@
     /// Tells a gateway which parts of prompts are blocked. Older builds ignore it.
     #[prost(message, tag = "17")]
     ShareBlocks(PartBlocks),
+    /// Asks a gateway to lend retries, or returns lent ones. Older builds reply
+    /// `Done(false)`.
+    #[prost(message, tag = "18")]
+    RequestRetries(RetryRequest),
+    /// Replies with lent retries.
+    #[prost(message, tag = "19")]
+    LendRetries(RetryLoan),
 }
 
 /// The end of a rollout.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -54,6 +54,7 @@
 mod generation_types;
 mod interval_estimator;
 mod latency_estimator;
+mod loan_book;
 mod membership;
 mod membership_types;
 mod minted_keys;
@@ -66,6 +67,7 @@
 mod rejected_versions;
 mod rendezvous;
 mod retry_budget;
+mod retry_loans;
 mod rollout_allowance;
 mod rollout_bake;
 mod rollout_comparison;
@@ -76,6 +78,7 @@
 mod routing;
 mod sound_parts;
 mod store_contact;
+mod stream_pace;
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
@@ -120,7 +123,12 @@
 pub use refusal_rate::RefusalRate;
 pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
 pub use rendezvous::{hash_rank, index_in_ranking, is_top_ranked, weighted_rank};
-pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_budget::{RetryBudget, RetryClaim, RetryGrant, RetryLimits};
+pub use retry_loans::{
+    lendable_retries, uses_loans, wait_limit, LenderSearch, LenderState, LoanDemand, RemainingTime,
+    RetryQueue, SilentVms, WaiterId, WaitingStream, LOAN_LIFETIME, LOAN_REPLY_TIMEOUT,
+    LOAN_USE_TIME,
+};
 pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
 pub use rollout_bake::{
     bake_slice_at, compare_baking, drop_old_bake_slices, select_baking_rule, should_withdraw,
@@ -138,6 +146,7 @@
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use store_contact::StoreContact;
+pub use stream_pace::StreamPace;
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
     SilentUpstream, StreamPhase, StreamState,
--- a/crates/policy/src/window_counter.rs
+++ b/crates/policy/src/window_counter.rs
@@ -50,6 +50,12 @@
         self.sum(now, KEPT_BUCKETS)
     }
 
+    /// Returns the time until the next bucket begins, when an old one no longer counts.
+    pub(crate) fn until_next_bucket(&self, now: ClockTime) -> ClockTime {
+        let duration_ms = self.bucket_duration.as_millis();
+        ClockTime::from_millis(duration_ms - now.as_millis() % duration_ms)
+    }
+
     /// Changes the count of the current bucket and returns the previous count.
     fn change(&self, now: ClockTime, change: impl Fn(u64) -> u64) -> u64 {
         let bucket_number = self.bucket_number(now);
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod prefill_timeout;
 mod rejected_versions;
+mod retry_loans;
 mod rollout_bake;
 mod rollout_references;
 mod rollout_restarts;
