--- a/crates/gateway/src/retry_loans/exchange.rs
+++ b/crates/gateway/src/retry_loans/exchange.rs
@@ -2,6 +2,8 @@
 
 use crate::counters;
 use crate::gateway_state::{GatewayState, ServiceTraffic};
+use futures::stream::FuturesUnordered;
+use futures::StreamExt;
 use skylarkshed_core::{ClockTime, ServiceName};
 use skylarkshed_peer::wire::{PeerBody, RetryLoan, RetryRequest};
 use skylarkshed_policy::{LenderSearch, LoanDemand, VmEntry, LOAN_REPLY_TIMEOUT, LOAN_USE_TIME};
@@ -47,9 +49,10 @@
 impl LoanAsker {
     async fn run(mut self, mut lenders: Vec<VmEntry>) {
         while let Some(demand) = self.traffic.next_demand(self.state.clock.now()) {
-            let got = self.ask(&lenders, demand).await;
-            let pause = self.search.next_pause(got);
-            self.wait(pause).await;
+            if let Some(got) = self.ask(&lenders, demand).await {
+                let pause = self.search.next_pause(got);
+                self.wait(pause).await;
+            }
             lenders = self.choose_lenders();
             let mut table = self.traffic.desk.lock();
             table.asked = lenders.iter().map(|vm| vm.name.clone()).collect();
@@ -66,8 +69,9 @@
         self.search.choose(&vms, own, is_avoided, rand::random())
     }
 
-    /// Asks VMs at the same moment and returns how many retries they lent in time.
-    async fn ask(&self, lenders: &[VmEntry], demand: LoanDemand) -> u32 {
+    /// Asks VMs at the same moment and returns how many retries they lent in time; none if
+    /// another stream began to wait meanwhile.
+    async fn ask(&self, lenders: &[VmEntry], demand: LoanDemand) -> Option<u32> {
         let asking = lenders.iter().map(|vm| {
             let (state, traffic) = (self.state.clone(), self.traffic.clone());
             tokio::spawn(borrow(
@@ -78,18 +82,19 @@
                 demand,
             ))
         });
-        let mut asking: futures::stream::FuturesUnordered<_> = asking.collect();
+        let mut asking: FuturesUnordered<_> = asking.collect();
         let mut got = 0;
         let answers = async {
-            use futures::StreamExt;
             while let Some(lent) = asking.next().await {
                 // A task that panicked has logged it and borrowed nothing.
                 got += lent.unwrap_or(0);
             }
         };
         // The tasks of late answers go on.
-        let _ = tokio::time::timeout(ROUND_TIMEOUT.to_duration(), answers).await;
-        got
+        tokio::select! {
+            _ = tokio::time::timeout(ROUND_TIMEOUT.to_duration(), answers) => Some(got),
+            () = self.traffic.desk.demand_added.notified() => None,
+        }
     }
 
     /// Waits for a time, at most until a stream begins to wait. Hands out own retries as
--- a/crates/gateway/src/stream/retry_wait.rs
+++ b/crates/gateway/src/stream/retry_wait.rs
@@ -20,6 +20,8 @@
     wished_loan: Option<u64>,
     /// Whether a loan has been requested for the stream.
     is_wished: bool,
+    /// Since when the stream waits for an own retry, where VMs lend none.
+    waiting_since: Option<ClockTime>,
 }
 
 impl<P: WireProtocol> StreamForwarder<P> {
@@ -76,7 +78,13 @@
         }
         retries.current =
             reserved.or_else(|| self.traffic.take_retry(&self.waiting_stream(now), now));
-        retries.current.is_some()
+        let Some(grant) = retries.current else {
+            return false;
+        };
+        if let Some(since) = retries.waiting_since.take() {
+            self.log_end_of_wait(grant, now.since(since));
+        }
+        true
     }
 
     /// Reports whether the retry that [`Self::may_send`] took may still be made.
@@ -98,6 +106,7 @@
     /// ends instead. `has_copy` tells whether it can resume from a copy.
     pub(super) async fn wait_for_retry(&mut self, has_copy: bool) -> bool {
         if !self.traffic.budget.uses_loans() {
+            self.note_own_wait();
             return self.pause_before_retry().await;
         }
         let Some(limit) = self.wait_limit(has_copy) else {
@@ -121,14 +130,7 @@
             self.give_up(waited);
             return false;
         };
-        log::info!(
-            request = self.request.id(),
-            waited_ms = waited.as_millis(),
-            from = grant.label(),
-            after_ms = self.request.deadline.elapsed().as_millis();
-            "stream goes on after waiting for the retry budget"
-        );
-        counters::record_retry_wait(waited);
+        self.log_end_of_wait(grant, waited);
         self.retries().reserved = Some(grant);
         true
     }
@@ -159,6 +161,27 @@
         );
     }
 
+    /// Logs that the stream waits for an own retry, once per wait.
+    fn note_own_wait(&self) {
+        let now = self.state.clock.now();
+        let is_known = self.retries().waiting_since.is_some();
+        if self.is_begun && !is_known {
+            self.retries().waiting_since = Some(now);
+            self.log_wait(&self.waiting_stream(now));
+        }
+    }
+
+    fn log_end_of_wait(&self, grant: RetryGrant, waited: ClockTime) {
+        log::info!(
+            request = self.request.id(),
+            waited_ms = waited.as_millis(),
+            from = grant.label(),
+            after_ms = self.request.deadline.elapsed().as_millis();
+            "stream goes on after waiting for the retry budget"
+        );
+        counters::record_retry_wait(waited);
+    }
+
     fn log_wait(&self, stream: &WaitingStream) {
         let (waiting, asked) = self.traffic.desk.describe();
         log::info!(
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod fleet_start;
 mod latency_estimator;
+mod loan_replay;
 mod part_quarantine;
 mod placement;
 mod prefill_timeout;
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -30,6 +30,8 @@
     pub metrics_address: SocketAddr,
     /// The address for callers.
     pub caller_address: SocketAddr,
+    /// The file that its output is copied to.
+    pub log_path: PathBuf,
     settings_path: PathBuf,
 }
 
@@ -37,7 +39,7 @@
     fn drop(&mut self) {
         // The files may have been removed already.
         let _ = std::fs::remove_file(&self.settings_path);
-        let _ = std::fs::remove_file(self.settings_path.with_extension("log"));
+        let _ = std::fs::remove_file(&self.log_path);
     }
 }
 
@@ -85,6 +87,16 @@
     /// Starts another VM that knows the seed addresses of some VMs.
     pub async fn start_other_with_seeds(&self, name: &str, seeds: &[SocketAddr]) -> OtherVm {
         let builder = HarnessBuilder::default();
+        self.start_other_like(&builder, name, seeds).await
+    }
+
+    /// Starts another VM with the settings of a builder.
+    pub async fn start_other_like(
+        &self,
+        builder: &HarnessBuilder,
+        name: &str,
+        seeds: &[SocketAddr],
+    ) -> OtherVm {
         let settings = builder.render_settings(name, self.store.address(), seeds);
         let (process, settings_path, addresses, output) = start_process(&settings, None).await;
         tokio::spawn(copy_output(output, settings_path.with_extension("log")));
@@ -92,6 +104,7 @@
             process,
             metrics_address: addresses[2],
             caller_address: addresses[0],
+            log_path: settings_path.with_extension("log"),
             settings_path,
         }
     }
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod responses;
 mod retries;
+mod retry_loans;
 mod rollout_faults;
 mod rollout_fleet;
 mod rollout_losses;
