--- a/crates/policy/src/retry_loans.rs
+++ b/crates/policy/src/retry_loans.rs
@@ -102,8 +102,9 @@
     }
     let part = match lender.is_leaving {
         true => spare,
-        // One that has no begun stream lends its last retry.
-        false => spare.div_ceil(2),
+        // In a large fleet the share of the reserve is a single retry, and half of it
+        // would be none: a VM without a begun stream lends it.
+        false => (spare / 2).max(spare.min(1)),
     };
     let unneeded = spare.saturating_sub(lender.begun_streams);
     demand.wanted.min(part).min(unneeded)
