--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `peers` shares the store's change feeds between VMs;
 //! - `engine_ledgers` shares the loads of engines between VMs;
 //! - `quarantine` keeps requests that end engines away from them;
+//! - `retry_loans` borrows retries from other VMs and lends them some;
 //! - `rollouts` shifts services to other versions;
 //! - `upstreams` tracks the upstreams and the load that this VM puts on them.
 //!
@@ -35,6 +36,7 @@
 mod platform_api;
 mod quarantine;
 mod refusal;
+mod retry_loans;
 mod rollouts;
 mod run;
 mod settings;
--- a/crates/gateway/src/peers/peer_feed.rs
+++ b/crates/gateway/src/peers/peer_feed.rs
@@ -4,6 +4,7 @@
 use crate::engine_ledgers::{answer_query, receive_placement, receive_progress};
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{StoreError, WireProtocol};
+use crate::retry_loans::receive_request;
 use bytes::Bytes;
 use skylarkshed_core::ClockTime;
 use skylarkshed_peer::wire::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, PeerBody};
@@ -63,6 +64,7 @@
             }
             PeerBody::ReportRollout(report) => self.state.rollouts.receive_report(&report),
             PeerBody::EndRollout(end) => self.state.rollouts.receive_end(&end),
+            PeerBody::RequestRetries(request) => receive_request(&self.state, &request),
             PeerBody::ReportCrash(notice) => {
                 self.state.quarantine.receive_crash(&self.state, &notice)
             }
--- a/crates/node/src/peers/peer_service.rs
+++ b/crates/node/src/peers/peer_service.rs
@@ -49,7 +49,9 @@
             | PeerBody::LedgerViews(_)
             | PeerBody::PlacePrompt(_)
             | PeerBody::PlacementReply(_)
-            | PeerBody::PromptProgress(_) => PeerBody::Done(false),
+            | PeerBody::PromptProgress(_)
+            | PeerBody::RequestRetries(_)
+            | PeerBody::LendRetries(_) => PeerBody::Done(false),
         }
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -5,6 +5,7 @@
 mod engine_ledger;
 mod feed;
 mod quarantine;
+mod retries;
 
 pub use engine_ledger::{
     LedgerAnswer, LedgerEngine, LedgerKnowledge, LedgerQuery, LedgerViews, PlacementReply,
@@ -12,6 +13,7 @@
 };
 pub use feed::{FeedOutcome, FeedReply, FeedRequest, FeedRowWire, FeedRows};
 pub use quarantine::{CrashNotice, PartBlockWire, PartBlocks};
+pub use retries::{RetryLoan, RetryRequest};
 
 use prost::{Message, Oneof};
 
@@ -35,7 +37,7 @@
     /// The message in the frame.
     #[prost(
         oneof = "PeerBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub body: Option<PeerBody>,
 }
@@ -94,6 +96,13 @@
     /// Tells a gateway which parts of prompts are blocked. Older builds ignore it.
     #[prost(message, tag = "17")]
     ShareBlocks(PartBlocks),
+    /// Asks a gateway to lend retries, or returns lent ones. Older builds reply
+    /// `Done(false)`.
+    #[prost(message, tag = "18")]
+    RequestRetries(RetryRequest),
+    /// Replies with lent retries.
+    #[prost(message, tag = "19")]
+    LendRetries(RetryLoan),
     /// Requests the loads of engines from the VM that keeps their ledgers. Older builds
     /// reply `Done(false)`.
     #[prost(message, tag = "20")]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod interval_estimator;
 mod latency_estimator;
 mod ledger_owner;
+mod loan_book;
 mod membership;
 mod membership_types;
 mod minted_keys;
@@ -78,6 +79,7 @@
 mod rendezvous;
 mod request_urgency;
 mod retry_budget;
+mod retry_loans;
 mod rollout_allowance;
 mod rollout_bake;
 mod rollout_comparison;
@@ -89,6 +91,7 @@
 mod sound_parts;
 mod store_contact;
 mod stream_admission;
+mod stream_pace;
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
@@ -143,7 +146,12 @@
 pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
 pub use rendezvous::{hash_rank, index_in_ranking, is_top_ranked, weighted_rank};
 pub use request_urgency::UrgencyRanks;
-pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_budget::{RetryBudget, RetryClaim, RetryGrant, RetryLimits};
+pub use retry_loans::{
+    lendable_retries, uses_loans, wait_limit, LenderSearch, LenderState, LoanDemand, RemainingTime,
+    RetryQueue, SilentVms, WaiterId, WaitingStream, LOAN_LIFETIME, LOAN_REPLY_TIMEOUT,
+    LOAN_USE_TIME,
+};
 pub use rollout_allowance::{bound_earlier_use, has_reserve, CanaryAllowance, ExposureLimits};
 pub use rollout_bake::{
     bake_slice_at, compare_baking, drop_old_bake_slices, select_baking_rule, should_withdraw,
@@ -162,6 +170,7 @@
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use store_contact::StoreContact;
 pub use stream_admission::{decide_admission, AdmissionDecision, AdmissionInput, LateStreams};
+pub use stream_pace::StreamPace;
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
     SilentUpstream, StreamPhase, StreamState,
