Lend retries also while begun streams run

Cause: a lender kept one retry for each begun stream. A VM runs four or five of them and has about four retries, so none was lent.

Change: a lender gives up to half of its spare retries, rounded up.

--- a/crates/gateway/src/retry_loans/mod.rs
+++ b/crates/gateway/src/retry_loans/mod.rs
@@ -94,7 +94,6 @@
 
     fn lender_state(&self, is_leaving: bool) -> LenderState {
         LenderState {
-            begun_streams: self.begun_streams.load(Ordering::Relaxed),
             first_waiting: self.lock().queue.first().map(|(_, stream)| stream),
             is_leaving,
         }
--- a/crates/policy/src/retry_loans.rs
+++ b/crates/policy/src/retry_loans.rs
@@ -67,8 +67,6 @@
 /// What a lender needs itself.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LenderState {
-    /// The number of its begun streams of the service.
-    pub begun_streams: u32,
     /// Its first stream that waits for a retry, if one does.
     pub first_waiting: Option<WaitingStream>,
     /// Whether it is draining.
@@ -77,8 +75,10 @@
 
 /// Returns how many of its spare retries a VM lends.
 ///
-/// It lends at most half of them and keeps one for each of its own begun streams. A
-/// draining VM gets no new streams and lends the other half as well.
+/// It lends at most half of them, rounded up: in a large fleet the share of the reserve is a
+/// single retry. None is kept for streams that may lose their engine later, because a VM of a
+/// busy fleet has more of these than retries, and none would be lent. A draining VM gets no
+/// new streams and lends all.
 ///
 /// # Examples
 ///
@@ -86,12 +86,11 @@
 /// use skylarkshed_policy::{lendable_retries, LenderState, LoanDemand};
 ///
 /// let demand = LoanDemand { wanted: 8, is_begun: true, priority: 0 };
-/// let lender = LenderState { begun_streams: 1, ..LenderState::default() };
+/// let lender = LenderState::default();
 /// assert_eq!(lendable_retries(6, demand, lender), 3);
-/// assert_eq!(lendable_retries(2, demand, lender), 1);
-/// assert_eq!(lendable_retries(1, demand, lender), 0);
+/// assert_eq!(lendable_retries(1, demand, lender), 1);
 /// let lender = LenderState { is_leaving: true, ..lender };
-/// assert_eq!(lendable_retries(6, demand, lender), 5);
+/// assert_eq!(lendable_retries(6, demand, lender), 6);
 /// ```
 pub fn lendable_retries(spare: u32, demand: LoanDemand, lender: LenderState) -> u32 {
     let goes_first = |own: WaitingStream| {
@@ -102,12 +101,9 @@
     }
     let part = match lender.is_leaving {
         true => spare,
-        // In a large fleet the share of the reserve is a single retry, and half of it
-        // would be none: a VM without a begun stream lends it.
-        false => (spare / 2).max(spare.min(1)),
+        false => spare.div_ceil(2),
     };
-    let unneeded = spare.saturating_sub(lender.begun_streams);
-    demand.wanted.min(part).min(unneeded)
+    demand.wanted.min(part)
 }
 
 /// A stream that waits for a retry.
