Add load beyond the engines' capacity to the soak, count all arrivals for the retry bound

Cause: the soak had no bursts, engines were equally fast and had endless memory, and their load reports showed an idle engine. The check of the retry bound left out arrivals that were rejected with 421 or came while an upstream was silent, and allowed repeated sends by the largest of three windows of requests.

Each arrival is recorded when it is read. The check sums all of them, over all VMs, in any window, against the requests of the same window and the bound of the settings.

--- a/crates/soak/src/bounds.rs
+++ b/crates/soak/src/bounds.rs
@@ -24,10 +24,6 @@
 pub const READY_AFTER_SIGNAL: ClockTime = ClockTime::from_millis(4_000);
 /// The window over which repeated sends are counted.
 pub const RETRY_WINDOW: ClockTime = ClockTime::from_millis(10_000);
-/// Repeated sends of a window as a share of the service's requests.
-pub const RETRY_RATIO: f64 = 0.2;
-/// Repeated sends of a window beyond this share.
-pub const RETRY_SLACK: usize = 40;
 /// Requests that may reach more upstreams than their route's limit.
 pub const EXCESS_ATTEMPTS: usize = 3;
 /// The maximum time that a caller leaves a connection idle before it uses it again: four
@@ -48,3 +44,35 @@
 pub const ROLLBACK: ClockTime = ClockTime::from_millis(5_000);
 /// How much longer a bound may be while the store is disturbed.
 pub const MAX_STRETCH: ClockTime = ClockTime::from_millis(5_000);
+
+/// The bound on repeated sends to a service in any window, as the VMs' settings state it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryBound {
+    /// Repeated sends as a share of the requests for the service.
+    pub ratio: f64,
+    /// Repeated sends beyond this share.
+    pub slack: usize,
+}
+
+impl RetryBound {
+    /// The bound of a deployment with many VMs and engines.
+    pub const LARGE_DEPLOYMENT: RetryBound = RetryBound {
+        ratio: 0.8,
+        slack: 150,
+    };
+
+    /// Returns the repeated sends that are allowed beside this number of requests.
+    pub fn allowed(&self, requests: usize) -> usize {
+        (requests as f64 * self.ratio) as usize + self.slack
+    }
+}
+
+/// The bound of a small deployment.
+impl Default for RetryBound {
+    fn default() -> Self {
+        RetryBound {
+            ratio: 0.2,
+            slack: 40,
+        }
+    }
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -56,6 +56,7 @@
 }
 
 /// How a caller behaves.
+#[derive(Default)]
 struct CallerHabits {
     keeps_connections: bool,
     leaves_early: bool,
@@ -84,15 +85,7 @@
         streams: number.is_multiple_of(4),
     };
     let mut stop = context.stop.clone();
-    let mut caller = Caller {
-        number,
-        sent: 0,
-        rng,
-        habits,
-        context,
-        connection: None,
-        broken_stream: None,
-    };
+    let mut caller = Caller::new(number, rng, habits, context);
     while !*stop.borrow() {
         let pause = caller.call().await;
         let pause = tokio::time::sleep(Duration::from_millis(pause));
@@ -104,7 +97,42 @@
     }
 }
 
+/// Sends one stream and resumes it each time that it breaks off.
+pub(crate) async fn run_burst_stream(number: usize, context: Arc<CallerContext>) {
+    let rng = SmallRng::seed_from_u64(context.seed ^ ((number as u64 + 1) << 32));
+    let habits = CallerHabits {
+        streams: true,
+        ..CallerHabits::default()
+    };
+    let stop = context.stop.clone();
+    let mut caller = Caller::new(number, rng, habits, context);
+    loop {
+        let pause = caller.call().await;
+        if caller.broken_stream.is_none() || *stop.borrow() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
 impl Caller {
+    fn new(
+        number: usize,
+        rng: SmallRng,
+        habits: CallerHabits,
+        context: Arc<CallerContext>,
+    ) -> Self {
+        Caller {
+            number,
+            sent: 0,
+            rng,
+            habits,
+            context,
+            connection: None,
+            broken_stream: None,
+        }
+    }
+
     /// Sends a request; returns the pause before the next one in milliseconds.
     async fn call(&mut self) -> u64 {
         if !self.habits.keeps_connections {
--- a/crates/soak/src/checks/mod.rs
+++ b/crates/soak/src/checks/mod.rs
@@ -7,10 +7,12 @@
 mod crashes;
 mod handling;
 mod recovery;
+mod retries;
 mod rollouts;
 mod runs;
 mod totals;
 
+use crate::bounds::RetryBound;
 use crate::configs::ConfigHistory;
 use crate::records::{RequestStory, Violation};
 use crate::timeline::Timeline;
@@ -19,6 +21,7 @@
 
 pub(crate) use answers::excuse_cut;
 pub use recovery::{FailedTries, PowerLoss};
+pub(crate) use retries::find_peaks;
 pub(crate) use rollouts::is_end_judged;
 pub use rollouts::{RolloutEnd, RolloutRecord, VersionQuality};
 pub use totals::check_totals;
@@ -51,6 +54,8 @@
     pub power_losses: Vec<PowerLoss>,
     /// The tries of callers that reached no VM.
     pub failed_tries: FailedTries,
+    /// The bound on repeated sends in the VMs' settings.
+    pub retry_bound: RetryBound,
     /// When callers were told to stop, if they were.
     pub load_until: Option<ClockTime>,
 }
@@ -80,7 +85,7 @@
 ///     timeout: ClockTime::from_millis(1_000),
 ///     attempts: 1,
 /// };
-/// let story = RequestStory { request, outcome: None, runs: Vec::new() };
+/// let story = RequestStory { request, outcome: None, arrivals: Vec::new(), runs: Vec::new() };
 /// assert!(check_request(&story, &World::default(), ClockTime::ZERO).is_empty());
 /// ```
 pub fn check_request(story: &RequestStory, world: &World, now: ClockTime) -> Vec<Violation> {
--- a/crates/soak/src/checks/totals.rs
+++ b/crates/soak/src/checks/totals.rs
@@ -1,11 +1,8 @@
 //! Rules that show only in sums over many requests.
 
 use super::handling::{allows, observed};
-use super::{abandoned, crashes, recovery, rollouts, World};
-use crate::bounds::{
-    EXCESS_ATTEMPTS, READY_AFTER_SIGNAL, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW, ROLLBACK_SLACK,
-    TIMEOUT_SLACK,
-};
+use super::{abandoned, crashes, recovery, retries, rollouts, World};
+use crate::bounds::{EXCESS_ATTEMPTS, READY_AFTER_SIGNAL, ROLLBACK_SLACK, TIMEOUT_SLACK};
 use crate::records::{Outcome, RequestStory, UpstreamRun, Violation};
 use skylarkshed_core::ClockTime;
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,7 +20,7 @@
 pub fn check_totals(stories: &[&RequestStory], world: &World, now: ClockTime) -> Vec<Violation> {
     let mut found = Vec::new();
     check_served(stories, &mut found);
-    check_retry_budget(stories, &mut found);
+    retries::check(stories, world, &mut found);
     check_attempts(stories, &mut found);
     check_timeouts(stories, world, now, &mut found);
     check_denied(stories, world, &mut found);
@@ -54,40 +51,6 @@
     }
 }
 
-/// In each window, a service gets no more repeated sends than the budget allows of
-/// the requests for it, in the window, the one before or the one half a window before.
-fn check_retry_budget(stories: &[&RequestStory], found: &mut Vec<Violation>) {
-    let mut requests: BTreeMap<&str, Vec<ClockTime>> = BTreeMap::new();
-    let mut repeats: BTreeMap<&str, Vec<ClockTime>> = BTreeMap::new();
-    for story in stories {
-        for (number, run) in story.runs.iter().enumerate() {
-            let times = match number {
-                0 => requests.entry(&run.service).or_default(),
-                _ => repeats.entry(&run.service).or_default(),
-            };
-            times.push(run.at);
-        }
-    }
-    let half = ClockTime::from_millis(RETRY_WINDOW.as_millis() / 2);
-    for (service, mut times) in repeats {
-        times.sort_unstable();
-        let all = requests.get(service).cloned().unwrap_or_default();
-        let count = |times: &[ClockTime], end: ClockTime| {
-            let from = end.since(RETRY_WINDOW);
-            times.iter().filter(|at| **at > from && **at <= end).count()
-        };
-        let excess = times.iter().find_map(|end| {
-            let ends = [*end, end.since(half), end.since(RETRY_WINDOW)];
-            let base = ends.map(|end| count(&all, end)).into_iter().max();
-            let base = base.unwrap_or_default();
-            let repeated = count(&times, *end);
-            let allowed = (base as f64 * RETRY_RATIO) as usize + RETRY_SLACK;
-            (repeated > allowed).then(|| format!("{repeated} of {allowed} for {service}"))
-        });
-        found.extend(excess.map(|detail| total("retry budget", detail)));
-    }
-}
-
 /// No more than a few requests run at more upstreams than their route's limit;
 /// upstreams that broke off don't count.
 fn check_attempts(stories: &[&RequestStory], found: &mut Vec<Violation>) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -11,6 +11,7 @@
 use crate::timeline::Part;
 use crate::upstreams::UpstreamFaults;
 use crate::vms::{SoakVm, VmContext};
+use crate::zone_losses::lose_zone;
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -70,6 +71,7 @@
             targets.crashing_part.send_replace(None);
         }
         FaultKind::Rollout => run_rollout(fault, &targets).await,
+        FaultKind::ZoneLoss => lose_zone(fault, &targets).await,
         FaultKind::PowerLoss(change) => {
             let mut rng = SmallRng::seed_from_u64(fault.choice);
             targets.operators.change(change, &mut rng);
@@ -86,7 +88,7 @@
     }
 }
 
-async fn pause(vm: &SoakVm, observer: &Observer, duration: ClockTime) {
+pub(crate) async fn pause(vm: &SoakVm, observer: &Observer, duration: ClockTime) {
     let disturbance = observer.disturb(Part::Vm(vm.index), "paused", false);
     vm.signal(Signal::SIGSTOP);
     tokio::time::sleep(duration.to_duration()).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,13 +4,16 @@
 //! faults drawn from a seed, and checks what callers and upstreams see.
 
 mod bounds;
+mod bursts;
 mod callers;
 mod checks;
 mod configs;
+mod engine_memory;
 mod exchange;
 mod faults;
 mod heartbeat;
 mod links;
+mod load_plan;
 mod observer;
 mod operators;
 mod records;
@@ -24,14 +27,17 @@
 mod upstreams;
 mod versions;
 mod vms;
+mod zone_losses;
 
+pub use bounds::RetryBound;
 pub use checks::{
     check_request, check_totals, FailedTries, PowerLoss, ReadinessRecord, RolloutEnd,
     RolloutRecord, VersionQuality, World,
 };
 pub use configs::{ConfigHistory, ConfigVersion, Handling, RouteRule};
 pub use records::{
-    CallKind, CallerRequest, Outcome, RequestStory, SeenResponse, UpstreamRun, Violation,
+    ArrivalRecord, CallKind, CallerRequest, Outcome, RequestStory, SeenResponse, UpstreamRun,
+    Violation,
 };
 pub use report::SoakReport;
 pub use run::{run_soak, SoakOptions};
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -2,7 +2,7 @@
 
 use crate::observer::Observer;
 use skylarkshed_stand_ins::{forward_connection, headers, ProxyFaults};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +33,8 @@
     source: SocketAddr,
     /// The VM, once it has been found.
     vm: Option<usize>,
+    /// The VM that it leads to, if it leads to one.
+    target_vm: Option<usize>,
     faults: watch::Sender<ProxyFaults>,
 }
 
@@ -41,6 +43,8 @@
     faults: Vec<[watch::Sender<ProxyFaults>; 3]>,
     process_ids: Mutex<Vec<Option<u32>>>,
     connections: Mutex<BTreeMap<u64, OpenConnection>>,
+    /// The VMs that are cut off from the others.
+    cut_off: Mutex<BTreeSet<usize>>,
     next_number: AtomicU64,
 }
 
@@ -50,6 +54,7 @@
             faults: (0..vms).map(|_| Default::default()).collect(),
             process_ids: Mutex::new(vec![None; vms]),
             connections: Mutex::default(),
+            cut_off: Mutex::default(),
             next_number: AtomicU64::new(0),
         }
     }
@@ -70,6 +75,26 @@
         }
     }
 
+    /// Cuts a VM off from the others, or ends that: traffic to them and from them is held.
+    pub(crate) async fn cut_off(self: &Arc<Self>, vm: usize, is_cut_off: bool) {
+        let change = |faults: &mut ProxyFaults| {
+            faults.hold_to_target = is_cut_off;
+            faults.hold_from_target = is_cut_off;
+        };
+        match is_cut_off {
+            true => lock(&self.cut_off).insert(vm),
+            false => lock(&self.cut_off).remove(&vm),
+        };
+        self.change(vm, LinkKind::Vms, change).await;
+        let connections = lock(&self.connections);
+        let to_vm = connections
+            .values()
+            .filter(|open| open.target_vm == Some(vm));
+        for open in to_vm {
+            open.faults.send_modify(change);
+        }
+    }
+
     /// Changes the faults of all VMs' links to the store.
     pub(crate) fn change_store(&self, change: impl Fn(&mut ProxyFaults)) {
         for faults in &self.faults {
@@ -101,6 +126,13 @@
         faults.any(|faults| current(&faults[link as usize]) != ProxyFaults::default())
     }
 
+    fn hold_if_cut_off(&self, target_vm: Option<usize>, faults: &mut ProxyFaults) {
+        if target_vm.is_some_and(|vm| lock(&self.cut_off).contains(&vm)) {
+            faults.hold_to_target = true;
+            faults.hold_from_target = true;
+        }
+    }
+
     /// Finds the VMs of the connections whose VM is not known yet. The kernel's table of
     /// sockets is long, so it is read only when a fault needs it.
     async fn find_vms(self: &Arc<Self>) {
@@ -117,7 +149,8 @@
             }
             open.vm = ports.get(&open.source.port()).copied();
             if let Some(vm) = open.vm {
-                let faults = current(&self.faults[vm][open.link as usize]);
+                let mut faults = current(&self.faults[vm][open.link as usize]);
+                self.hold_if_cut_off(open.target_vm, &mut faults);
                 open.faults.send_replace(faults);
             }
         }
@@ -141,6 +174,7 @@
 pub(crate) async fn start_link(
     faults: Arc<LinkFaults>,
     link: LinkKind,
+    target_vm: Option<usize>,
     target: SocketAddr,
 ) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -148,11 +182,14 @@
     tokio::spawn(async move {
         while let Ok((inbound, source)) = listener.accept().await {
             let number = faults.next_number.fetch_add(1, Ordering::Relaxed);
-            let (sender, watch) = watch::channel(ProxyFaults::default());
+            let mut first_faults = ProxyFaults::default();
+            faults.hold_if_cut_off(target_vm, &mut first_faults);
+            let (sender, watch) = watch::channel(first_faults);
             let open = OpenConnection {
                 link,
                 source,
                 vm: None,
+                target_vm,
                 faults: sender,
             };
             lock(&faults.connections).insert(number, open);
--- a/crates/soak/src/observer.rs
+++ b/crates/soak/src/observer.rs
@@ -1,7 +1,7 @@
 //! Collects what callers and upstreams see while the soak runs.
 
 use crate::checks::{check_request, check_totals, ReadinessRecord, World};
-use crate::records::{CallerRequest, Outcome, RequestStory, UpstreamRun, Violation};
+use crate::records::{ArrivalRecord, CallerRequest, Outcome, RequestStory, UpstreamRun, Violation};
 use crate::timeline::Part;
 use skylarkshed_core::{ClockTime, MonotonicClock};
 use std::collections::{BTreeMap, BTreeSet};
@@ -49,6 +49,7 @@
         let story = RequestStory {
             request: request.clone(),
             outcome: None,
+            arrivals: Vec::new(),
             runs: Vec::new(),
         };
         self.lock().stories.insert(request.id, story);
@@ -79,7 +80,24 @@
         self.lock().stories.get(id).map(|story| story.request.vm)
     }
 
-    /// Records a request that arrived at an upstream.
+    /// Records that a request arrived at an upstream, whatever the upstream does with it.
+    pub(crate) fn record_arrival(&self, id: &str, service: &str) {
+        let at = self.now();
+        let service = service.to_owned();
+        if let Some(story) = self.lock().stories.get_mut(id) {
+            story.arrivals.push(ArrivalRecord { service, at });
+        }
+    }
+
+    /// Returns the number of streams that callers sent since a time.
+    pub(crate) fn count_streams(&self, since: ClockTime) -> usize {
+        let state = self.lock();
+        let requests = state.stories.values().map(|story| &story.request);
+        let streams = requests.filter(|request| request.events > 0 && request.sent_at >= since);
+        streams.count()
+    }
+
+    /// Records a request that an upstream accepts or refuses.
     pub(crate) fn begin_run(&self, id: &str, run: UpstreamRun) -> RunKey {
         let mut state = self.lock();
         let mut number = 0;
--- a/crates/soak/src/operators.rs
+++ b/crates/soak/src/operators.rs
@@ -1,6 +1,7 @@
 //! The operators: they change routes, services, limits and API keys.
 
 use crate::configs::{ConfigVersion, RouteRule};
+use crate::load_plan::LoadPlan;
 use crate::observer::Observer;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -13,6 +14,8 @@
 
 /// The second service of calls, to which routes are moved.
 pub(crate) const SPARE_SERVICE: &str = "spares";
+/// The priority of routes, but of those of the engines under load.
+const USUAL_PRIORITY: u8 = 1;
 /// The routes that are added and removed.
 const EXTRA_ROUTES: u32 = 6;
 /// Requests still use a removed route or key for this long, one in eight.
@@ -36,6 +39,7 @@
     pub(crate) timeout: ClockTime,
     pub(crate) is_public: bool,
     pub(crate) attempts: usize,
+    pub(crate) priority: u8,
 }
 
 /// A change of the configuration.
@@ -75,6 +79,8 @@
     removed_keys: Vec<(String, ClockTime)>,
     next_key: u64,
     idle_timeout_ms: u64,
+    /// The memory of an engine, if it is limited.
+    engine_tokens: Option<u64>,
 }
 
 /// The operators and the configuration that they wrote last.
@@ -85,7 +91,11 @@
 }
 
 impl Operators {
-    pub(crate) fn new(observer: Arc<Observer>, store: Arc<FakeStore>) -> Self {
+    pub(crate) fn new(
+        observer: Arc<Observer>,
+        store: Arc<FakeStore>,
+        load: Option<&LoadPlan>,
+    ) -> Self {
         let timeout = ClockTime::from_millis(1_500);
         let make = |prefix: &str, kind, service, attempts| SoakRoute {
             prefix: prefix.to_owned(),
@@ -94,6 +104,7 @@
             timeout,
             is_public: prefix == "/open/",
             attempts,
+            priority: USUAL_PRIORITY,
         };
         let mut routes = vec![
             make("/book/", RouteKind::Unsafe, APP_SERVICE, 1),
@@ -108,6 +119,13 @@
             .filter(|route| route.services[0] == MODEL_SERVICE)
         {
             route.timeout = ClockTime::from_millis(15_000);
+            if let Some(load) = load {
+                let [resumable, single] = load.priorities;
+                route.priority = match route.kind {
+                    RouteKind::Resumable => resumable,
+                    _ => single,
+                };
+            }
         }
         let keys = (0..4).map(|number| (format!("key-{number}"), customer(number)));
         let state = OperatorState {
@@ -121,6 +139,7 @@
             removed_keys: Vec::new(),
             next_key: 4,
             idle_timeout_ms: 1_500,
+            engine_tokens: load.map(|load| load.memory_tokens),
         };
         Operators {
             state: Mutex::new(state),
@@ -206,6 +225,7 @@
                     timeout: ClockTime::from_millis(1_500),
                     is_public: rng.random_ratio(1, 4),
                     attempts: 2,
+                    priority: USUAL_PRIORITY,
                 };
                 // A prefix that callers know keeps its kind.
                 self.routes.entry(extra).or_insert(route);
@@ -274,6 +294,9 @@
         let mut spare = services[0].clone();
         spare["name"] = json!(SPARE_SERVICE);
         services.push(spare);
+        if let Some(tokens) = self.engine_tokens {
+            services[1]["engine"]["cache_capacity"] = json!(tokens);
+        }
         config["services"] = json!(services);
         config["limits"]["idle_timeout_ms"] = json!(self.idle_timeout_ms);
         let mut customers: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
@@ -305,6 +328,7 @@
             attempts,
             timeout_ms,
         );
+        row["priority"] = json!(self.priority);
         row["public_access"] = json!(self.is_public);
         row["stream_resumption"] = json!(self.kind == RouteKind::Resumable);
         if self.services.len() > 1 {
--- a/crates/soak/src/records.rs
+++ b/crates/soak/src/records.rs
@@ -105,6 +105,8 @@
     pub at: ClockTime,
     /// Whether the upstream began to work on it.
     pub is_executed: bool,
+    /// How long it waited for memory.
+    pub waited: ClockTime,
     /// When the upstream ended its work; `NEVER` while it works.
     pub ended_at: ClockTime,
     /// When the upstream would have ended its work if nobody stopped it.
@@ -133,6 +135,15 @@
     pub time_left: Option<ClockTime>,
 }
 
+/// A request that arrived at an upstream, also one that the upstream rejected.
+#[derive(Clone, Debug)]
+pub struct ArrivalRecord {
+    /// The service that it was sent to.
+    pub service: String,
+    /// When it arrived.
+    pub at: ClockTime,
+}
+
 /// A request with its outcome and its runs.
 #[derive(Clone, Debug)]
 pub struct RequestStory {
@@ -140,7 +151,9 @@
     pub request: CallerRequest,
     /// When and how it ended for its caller.
     pub outcome: Option<(ClockTime, Outcome)>,
-    /// The upstreams it arrived at, in order.
+    /// All its arrivals at upstreams, in order.
+    pub arrivals: Vec<ArrivalRecord>,
+    /// The upstreams that it was meant for and arrived at, in order.
     pub runs: Vec<UpstreamRun>,
 }
 
--- a/crates/soak/src/registry.rs
+++ b/crates/soak/src/registry.rs
@@ -1,6 +1,7 @@
 //! The upstreams and their entries in the store.
 
 use crate::links::{LinkFaults, UpstreamLink};
+use crate::load_plan::LoadPlan;
 use crate::observer::Observer;
 use crate::operators::SPARE_SERVICE;
 use crate::schedule::PlannedFault;
@@ -8,10 +9,12 @@
 use crate::upstreams::{SoakUpstream, UpstreamFaults, UpstreamIdentity};
 use crate::versions::UpstreamVersion;
 use crate::vms::zone;
+use serde_json::json;
+use skylarkshed_core::ClockTime;
 use skylarkshed_stand_ins::{upstream_row, FakeStore, APP_SERVICE, MODEL_SERVICE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The upstreams of each service; one in each zone at least.
 const SERVICES: [(&str, usize); 3] = [(APP_SERVICE, 6), (SPARE_SERVICE, 3), (MODEL_SERVICE, 6)];
@@ -25,7 +28,7 @@
 /// The time after which an address may be given to another upstream.
 const ADDRESS_REUSE: Duration = Duration::from_millis(2_000);
 /// How much longer the store lists an upstream that has crashed: three heartbeats in all.
-const EXPIRY_AFTER_REUSE: Duration = Duration::from_millis(1_600);
+pub(crate) const EXPIRY_AFTER_REUSE: Duration = Duration::from_millis(1_600);
 
 /// An upstream and the state in its entry.
 struct RegisteredUpstream {
@@ -42,6 +45,7 @@
     links: Arc<LinkFaults>,
     store: Arc<FakeStore>,
     seed: u64,
+    load: Option<Arc<LoadPlan>>,
     next_number: Mutex<usize>,
     /// The names of the upstreams whose entries were removed.
     removed: Mutex<BTreeSet<String>>,
@@ -54,6 +58,7 @@
         observer: Arc<Observer>,
         links: Arc<LinkFaults>,
         store: Arc<FakeStore>,
+        load: Option<Arc<LoadPlan>>,
     ) -> std::io::Result<Self> {
         let first_version = || Arc::new(UpstreamVersion::new("v1".to_owned(), None));
         let versions = SERVICES.map(|(service, _)| (service, first_version()));
@@ -64,6 +69,7 @@
             links,
             store,
             seed,
+            load,
             next_number: Mutex::new(0),
             removed: Mutex::default(),
         };
@@ -105,14 +111,17 @@
             *next += 1;
             *next
         };
+        let load = self.load.as_deref().filter(|_| service == MODEL_SERVICE);
         let identity = UpstreamIdentity {
             name: format!("{service}-{number}"),
             service,
             zone,
             version,
+            born: load.map(|_| unix_millis()),
         };
         let (seed, observer, links) = (self.seed, &self.observer, &self.links);
-        let upstream = SoakUpstream::start(identity, link, seed, observer, links).await?;
+        let starting = SoakUpstream::start(identity, link, seed, observer, links, load);
+        let upstream = starting.await?;
         let state = "ready";
         write_entry(&upstream, state, &self.store);
         self.lock().push(RegisteredUpstream { upstream, state });
@@ -204,7 +213,7 @@
         self.removed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn remove_entry(&self, name: &str) {
+    pub(crate) fn remove_entry(&self, name: &str) {
         self.lock_removed().insert(name.to_owned());
         self.store.remove(TABLE, name);
     }
@@ -332,12 +341,51 @@
         tokio::time::sleep(EXPIRY_AFTER_REUSE).await;
         self.remove_entry(&crashed);
     }
+
+    /// Takes all engines of a zone out of the upstreams that run.
+    pub(crate) fn take_engines(&self, zone: &str) -> Vec<SoakUpstream> {
+        let is_taken = |other: &RegisteredUpstream| {
+            let identity = &other.upstream.identity;
+            identity.service == MODEL_SERVICE && identity.zone == zone
+        };
+        let mut upstreams = self.lock();
+        let taken = upstreams.extract_if(.., |other| is_taken(other));
+        taken.map(|other| other.upstream).collect()
+    }
+
+    /// Starts another engine at the address of one that has ended, unless its version was
+    /// rolled back or replaced meanwhile: then one of the current version.
+    pub(crate) async fn start_again(&self, identity: UpstreamIdentity, link: UpstreamLink) {
+        let is_in_use = self.lock().iter().any(|other| {
+            let used = &other.upstream.identity;
+            used.version.name == identity.version.name
+                && used.service == identity.service
+                && other.state == "ready"
+        });
+        let version = match is_in_use {
+            true => identity.version.clone(),
+            false => self.version(identity.service),
+        };
+        let identity = UpstreamIdentity {
+            version,
+            ..identity
+        };
+        self.add_or_report(identity, Some(link)).await;
+    }
+}
+
+fn unix_millis() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| ClockTime::from(elapsed).as_millis())
 }
 
 fn write_entry(upstream: &SoakUpstream, state: &str, store: &FakeStore) {
     let identity = &upstream.identity;
     let (service, zone) = (identity.service, &identity.zone);
     let version = &identity.version.name;
-    let entry = upstream_row(service, upstream.link.address, zone, version, state);
+    let mut entry = upstream_row(service, upstream.link.address, zone, version, state);
+    if let Some(born) = identity.born {
+        entry["born"] = json!(born);
+    }
     store.put(TABLE, &identity.name, &entry);
 }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -1,8 +1,8 @@
 //! The report of a soak: the broken rules, each with the lines of one request.
 
-use crate::checks::{excuse_cut, is_end_judged, RolloutRecord};
+use crate::checks::{excuse_cut, find_peaks, is_end_judged, RolloutRecord};
 use crate::observer::{Observer, ObserverState};
-use crate::records::{Outcome, RequestStory, Violation};
+use crate::records::{Outcome, RequestStory, UpstreamRun, Violation};
 use crate::run::SoakOptions;
 use crate::timeline::{Part, Timeline};
 use crate::vms::SoakVm;
@@ -16,6 +16,8 @@
 const MAX_LOG_LINES: usize = 40;
 /// The characters of an outcome that are printed at most; bodies can be long.
 const MAX_OUTCOME_CHARS: usize = 400;
+/// A prompt that has room at once may take a moment to get it.
+const MIN_WAIT: ClockTime = ClockTime::from_millis(10);
 /// Violations of one rule that are printed in full.
 const MAX_EXAMPLES: usize = 3;
 
@@ -36,6 +38,11 @@
     /// The rollouts without unplanned disturbances, whose end is checked in full.
     judged_ends: usize,
     power_losses: usize,
+    /// The windows with the most repeated sends of what was allowed.
+    retry_peaks: Vec<String>,
+    /// The arrivals that waited for memory, and those that were rejected.
+    waited: usize,
+    rejected: usize,
     violations: Vec<(Violation, Vec<String>)>,
 }
 
@@ -80,6 +87,9 @@
             rollouts: describe_rollouts(&state),
             judged_ends: count_judged_ends(&state, observer.now()),
             power_losses: state.world.power_losses.len(),
+            retry_peaks: describe_retry_peaks(&state),
+            waited: count_runs(&state, |run| run.waited >= MIN_WAIT),
+            rejected: count_runs(&state, |run| !run.is_executed),
             violations: state.violations.iter().map(explain).collect(),
         }
     }
@@ -142,6 +152,13 @@
             self.judged_ends,
             self.rollouts.len()
         )?;
+        writeln!(
+            formatter,
+            "repeated sends in 10 s: {}; {} prompts waited for memory, {} arrivals rejected",
+            self.retry_peaks.join(", "),
+            self.waited,
+            self.rejected
+        )?;
         if self.is_passed() {
             return writeln!(formatter, "seed {seed}: PASSED");
         }
@@ -261,6 +278,19 @@
     judged.count()
 }
 
+fn count_runs(state: &ObserverState, is_counted: impl Fn(&UpstreamRun) -> bool) -> usize {
+    let runs = state.stories.values().flat_map(|story| &story.runs);
+    runs.filter(|run| is_counted(run)).count()
+}
+
+fn describe_retry_peaks(state: &ObserverState) -> Vec<String> {
+    let stories: Vec<&RequestStory> = state.stories.values().collect();
+    let peaks = find_peaks(&stories, state.world.retry_bound).into_iter();
+    let peaks =
+        peaks.map(|peak| format!("{} of {} for {}", peak.repeats, peak.allowed, peak.service));
+    peaks.collect()
+}
+
 fn describe_rollouts(state: &ObserverState) -> Vec<String> {
     let describe = |rollout: &RolloutRecord| {
         let RolloutRecord {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,9 +1,11 @@
 //! Runs a soak from its start to its report.
 
+use crate::bursts::run_bursts;
 use crate::callers::{run_caller, CallerContext};
 use crate::faults::{inject, FaultTargets};
 use crate::heartbeat::{watch_machine, watch_vm};
 use crate::links::LinkFaults;
+use crate::load_plan::LoadPlan;
 use crate::observer::Observer;
 use crate::operators::{ConfigChange, Operators};
 use crate::registry::UpstreamRegistry;
@@ -53,13 +55,23 @@
     let observer = Arc::new(Observer::start());
     let store = Arc::new(FakeStore::start().await);
     let links = Arc::new(LinkFaults::new(options.vms));
-    let operators = Arc::new(Operators::new(observer.clone(), store.clone()));
+    let load = LoadPlan::draw(options.seed, options.length).map(Arc::new);
+    let retry_bound = load.as_ref().map(|load| load.retry_bound);
+    let retry_bound = retry_bound.unwrap_or_default();
+    observer.lock().world.retry_bound = retry_bound;
+    let operators = Operators::new(observer.clone(), store.clone(), load.as_deref());
+    let operators = Arc::new(operators);
     operators.change(
         ConfigChange::Nothing,
         &mut SmallRng::seed_from_u64(options.seed),
     );
-    let registry =
-        UpstreamRegistry::start(options.seed, observer.clone(), links.clone(), store.clone());
+    let registry = UpstreamRegistry::start(
+        options.seed,
+        observer.clone(),
+        links.clone(),
+        store.clone(),
+        load.clone(),
+    );
     let registry = registry.await?;
     let (end, ending) = watch::channel(false);
     let context = Arc::new(VmContext {
@@ -70,7 +82,7 @@
         network: SoakNetwork::reserve()?,
         end: ending,
     });
-    let vms = create_vms(&context, &store, options.vms).await?;
+    let vms = create_vms(&context, &store, options.vms, retry_bound).await?;
     let targets = Arc::new(FaultTargets {
         observer: observer.clone(),
         operators,
@@ -87,7 +99,7 @@
         processes.spawn(keep_running(vm.clone(), context.clone()));
     }
     let mut tasks = start_watching(&vms, &observer);
-    run_load(&options, &targets).await;
+    run_load(&options, &targets, load.as_deref()).await;
     observer.check_all();
     tasks.shutdown().await;
     end.send_replace(true);
@@ -114,7 +126,7 @@
 }
 
 /// Runs the callers and the schedule of faults to the end.
-async fn run_load(options: &SoakOptions, targets: &Arc<FaultTargets>) {
+async fn run_load(options: &SoakOptions, targets: &Arc<FaultTargets>, load: Option<&LoadPlan>) {
     let (stop, stopping) = watch::channel(false);
     let callers = Arc::new(CallerContext {
         seed: options.seed,
@@ -126,12 +138,20 @@
         crashing_part: targets.crashing_part.subscribe(),
     });
     let mut calling = JoinSet::new();
-    for number in 0..options.vms + COMMON_CALLERS {
+    let count = options.vms + COMMON_CALLERS;
+    for number in 0..count {
         calling.spawn(run_caller(number, callers.clone()));
     }
+    let mut faults = draw_schedule(options.seed, options.length);
+    if let Some(load) = load {
+        calling.spawn(run_bursts(load.bursts.clone(), count, callers.clone()));
+        faults.extend(&load.zone_losses);
+        faults.sort_by_key(|fault| fault.at);
+        println!("{load:?}");
+    }
     let mut injecting = JoinSet::new();
     let observer = &targets.observer;
-    for fault in draw_schedule(options.seed, options.length) {
+    for fault in faults {
         tokio::time::sleep(fault.at.since(observer.now()).to_duration()).await;
         let at_ms = observer.now().as_millis();
         println!(
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -8,9 +8,9 @@
 use skylarkshed_core::ClockTime;
 
 /// The time before the first fault, in which the VMs start.
-const FIRST_FAULT: ClockTime = ClockTime::from_millis(3_500);
+pub(crate) const FIRST_FAULT: ClockTime = ClockTime::from_millis(3_500);
 /// The time after the last fault.
-const LAST_FAULT: ClockTime = ClockTime::from_millis(3_000);
+pub(crate) const LAST_FAULT: ClockTime = ClockTime::from_millis(3_000);
 /// A series repeats one fault at this interval, in milliseconds.
 const SERIES_MS: std::ops::Range<u64> = 100..900;
 /// The time of a rollout, in milliseconds, and the pause before the next one. Operators wait
@@ -50,6 +50,8 @@
     UpstreamAddressReused,
     CallersLeave,
     Rollout,
+    /// The engines of a zone end together while some VMs are disturbed.
+    ZoneLoss,
     /// Some prompts have a part that ends each engine which begins to write on it.
     CrashingPart,
     /// A change of the configuration, after which all VMs lose power.
--- a/crates/soak/src/upstream_work.rs
+++ b/crates/soak/src/upstream_work.rs
@@ -1,5 +1,6 @@
 //! The work of an upstream on one request, and how its faults show in the response.
 
+use crate::engine_memory::MemoryPlace;
 use crate::upstreams::{ConnectionEnd, OpenRun, UpstreamContext};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -89,8 +90,12 @@
         self
     }
 
-    fn duration(&self) -> ClockTime {
-        ClockTime::from_millis(self.delays.iter().sum())
+    /// Returns the time of the work at an engine that is not slow or full.
+    fn duration(&self, context: &UpstreamContext) -> ClockTime {
+        let usual: u64 = self.delays.iter().sum();
+        let engine = context.engine.as_ref();
+        let millis = engine.map_or(usual, |engine| engine.speed.usual_time(usual));
+        ClockTime::from_millis(millis)
     }
 }
 
@@ -100,6 +105,7 @@
     context: &UpstreamContext,
     request: &ReceivedRequest,
     run: &mut OpenRun<'_>,
+    place: Option<MemoryPlace>,
 ) -> Result<(), ConnectionEnd> {
     let id = request.header(headers::REQUEST_ID).unwrap_or_default();
     let mut rng = request_rng(context, id);
@@ -108,7 +114,7 @@
         run.status = plan.status;
         run.signature = plan.signature.clone();
         run.body = plan.body.clone();
-        run.due_at = run.at + plan.duration();
+        run.due_at = run.at + plan.duration(context);
         run.is_bad = plan.is_bad;
     });
     let head = format!(
@@ -117,9 +123,17 @@
         headers::SIGNATURE,
         plan.signature
     );
-    wait(stream, context, plan.delays[0]).await?;
+    if let Some(place) = &place {
+        wait_for_room(stream, place).await?;
+        let now = context.observer.now();
+        context.observer.update_run(&run.key, |run| {
+            run.waited = now.since(run.at);
+            run.due_at = now + plan.duration(context);
+        });
+    }
+    wait(stream, context, context.time_of(plan.delays[0])).await?;
     if plan.events > 0 {
-        return stream_events(stream, context, request, run, &plan, &head).await;
+        return stream_events(stream, context, request, run, &plan, &head, place).await;
     }
     let (lost, garbled) = {
         let faults = context.faults.borrow();
@@ -152,6 +166,7 @@
     run: &mut OpenRun<'_>,
     plan: &WorkPlan,
     head: &str,
+    place: Option<MemoryPlace>,
 ) -> Result<(), ConnectionEnd> {
     let id = request.header(headers::REQUEST_ID).unwrap_or_default();
     let mut rng = request_rng(context, id);
@@ -172,7 +187,7 @@
     }
     let is_single = String::from_utf8_lossy(&request.body).contains("single");
     for (number, delay) in (plan.after + 1..=plan.events).zip(&plan.delays[1..]) {
-        wait(stream, context, *delay).await?;
+        wait(stream, context, context.time_of(*delay)).await?;
         let by = if is_single {
             format!(" by {}", plan.signature)
         } else {
@@ -192,6 +207,9 @@
             return Ok(stream.set_zero_linger()?);
         }
         stream.write_all(chunk.as_bytes()).await?;
+        if let Some(place) = &place {
+            place.count_event();
+        }
     }
     run.end(false);
     Ok(stream.write_all(b"0\r\n\r\n").await?)
@@ -259,6 +277,15 @@
     Ok(stream.write_all(bytes.as_bytes()).await?)
 }
 
+/// Waits until a request has room in the memory; fails if the gateway closes the connection.
+async fn wait_for_room(stream: &mut TcpStream, place: &MemoryPlace) -> Result<(), ConnectionEnd> {
+    let mut byte = [0; 1];
+    tokio::select! {
+        () = place.wait_for_room() => Ok(()),
+        _ = stream.read(&mut byte) => Err(ConnectionEnd),
+    }
+}
+
 /// Waits for a time and to the end of a silence; fails if the gateway closes the
 /// connection.
 async fn wait(
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -1,6 +1,8 @@
 //! Upstreams that run requests, record them and fail as the seed says.
 
+use crate::engine_memory::{EngineMemory, MemoryPlace};
 use crate::links::{start_upstream_link, LinkFaults, UpstreamLink};
+use crate::load_plan::{EngineSpeed, LoadPlan};
 use crate::observer::{Observer, RunKey};
 use crate::records::UpstreamRun;
 use crate::timeline::Part;
@@ -10,12 +12,16 @@
 use skylarkshed_stand_ins::{headers, ControlCalls, ReceivedRequest, DOWNTIME};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
+use tokio::task::JoinSet;
 
 /// The requests that an upstream runs at the same time; it refuses others.
 const SLOTS: usize = 24;
+/// The time between two load reports of an engine with limits.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The faults of an upstream.
 #[derive(Clone, Debug, Default)]
@@ -39,6 +45,14 @@
     pub(crate) service: &'static str,
     pub(crate) zone: String,
     pub(crate) version: Arc<UpstreamVersion>,
+    /// When it started, in Unix milliseconds, if its load reports tell it.
+    pub(crate) born: Option<u64>,
+}
+
+/// The speed and the memory of an engine that has limits.
+pub(crate) struct EngineLimits {
+    pub(crate) speed: EngineSpeed,
+    pub(crate) memory: Arc<EngineMemory>,
 }
 
 /// An upstream that runs until it is dropped.
@@ -47,6 +61,8 @@
     /// Its proxy.
     pub(crate) link: UpstreamLink,
     pub(crate) faults: watch::Sender<UpstreamFaults>,
+    /// Keeps its load reports until it is dropped.
+    _reports: JoinSet<()>,
 }
 
 /// What the connections of an upstream share.
@@ -57,6 +73,7 @@
     pub(crate) faults: watch::Receiver<UpstreamFaults>,
     /// Notified when a request ends the upstream.
     pub(crate) crashed: Notify,
+    pub(crate) engine: Option<EngineLimits>,
     running: AtomicUsize,
 }
 
@@ -68,19 +85,30 @@
         seed: u64,
         observer: &Arc<Observer>,
         links: &Arc<LinkFaults>,
+        load: Option<&LoadPlan>,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let real_address = listener.local_addr()?;
         let (faults, watching) = watch::channel(UpstreamFaults::default());
+        let engine = load.map(|load| EngineLimits {
+            speed: load.engine_speed(&identity.name),
+            memory: Arc::new(EngineMemory::new(
+                load.memory_tokens,
+                identity.born.unwrap_or_default(),
+            )),
+        });
         let context = Arc::new(UpstreamContext {
             identity: identity.clone(),
             seed,
             observer: observer.clone(),
             faults: watching,
             crashed: Notify::new(),
+            engine,
             running: AtomicUsize::new(0),
         });
         tokio::spawn(serve(listener, context.clone()));
+        let mut reports = JoinSet::new();
+        reports.spawn(keep_reports(context.clone()));
         let link = match link {
             Some(link) => {
                 link.assign(real_address);
@@ -94,10 +122,38 @@
             identity,
             link,
             faults,
+            _reports: reports,
         })
     }
 }
 
+/// Too many prompts wait for the memory of an engine.
+struct FullMemory;
+
+impl UpstreamContext {
+    /// Returns how long work of `millis` takes that begins now.
+    pub(crate) fn time_of(&self, millis: u64) -> u64 {
+        let engine = self.engine.as_ref();
+        engine.map_or(millis, |engine| {
+            engine.speed.time_at(millis, self.observer.now())
+        })
+    }
+
+    fn control_calls(&self) -> ControlCalls {
+        let engine = self.engine.as_ref();
+        engine.map_or_else(ControlCalls::default, |engine| {
+            ControlCalls::with_report(&engine.memory.old_report(self.observer.now()))
+        })
+    }
+
+    /// Returns the request's place in the memory, if that is limited.
+    fn enter_memory(&self, request: &ReceivedRequest) -> Result<Option<MemoryPlace>, FullMemory> {
+        let engine = self.engine.as_ref();
+        let place = engine.map(|engine| engine.memory.enter(request).ok_or(FullMemory));
+        place.transpose()
+    }
+}
+
 /// Ends all connections and refuses new ones for a while after each request that ends the
 /// upstream.
 async fn restart_after_crashes(
@@ -118,6 +174,17 @@
     }
 }
 
+/// Keeps the load reports of an engine with limits.
+async fn keep_reports(context: Arc<UpstreamContext>) {
+    let Some(engine) = &context.engine else {
+        return;
+    };
+    loop {
+        engine.memory.keep_report(context.observer.now());
+        tokio::time::sleep(REPORT_INTERVAL).await;
+    }
+}
+
 async fn serve(listener: TcpListener, context: Arc<UpstreamContext>) {
     while let Ok((mut stream, _)) = listener.accept().await {
         let context = context.clone();
@@ -173,8 +240,15 @@
     context: &UpstreamContext,
 ) -> Result<(), ConnectionEnd> {
     let request = ReceivedRequest::read(stream).await.ok_or(ConnectionEnd)?;
+    let expected = request.header(headers::EXPECTED_UPSTREAM);
+    if let Some(id) = request.header(headers::REQUEST_ID) {
+        // It counts for the service that the VM meant, if the address has changed hands.
+        let service = expected.and_then(|name| Some(name.rsplit_once('-')?.0));
+        let service = service.unwrap_or(context.identity.service);
+        context.observer.record_arrival(id, service);
+    }
     wait_while_silent(context).await?;
-    let control = ControlCalls::default().respond(&request);
+    let control = context.control_calls().respond(&request);
     let is_health_check = request.request_line.starts_with("GET /h ");
     if is_health_check || control.is_some() {
         let health = format!(
@@ -185,13 +259,14 @@
         let reply = control.unwrap_or(health);
         return Ok(stream.write_all(reply.as_bytes()).await?);
     }
-    let expected = request.header(headers::EXPECTED_UPSTREAM);
     if expected.is_some_and(|expected| expected != context.identity.name) {
         return send(stream, 421, "", "").await;
     }
     let id = request.header(headers::REQUEST_ID).unwrap_or_default();
     let mut run = to_run(context, &request);
-    if context.faults.borrow().refuses || context.running.load(Ordering::Relaxed) >= SLOTS {
+    let place = context.enter_memory(&request);
+    let is_full = context.running.load(Ordering::Relaxed) >= SLOTS || place.is_err();
+    if context.faults.borrow().refuses || is_full {
         run.ended_at = run.at;
         context.observer.begin_run(id, run);
         return send(stream, 503, &format!("{}: 1\r\n", headers::NOT_RUN), "").await;
@@ -204,7 +279,8 @@
         key,
         is_ended: false,
     };
-    let worked = work(stream, context, &request, &mut run).await;
+    let place = place.ok().flatten();
+    let worked = work(stream, context, &request, &mut run, place).await;
     if !run.is_ended {
         // The gateway closed the connection.
         run.end(false);
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -1,8 +1,6 @@
 //! The gateway processes: started, signalled by their ids and started again.
 
-use crate::bounds::{
-    EXPOSURE_SHARE, EXPOSURE_SLACK, GRACE, RETRY_RATIO, RETRY_SLACK, REVOCATION, ROLLBACK,
-};
+use crate::bounds::{RetryBound, EXPOSURE_SHARE, EXPOSURE_SLACK, GRACE, REVOCATION, ROLLBACK};
 use crate::links::{start_link, LinkFaults, LinkKind};
 use crate::observer::Observer;
 use crate::timeline::Part;
@@ -25,7 +23,7 @@
 /// The ports of a VM: callers, readiness checks, VMs that start, metrics and peers.
 const PORTS: [u16; 3] = [8740, 8749, 8748];
 const INTERNAL_PORTS: [u16; 2] = [7200, 7201];
-const ZONES: usize = 3;
+pub(crate) const ZONES: usize = 3;
 /// The second numbers of the loopback addresses.
 const NETWORKS: std::ops::Range<u8> = 2..200;
 /// The addresses that are used of each third number.
@@ -79,15 +77,16 @@
     context: &VmContext,
     store: &FakeStore,
     count: usize,
+    retry_bound: RetryBound,
 ) -> std::io::Result<Vec<Arc<SoakVm>>> {
     let links = &context.links;
-    let store_link = start_link(links.clone(), LinkKind::Store, store.address()).await?;
+    let store_link = start_link(links.clone(), LinkKind::Store, None, store.address()).await?;
     let network = context.network.number;
     let address = |index| address(network, index);
     let mut seeds = Vec::new();
     for index in 0..count {
         let peers = SocketAddr::new(address(index), INTERNAL_PORTS[1]);
-        let proxy = start_link(links.clone(), LinkKind::Vms, peers).await?;
+        let proxy = start_link(links.clone(), LinkKind::Vms, Some(index), peers).await?;
         store.substitute_address(peers, proxy);
         if index < ZONES {
             // Not a proxy's address: a VM recognizes itself in the list.
@@ -106,7 +105,7 @@
             seeds: seeds.clone(),
             grace_s: GRACE.as_millis() / 1_000,
             revoke_ms: REVOCATION.as_millis(),
-            retry_budget: (RETRY_RATIO, RETRY_SLACK as u64),
+            retry_budget: (retry_bound.ratio, retry_bound.slack as u64),
             exposure: (EXPOSURE_SHARE, EXPOSURE_SLACK),
             rollback_ms: ROLLBACK.to_duration().as_millis(),
             ..GatewayFile::new(&name, store_link)
--- a/crates/soak/tests/checks/fixtures.rs
+++ b/crates/soak/tests/checks/fixtures.rs
@@ -2,8 +2,8 @@
 
 use skylarkshed_core::ClockTime;
 use skylarkshed_soak::{
-    check_request, check_totals, CallKind, CallerRequest, ConfigVersion, Outcome, RequestStory,
-    RouteRule, SeenResponse, UpstreamRun, World,
+    check_request, check_totals, ArrivalRecord, CallKind, CallerRequest, ConfigVersion, Outcome,
+    RequestStory, RouteRule, SeenResponse, UpstreamRun, World,
 };
 
 pub(crate) const fn ms(millis: u64) -> ClockTime {
@@ -52,6 +52,13 @@
     }
 }
 
+pub(crate) fn arrival() -> ArrivalRecord {
+    ArrivalRecord {
+        service: "stores".to_owned(),
+        at: SENT_AT + ms(5),
+    }
+}
+
 pub(crate) fn response() -> SeenResponse {
     SeenResponse {
         status: 200,
@@ -92,6 +99,7 @@
             attempts: 1,
         },
         outcome: Some((SENT_AT + ms(60), Outcome::Response(response()))),
+        arrivals: vec![arrival()],
         runs: vec![run()],
     }
 }
@@ -126,6 +134,7 @@
     answered.request.vm = 1;
     answered.request.path = "/other/1".to_owned();
     answered.request.sent_at = ms(0);
+    answered.arrivals.clear();
     answered.runs.clear();
     let mut stories: Vec<&RequestStory> = stories.iter().collect();
     stories.push(&answered);
--- a/crates/soak/tests/checks/totals.rs
+++ b/crates/soak/tests/checks/totals.rs
@@ -1,11 +1,11 @@
 //! Rules that show in the configuration, the VMs and sums.
 
 use crate::fixtures::{
-    broken, broken_totals, ms, refusal, respond, response, run, story, stream, version, world,
-    NONE, SENT_AT,
+    arrival, broken, broken_totals, ms, refusal, respond, response, run, story, stream, version,
+    world, NONE, SENT_AT,
 };
 use rstest::rstest;
-use skylarkshed_soak::{CallKind, Outcome, Part, ReadinessRecord, RequestStory};
+use skylarkshed_soak::{CallKind, Outcome, Part, ReadinessRecord, RequestStory, RetryBound};
 
 #[test]
 fn late_request_of_a_leaving_upstream_is_found() {
@@ -80,7 +80,7 @@
     let mut repeated = story();
     repeated.request.kind = CallKind::Safe;
     repeated.request.attempts = 2;
-    repeated.runs.push(run());
+    repeated.arrivals.push(arrival());
     let expected = ["retry budget"];
     assert_eq!(
         broken_totals(&vec![repeated.clone(); 51], &world()),
@@ -89,6 +89,48 @@
     assert_eq!(broken_totals(&vec![repeated; 50], &world()), NONE);
 }
 
+/// Guards against a check that sums for each VM, that leaves out arrivals that an upstream
+/// rejected, or that doesn't use the bound of the settings.
+#[test]
+fn rejected_sends_of_all_vms_count_for_the_retry_bound() {
+    let stories = |count| {
+        let repeated = (0..count).map(|vm| {
+            let mut story = story();
+            story.request.vm = vm;
+            story.runs[0].is_executed = false;
+            story.runs[0].status = 0;
+            respond(&mut story, refusal(503));
+            story.arrivals = vec![arrival(); 3];
+            story
+        });
+        repeated.collect::<Vec<_>>()
+    };
+    let mut world = world();
+    world.retry_bound = RetryBound {
+        ratio: 0.8,
+        slack: 150,
+    };
+    assert_eq!(broken_totals(&stories(126), &world), ["retry budget"]);
+    assert_eq!(broken_totals(&stories(125), &world), NONE);
+}
+
+/// Guards against a check that counts requests of another window than the repeated sends.
+#[test]
+fn requests_of_an_earlier_window_allow_no_repeated_sends() {
+    let late_repeats = |delay_ms: u64| {
+        let mut story = story();
+        let mut late = arrival();
+        late.at = SENT_AT + ms(5 + delay_ms);
+        story.arrivals.push(late);
+        vec![story; 45]
+    };
+    let expected = ["retry budget"];
+    assert_eq!(broken_totals(&late_repeats(10_000), &world()), expected);
+    // The window that begins just after the requests.
+    assert_eq!(broken_totals(&late_repeats(1), &world()), expected);
+    assert_eq!(broken_totals(&late_repeats(0), &world()), NONE);
+}
+
 #[test]
 fn too_many_upstreams_for_requests_are_found() {
     let mut repeated = story();
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -1,6 +1,7 @@
 //! The responses of a fake upstream to the gateway's own requests.
 
 use super::endless_response::EndlessResponse;
+use super::engine_report::EngineReport;
 use super::received_request::ReceivedRequest;
 use serde_json::json;
 
@@ -21,6 +22,14 @@
 }
 
 impl ControlCalls {
+    /// Returns the calls of an engine with this load.
+    pub fn with_report(report: &EngineReport) -> Self {
+        ControlCalls {
+            report: Some(report.to_json()),
+            ..ControlCalls::default()
+        }
+    }
+
     /// Returns the response to a request that the gateway itself makes of an engine (load
     /// report, list or copy of the KV cache, release of a copy); `None` for a request
     /// forwarded for a caller.
--- a/crates/stand-ins/src/routing/headers.rs
+++ b/crates/stand-ins/src/routing/headers.rs
@@ -14,6 +14,8 @@
 pub const TOKENS: &str = "x-token-usage";
 /// The parts of the prompt, in order, as identifiers and lengths.
 pub const PROMPT_PARTS: &str = "x-prompt-prefix";
+/// The urgency of a request; 0 is the most urgent, 5 counts if it is absent.
+pub const URGENCY: &str = "x-request-urgency";
 /// The last event that the receiver of a stream has.
 pub const LAST_EVENT: &str = "last-event-id";
 /// An upstream's signature of its response.
--- a/crates/stand-ins/src/routing/mod.rs
+++ b/crates/stand-ins/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod control_calls;
 mod crash_fault;
 mod endless_response;
+mod engine_report;
 mod event_stream;
 pub mod headers;
 mod received_request;
@@ -21,6 +22,7 @@
 pub use control_calls::ControlCalls;
 pub use crash_fault::{CrashFault, DOWNTIME};
 pub use endless_response::EndlessResponse;
+pub use engine_report::{EngineReport, ReportedRun};
 pub use received_request::ReceivedRequest;
 pub use scripted_response::{ResponsePart, ScriptedResponse, StreamEnd, StreamScript, UnframedEnd};
 pub use store::{FakeStore, StoreCopy, StoreMode};
