Report the window that used most of the retry bound, less memory for engines of the soak

Cause: the report named the window with the least room, often one with a single repeated send; engines had room for most streams of a burst. Change: the peak is the largest part of the bound; memory for two to four streams; each burst prints how many streams it had.

--- a/crates/soak/src/bursts.rs
+++ b/crates/soak/src/bursts.rs
@@ -25,9 +25,10 @@
         let since = observer.now().since(ClockTime::from_millis(COUNT_MS));
         let usual = observer.count_streams(since).max(1) as u64;
         let interval_ms = COUNT_MS * 100 / (usual * (burst.percent - 100));
+        let started_at = observer.now();
         println!(
             "{:>6} ms  burst of streams to {} ms, one more each {interval_ms} ms",
-            observer.now().as_millis(),
+            started_at.as_millis(),
             burst.until.as_millis()
         );
         let mut next = tokio::time::interval(Duration::from_millis(interval_ms.max(1)));
@@ -36,6 +37,13 @@
             streams.spawn(run_burst_stream(number, context.clone()));
             number += 1;
         }
+        let sent = observer.count_streams(started_at);
+        let ended_at = observer.now();
+        let usual = usual * ended_at.since(started_at).as_millis() / COUNT_MS;
+        println!(
+            "{:>6} ms  end of the burst: {sent} streams, usually {usual}",
+            ended_at.as_millis()
+        );
     }
     while streams.join_next().await.is_some() {}
 }
--- a/crates/soak/src/checks/retries.rs
+++ b/crates/soak/src/checks/retries.rs
@@ -7,7 +7,7 @@
 use skylarkshed_core::ClockTime;
 use std::collections::BTreeMap;
 
-/// The window of a service that comes nearest to the bound, or exceeds it most.
+/// The window of a service that used the largest part of the bound.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct RetryPeak {
     pub(crate) service: String,
@@ -16,6 +16,13 @@
     pub(crate) allowed: usize,
 }
 
+impl RetryPeak {
+    /// Returns the used part of the bound; above a million exactly if the bound is exceeded.
+    fn used_millionths(&self) -> usize {
+        (self.repeats + 1) * 1_000_000 / (self.allowed + 1)
+    }
+}
+
 #[derive(Default)]
 struct ServiceArrivals {
     /// The first arrivals of requests.
@@ -71,7 +78,7 @@
             allowed: bound.allowed(count(&self.firsts, until)),
         });
         let peaks = peaks.filter(|peak| peak.repeats > 0);
-        peaks.min_by_key(|peak| peak.allowed as i64 - peak.repeats as i64)
+        peaks.max_by_key(RetryPeak::used_millionths)
     }
 }
 
--- a/crates/soak/src/load_plan.rs
+++ b/crates/soak/src/load_plan.rs
@@ -19,8 +19,8 @@
 const BURST_PAUSE_MS: std::ops::Range<u64> = 3_000..7_000;
 /// How often streams come in a burst, in percent of their usual rate.
 const BURST_PERCENT: std::ops::RangeInclusive<u64> = 200..=300;
-/// The tokens in the memory of an engine: room for three to six streams.
-const MEMORY_TOKENS: std::ops::Range<u64> = 2_600..5_200;
+/// The tokens in the memory of an engine: room for two to four streams.
+const MEMORY_TOKENS: std::ops::Range<u64> = 1_800..3_600;
 /// The time between losses of a zone's engines and their downtime, in milliseconds.
 const ZONE_LOSS_INTERVAL_MS: std::ops::Range<u64> = 5_000..8_000;
 const ZONE_DOWNTIME_MS: std::ops::Range<u64> = 600..2_000;
--- a/crates/soak/src/zone_losses.rs
+++ b/crates/soak/src/zone_losses.rs
@@ -33,12 +33,14 @@
     let mut tasks = JoinSet::new();
     let count = rng.random_range(DISTURBED_VMS);
     let indexes: Vec<usize> = (0..targets.vms.len()).collect();
-    for index in indexes.choose_multiple(&mut rng.clone(), count) {
+    let chosen = indexes.choose_multiple(&mut rng, count).copied();
+    let chosen: Vec<usize> = chosen.collect();
+    for index in chosen {
         let faults = [VmFault::Pause, VmFault::CutOff, VmFault::Kill];
         let vm_fault = *faults.choose(&mut rng).expect("there are some");
         let delay = ClockTime::from_millis(rng.random_range(0..DISTURBED_WITHIN_MS));
         let duration = ClockTime::from_millis(rng.random_range(DISTURBED_MS));
-        let (index, targets) = (*index, targets.clone());
+        let targets = targets.clone();
         tasks.spawn(async move {
             tokio::time::sleep(delay.to_duration()).await;
             disturb_vm(index, vm_fault, duration, &targets).await;
