Put the engine memory and speed of the soak into the stand-ins, press the retry bound

Change: 16 more callers send streams, which wait as they are told; engines refuse the fifth waiting prompt.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -75,14 +75,14 @@
     broken_stream: Option<CallerRequest>,
 }
 
-/// Sends requests until the soak ends.
-pub(crate) async fn run_caller(number: usize, context: Arc<CallerContext>) {
+/// Sends requests, streams or calls, until the soak ends.
+pub(crate) async fn run_caller(number: usize, streams: bool, context: Arc<CallerContext>) {
     let mut rng = SmallRng::seed_from_u64(context.seed ^ ((number as u64 + 1) << 32));
     let habits = CallerHabits {
         keeps_connections: rng.random_ratio(3, 4),
         leaves_early: rng.random_ratio(1, 4),
         reads_slowly: rng.random_ratio(1, 6),
-        streams: number.is_multiple_of(4),
+        streams,
     };
     let mut stop = context.stop.clone();
     let mut caller = Caller::new(number, rng, habits, context);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,6 @@
 mod callers;
 mod checks;
 mod configs;
-mod engine_memory;
 mod exchange;
 mod faults;
 mod heartbeat;
--- a/crates/soak/src/links.rs
+++ b/crates/soak/src/links.rs
@@ -182,6 +182,8 @@
     tokio::spawn(async move {
         while let Ok((inbound, source)) = listener.accept().await {
             let number = faults.next_number.fetch_add(1, Ordering::Relaxed);
+            // Held until the connection is listed, so that the end of a cut reaches it.
+            let mut connections = lock(&faults.connections);
             let mut first_faults = ProxyFaults::default();
             faults.hold_if_cut_off(target_vm, &mut first_faults);
             let (sender, watch) = watch::channel(first_faults);
@@ -192,7 +194,8 @@
                 target_vm,
                 faults: sender,
             };
-            lock(&faults.connections).insert(number, open);
+            connections.insert(number, open);
+            drop(connections);
             let faults = faults.clone();
             tokio::spawn(async move {
                 if faults.is_disturbed(link) {
--- a/crates/soak/src/load_plan.rs
+++ b/crates/soak/src/load_plan.rs
@@ -9,7 +9,6 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use skylarkshed_core::ClockTime;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Odd seeds from this one on have the load; others replay as they did before it existed.
 const FIRST_LOAD_SEED: u64 = 1_001;
@@ -19,17 +18,11 @@
 const BURST_PAUSE_MS: std::ops::Range<u64> = 3_000..7_000;
 /// How often streams come in a burst, in percent of their usual rate.
 const BURST_PERCENT: std::ops::RangeInclusive<u64> = 200..=300;
-/// The tokens in the memory of an engine: room for two to four streams.
-const MEMORY_TOKENS: std::ops::Range<u64> = 1_800..3_600;
+/// The tokens in the memory of an engine: room for three to six streams.
+const MEMORY_TOKENS: std::ops::Range<u64> = 2_600..5_200;
 /// The time between losses of a zone's engines and their downtime, in milliseconds.
 const ZONE_LOSS_INTERVAL_MS: std::ops::Range<u64> = 5_000..8_000;
 const ZONE_DOWNTIME_MS: std::ops::Range<u64> = 600..2_000;
-/// The time that an engine takes, in percent of the usual one.
-const TIME_PERCENTS: [u64; 3] = [70, 100, 170];
-/// An engine is slow for whole spans of this length.
-const SLOW_SPAN_MS: u64 = 600;
-const SLOW_SPANS_PERCENT: u32 = 15;
-const SLOW_TIME_PERCENT: u64 = 250;
 
 /// A time in which streams come more often.
 #[derive(Clone, Copy, Debug)]
@@ -50,7 +43,6 @@
     /// The priorities of streams that can be resumed, and of those that can't.
     pub(crate) priorities: [u8; 2],
     pub(crate) retry_bound: RetryBound,
-    seed: u64,
 }
 
 impl LoadPlan {
@@ -61,11 +53,14 @@
         }
         let mut rng = SmallRng::seed_from_u64(seed ^ LOAD_SEED);
         let latest = length.since(LAST_FAULT);
-        // VMs lend retries only where each one's part of the bound is small: 8 VMs do under
-        // the soak's own bound and 27 or more under that of a large deployment.
+        // VMs lend retries only where each one's part of the slack is small: 8 VMs do with the
+        // small slack, 27 or more with that of a large deployment.
         let retry_bound = match seed % 4 {
             1 => RetryBound::LARGE_DEPLOYMENT,
-            _ => RetryBound::default(),
+            _ => RetryBound {
+                slack: RetryBound::default().slack,
+                ..RetryBound::LARGE_DEPLOYMENT
+            },
         };
         Some(LoadPlan {
             bursts: draw_bursts(&mut rng, latest),
@@ -73,17 +68,8 @@
             memory_tokens: rng.random_range(MEMORY_TOKENS),
             priorities: *[[0, 2], [2, 0]].choose(&mut rng).expect("there are some"),
             retry_bound,
-            seed,
         })
     }
-
-    /// Returns the speed of an engine.
-    pub(crate) fn engine_speed(&self, engine: &str) -> EngineSpeed {
-        let seed = hash(&(self.seed, engine));
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let time_percent = *TIME_PERCENTS.choose(&mut rng).expect("there are some");
-        EngineSpeed { seed, time_percent }
-    }
 }
 
 fn draw_bursts(rng: &mut SmallRng, latest: ClockTime) -> Vec<StreamBurst> {
@@ -115,34 +101,3 @@
     }
     losses
 }
-
-fn hash(key: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// How much longer or shorter than usual an engine's work takes.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct EngineSpeed {
-    seed: u64,
-    time_percent: u64,
-}
-
-impl EngineSpeed {
-    /// Returns the time at this engine of work that usually takes `millis`, without spans in
-    /// which it is slow.
-    pub(crate) fn usual_time(&self, millis: u64) -> u64 {
-        millis * self.time_percent / 100
-    }
-
-    /// Returns the time of work that begins at `now`.
-    pub(crate) fn time_at(&self, millis: u64, now: ClockTime) -> u64 {
-        let span = hash(&(self.seed, now.as_millis() / SLOW_SPAN_MS));
-        let mut rng = SmallRng::seed_from_u64(span);
-        match rng.random_ratio(SLOW_SPANS_PERCENT, 100) {
-            true => self.usual_time(millis) * SLOW_TIME_PERCENT / 100,
-            false => self.usual_time(millis),
-        }
-    }
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -26,6 +26,8 @@
 /// Callers beside one for each VM. A large fleet gets little more load than a small one, so
 /// that the machine can bear it.
 const COMMON_CALLERS: usize = 32;
+/// More callers with streams, which keep the engines of a soak with load busy.
+const LOAD_CALLERS: usize = 16;
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// The time after the callers have stopped, in which refused requests may still run.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
@@ -140,11 +142,20 @@
     let mut calling = JoinSet::new();
     let count = options.vms + COMMON_CALLERS;
     for number in 0..count {
-        calling.spawn(run_caller(number, callers.clone()));
+        let streams = number.is_multiple_of(4);
+        calling.spawn(run_caller(number, streams, callers.clone()));
     }
     let mut faults = draw_schedule(options.seed, options.length);
     if let Some(load) = load {
-        calling.spawn(run_bursts(load.bursts.clone(), count, callers.clone()));
+        let first_burst = count + LOAD_CALLERS;
+        for number in count..first_burst {
+            calling.spawn(run_caller(number, true, callers.clone()));
+        }
+        calling.spawn(run_bursts(
+            load.bursts.clone(),
+            first_burst,
+            callers.clone(),
+        ));
         faults.extend(&load.zone_losses);
         faults.sort_by_key(|fault| fault.at);
         println!("{load:?}");
--- a/crates/soak/src/upstream_work.rs
+++ b/crates/soak/src/upstream_work.rs
@@ -1,11 +1,10 @@
 //! The work of an upstream on one request, and how its faults show in the response.
 
-use crate::engine_memory::MemoryPlace;
 use crate::upstreams::{ConnectionEnd, OpenRun, UpstreamContext};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, FaultEffect, ReceivedRequest};
+use skylarkshed_stand_ins::{headers, FaultEffect, MemoryPlace, ReceivedRequest};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/soak/src/upstreams.rs
+++ b/crates/soak/src/upstreams.rs
@@ -1,15 +1,16 @@
 //! Upstreams that run requests, record them and fail as the seed says.
 
-use crate::engine_memory::{EngineMemory, MemoryPlace};
 use crate::links::{start_upstream_link, LinkFaults, UpstreamLink};
-use crate::load_plan::{EngineSpeed, LoadPlan};
+use crate::load_plan::LoadPlan;
 use crate::observer::{Observer, RunKey};
 use crate::records::UpstreamRun;
 use crate::timeline::Part;
 use crate::upstream_work::{send, wait_while_silent, work};
 use crate::versions::UpstreamVersion;
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, ControlCalls, ReceivedRequest, DOWNTIME};
+use skylarkshed_stand_ins::{
+    headers, ControlCalls, EngineMemory, EngineSpeed, MemoryPlace, ReceivedRequest, DOWNTIME,
+};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -91,7 +92,7 @@
         let real_address = listener.local_addr()?;
         let (faults, watching) = watch::channel(UpstreamFaults::default());
         let engine = load.map(|load| EngineLimits {
-            speed: load.engine_speed(&identity.name),
+            speed: EngineSpeed::draw(seed, &identity.name),
             memory: Arc::new(EngineMemory::new(
                 load.memory_tokens,
                 identity.born.unwrap_or_default(),
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -25,9 +25,10 @@
 pub use proxy::{forward_connection, run_proxy, ProxyFaults};
 pub use routing::headers;
 pub use routing::{
-    default_config, route, upstream_row, ControlCalls, CrashFault, EndlessResponse, EngineReport,
-    FakeStore, FakeUpstream, FaultEffect, GatewayFile, ReceivedRequest, ReportedRun, ResponsePart,
-    ScriptedResponse, StoreCopy, StoreMode, StreamEnd, StreamScript, UnframedEnd, VersionFault,
-    APP_SERVICE, DEPOT_KEY, DOWNTIME, HOST, MODEL_SERVICE, VENDOR_KEY,
+    default_config, route, upstream_row, ControlCalls, CrashFault, EndlessResponse, EngineMemory,
+    EngineReport, EngineSpeed, FakeStore, FakeUpstream, FaultEffect, GatewayFile, MemoryPlace,
+    ReceivedRequest, ReportedRun, ResponsePart, ScriptedResponse, StoreCopy, StoreMode, StreamEnd,
+    StreamScript, UnframedEnd, VersionFault, APP_SERVICE, DEPOT_KEY, DOWNTIME, HOST, MODEL_SERVICE,
+    VENDOR_KEY,
 };
 pub use token_oracle::{check_answer, AnswerMismatch, TokenOracle};
--- a/crates/soak/src/engine_memory.rs
+++ b/crates/stand-ins/src/routing/engine_memory.rs
@@ -1,7 +1,9 @@
 //! The memory of an engine: prompts wait for room in it, and load reports show it.
 
+use super::engine_report::{EngineReport, ReportedRun};
+use super::headers;
+use super::received_request::ReceivedRequest;
 use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{headers, EngineReport, ReceivedRequest, ReportedRun};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -9,7 +11,7 @@
 /// A report tells the state of this time ago.
 const REPORT_AGE: ClockTime = ClockTime::from_millis(200);
 /// The prompts that wait at the same time; the engine refuses others.
-const MAX_WAITING: usize = 6;
+const MAX_WAITING: usize = 4;
 /// The urgency of requests that state none.
 const USUAL_URGENCY: u8 = 5;
 
@@ -34,7 +36,18 @@
 }
 
 /// The memory of an engine.
-pub(crate) struct EngineMemory {
+///
+/// # Examples
+///
+/// ```
+/// use skylarkshed_core::ClockTime;
+/// use skylarkshed_stand_ins::EngineMemory;
+///
+/// let memory = EngineMemory::new(4_000, 1_700_000_000_000);
+/// let report = memory.old_report(ClockTime::from_millis(200));
+/// assert_eq!((report.cache_used, report.cache_total), (0, 4_000));
+/// ```
+pub struct EngineMemory {
     total_tokens: u64,
     /// When the engine started, in Unix milliseconds.
     born: u64,
@@ -43,7 +56,8 @@
 }
 
 impl EngineMemory {
-    pub(crate) fn new(total_tokens: u64, born: u64) -> Self {
+    /// Creates the memory of an engine that started at `born`, in Unix milliseconds.
+    pub fn new(total_tokens: u64, born: u64) -> Self {
         EngineMemory {
             total_tokens,
             born,
@@ -57,7 +71,7 @@
     }
 
     /// Lets a request wait for room; `None` if too many wait already.
-    pub(crate) fn enter(self: &Arc<Self>, request: &ReceivedRequest) -> Option<MemoryPlace> {
+    pub fn enter(self: &Arc<Self>, request: &ReceivedRequest) -> Option<MemoryPlace> {
         let tokens = request.header(headers::TOKENS).unwrap_or_default();
         let mut tokens = tokens.split(',').map(|text| text.parse().unwrap_or(0));
         let prompt_tokens = tokens.next().unwrap_or(0);
@@ -104,7 +118,7 @@
     }
 
     /// Keeps a report on the state at `now` for later.
-    pub(crate) fn keep_report(&self, now: ClockTime) {
+    pub fn keep_report(&self, now: ClockTime) {
         let mut state = self.lock();
         let report = state.report(self.total_tokens, self.born);
         state.reports.push_back((now, report));
@@ -119,7 +133,7 @@
 
     /// Returns a report on the state of [`REPORT_AGE`] ago; of an idle engine if it started
     /// later.
-    pub(crate) fn old_report(&self, now: ClockTime) -> EngineReport {
+    pub fn old_report(&self, now: ClockTime) -> EngineReport {
         let state = self.lock();
         let mut old = state.reports.iter().rev();
         let old = old.find(|(at, _)| *at + REPORT_AGE <= now);
@@ -152,7 +166,7 @@
 }
 
 /// The place of a request in an engine's queue or memory, free when it is dropped.
-pub(crate) struct MemoryPlace {
+pub struct MemoryPlace {
     memory: Arc<EngineMemory>,
     key: QueueKey,
     request: String,
@@ -161,7 +175,7 @@
 
 impl MemoryPlace {
     /// Returns when the request has room.
-    pub(crate) async fn wait_for_room(&self) {
+    pub async fn wait_for_room(&self) {
         loop {
             let mut changed = std::pin::pin!(self.memory.changed.notified());
             changed.as_mut().enable();
@@ -173,7 +187,8 @@
         }
     }
 
-    pub(crate) fn count_event(&self) {
+    /// Counts an event that the request has produced.
+    pub fn count_event(&self) {
         if let Some(prompt) = self.memory.lock().running.get_mut(&self.key.1) {
             prompt.events += 1;
         }
