--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -172,6 +172,35 @@
     pub started: ClockTime,
 }
 
+impl UpstreamRecord {
+    /// Reports whether the start that an upstream stated at this address is that of another
+    /// upstream. Zero stands for an unknown start.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::{ClockTime, UpstreamRecord};
+    ///
+    /// let started = ClockTime::from_millis(1_000);
+    /// let record = UpstreamRecord {
+    ///     name: "engine-1".into(),
+    ///     service: "ledger".into(),
+    ///     address: ([10, 1, 0, 19], 8_080).into(),
+    ///     zone: "chag".into(),
+    ///     version: "v1".into(),
+    ///     slots: 16,
+    ///     is_leaving: false,
+    ///     started,
+    /// };
+    /// assert!(record.is_other_start(ClockTime::from_millis(2_000)));
+    /// assert!(!record.is_other_start(started) && !record.is_other_start(ClockTime::ZERO));
+    /// ```
+    pub fn is_other_start(&self, started: ClockTime) -> bool {
+        let is_known = self.started > ClockTime::ZERO && started > ClockTime::ZERO;
+        is_known && self.started != started
+    }
+}
+
 /// An operator's request to shift a service's traffic to another version.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RolloutSpec {
--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -27,7 +27,7 @@
     let body = call_engine::<P>(state, engine, request, REPORT_TIMEOUT).await;
     let report = body.and_then(|body| P::read_report(&body));
     let now = state.clock.now();
-    let report = report.and_then(|report| match engine.is_other_start(report.started) {
+    let report = report.and_then(|report| match engine.record.is_other_start(report.started) {
         true => {
             engine.retire();
             log::info!(upstream:% = engine.name(); "the address of an engine belongs to another one");
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -129,13 +129,6 @@
         self.usage.is_retired.store(true, Ordering::Relaxed);
     }
 
-    /// Reports whether a start that an upstream stated at this address is that of another
-    /// upstream. Zero stands for an unknown start.
-    pub(crate) fn is_other_start(&self, started: ClockTime) -> bool {
-        let known = self.record.started;
-        known > ClockTime::ZERO && started > ClockTime::ZERO && known != started
-    }
-
     /// Reports whether the upstream is known to have stopped, because its address
     /// belongs to another one.
     pub(crate) fn is_retired(&self) -> bool {
