Refuse new streams at once that no engine can serve in time

Change: after the choice by ledgers and before anything is placed, a stream of which nothing was sent and that resumes nothing is refused with 503, Retry-After and the reason engines_full if no candidate has room and its answer would end after the deadline. The usual duration of an answer is StreamPace. Streams taken for a version under test are not refused, since only the few engines of that version are asked. The rule for less urgent streams is removed: a VM sees its own urgent streams only, one in 34 s at 86 VMs.

With the refusal disabled new_stream_is_refused_only_if_no_engine_has_room fails; with all streams refusable the tests of resumed and begun streams fail.

--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -53,6 +53,8 @@
     NoUpstream,
     UpstreamsBusy,
     UpstreamsDeferred,
+    /// No engine can serve the stream before its deadline.
+    EnginesFull,
     RetryBudget,
     SlowRequest,
     /// Other bodies occupy the memory for its body.
@@ -70,6 +72,7 @@
             NotRunReason::NoUpstream => "no_upstream",
             NotRunReason::UpstreamsBusy => "upstreams_busy",
             NotRunReason::UpstreamsDeferred => "upstreams_deferred",
+            NotRunReason::EnginesFull => "engines_full",
             NotRunReason::RetryBudget => "retry_budget",
             NotRunReason::SlowRequest => "slow_request",
             NotRunReason::NoMemory => "no_memory",
--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -1,7 +1,7 @@
 //! Chooses the engines of a stream: one for the prefill, one to hold the KV cache
 //! copy.
 
-use super::ledger_selection::{AttemptWork, EngineSelection, HolderSearch};
+use super::ledger_selection::{AttemptWork, EngineSelection, HolderSearch, SelectionOutcome};
 use super::StreamForwarder;
 use crate::engine_calls::{has_cached, request_report};
 use crate::engine_ledgers::uses_ledgers;
@@ -37,11 +37,17 @@
         (!upstream.is_retired() && is_preferred).then_some((upstream, copy))
     }
 
-    /// Chooses the upstream for the prefill by the loads of a few engines.
-    pub(super) async fn choose_upstream(&self) -> Option<EngineSelection> {
+    /// Chooses the upstream for the prefill by the loads of a few engines. If `may_refuse`, a
+    /// stream that none of them can serve in time gets none.
+    pub(super) async fn choose_upstream(&self, may_refuse: bool) -> SelectionOutcome {
         match uses_ledgers(&self.state, &self.request.service) {
-            true => self.choose_by_ledgers().await,
-            false => self.choose_by_reports().await.map(EngineSelection::from),
+            true => self.choose_by_ledgers(may_refuse).await,
+            false => self
+                .choose_by_reports()
+                .await
+                .map_or(SelectionOutcome::NoUpstream, |upstream| {
+                    SelectionOutcome::Selected(Box::new(EngineSelection::from(upstream)))
+                }),
         }
     }
 
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -37,6 +37,18 @@
     }
 }
 
+/// The outcome of choosing the upstream for a prompt.
+pub(super) enum SelectionOutcome {
+    Selected(Box<EngineSelection>),
+    /// No engine can serve the stream in time.
+    EnginesFull {
+        /// When its caller should return.
+        retry_after: ClockTime,
+    },
+    /// No upstream accepts requests.
+    NoUpstream,
+}
+
 /// The engines that may hold a copy, best first.
 pub(super) struct HolderSearch {
     pub(super) candidates: Vec<Arc<UpstreamState>>,
@@ -77,8 +89,9 @@
 
 impl<P: WireProtocol> StreamForwarder<P> {
     /// Chooses the upstream for the prefill by the ledgers of a few engines, and tells the
-    /// chosen engine's owner.
-    pub(super) async fn choose_by_ledgers(&self) -> Option<EngineSelection> {
+    /// chosen engine's owner. If `may_refuse`, a stream that can't be served in time is placed
+    /// nowhere.
+    pub(super) async fn choose_by_ledgers(&self, may_refuse: bool) -> SelectionOutcome {
         let size = self.prompt_size();
         let mut engines = Vec::new();
         self.add_candidates(&mut engines, &self.failed_zones);
@@ -92,12 +105,22 @@
         }
         let cached = self.find_cached_prompt(&engines).await;
         let selection = match choose_by_time(&views(&loads), &cached, &size) {
-            Some(choice) => self.place(&engines, &loads, choice, &size).await,
+            Some(choice) => {
+                if may_refuse {
+                    if let Some(retry_after) = self.refused_for(&choice, &size) {
+                        return SelectionOutcome::EnginesFull { retry_after };
+                    }
+                }
+                self.place(&engines, &loads, choice, &size).await
+            }
             // No engine reports.
-            None => EngineSelection::from(engines.into_iter().next()?),
+            None => match engines.into_iter().next() {
+                Some(engine) => EngineSelection::from(engine),
+                None => return SelectionOutcome::NoUpstream,
+            },
         };
         selection.upstream.record_prompt(self.state.clock.now());
-        Some(selection)
+        SelectionOutcome::Selected(Box::new(selection))
     }
 
     async fn query_loads(
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -1,5 +1,6 @@
 //! Forwards an event stream, which may continue at other upstreams after a failure.
 
+mod admission;
 mod attempt;
 mod copy_manager;
 mod engine_selection;
@@ -73,6 +74,8 @@
     probe_ticket: Option<ProbeTicket>,
     /// Set once the request is blocked: the time until the next probe.
     blocked_for: Option<ClockTime>,
+    /// Set if no engine can serve the stream in time: when its caller should return.
+    full_for: Option<ClockTime>,
     _protocol: PhantomData<P>,
 }
 
@@ -125,6 +128,7 @@
         timings: EventTimings::default(),
         probe_ticket: None,
         blocked_for: None,
+        full_for: None,
         _protocol: PhantomData,
     };
     forwarder.record_demand();
@@ -142,9 +146,10 @@
             response
         }
         OpenedStream::Stopped => {
-            forwarder.log_end(match forwarder.blocked_for {
-                Some(_) => "prompt_blocked",
-                None => "not_begun",
+            forwarder.log_end(match (forwarder.blocked_for, forwarder.full_for) {
+                (Some(_), _) => "prompt_blocked",
+                (None, Some(_)) => "engines_full",
+                (None, None) => "not_begun",
             });
             forwarder.finish_unserved()
         }
@@ -313,6 +318,9 @@
     }
 
     fn refuse(&self, proof: NotRunProof) -> CallerResponse {
+        if let Some(retry_after) = self.full_for {
+            return refuse(proof, NotRunReason::EnginesFull, retry_after);
+        }
         match self.state.deferral_of(&self.request) {
             Some(delay) => refuse(proof, NotRunReason::UpstreamsDeferred, delay),
             None => refuse(proof, NotRunReason::NoUpstream, RETRY_AFTER),
--- a/crates/gateway/src/stream/opening.rs
+++ b/crates/gateway/src/stream/opening.rs
@@ -1,7 +1,7 @@
 //! Opens a stream at an upstream, and tries others until one responds.
 
 use super::attempt::{AttemptFailure, StreamAttempt};
-use super::ledger_selection::{AttemptWork, EngineSelection};
+use super::ledger_selection::{AttemptWork, EngineSelection, SelectionOutcome};
 use super::prefill_watch::{watch_prefill, PrefillTimeout};
 use super::replacement::MIN_RETRY_PAUSE;
 use super::StreamForwarder;
@@ -66,11 +66,18 @@
                 }
                 continue;
             }
+            // The version under test has few engines; those of others may have room.
+            let may_refuse = attempt_rule.ticket.is_none() && self.is_unsent();
             let (selection, copy_from) = match holder {
                 Some((upstream, copy)) => (EngineSelection::from(upstream), Some(copy)),
-                None => match self.choose_upstream().await {
-                    Some(selection) => (selection, None),
-                    None => {
+                None => match self.choose_upstream(may_refuse).await {
+                    SelectionOutcome::Selected(selection) => (*selection, None),
+                    SelectionOutcome::EnginesFull { retry_after } => {
+                        self.refund_send();
+                        self.full_for = Some(retry_after);
+                        return OpenedStream::Stopped;
+                    }
+                    SelectionOutcome::NoUpstream => {
                         self.refund_send();
                         if !self.pause_before_retry().await {
                             return OpenedStream::Stopped;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -169,7 +169,7 @@
 pub use route_table::{choose_service, RouteTable};
 pub use routing::{choose_by_share, choose_upstream, PrefixQuery, UpstreamHealth, UpstreamView};
 pub use store_contact::StoreContact;
-pub use stream_admission::{decide_admission, AdmissionDecision, AdmissionInput, LateStreams};
+pub use stream_admission::{decide_admission, AdmissionDecision, AdmissionInput};
 pub use stream_pace::StreamPace;
 pub use stream_recovery::{
     decide_recovery, decide_silence, silence_limit, LossCause, RecoveryDecision, SilenceDecision,
--- a/crates/policy/src/request_urgency.rs
+++ b/crates/policy/src/request_urgency.rs
@@ -49,6 +49,13 @@
         let rank = priorities.partition_point(|priority| *priority < route.priority);
         Some(u8::try_from(rank).unwrap_or(u8::MAX))
     }
+
+    /// Reports whether no route to a service has less urgent requests than this one.
+    pub fn is_least_urgent(&self, service: &ServiceName, route: &RouteConfig) -> bool {
+        let priorities = self.priorities.get(service);
+        let least_urgent = priorities.and_then(|priorities| priorities.last());
+        least_urgent.is_none_or(|priority| route.priority >= *priority)
+    }
 }
 
 fn route_priorities(config: &RoutingConfig, service: &ServiceName) -> BTreeSet<u8> {
--- a/crates/policy/src/stream_admission.rs
+++ b/crates/policy/src/stream_admission.rs
@@ -6,12 +6,7 @@
 
 use crate::deferral::return_delay;
 use skylarkshed_core::ClockTime;
-use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Late streams are remembered for this time: a burst lasts some seconds.
-const LATE_PERIOD: ClockTime = ClockTime::from_millis(2_000);
-/// Priorities are 0 to 9; larger values count as 9.
-const PRIORITIES: usize = 10;
 /// A stream that is more urgent than others overtakes them in the queues of engines. It waits
 /// for this many times its own prefill at most: for the prompt that is being prefilled, and
 /// for room.
@@ -24,18 +19,14 @@
     pub expected_first_event: ClockTime,
     /// The part of it that the prefill of the stream's own prompt takes.
     pub own_prefill: ClockTime,
-    /// Whether a candidate has a free slot and room.
+    /// Whether a candidate has room; ledgers don't tell the free slots.
     pub has_room: bool,
     /// The time until the caller's deadline.
     pub time_left: ClockTime,
     /// The usual time from the first event of an answer to its last.
     pub usual_duration: ClockTime,
-    /// The time left in which the first event still meets its target latency.
-    pub target_time_left: ClockTime,
     /// Whether no stream of the service is less urgent; engines begin with the more urgent.
     pub is_least_urgent: bool,
-    /// Whether more urgent streams were late recently; see [`LateStreams`].
-    pub urgent_late_recently: bool,
     /// A random number that spreads the returns of callers.
     pub random: u64,
 }
@@ -54,9 +45,8 @@
 
 /// Decides whether a new stream is sent.
 ///
-/// It is refused if its answer would end after the deadline at all candidates. It is also
-/// refused if its first event would be late and more urgent streams are late. It is never
-/// refused while a candidate has a free slot and room.
+/// It is refused if its answer would end after the deadline at all candidates, but never while
+/// a candidate has room.
 ///
 /// # Examples
 ///
@@ -70,9 +60,7 @@
 ///     has_room: false,
 ///     time_left: ClockTime::from_millis(20_000),
 ///     usual_duration: ClockTime::from_millis(5_000),
-///     target_time_left: ClockTime::from_millis(4_000),
 ///     is_least_urgent: true,
-///     urgent_late_recently: false,
 ///     random: 7_919,
 /// };
 /// assert_eq!(decide_admission(&in_time), AdmissionDecision::Send);
@@ -83,14 +71,18 @@
 /// assert!((5_000..=6_250).contains(&retry_after.as_millis()));
 /// ```
 pub fn decide_admission(input: &AdmissionInput) -> AdmissionDecision {
-    let longest = ClockTime::from_millis(input.own_prefill.as_millis() * MAX_URGENT_PREFILLS);
+    let longest = ClockTime::from_millis(
+        input
+            .own_prefill
+            .as_millis()
+            .saturating_mul(MAX_URGENT_PREFILLS),
+    );
     let first_event = match input.is_least_urgent {
         true => input.expected_first_event,
         false => input.expected_first_event.min(longest),
     };
     let is_too_late = first_event + input.usual_duration > input.time_left;
-    let gives_way = input.urgent_late_recently && first_event > input.target_time_left;
-    match !input.has_room && (is_too_late || gives_way) {
+    match !input.has_room && is_too_late {
         true => {
             let earliest = input.expected_first_event.since(input.own_prefill);
             let retry_after = return_delay(earliest, input.time_left, input.random);
@@ -99,43 +91,3 @@
         false => AdmissionDecision::Send,
     }
 }
-
-/// When streams of each priority were last refused or late, at one VM and service.
-///
-/// # Examples
-///
-/// ```
-/// use skylarkshed_core::ClockTime;
-/// use skylarkshed_policy::LateStreams;
-///
-/// let at = ClockTime::from_millis;
-/// let streams = LateStreams::default();
-/// streams.record(2, at(1_000));
-/// assert!(streams.is_more_urgent_late(3, at(2_900)));
-/// assert!(!streams.is_more_urgent_late(2, at(2_900)));
-/// assert!(!streams.is_more_urgent_late(3, at(3_100)));
-/// ```
-#[derive(Debug, Default)]
-pub struct LateStreams {
-    /// By priority, in milliseconds; zero if there was none.
-    last_ms: [AtomicU64; PRIORITIES],
-}
-
-impl LateStreams {
-    /// Records that a stream of this priority was refused, or that its first event came later
-    /// than its target latency.
-    pub fn record(&self, priority: u8, now: ClockTime) {
-        let index = usize::from(priority).min(PRIORITIES - 1);
-        self.last_ms[index].fetch_max(now.as_millis(), Ordering::Relaxed);
-    }
-
-    /// Reports whether a stream that is more urgent than this priority (has a lower number)
-    /// was recorded recently.
-    pub fn is_more_urgent_late(&self, priority: u8, now: ClockTime) -> bool {
-        let index = usize::from(priority).min(PRIORITIES - 1);
-        let last_ms = self.last_ms[..index].iter();
-        let last_ms = last_ms.map(|last| last.load(Ordering::Relaxed)).max();
-        let last = ClockTime::from_millis(last_ms.unwrap_or(0));
-        last > ClockTime::ZERO && now.since(last) <= LATE_PERIOD
-    }
-}
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod endless_responses;
 mod engine_ledgers;
+mod engines_full;
 mod explain_command;
 mod fleet_start;
 mod framing;
