Spread a crowd of revised placements over the candidates

Cause: each VM that was told of other prompts at its engine compared that engine, with all of them, to the other candidates as first seen. So all but the first of a crowd moved to the same second engine: of nine prompts of one millisecond 1, 8 and 0 went to three idle engines. Placements since the view were selected with > on milliseconds, so those of the view's own millisecond were missed, and prompts that had just left were not told.

Change: a revision assigns the others' prompts to the candidates by the same rule, one after another, before its own. The owner tells placements since a view by a running total instead of a time; the total is part of the view. The function is called revise_choice, since it returns the revised choice.

--- a/crates/gateway/src/engine_ledgers/client.rs
+++ b/crates/gateway/src/engine_ledgers/client.rs
@@ -28,8 +28,6 @@
     pub(crate) view: Option<LedgerView>,
     /// The owner that answered.
     pub(super) owner: Option<LedgerOwner>,
-    /// When it answered, in milliseconds on its own clock.
-    pub(super) answered_ms: Option<u64>,
 }
 
 /// Returns the loads of engines, in the same order.
@@ -60,7 +58,6 @@
             loads[*index] = load.map(|view| CandidateLoad {
                 view,
                 owner: Some(*owner),
-                answered_ms: Some(views.answered_ms),
             });
         }
     }
@@ -151,6 +148,7 @@
                 tokens_per_s: answer.tokens_per_s,
                 age: ClockTime::from_millis(answer.age_ms),
                 is_suspect: answer.is_suspect || is_suspect,
+                placed_total: answer.placed_total,
             }))
         }
     }
--- a/crates/gateway/src/engine_ledgers/handler.rs
+++ b/crates/gateway/src/engine_ledgers/handler.rs
@@ -29,7 +29,6 @@
         refresh::<P>(state, engine, query.is_from_memory).await
     });
     let slots = futures::future::join_all(slots).await;
-    // All loads are of the same moment, from which on placements count as later ones.
     let now = state.clock.now();
     let answers = engines.iter().zip(slots).map(|(engine, slot)| {
         let Some(engine) = engine else {
@@ -43,7 +42,6 @@
     });
     LedgerViews {
         answers: answers.collect(),
-        answered_ms: now.as_millis(),
     }
 }
 
@@ -82,8 +80,8 @@
     let slot = state.engine_ledgers.slot(state, &engine);
     let now = state.clock.now();
     let ledger = &mut slot.lock().ledger;
-    let since = placement.answered_ms.map(ClockTime::from_millis);
-    let placed_tokens = since.map_or(0, |since| ledger.placed_tokens_since(since));
+    let seen = placement.placed_total;
+    let placed_tokens = seen.map_or(0, |seen| ledger.placed_tokens_since(seen));
     ledger.place(work, now);
     PeerBody::PlacementReply(PlacementReply { placed_tokens })
 }
@@ -131,5 +129,6 @@
         tokens_per_s: view.tokens_per_s,
         age_ms: view.age.as_millis(),
         is_suspect: view.is_suspect,
+        placed_total: view.placed_total,
     }
 }
--- a/crates/gateway/src/engine_ledgers/placed_work.rs
+++ b/crates/gateway/src/engine_ledgers/placed_work.rs
@@ -65,7 +65,7 @@
             prompt_tokens: work.prompt_tokens,
             output_tokens: work.output_tokens,
             is_copy: work.kind == WorkKind::Copy,
-            answered_ms: load.answered_ms,
+            placed_total: load.view.map(|view| view.placed_total),
         }
     }
 
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -8,7 +8,7 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    are_ledgers_busy, choose_by_time, choose_holder, is_choice_outdated, EngineChoice, LedgerView,
+    are_ledgers_busy, choose_by_time, choose_holder, revise_choice, EngineChoice, LedgerView,
     PlacedWork, PromptSize, WorkKind,
 };
 use std::sync::Arc;
@@ -122,7 +122,7 @@
         let work = self.placed_work(WorkKind::Prompt, size);
         let (engine, load) = (&engines[choice.index], &loads[choice.index]);
         let (mut guard, placed_tokens) = place_prompt(state, engine, load, &work).await;
-        if let Some(other) = is_choice_outdated(&choice, &views(loads), placed_tokens, size) {
+        if let Some(other) = revise_choice(&choice, &views(loads), placed_tokens, size) {
             counters::count_revised_placement();
             choice = other;
             let (engine, load) = (&engines[choice.index], &loads[choice.index]);
--- a/crates/peer/src/wire/engine_ledger.rs
+++ b/crates/peer/src/wire/engine_ledger.rs
@@ -36,9 +36,6 @@
     /// One answer for each engine of the request, in its order.
     #[prost(message, repeated, tag = "1")]
     pub answers: Vec<LedgerAnswer>,
-    /// When the VM answered, in milliseconds on its own clock.
-    #[prost(uint64, tag = "2")]
-    pub answered_ms: u64,
 }
 
 /// What a VM knows of an engine.
@@ -79,6 +76,9 @@
     /// Whether a request has just failed at the engine.
     #[prost(bool, tag = "7")]
     pub is_suspect: bool,
+    /// The prompts that were ever placed at the engine, in tokens.
+    #[prost(uint64, tag = "8")]
+    pub placed_total: u64,
 }
 
 /// Tells the VM that keeps an engine's ledger of work that is sent to the engine.
@@ -99,9 +99,10 @@
     /// Whether the work is a copy of a KV cache instead of a prompt.
     #[prost(bool, tag = "5")]
     pub is_copy: bool,
-    /// When the VM answered the sender's request for the load, on its own clock.
-    #[prost(uint64, optional, tag = "6")]
-    pub answered_ms: Option<u64>,
+    /// `placed_total` of the answer by which the sender chose. Earlier builds sent a time
+    /// with tag 6.
+    #[prost(uint64, optional, tag = "7")]
+    pub placed_total: Option<u64>,
 }
 
 /// Replies to a placement.
--- a/crates/policy/src/engine_ledger.rs
+++ b/crates/policy/src/engine_ledger.rs
@@ -87,6 +87,9 @@
     pub age: ClockTime,
     /// Whether a request of the VM that asked for the report has just failed at the engine.
     pub is_suspect: bool,
+    /// The total length of the prompts that were ever placed here, in tokens. It tells later
+    /// placements from those in this view, also within a millisecond.
+    pub placed_total: u64,
 }
 
 impl LedgerView {
@@ -141,6 +144,7 @@
     report: Option<LedgerReport>,
     entries: Vec<LedgerEntry>,
     speed: Option<SpeedSample>,
+    placed_total: u64,
     used_at: ClockTime,
 }
 
@@ -216,6 +220,8 @@
             !is_same && entry.is_alive(now)
         });
         if work.kind == WorkKind::Prompt {
+            let tokens = work.prompt_tokens.min(MAX_TOKENS);
+            self.placed_total = self.placed_total.saturating_add(tokens);
             for entry in &mut self.entries {
                 entry.is_alone &= entry.has_started;
             }
@@ -264,16 +270,15 @@
         let speed = speed.filter(|speed| now.since(speed.sampled_at) < IDLE_LIFETIME);
         view.tokens_per_s = speed.map(|speed| speed.tokens_per_s);
         view.age = age;
+        view.placed_total = self.placed_total;
         view
     }
 
-    /// Returns the total length of the prompts that any VM has placed after `since`.
-    pub fn placed_tokens_since(&self, since: ClockTime) -> u64 {
-        let entries = self.entries.iter();
-        let placed = entries
-            .filter(|entry| entry.placed_at > since && entry.work.kind == WorkKind::Prompt)
-            .map(|entry| entry.work.prompt_tokens);
-        placed.sum()
+    /// Returns the total length of the prompts that any VM has placed since a view, in tokens.
+    /// Prompts that have left since count as well: each VM that placed one then follows the
+    /// rule of [`revise_choice`](crate::revise_choice).
+    pub fn placed_tokens_since(&self, placed_total: u64) -> u64 {
+        self.placed_total.saturating_sub(placed_total)
     }
 
     /// Reports whether nothing was recorded for so long that the ledger may be dropped.
--- a/crates/policy/src/engine_placement.rs
+++ b/crates/policy/src/engine_placement.rs
@@ -21,6 +21,8 @@
 const BUSY_PERCENT: u64 = 40;
 /// Speeds of engines are bounded to this many times the usual, and its inverse.
 const MAX_SPEED_FACTOR: u64 = 4;
+/// Crowds at one engine within a message's time are small; the bound is for faulty answers.
+const MAX_ASSIGNED_PROMPTS: usize = 64;
 /// Expected times are bounded: sums of faulty figures must not overflow.
 const MAX_EXPECTED: ClockTime = ClockTime::from_millis(600_000);
 
@@ -135,13 +137,18 @@
     !best.has_room || best.expected >= size.duration(busy, tokens_per_s)
 }
 
-/// Returns the next candidate, if the prompts that others placed at the chosen engine since
-/// its view, `placed_tokens` in total, made it better than `choice`.
+/// Returns the engine to use instead of the chosen one, if the prompts that others placed there
+/// since its view, `placed_tokens` in total, made another candidate better.
+///
+/// The others have seen the same loads and follow the same rule, so not all of their prompts
+/// stay at the chosen engine, and not all that leave it may go to the same one. Their prompts
+/// are assigned one after another before the new one: the first stays, as nothing was placed
+/// before it.
 ///
 /// # Examples
 ///
 /// ```
-/// use skylarkshed_policy::{choose_by_time, is_choice_outdated, LedgerView, PromptSize};
+/// use skylarkshed_policy::{choose_by_time, revise_choice, LedgerView, PromptSize};
 ///
 /// let size = PromptSize {
 ///     prompt_tokens: 8_000,
@@ -152,40 +159,55 @@
 /// let idle = LedgerView::default();
 /// let views = [Some(idle), Some(LedgerView { running: 3, ..idle })];
 /// let choice = choose_by_time(&views, &[], &size).unwrap();
-/// assert_eq!(is_choice_outdated(&choice, &views, 0, &size), None);
-/// let next = is_choice_outdated(&choice, &views, 8_000, &size).unwrap();
+/// assert_eq!(revise_choice(&choice, &views, 0, &size), None);
+/// let next = revise_choice(&choice, &views, 8_000, &size).unwrap();
 /// assert_eq!(next.index, 1);
+/// // The second prompt went to the other engine, so the third one stays.
+/// assert_eq!(revise_choice(&choice, &views, 16_000, &size), None);
 /// ```
-pub fn is_choice_outdated(
+pub fn revise_choice(
     choice: &EngineChoice,
     views: &[Option<LedgerView>],
     placed_tokens: u64,
     size: &PromptSize,
 ) -> Option<EngineChoice> {
-    let view = views.get(choice.index)?.as_ref()?;
-    let placed_tokens = placed_tokens.min(MAX_TOKENS);
-    let taken = placed_tokens + expected_answer(placed_tokens, 0);
-    let updated = LedgerView {
-        due_tokens: view.due_tokens.saturating_add(placed_tokens),
-        free_tokens: view.free_tokens.map(|free| free.saturating_sub(taken)),
-        ..*view
+    let first_view = views.get(choice.index)?.as_ref()?;
+    if placed_tokens == 0 {
+        return None;
+    }
+    let other_size = PromptSize {
+        prompt_tokens: size.usual_prompt,
+        output_tokens: 0,
+        ..*size
     };
-    let delay = size.duration(placed_tokens, size.speed(view));
-    let updated = EngineChoice {
+    let prompt = size.usual_prompt.clamp(1, MAX_TOKENS);
+    let mut views = views.to_vec();
+    let mut left = placed_tokens.min(MAX_TOKENS);
+    for number in 0..MAX_ASSIGNED_PROMPTS {
+        // The last one stands for all that are left, so that none is forgotten.
+        let tokens = match number + 1 < MAX_ASSIGNED_PROMPTS {
+            true => left.min(prompt),
+            false => left,
+        };
+        let current = other_size.choice(choice.index, views[choice.index].as_ref()?, false);
+        let next = other_size.better_choice(&current, &views);
+        let next = next.filter(|_| number > 0 && number + 1 < MAX_ASSIGNED_PROMPTS);
+        let index = next.map_or(choice.index, |next| next.index);
+        views[index] = views[index].map(|view| view.with_prompts(tokens));
+        left -= tokens;
+        if left == 0 {
+            break;
+        }
+    }
+    let view = views[choice.index].as_ref()?;
+    let added = view.due_tokens.saturating_sub(first_view.due_tokens);
+    let current = EngineChoice {
         index: choice.index,
         // The choice knew whether the engine has the prompt in its cache.
-        expected: choice.expected + delay,
-        has_room: size.has_room(&updated, false),
-    };
-    let others = views.iter().enumerate();
-    let others = others.map(|(index, view)| view.filter(|_| index != choice.index));
-    let others: Vec<Option<LedgerView>> = others.collect();
-    let next = choose_by_time(&others, &[], size)?;
-    let is_better = match next.has_room == updated.has_room {
-        true => next.expected + size.affinity() < updated.expected,
-        false => next.has_room,
+        expected: choice.expected + size.duration(added, size.speed(view)),
+        has_room: size.has_room(view, false),
     };
-    (placed_tokens > 0 && is_better).then_some(next)
+    size.better_choice(&current, &views)
 }
 
 /// Returns the candidate that is to hold a copy of this size: the one with the most room.
@@ -225,7 +247,36 @@
     best.map(|(_, index)| index)
 }
 
+impl LedgerView {
+    /// Returns the view after prompts of this total length were placed at the engine.
+    fn with_prompts(self, tokens: u64) -> LedgerView {
+        let taken = tokens + expected_answer(tokens, 0);
+        LedgerView {
+            due_tokens: self.due_tokens.saturating_add(tokens),
+            free_tokens: self.free_tokens.map(|free| free.saturating_sub(taken)),
+            ..self
+        }
+    }
+}
+
 impl PromptSize {
+    /// Returns the best other candidate, if it is clearly better than the current one.
+    fn better_choice(
+        &self,
+        current: &EngineChoice,
+        views: &[Option<LedgerView>],
+    ) -> Option<EngineChoice> {
+        let others = views.iter().enumerate();
+        let others = others.map(|(index, view)| view.filter(|_| index != current.index));
+        let others: Vec<Option<LedgerView>> = others.collect();
+        let next = choose_by_time(&others, &[], self)?;
+        let is_better = match next.has_room == current.has_room {
+            true => next.expected + self.affinity() < current.expected,
+            false => next.has_room,
+        };
+        is_better.then_some(next)
+    }
+
     fn choice(&self, index: usize, view: &LedgerView, is_cached: bool) -> EngineChoice {
         let own = match is_cached {
             true => 0,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -114,7 +114,7 @@
 pub use engine_choice::{are_all_busy, choose_engine, EngineLoad, EngineRun};
 pub use engine_ledger::{EngineLedger, LedgerView, PlacedWork, PromptEvent, WorkKind};
 pub use engine_placement::{
-    are_ledgers_busy, choose_by_time, choose_holder, expected_first_event, is_choice_outdated,
+    are_ledgers_busy, choose_by_time, choose_holder, expected_first_event, revise_choice,
     EngineChoice, PromptSize,
 };
 pub use event_ledger::{EventLedger, EventVerdict};
