Give the most urgent requests a copy where only the copy has room

Cause: a holder needs room for the copy and one more prompt, so while all candidates are nearly full, urgent streams get no copy either and start again from the prompt when they lose their engine.

Change: requests of rank 0, which is set only where the routes of a service differ in priority, need room for the copy only (HolderRoom). All others are as before.

Result: the policy test fails in its first case with the former room and passes now.

--- a/crates/gateway/src/stream/engine_selection.rs
+++ b/crates/gateway/src/stream/engine_selection.rs
@@ -1,7 +1,7 @@
 //! Chooses the engines of a stream: one for the prefill, one to hold the KV cache
 //! copy.
 
-use super::ledger_selection::{AttemptWork, EngineSelection, HolderSearch};
+use super::ledger_selection::{AttemptWork, EngineSelection, HolderSearch, PlannedCopy};
 use super::StreamForwarder;
 use crate::engine_calls::{has_cached, request_report};
 use crate::engine_ledgers::uses_ledgers;
@@ -9,8 +9,8 @@
 use crate::upstreams::{UpstreamQuery, UpstreamState};
 use skylarkshed_core::{UpstreamName, ZoneName};
 use skylarkshed_policy::{
-    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, RouteTable, VersionFilter,
-    WorkKind,
+    are_all_busy, choose_engine, hash_rank, CopyKind, EngineLoad, HolderRoom, RouteTable,
+    VersionFilter, WorkKind,
 };
 use std::sync::Arc;
 
@@ -180,7 +180,11 @@
             candidates.push(holder);
         }
         let size = self.prompt_size();
-        let copy = || (self.placed_work(WorkKind::Copy, &size), size);
+        let copy = || PlannedCopy {
+            work: self.placed_work(WorkKind::Copy, &size),
+            size,
+            room: HolderRoom::for_urgency(self.request.urgency),
+        };
         HolderSearch {
             candidates,
             copy: uses_ledgers.then(copy),
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -8,8 +8,8 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    are_ledgers_busy, choose_by_time, choose_holder, revise_choice, EngineChoice, LedgerView,
-    PlacedWork, PromptSize, WorkKind,
+    are_ledgers_busy, choose_by_time, choose_holder, revise_choice, EngineChoice, HolderRoom,
+    LedgerView, PlacedWork, PromptSize, WorkKind,
 };
 use std::sync::Arc;
 
@@ -41,7 +41,14 @@
 pub(super) struct HolderSearch {
     pub(super) candidates: Vec<Arc<UpstreamState>>,
     /// The copy, if the holder is chosen by the room in the ledgers.
-    pub(super) copy: Option<(PlacedWork, PromptSize)>,
+    pub(super) copy: Option<PlannedCopy>,
+}
+
+/// A copy that is to be placed by the room in the ledgers.
+pub(super) struct PlannedCopy {
+    pub(super) work: PlacedWork,
+    pub(super) size: PromptSize,
+    pub(super) room: HolderRoom,
 }
 
 /// The engine that is to hold a copy.
@@ -57,7 +64,8 @@
         state: &Arc<GatewayState>,
     ) -> Option<CopyHolder> {
         let mut candidates = self.candidates;
-        let Some((work, size)) = self.copy.filter(|_| !candidates.is_empty()) else {
+        let Some(PlannedCopy { work, size, room }) = self.copy.filter(|_| !candidates.is_empty())
+        else {
             let engine = candidates.into_iter().next()?;
             return Some(CopyHolder { engine, work: None });
         };
@@ -65,7 +73,7 @@
         let loads = query_ledgers::<P>(state, &candidates, size.usual_prompt, scope).await;
         let views = views(&loads);
         let index = match views.iter().any(Option::is_some) {
-            true => choose_holder(&views, &size)?,
+            true => choose_holder(&views, &size, room)?,
             // Without any answer the holder is chosen as in small fleets.
             false => 0,
         };
--- a/crates/policy/src/engine_placement.rs
+++ b/crates/policy/src/engine_placement.rs
@@ -39,6 +39,37 @@
     pub usual_tokens_per_s: u64,
 }
 
+/// The room that the holder of a copy must have.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HolderRoom {
+    /// For the copy and one more prompt of the usual length, so that copies don't make
+    /// prompts wait.
+    CopyAndPrompt,
+    /// For the copy: those of the most urgent requests go before other prompts.
+    CopyOnly,
+}
+
+impl HolderRoom {
+    /// Returns the room for a request whose route has this rank among the priorities of its
+    /// service: 0 is the most urgent, none if all routes have the same priority.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_policy::HolderRoom;
+    ///
+    /// assert_eq!(HolderRoom::for_urgency(Some(0)), HolderRoom::CopyOnly);
+    /// assert_eq!(HolderRoom::for_urgency(Some(1)), HolderRoom::CopyAndPrompt);
+    /// assert_eq!(HolderRoom::for_urgency(None), HolderRoom::CopyAndPrompt);
+    /// ```
+    pub fn for_urgency(urgency: Option<u8>) -> HolderRoom {
+        match urgency {
+            Some(0) => HolderRoom::CopyOnly,
+            Some(_) | None => HolderRoom::CopyAndPrompt,
+        }
+    }
+}
+
 /// The engine that is chosen for a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EngineChoice {
@@ -210,14 +241,14 @@
     size.better_choice(&current, &views)
 }
 
-/// Returns the candidate that is to hold a copy of this size: the one with the most room.
-/// None has room if the copy and one more prompt don't fit. Engines whose room is unknown
-/// come last, suspect ones are left out.
+/// Returns the candidate that is to hold a copy of this size: the one with the most room, or
+/// none if no candidate has the `room`. Engines whose room is unknown come last, suspect ones
+/// are left out.
 ///
 /// # Examples
 ///
 /// ```
-/// use skylarkshed_policy::{choose_holder, LedgerView, PromptSize};
+/// use skylarkshed_policy::{choose_holder, HolderRoom, LedgerView, PromptSize};
 ///
 /// let size = PromptSize {
 ///     prompt_tokens: 8_200,
@@ -226,12 +257,22 @@
 ///     usual_tokens_per_s: 8_000,
 /// };
 /// let with_room = |free| Some(LedgerView { free_tokens: Some(free), ..LedgerView::default() });
-/// assert_eq!(choose_holder(&[with_room(20_000), with_room(40_000)], &size), Some(1));
-/// assert_eq!(choose_holder(&[with_room(12_000), None], &size), None);
+/// let room = HolderRoom::CopyAndPrompt;
+/// assert_eq!(choose_holder(&[with_room(20_000), with_room(40_000)], &size, room), Some(1));
+/// assert_eq!(choose_holder(&[with_room(12_000), None], &size, room), None);
+/// let room = HolderRoom::CopyOnly;
+/// assert_eq!(choose_holder(&[with_room(12_000), None], &size, room), Some(0));
 /// ```
-pub fn choose_holder(views: &[Option<LedgerView>], size: &PromptSize) -> Option<usize> {
-    let prompt = size.usual_prompt + expected_answer(size.usual_prompt, 0);
-    let needed = size.prompt_tokens + prompt;
+pub fn choose_holder(
+    views: &[Option<LedgerView>],
+    size: &PromptSize,
+    room: HolderRoom,
+) -> Option<usize> {
+    let needed = size.prompt_tokens
+        + match room {
+            HolderRoom::CopyAndPrompt => size.usual_prompt + expected_answer(size.usual_prompt, 0),
+            HolderRoom::CopyOnly => 0,
+        };
     let mut best: Option<(u64, usize)> = None;
     for (index, view) in views.iter().enumerate() {
         let Some(view) = view.as_ref().filter(|view| !view.is_suspect) else {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -115,7 +115,7 @@
 pub use engine_ledger::{EngineLedger, LedgerView, PlacedWork, PromptEvent, WorkKind};
 pub use engine_placement::{
     are_ledgers_busy, choose_by_time, choose_holder, expected_first_event, revise_choice,
-    EngineChoice, PromptSize,
+    EngineChoice, HolderRoom, PromptSize,
 };
 pub use event_ledger::{EventLedger, EventVerdict};
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
--- a/crates/policy/tests/gateway/admission_replay.rs
+++ b/crates/policy/tests/gateway/admission_replay.rs
@@ -8,7 +8,8 @@
 use rstest::rstest;
 use skylarkshed_policy::{
     choose_by_time, choose_holder, decide_admission, AdmissionDecision, AdmissionInput,
-    EngineLedger, LateStreams, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
+    EngineLedger, HolderRoom, LateStreams, LedgerView, PlacedWork, PromptEvent, PromptSize,
+    WorkKind,
 };
 
 /// A caller leaves after this time.
@@ -220,7 +221,7 @@
 
     fn copy(&mut self, number: usize, now: u64) {
         let (candidates, views) = self.look(3, now);
-        if let Some(index) = choose_holder(&views, &SIZE) {
+        if let Some(index) = choose_holder(&views, &SIZE, HolderRoom::CopyAndPrompt) {
             self.engines[candidates[index]].hold_copy(now);
             self.record_place(candidates[index], number, WorkKind::Copy, now);
         }
--- a/crates/policy/tests/gateway/engine_ledgers.rs
+++ b/crates/policy/tests/gateway/engine_ledgers.rs
@@ -4,7 +4,7 @@
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
     choose_by_time, choose_holder, expected_first_event, revise_choice, EngineLedger, EngineLoad,
-    EngineRun, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
+    EngineRun, HolderRoom, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
 };
 
 const SIZE: PromptSize = PromptSize {
@@ -124,7 +124,10 @@
     let choice = choose_by_time(&views[..1], &[], &SIZE).unwrap();
     let next = revise_choice(&choice, &views, u64::MAX, &SIZE);
     assert_eq!(next.map(|next| next.index), Some(1));
-    assert_eq!(choose_holder(&views, &SIZE), Some(0));
+    assert_eq!(
+        choose_holder(&views, &SIZE, HolderRoom::CopyAndPrompt),
+        Some(0)
+    );
 }
 
 /// Guards against a slow engine that gets as many prompts as the others, and against one
@@ -241,7 +244,7 @@
             ..LedgerView::default()
         })
     };
-    let holder = |views: &[_]| choose_holder(views, &SIZE);
+    let holder = |views: &[_]| choose_holder(views, &SIZE, HolderRoom::CopyAndPrompt);
     assert_eq!(
         holder(&[view(Some(17_000)), view(Some(30_000)), None]),
         Some(1)
@@ -249,3 +252,23 @@
     assert_eq!(holder(&[view(Some(16_700))]), None);
     assert_eq!(holder(&[view(None), view(Some(17_000))]), Some(1));
 }
+
+/// Guards against urgent streams without a copy while the engines are nearly full, and against
+/// copies that don't fit: the engine would preempt requests for them.
+#[rstest]
+#[case::just_fits(Some(0), 8_000, Some(0))]
+#[case::does_not_fit(Some(0), 7_999, None)]
+#[case::less_urgent(Some(1), 8_000, None)]
+#[case::one_priority(None, 8_000, None)]
+fn the_most_urgent_copy_needs_no_room_for_a_prompt(
+    #[case] urgency: Option<u8>,
+    #[case] free_tokens: u64,
+    #[case] holder: Option<usize>,
+) {
+    let view = LedgerView {
+        free_tokens: Some(free_tokens),
+        ..LedgerView::default()
+    };
+    let room = HolderRoom::for_urgency(urgency);
+    assert_eq!(choose_holder(&[Some(view)], &SIZE, room), holder);
+}
--- a/crates/policy/tests/gateway/engine_replay.rs
+++ b/crates/policy/tests/gateway/engine_replay.rs
@@ -10,7 +10,8 @@
 use rstest::rstest;
 use skylarkshed_policy::{
     are_all_busy, are_ledgers_busy, choose_by_time, choose_engine, choose_holder, revise_choice,
-    EngineLedger, EngineLoad, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
+    EngineLedger, EngineLoad, HolderRoom, LedgerView, PlacedWork, PromptEvent, PromptSize,
+    WorkKind,
 };
 use std::collections::HashMap;
 
@@ -333,7 +334,7 @@
                     let has_owner = !(self.scenario.is_owner_gone && index.is_multiple_of(3));
                     has_owner.then(|| self.ledgers[index].view(at(now), PROMPT_TOKENS))
                 });
-                choose_holder(&views.collect::<Vec<_>>(), &SIZE)
+                choose_holder(&views.collect::<Vec<_>>(), &SIZE, HolderRoom::CopyAndPrompt)
             }
         };
         if let Some(holder) = holder.map(|index| candidates[index]) {
