Identify each placement at an engine by a number

Cause: ends named the request only. The messages of one connection are handled in tasks of their own, so an end could overtake its placement, which then counted for up to 10 s. The end of a copy removed the prompt of the same request at the same engine, and the end of an earlier placement removed a later one.

Change: each placement has a random number, which its events carry. The owner remembers the last 256 ends of an engine and ignores placements that have ended. The policy tests name placements; the one of the speed uses new ones for each prompt, since an ended placement does not come back.

--- a/crates/gateway/src/engine_ledgers/handler.rs
+++ b/crates/gateway/src/engine_ledgers/handler.rs
@@ -69,6 +69,7 @@
         return PeerBody::Done(false);
     };
     let work = PlacedWork {
+        placement: placement.placement,
         request: FastStr::new(&placement.request),
         kind: match placement.is_copy {
             true => WorkKind::Copy,
@@ -101,7 +102,7 @@
     };
     let now = state.clock.now();
     let ledger = &mut slot.lock().ledger;
-    ledger.record_event(&progress.request, event, now);
+    ledger.record_event(progress.placement, event, now);
     true
 }
 
--- a/crates/gateway/src/engine_ledgers/placed_work.rs
+++ b/crates/gateway/src/engine_ledgers/placed_work.rs
@@ -17,7 +17,7 @@
     state: Arc<GatewayState>,
     owner: LedgerOwner,
     engine: LedgerEngine,
-    request: String,
+    placement: u64,
     placed_at: ClockTime,
     has_event: bool,
 }
@@ -52,7 +52,7 @@
             state: state.clone(),
             owner: load.owner?,
             engine: to_wire(engine),
-            request: work.request.to_string(),
+            placement: work.placement,
             placed_at: state.clock.now(),
             has_event: false,
         })
@@ -61,7 +61,8 @@
     fn placement(&self, load: &CandidateLoad, work: &PlacedWork) -> PromptPlacement {
         PromptPlacement {
             engine: Some(self.engine.clone()),
-            request: self.request.clone(),
+            placement: work.placement,
+            request: work.request.to_string(),
             prompt_tokens: work.prompt_tokens,
             output_tokens: work.output_tokens,
             is_copy: work.kind == WorkKind::Copy,
@@ -81,7 +82,7 @@
     fn tell(&self, first_event: Option<ClockTime>) {
         let progress = PromptProgress {
             engine: Some(self.engine.clone()),
-            request: self.request.clone(),
+            placement: self.placement,
             first_event_ms: first_event.map(ClockTime::as_millis),
         };
         match self.owner {
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -135,6 +135,8 @@
             choice = other;
             let (engine, load) = (&engines[choice.index], &loads[choice.index]);
             // Dropping the first guard tells the first engine's owner.
+            // Another placement: the end of the first one may arrive before or after it.
+            let work = self.placed_work(WorkKind::Prompt, size);
             guard = PlacedGuard::announce(state, engine, load, &work);
         }
         EngineSelection {
@@ -164,6 +166,7 @@
 
     pub(super) fn placed_work(&self, kind: WorkKind, size: &PromptSize) -> PlacedWork {
         PlacedWork {
+            placement: rand::random(),
             request: self.request.head.request.clone(),
             kind,
             prompt_tokens: size.prompt_tokens,
--- a/crates/peer/src/wire/engine_ledger.rs
+++ b/crates/peer/src/wire/engine_ledger.rs
@@ -103,6 +103,9 @@
     /// with tag 6.
     #[prost(uint64, optional, tag = "7")]
     pub placed_total: Option<u64>,
+    /// A random number that identifies the placement.
+    #[prost(uint64, tag = "8")]
+    pub placement: u64,
 }
 
 /// Replies to a placement.
@@ -119,11 +122,11 @@
     /// The engine.
     #[prost(message, optional, tag = "1")]
     pub engine: Option<LedgerEngine>,
-    /// The request.
-    #[prost(string, tag = "2")]
-    pub request: String,
     /// Milliseconds from sending the prompt to its first event. If it is absent, the
     /// request has ended at the engine or has left it.
     #[prost(uint64, optional, tag = "3")]
     pub first_event_ms: Option<u64>,
+    /// The `placement` of the work.
+    #[prost(uint64, tag = "4")]
+    pub placement: u64,
 }
--- a/crates/policy/src/engine_ledger.rs
+++ b/crates/policy/src/engine_ledger.rs
@@ -5,8 +5,10 @@
 //! engine's ledger adds what all VMs have placed there since the report.
 
 use crate::engine_choice::EngineLoad;
+use crate::prefill_speed::PrefillSpeed;
 use faststr::FastStr;
 use skylarkshed_core::ClockTime;
+use std::collections::VecDeque;
 
 /// The engine is asked again after this time: its reports are 200 ms old.
 const REPORT_INTERVAL: ClockTime = ClockTime::from_millis(200);
@@ -17,28 +19,25 @@
 const REPORT_LIFETIME: ClockTime = ClockTime::from_millis(2_000);
 /// The VM that placed the work may have died without a word.
 const WORK_LIFETIME: ClockTime = ClockTime::from_millis(10_000);
-/// A speed without a new sample is forgotten, so that an engine that was slow gets prompts
-/// again; so is a ledger without any message.
+/// A ledger without any message is dropped after this time.
 const IDLE_LIFETIME: ClockTime = ClockTime::from_millis(30_000);
 
 /// The expected answer as a percentage of the prompt, if nothing is known of it.
 const ANSWER_PERCENT: u64 = 10;
-/// A new sample has a weight of one in this many in the average of the speed.
-const SPEED_SAMPLES: u64 = 4;
-/// A sample counts at most this many times the average and at least its inverse: engines
-/// are slow for some hundred milliseconds, and prompts may be in the cache.
-const MAX_SAMPLE_FACTOR: u64 = 2;
-/// Prompts below this length take about as long as the steps around them.
-const MIN_SAMPLE_TOKENS: u64 = 1_000;
-
 /// Larger numbers of requests in a report are faults: engines have some 16 slots.
 const MAX_REQUESTS: u64 = 10_000;
 /// Larger numbers of tokens in reports and messages are faults: engines hold some 100,000.
 pub(crate) const MAX_TOKENS: u64 = 10_000_000;
 
+/// Ends of work are remembered for late placements: as many as engines answer in some seconds.
+const MAX_ENDS: usize = 256;
+
 /// Work that a VM has sent to an engine.
 #[derive(Clone, Debug)]
 pub struct PlacedWork {
+    /// Identifies this placement: a request can be placed at an engine again, and as a prompt
+    /// and a copy at once.
+    pub placement: u64,
     /// The request's identifier.
     pub request: FastStr,
     /// What the engine does with it.
@@ -128,6 +127,7 @@
 /// let mut ledger = EngineLedger::default();
 /// ledger.record_report(&EngineLoad::default(), at(1_000));
 /// let work = PlacedWork {
+///     placement: 1,
 ///     request: "request-1".into(),
 ///     kind: WorkKind::Prompt,
 ///     prompt_tokens: 8_000,
@@ -143,7 +143,9 @@
 pub struct EngineLedger {
     report: Option<LedgerReport>,
     entries: Vec<LedgerEntry>,
-    speed: Option<SpeedSample>,
+    /// The placements that have ended last. Messages may overtake each other.
+    ends: VecDeque<u64>,
+    speed: PrefillSpeed,
     placed_total: u64,
     used_at: ClockTime,
 }
@@ -169,13 +171,6 @@
     is_alone: bool,
 }
 
-/// The average speed of an engine's prefills.
-#[derive(Clone, Copy, Debug)]
-struct SpeedSample {
-    tokens_per_s: u64,
-    sampled_at: ClockTime,
-}
-
 impl EngineLedger {
     /// Reports whether the last report is so old that the engine has to be asked.
     pub fn needs_report(&self, now: ClockTime) -> bool {
@@ -211,9 +206,13 @@
         self.touch(asked_at);
     }
 
-    /// Adds work that a VM sends to the engine. Work of the same request and kind is replaced.
+    /// Adds work that a VM sends to the engine. Work of the same request and kind is replaced;
+    /// a placement that has ended already is ignored.
     pub fn place(&mut self, work: PlacedWork, now: ClockTime) {
         self.touch(now);
+        if self.ends.contains(&work.placement) {
+            return;
+        }
         let is_alone = self.view(now, 1).due_tokens == 0 && work.kind == WorkKind::Prompt;
         self.entries.retain(|entry| {
             let is_same = entry.work.request == work.request && entry.work.kind == work.kind;
@@ -239,11 +238,18 @@
     }
 
     /// Records what became of placed work.
-    pub fn record_event(&mut self, request: &str, event: PromptEvent, now: ClockTime) {
+    pub fn record_event(&mut self, placement: u64, event: PromptEvent, now: ClockTime) {
         self.touch(now);
         match event {
-            PromptEvent::FirstEvent { elapsed } => self.record_first_event(request, elapsed, now),
-            PromptEvent::Ended => self.entries.retain(|entry| entry.work.request != request),
+            PromptEvent::FirstEvent { elapsed } => self.record_first_event(placement, elapsed, now),
+            PromptEvent::Ended => {
+                let entries = &mut self.entries;
+                entries.retain(|entry| entry.work.placement != placement);
+                if self.ends.len() == MAX_ENDS {
+                    self.ends.pop_front();
+                }
+                self.ends.push_back(placement);
+            }
         }
     }
 
@@ -266,9 +272,7 @@
             let taken = entry.taken_tokens(covering);
             view.free_tokens = view.free_tokens.map(|free| free.saturating_sub(taken));
         }
-        let speed = self.speed;
-        let speed = speed.filter(|speed| now.since(speed.sampled_at) < IDLE_LIFETIME);
-        view.tokens_per_s = speed.map(|speed| speed.tokens_per_s);
+        view.tokens_per_s = self.speed.tokens_per_s(now);
         view.age = age;
         view.placed_total = self.placed_total;
         view
@@ -290,32 +294,18 @@
         self.used_at = self.used_at.max(now);
     }
 
-    fn record_first_event(&mut self, request: &str, elapsed: ClockTime, now: ClockTime) {
+    fn record_first_event(&mut self, placement: u64, elapsed: ClockTime, now: ClockTime) {
         let mut entries = self.entries.iter_mut();
         let entry = entries
-            .find(|entry| entry.work.request == request && entry.work.kind == WorkKind::Prompt);
+            .find(|entry| entry.work.placement == placement && entry.work.kind == WorkKind::Prompt);
         let Some(entry) = entry.filter(|entry| !entry.has_started) else {
             return;
         };
         entry.has_started = true;
-        let tokens = entry.work.prompt_tokens;
-        if !entry.is_alone || tokens < MIN_SAMPLE_TOKENS {
-            return;
+        if entry.is_alone {
+            let tokens = entry.work.prompt_tokens;
+            self.speed.record_prefill(tokens, elapsed, now);
         }
-        let sample = (tokens * 1_000 / elapsed.as_millis().max(1)).max(1);
-        let last = self.speed;
-        let last = last.filter(|speed| now.since(speed.sampled_at) < IDLE_LIFETIME);
-        let tokens_per_s = match last.map(|speed| speed.tokens_per_s) {
-            Some(mean) => {
-                let sample = sample.clamp(mean / MAX_SAMPLE_FACTOR, mean * MAX_SAMPLE_FACTOR);
-                (mean * (SPEED_SAMPLES - 1) + sample) / SPEED_SAMPLES
-            }
-            None => sample,
-        };
-        self.speed = Some(SpeedSample {
-            tokens_per_s: tokens_per_s.max(1),
-            sampled_at: now,
-        });
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -72,6 +72,7 @@
 mod move_plan;
 mod part_quarantine;
 mod placement;
+mod prefill_speed;
 mod prefill_timeout;
 mod rate_limiter;
 mod refusal_rate;
--- a/crates/policy/tests/gateway/admission_replay.rs
+++ b/crates/policy/tests/gateway/admission_replay.rs
@@ -130,7 +130,7 @@
                 self.outcome.given_up += 1;
                 caller.next_at = None;
                 let event = PromptEvent::Ended;
-                self.ledgers[caller.engine].record_event(&number.to_string(), event, at(now));
+                self.ledgers[caller.engine].record_event(number as u64 * 2, event, at(now));
             } else if caller.arrived_at + caller.target_ms() == now
                 && caller.first_event_at.is_none()
             {
@@ -160,7 +160,7 @@
                 (number, PromptEvent::Ended)
             }
         };
-        self.ledgers[engine].record_event(&number.to_string(), event, at(now));
+        self.ledgers[engine].record_event(number as u64 * 2, event, at(now));
     }
 
     /// Asks for the ledgers of six engines, and sends the stream or refuses it.
@@ -229,6 +229,7 @@
 
     fn record_place(&mut self, engine: usize, number: usize, kind: WorkKind, now: u64) {
         let work = PlacedWork {
+            placement: number as u64 * 2 + u64::from(kind == WorkKind::Copy),
             request: number.to_string().into(),
             kind,
             prompt_tokens: PROMPT_TOKENS,
--- a/crates/policy/tests/gateway/engine_ledgers.rs
+++ b/crates/policy/tests/gateway/engine_ledgers.rs
@@ -20,6 +20,7 @@
 
 fn work(request: &'static str, kind: WorkKind) -> PlacedWork {
     PlacedWork {
+        placement: placement_of(request, kind),
         request: request.into(),
         kind,
         prompt_tokens: 8_000,
@@ -27,8 +28,14 @@
     }
 }
 
+fn placement_of(request: &str, kind: WorkKind) -> u64 {
+    let kind = u64::from(kind == WorkKind::Copy);
+    request.bytes().map(u64::from).sum::<u64>() * 2 + kind
+}
+
 fn placed_work(number: u64, kind: WorkKind) -> PlacedWork {
     PlacedWork {
+        placement: number,
         request: number.to_string().into(),
         ..work("", kind)
     }
@@ -62,7 +69,7 @@
         ledger.record_report(&free(88_000), at(asked_at));
     }
     if let Some(event) = event {
-        ledger.record_event("a", event, at(1_200));
+        ledger.record_event(placement_of("a", WorkKind::Prompt), event, at(1_200));
     }
     assert_eq!(ledger.view(at(now), 8_000).due_tokens, due_tokens);
 }
@@ -137,16 +144,16 @@
     let mut ledger = EngineLedger::default();
     let mut play = |number: u64, is_disturbed: bool, elapsed: u64| {
         let now = number * 10_000;
-        ledger.place(work("a", WorkKind::Prompt), at(now));
+        ledger.place(placed_work(2 * number, WorkKind::Prompt), at(now));
         if is_disturbed {
-            ledger.place(work("b", WorkKind::Prompt), at(now + 1));
+            ledger.place(placed_work(2 * number + 1, WorkKind::Prompt), at(now + 1));
         }
         let event = PromptEvent::FirstEvent {
             elapsed: at(elapsed),
         };
-        ledger.record_event("a", event, at(now + elapsed));
-        ledger.record_event("a", PromptEvent::Ended, at(now + elapsed));
-        ledger.record_event("b", PromptEvent::Ended, at(now + elapsed));
+        ledger.record_event(2 * number, event, at(now + elapsed));
+        ledger.record_event(2 * number, PromptEvent::Ended, at(now + elapsed));
+        ledger.record_event(2 * number + 1, PromptEvent::Ended, at(now + elapsed));
         ledger.view(at(now + elapsed), 8_000).tokens_per_s
     };
     assert_eq!(play(1, true, 2_000), None);
@@ -213,7 +220,7 @@
         let next = revise_choice(&choice, &views, placed, &SIZE);
         if next.is_some() {
             // It leaves the first engine at once, before the others place theirs.
-            ledger.record_event(&number.to_string(), PromptEvent::Ended, at(1_000));
+            ledger.record_event(number, PromptEvent::Ended, at(1_000));
         }
         prompts[next.unwrap_or(choice).index] += 1;
     }
@@ -272,3 +279,36 @@
     let room = HolderRoom::for_urgency(urgency);
     assert_eq!(choose_holder(&[Some(view)], &SIZE, room), holder);
 }
+
+/// Guards against prompts that count for 10 s although they have ended: messages of one VM
+/// may overtake each other, and arrive twice.
+#[test]
+fn a_placement_that_arrives_after_its_end_is_ignored() {
+    let mut ledger = EngineLedger::default();
+    for number in 1..3 {
+        ledger.record_event(number, PromptEvent::Ended, at(1_000));
+        ledger.place(placed_work(number, WorkKind::Prompt), at(1_005));
+        ledger.place(placed_work(number, WorkKind::Prompt), at(1_010));
+    }
+    assert_eq!(ledger.view(at(1_020), 8_000).due_tokens, 0);
+    // The request comes to the same engine again; its first placement ends once more.
+    let again = PlacedWork {
+        placement: 9,
+        ..placed_work(1, WorkKind::Prompt)
+    };
+    ledger.place(again, at(1_030));
+    ledger.record_event(1, PromptEvent::Ended, at(1_040));
+    assert_eq!(ledger.view(at(1_050), 8_000).due_tokens, 8_000);
+}
+
+/// Guards against a prompt that is forgotten when the copy of the same request, at the engine
+/// to which the stream has moved, is given up.
+#[test]
+fn the_end_of_a_copy_leaves_the_prompt_of_the_same_request() {
+    let mut ledger = EngineLedger::default();
+    ledger.place(work("a", WorkKind::Copy), at(1_000));
+    ledger.place(work("a", WorkKind::Prompt), at(1_010));
+    let copy = placement_of("a", WorkKind::Copy);
+    ledger.record_event(copy, PromptEvent::Ended, at(1_020));
+    assert_eq!(ledger.view(at(1_030), 8_000).due_tokens, 8_000);
+}
--- a/crates/policy/tests/gateway/engine_replay.rs
+++ b/crates/policy/tests/gateway/engine_replay.rs
@@ -263,8 +263,8 @@
         let next = revise_choice(&choice, &question.views, placed, &SIZE);
         self.record_place(engine, question.number, WorkKind::Prompt, now);
         if next.is_some() {
-            let request = question.number.to_string();
-            self.ledgers[engine].record_event(&request, PromptEvent::Ended, at(now));
+            let placement = question.number as u64 * 2;
+            self.ledgers[engine].record_event(placement, PromptEvent::Ended, at(now));
         }
         self.outcome.revised += u64::from(next.is_some());
         let last = next.unwrap_or(choice);
@@ -288,6 +288,7 @@
             return;
         }
         let work = PlacedWork {
+            placement: number as u64 * 2 + u64::from(kind == WorkKind::Copy),
             request: number.to_string().into(),
             kind,
             prompt_tokens: PROMPT_TOKENS,
@@ -312,7 +313,7 @@
                     }
                     StreamEvent::Ended { number } => (number, PromptEvent::Ended),
                 };
-                self.ledgers[index].record_event(&number.to_string(), event, at(now));
+                self.ledgers[index].record_event(number as u64 * 2, event, at(now));
             }
         }
     }
