Bound what other VMs can make an engine's owner keep

Cause: an owner kept every placement for 10 s, with a request identifier of any length, and each question scanned them all.

Change: a ledger keeps the last 1,024 placements, and identifiers of at most 256 bytes.

Result: 5,000 placements counted 40,000,000 tokens and now count 8,192,000.

--- a/crates/gateway/src/engine_ledgers/handler.rs
+++ b/crates/gateway/src/engine_ledgers/handler.rs
@@ -17,6 +17,9 @@
 /// The number of engines that are looked up for one request; a prompt has three candidates.
 const MAX_ENGINES: usize = 16;
 
+/// Longer identifiers of requests are not kept.
+const MAX_REQUEST_BYTES: usize = 256;
+
 /// Answers a request for the loads of engines.
 pub(crate) async fn answer_query<P: WireProtocol>(
     state: &Arc<GatewayState>,
@@ -65,7 +68,9 @@
 /// Adds work that a VM sends to an engine to the engine's ledger.
 pub(crate) fn receive_placement(state: &GatewayState, placement: &PromptPlacement) -> PeerBody {
     let engine = placement.engine.as_ref();
-    let Some(engine) = engine.and_then(|engine| find_engine(state, engine)) else {
+    let engine = engine.and_then(|engine| find_engine(state, engine));
+    let engine = engine.filter(|_| placement.request.len() <= MAX_REQUEST_BYTES);
+    let Some(engine) = engine else {
         return PeerBody::Done(false);
     };
     let work = PlacedWork {
--- a/crates/policy/src/engine_ledger.rs
+++ b/crates/policy/src/engine_ledger.rs
@@ -29,6 +29,8 @@
 /// Larger numbers of tokens in reports and messages are faults: engines hold some 100,000.
 pub(crate) const MAX_TOKENS: u64 = 10_000_000;
 
+/// Engines have some 16 slots; more placements are those of a faulty VM.
+const MAX_ENTRIES: usize = 1_024;
 /// Ends of work are remembered for late placements: as many as engines answer in some seconds.
 const MAX_ENDS: usize = 256;
 
@@ -218,6 +220,10 @@
             let is_same = entry.work.request == work.request && entry.work.kind == work.kind;
             !is_same && entry.is_alive(now)
         });
+        if self.entries.len() >= MAX_ENTRIES {
+            // The oldest has most likely ended.
+            self.entries.remove(0);
+        }
         if work.kind == WorkKind::Prompt {
             let tokens = work.prompt_tokens.min(MAX_TOKENS);
             self.placed_total = self.placed_total.saturating_add(tokens);
--- a/crates/policy/tests/gateway/engine_ledgers.rs
+++ b/crates/policy/tests/gateway/engine_ledgers.rs
@@ -312,3 +312,14 @@
     ledger.record_event(copy, PromptEvent::Ended, at(1_020));
     assert_eq!(ledger.view(at(1_030), 8_000).due_tokens, 8_000);
 }
+
+/// Guards against a faulty VM that fills the memory of an owner, and makes each question scan
+/// all that it has placed.
+#[test]
+fn a_flood_of_placements_is_bounded() {
+    let mut ledger = EngineLedger::default();
+    for number in 0..5_000 {
+        ledger.place(placed_work(number, WorkKind::Prompt), at(1_000));
+    }
+    assert_eq!(ledger.view(at(1_000), 8_000).due_tokens, 1_024 * 8_000);
+}
