Test that owners forget prompts of killed VMs and of earlier starts

Guards the key of ledgers (name and start of the engine) and the lapse of placements whose VM says nothing more; also a question for 2,000 engines, an unlisted engine and an absurd length. The test speaks the VMs' protocol itself.

--- a/tests/testsuite/tests/gateway/engine_ledgers.rs
+++ b/tests/testsuite/tests/gateway/engine_ledgers.rs
@@ -2,8 +2,10 @@
 
 use serde_json::json;
 use skylarkshed_core::ClockTime;
-use skylarkshed_peer::wire::PeerBody;
-use skylarkshed_peer::{serve_peers, PeerHandler, PeerKey};
+use skylarkshed_peer::wire::{
+    LedgerAnswer, LedgerEngine, LedgerKnowledge, LedgerQuery, PeerBody, PromptPlacement,
+};
+use skylarkshed_peer::{serve_peers, PeerClient, PeerHandler, PeerKey};
 use skylarkshed_stand_ins::ScriptedResponse;
 use skylarkshed_testsuite::{
     wait_for_metric, GatewayHarness, HarnessBuilder, OtherVm, RawClient, DEPOT_KEY,
@@ -189,6 +191,92 @@
     assert_eq!(send().await, None);
 }
 
+/// Asks the VM under test, as another VM does, for the prompts due at an engine.
+struct LedgerPeer {
+    client: PeerClient,
+    vm: SocketAddr,
+}
+
+impl LedgerPeer {
+    async fn request(&self, body: PeerBody) -> PeerBody {
+        let timeout = ClockTime::from_millis(5_000);
+        self.client.request(self.vm, body, timeout).await.unwrap()
+    }
+
+    async fn ask(&self, engine: &LedgerEngine, count: usize) -> Vec<LedgerAnswer> {
+        let query = LedgerQuery {
+            engines: vec![engine.clone(); count],
+            usual_prompt: 8_000,
+            is_from_memory: false,
+        };
+        match self.request(PeerBody::AskLedgers(query)).await {
+            PeerBody::LedgerViews(views) => views.answers,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn place(&self, engine: &LedgerEngine, prompt_tokens: u64) -> PeerBody {
+        let placement = PromptPlacement {
+            engine: Some(engine.clone()),
+            request: "of-another-vm".to_owned(),
+            prompt_tokens,
+            ..PromptPlacement::default()
+        };
+        self.request(PeerBody::PlacePrompt(placement)).await
+    }
+}
+
+/// Guards against prompts that still count after their VM was killed or their engine was
+/// started again at the same address, and against VMs that send absurd messages.
+#[tokio::test]
+async fn owner_forgets_prompts_of_killed_vms_and_of_earlier_starts() {
+    let harness = HarnessBuilder::default().engines(2).start().await;
+    while harness.store.row("vms", "vm-1").is_none() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let row = harness.store.row("vms", "vm-1").unwrap();
+    let peer = LedgerPeer {
+        client: PeerClient::new(peer_key(&harness), [127, 0, 0, 1].into()),
+        vm: serde_json::from_value(row["address"].clone()).unwrap(),
+    };
+    let name = harness.engines[0].name();
+    let mut entry = harness.store.row("servers", &name).unwrap();
+    let mut engine = LedgerEngine {
+        service: entry["service"].as_str().unwrap().to_owned(),
+        engine: name.clone(),
+        started_ms: entry["born"].as_u64().unwrap(),
+    };
+    // The other VM says nothing more of its prompt. Reports 300 ms later have it, or its end.
+    peer.place(&engine, u64::MAX).await;
+    assert_eq!(peer.ask(&engine, 1).await[0].due_tokens, 10_000_000);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(peer.ask(&engine, 1).await[0].due_tokens, 0);
+
+    assert_eq!(peer.ask(&engine, 2_000).await.len(), 16);
+    let unlisted = LedgerEngine {
+        engine: "nobody".to_owned(),
+        ..engine.clone()
+    };
+    assert_eq!(peer.place(&unlisted, 8_000).await, PeerBody::Done(false));
+    assert_eq!(
+        peer.ask(&unlisted, 1).await[0].knowledge(),
+        LedgerKnowledge::Unknown
+    );
+
+    peer.place(&engine, 8_000).await;
+    let old = engine.clone();
+    engine.started_ms += 1;
+    entry["born"] = json!(engine.started_ms);
+    harness.store.put("servers", &name, &entry);
+    let mut answer = peer.ask(&engine, 1).await[0];
+    while answer.knowledge() == LedgerKnowledge::Unknown {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        answer = peer.ask(&engine, 1).await[0];
+    }
+    assert_eq!(answer.due_tokens, 0);
+    assert_eq!(peer.place(&old, 8_000).await, PeerBody::Done(false));
+}
+
 /// Guards against a rule for large fleets that changes small ones.
 #[tokio::test]
 async fn small_fleet_asks_the_engines() {
@@ -226,9 +314,13 @@
     }
 }
 
-async fn start_peer<H: PeerHandler>(harness: &GatewayHarness, handler: H) -> SocketAddr {
+fn peer_key(harness: &GatewayHarness) -> PeerKey {
     let store = harness.store.address().to_string();
-    let key = PeerKey::parse(blake3::hash(store.as_bytes()).to_hex().as_str()).unwrap();
+    PeerKey::parse(blake3::hash(store.as_bytes()).to_hex().as_str()).unwrap()
+}
+
+async fn start_peer<H: PeerHandler>(harness: &GatewayHarness, handler: H) -> SocketAddr {
+    let key = peer_key(harness);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(serve_peers(listener, key, handler, |_| {}));
