--- a/crates/gateway/src/engine_ledgers/handler.rs
+++ b/crates/gateway/src/engine_ledgers/handler.rs
@@ -17,6 +17,9 @@
 /// The number of engines that are looked up for one request; a prompt has three candidates.
 const MAX_ENGINES: usize = 16;
 
+/// Longer identifiers of requests are not kept.
+const MAX_REQUEST_BYTES: usize = 256;
+
 /// Answers a request for the loads of engines.
 pub(crate) async fn answer_query<P: WireProtocol>(
     state: &Arc<GatewayState>,
@@ -29,7 +32,6 @@
         refresh::<P>(state, engine, query.is_from_memory).await
     });
     let slots = futures::future::join_all(slots).await;
-    // All loads are of the same moment, from which on placements count as later ones.
     let now = state.clock.now();
     let answers = engines.iter().zip(slots).map(|(engine, slot)| {
         let Some(engine) = engine else {
@@ -43,7 +45,6 @@
     });
     LedgerViews {
         answers: answers.collect(),
-        answered_ms: now.as_millis(),
     }
 }
 
@@ -67,10 +68,13 @@
 /// Adds work that a VM sends to an engine to the engine's ledger.
 pub(crate) fn receive_placement(state: &GatewayState, placement: &PromptPlacement) -> PeerBody {
     let engine = placement.engine.as_ref();
-    let Some(engine) = engine.and_then(|engine| find_engine(state, engine)) else {
+    let engine = engine.and_then(|engine| find_engine(state, engine));
+    let engine = engine.filter(|_| placement.request.len() <= MAX_REQUEST_BYTES);
+    let Some(engine) = engine else {
         return PeerBody::Done(false);
     };
     let work = PlacedWork {
+        placement: placement.placement,
         request: FastStr::new(&placement.request),
         kind: match placement.is_copy {
             true => WorkKind::Copy,
@@ -82,8 +86,8 @@
     let slot = state.engine_ledgers.slot(state, &engine);
     let now = state.clock.now();
     let ledger = &mut slot.lock().ledger;
-    let since = placement.answered_ms.map(ClockTime::from_millis);
-    let placed_tokens = since.map_or(0, |since| ledger.placed_tokens_since(since));
+    let seen = placement.placed_total;
+    let placed_tokens = seen.map_or(0, |seen| ledger.placed_tokens_since(seen));
     ledger.place(work, now);
     PeerBody::PlacementReply(PlacementReply { placed_tokens })
 }
@@ -103,7 +107,7 @@
     };
     let now = state.clock.now();
     let ledger = &mut slot.lock().ledger;
-    ledger.record_event(&progress.request, event, now);
+    ledger.record_event(progress.placement, event, now);
     true
 }
 
@@ -131,5 +135,6 @@
         tokens_per_s: view.tokens_per_s,
         age_ms: view.age.as_millis(),
         is_suspect: view.is_suspect,
+        placed_total: view.placed_total,
     }
 }
--- a/crates/gateway/src/stream/ledger_selection.rs
+++ b/crates/gateway/src/stream/ledger_selection.rs
@@ -8,8 +8,8 @@
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::ClockTime;
 use skylarkshed_policy::{
-    are_ledgers_busy, choose_by_time, choose_holder, is_choice_outdated, EngineChoice, LedgerView,
-    PlacedWork, PromptSize, WorkKind,
+    are_ledgers_busy, choose_by_time, choose_holder, revise_choice, EngineChoice, HolderRoom,
+    LedgerView, PlacedWork, PromptSize, WorkKind,
 };
 use std::sync::Arc;
 
@@ -53,7 +53,14 @@
 pub(super) struct HolderSearch {
     pub(super) candidates: Vec<Arc<UpstreamState>>,
     /// The copy, if the holder is chosen by the room in the ledgers.
-    pub(super) copy: Option<(PlacedWork, PromptSize)>,
+    pub(super) copy: Option<PlannedCopy>,
+}
+
+/// A copy that is to be placed by the room in the ledgers.
+pub(super) struct PlannedCopy {
+    pub(super) work: PlacedWork,
+    pub(super) size: PromptSize,
+    pub(super) room: HolderRoom,
 }
 
 /// The engine that is to hold a copy.
@@ -69,7 +76,8 @@
         state: &Arc<GatewayState>,
     ) -> Option<CopyHolder> {
         let mut candidates = self.candidates;
-        let Some((work, size)) = self.copy.filter(|_| !candidates.is_empty()) else {
+        let Some(PlannedCopy { work, size, room }) = self.copy.filter(|_| !candidates.is_empty())
+        else {
             let engine = candidates.into_iter().next()?;
             return Some(CopyHolder { engine, work: None });
         };
@@ -77,7 +85,7 @@
         let loads = query_ledgers::<P>(state, &candidates, size.usual_prompt, scope).await;
         let views = views(&loads);
         let index = match views.iter().any(Option::is_some) {
-            true => choose_holder(&views, &size)?,
+            true => choose_holder(&views, &size, room)?,
             // Without any answer the holder is chosen as in small fleets.
             false => 0,
         };
@@ -145,11 +153,13 @@
         let work = self.placed_work(WorkKind::Prompt, size);
         let (engine, load) = (&engines[choice.index], &loads[choice.index]);
         let (mut guard, placed_tokens) = place_prompt(state, engine, load, &work).await;
-        if let Some(other) = is_choice_outdated(&choice, &views(loads), placed_tokens, size) {
+        if let Some(other) = revise_choice(&choice, &views(loads), placed_tokens, size) {
             counters::count_revised_placement();
             choice = other;
             let (engine, load) = (&engines[choice.index], &loads[choice.index]);
             // Dropping the first guard tells the first engine's owner.
+            // Another placement: the end of the first one may arrive before or after it.
+            let work = self.placed_work(WorkKind::Prompt, size);
             guard = PlacedGuard::announce(state, engine, load, &work);
         }
         EngineSelection {
@@ -179,6 +189,7 @@
 
     pub(super) fn placed_work(&self, kind: WorkKind, size: &PromptSize) -> PlacedWork {
         PlacedWork {
+            placement: rand::random(),
             request: self.request.head.request.clone(),
             kind,
             prompt_tokens: size.prompt_tokens,
--- a/crates/policy/tests/gateway/admission_replay.rs
+++ b/crates/policy/tests/gateway/admission_replay.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use skylarkshed_policy::{
     choose_by_time, choose_holder, decide_admission, AdmissionDecision, AdmissionInput,
-    EngineLedger, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
+    EngineLedger, HolderRoom, LedgerView, PlacedWork, PromptEvent, PromptSize, WorkKind,
 };
 
 /// A caller leaves after this time.
@@ -125,7 +125,7 @@
                 self.outcome.given_up += 1;
                 caller.next_at = None;
                 let event = PromptEvent::Ended;
-                self.ledgers[caller.engine].record_event(&number.to_string(), event, at(now));
+                self.ledgers[caller.engine].record_event(number as u64 * 2, event, at(now));
             }
         }
         for index in 0..self.engines.len() {
@@ -151,7 +151,7 @@
                 (number, PromptEvent::Ended)
             }
         };
-        self.ledgers[engine].record_event(&number.to_string(), event, at(now));
+        self.ledgers[engine].record_event(number as u64 * 2, event, at(now));
     }
 
     /// Asks for the ledgers of six engines, and sends the stream or refuses it.
@@ -208,7 +208,7 @@
 
     fn copy(&mut self, number: usize, now: u64) {
         let (candidates, views) = self.look(3, now);
-        if let Some(index) = choose_holder(&views, &SIZE) {
+        if let Some(index) = choose_holder(&views, &SIZE, HolderRoom::CopyAndPrompt) {
             self.engines[candidates[index]].hold_copy(now);
             self.record_place(candidates[index], number, WorkKind::Copy, now);
         }
@@ -216,6 +216,7 @@
 
     fn record_place(&mut self, engine: usize, number: usize, kind: WorkKind, now: u64) {
         let work = PlacedWork {
+            placement: number as u64 * 2 + u64::from(kind == WorkKind::Copy),
             request: number.to_string().into(),
             kind,
             prompt_tokens: PROMPT_TOKENS,
--- a/crates/policy/tests/gateway/engine_replay.rs
+++ b/crates/policy/tests/gateway/engine_replay.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rstest::rstest;
 use skylarkshed_policy::{
-    are_all_busy, are_ledgers_busy, choose_by_time, choose_engine, choose_holder,
-    is_choice_outdated, EngineLedger, EngineLoad, LedgerView, PlacedWork, PromptEvent, PromptSize,
+    are_all_busy, are_ledgers_busy, choose_by_time, choose_engine, choose_holder, revise_choice,
+    EngineLedger, EngineLoad, HolderRoom, LedgerView, PlacedWork, PromptEvent, PromptSize,
     WorkKind,
 };
 use std::collections::HashMap;
@@ -258,8 +258,14 @@
     fn choose(&mut self, question: &Question, now: u64) -> Option<usize> {
         let choice = choose_by_time(&question.views, &[], &SIZE)?;
         let engine = question.candidates[choice.index];
-        let placed = self.ledgers[engine].placed_tokens_since(at(question.asked_at));
-        let next = is_choice_outdated(&choice, &question.views, placed, &SIZE);
+        let seen = question.views[choice.index]?.placed_total;
+        let placed = self.ledgers[engine].placed_tokens_since(seen);
+        let next = revise_choice(&choice, &question.views, placed, &SIZE);
+        self.record_place(engine, question.number, WorkKind::Prompt, now);
+        if next.is_some() {
+            let placement = question.number as u64 * 2;
+            self.ledgers[engine].record_event(placement, PromptEvent::Ended, at(now));
+        }
         self.outcome.revised += u64::from(next.is_some());
         let last = next.unwrap_or(choice);
         let has_room = |(index, view): (usize, &Option<LedgerView>)| {
@@ -270,12 +276,10 @@
             choice.has_room && next.is_none() || question.views.iter().enumerate().any(has_room);
         self.outcome.known_room_passed_over += u64::from(is_possible && !last.has_room);
         let index = last.index;
-        self.record_place(
-            question.candidates[index],
-            question.number,
-            WorkKind::Prompt,
-            now,
-        );
+        if next.is_some() {
+            let engine = question.candidates[index];
+            self.record_place(engine, question.number, WorkKind::Prompt, now);
+        }
         Some(index)
     }
 
@@ -284,6 +288,7 @@
             return;
         }
         let work = PlacedWork {
+            placement: number as u64 * 2 + u64::from(kind == WorkKind::Copy),
             request: number.to_string().into(),
             kind,
             prompt_tokens: PROMPT_TOKENS,
@@ -308,7 +313,7 @@
                     }
                     StreamEvent::Ended { number } => (number, PromptEvent::Ended),
                 };
-                self.ledgers[index].record_event(&number.to_string(), event, at(now));
+                self.ledgers[index].record_event(number as u64 * 2, event, at(now));
             }
         }
     }
@@ -330,7 +335,7 @@
                     let has_owner = !(self.scenario.is_owner_gone && index.is_multiple_of(3));
                     has_owner.then(|| self.ledgers[index].view(at(now), PROMPT_TOKENS))
                 });
-                choose_holder(&views.collect::<Vec<_>>(), &SIZE)
+                choose_holder(&views.collect::<Vec<_>>(), &SIZE, HolderRoom::CopyAndPrompt)
             }
         };
         if let Some(holder) = holder.map(|index| candidates[index]) {
