Give calls of a young process no share of the reserve where VMs lend

Cause: only streams observed the rule that a process has no share until it is as old as a loan counts. Calls of a restarted VM spent a share that the earlier process may have spent or lent. Change: calls use the same allowance as streams, with at least one retry.

--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -181,7 +181,11 @@
     /// are left to streams.
     pub fn try_retry(&self, now: ClockTime) -> bool {
         let book = self.lock_book(now);
-        self.try_own(&book, self.allowance(0, now).max(1), now)
+        let allowance = match self.uses_loans() {
+            true => self.lending_allowance(0, now),
+            false => self.allowance(0, now),
+        };
+        self.try_own(&book, allowance.max(1), now)
     }
 
     /// Spends a retry of a stream that can resume at another upstream.
@@ -222,8 +226,8 @@
             return is_own.then_some(RetryGrant::Own(now));
         }
         let mut allowance = match claim.is_resumable {
-            true => self.stream_allowance(RESUME_PERCENT, now),
-            false => self.stream_allowance(0, now),
+            true => self.lending_allowance(RESUME_PERCENT, now),
+            false => self.lending_allowance(0, now),
         };
         if claim.leaves_quarter {
             allowance -= allowance.div_ceil(KEPT_PART);
@@ -316,8 +320,8 @@
         )
     }
 
-    /// Like [`Self::allowance`], for streams where VMs lend retries.
-    fn stream_allowance(&self, additional_percent: u32, now: ClockTime) -> u64 {
+    /// Like [`Self::allowance`], where VMs lend retries: a young process has no share.
+    fn lending_allowance(&self, additional_percent: u32, now: ClockTime) -> u64 {
         let share = match now < self.limits.window + LOAN_LIFETIME {
             true => 0,
             false => self.reserve_share.load(Ordering::Relaxed),
@@ -340,7 +344,7 @@
     }
 
     fn spare_with(&self, book: &LoanBook, now: ClockTime) -> u32 {
-        let allowance = self.stream_allowance(RESUME_PERCENT, now);
+        let allowance = self.lending_allowance(RESUME_PERCENT, now);
         let spare = allowance.saturating_sub(self.spent(book, now));
         u32::try_from(spare).unwrap_or(u32::MAX)
     }
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -235,3 +235,13 @@
     };
     assert_eq!(wait_limit(false, late), None);
 }
+
+/// Guards against calls of a restarted VM that spend a share which its earlier process may have
+/// spent or lent.
+#[test]
+fn calls_of_a_young_process_have_no_share() {
+    let budget = RetryBudget::with_loans(LIMITS, 30);
+    // A call has one retry, whatever the share is.
+    assert_eq!((0..9).filter(|_| budget.try_retry(at(100))).count(), 1);
+    assert_eq!((0..9).filter(|_| budget.try_retry(at(20_000))).count(), 3);
+}
