Limit the additional retries of VMs to the slack that the shares leave

Cause: four additional retries for each VM and the shares of the reserve are more than the slack of 150 in fleets of 13 to 26 VMs, which do not lend (26 VMs: 208). Change: where VMs can lend, the additional retries of a VM are at most its part of the slack less its share of the reserve. Fleets up to 12 VMs keep four. Budgets without loans keep four in any fleet, as their tests require.

--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -37,6 +37,9 @@
 /// The additional retries that one VM starts with: a VM of a large fleet runs two
 /// long streams, and each may lose its engine twice in a short time.
 const RESUME_RESERVE: u32 = 4;
+/// The reserve is this part of the slack of the bound over all VMs, in percent. The additional
+/// retries of all VMs come from the rest.
+const RESERVE_PERCENT: u64 = 70;
 /// The part of its allowance that a VM keeps from the least urgent new streams.
 const KEPT_PART: u64 = 4;
 
@@ -154,6 +157,7 @@
         RetryBudget {
             can_borrow: true,
             uses_loans: AtomicBool::new(uses_loans(limits, vms)),
+            resumes: WorkBudget::new(RESUME_PERCENT, resume_reserve(limits, vms)),
             ..RetryBudget::new(limits, vms)
         }
     }
@@ -162,6 +166,11 @@
     pub fn set_vm_count(&self, vms: usize) {
         self.reserve_share
             .store(reserve_share(self.limits, vms), Ordering::Relaxed);
+        let reserve = match self.can_borrow {
+            true => resume_reserve(self.limits, vms),
+            false => RESUME_RESERVE,
+        };
+        self.resumes.set_reserve(reserve);
         let uses_loans = self.can_borrow && uses_loans(self.limits, vms);
         self.uses_loans.store(uses_loans, Ordering::Relaxed);
     }
@@ -370,3 +379,13 @@
 fn reserve_share(limits: RetryLimits, vms: usize) -> u64 {
     u64::from(limits.reserve) * HUNDREDTHS_PER_RETRY / vms.max(1) as u64
 }
+
+/// Returns the additional retries of each VM; with the shares of the reserve, those of all VMs
+/// stay within the slack of the bound.
+fn resume_reserve(limits: RetryLimits, vms: usize) -> u32 {
+    let vms = vms.max(1) as u64;
+    let reserve = u64::from(limits.reserve);
+    let slack_share = reserve * 100 / RESERVE_PERCENT / vms;
+    let rest = slack_share.saturating_sub(reserve / vms);
+    RESUME_RESERVE.min(u32::try_from(rest).unwrap_or(RESUME_RESERVE))
+}
--- a/crates/policy/src/work_budget.rs
+++ b/crates/policy/src/work_budget.rs
@@ -25,7 +25,7 @@
     percent: i64,
     /// In hundredths of a unit.
     credit: AtomicI64,
-    max_credit: i64,
+    max_credit: AtomicI64,
 }
 
 impl WorkBudget {
@@ -37,29 +37,39 @@
         WorkBudget {
             percent: i64::from(percent),
             credit: AtomicI64::new(max_credit),
-            max_credit,
+            max_credit: AtomicI64::new(max_credit),
         }
     }
 
+    /// Changes the reserve. The credit changes by the same amount, so that units which were
+    /// spent from the former reserve are not available again.
+    pub fn set_reserve(&self, reserve: u32) {
+        let max_credit = i64::from(reserve) * CREDIT_PER_UNIT;
+        let previous = self.max_credit.swap(max_credit, Ordering::Relaxed);
+        self.credit
+            .fetch_add(max_credit - previous, Ordering::Relaxed);
+    }
+
     /// Adds the share earned by `units` of useful work.
     pub fn earn(&self, units: u64) {
         let earned = i64::try_from(units).unwrap_or(i64::MAX / CREDIT_PER_UNIT) * self.percent;
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                Some((credit + earned).min(self.max_credit))
+                Some((credit + earned).min(self.max_credit.load(Ordering::Relaxed)))
             });
     }
 
     /// Refunds units that were spent on work that was not done.
     pub fn refund(&self, units: u64) {
+        let max_credit = self.max_credit.load(Ordering::Relaxed);
         let returned = i64::try_from(units)
             .unwrap_or(i64::MAX / CREDIT_PER_UNIT)
             .saturating_mul(CREDIT_PER_UNIT);
         let _ = self
             .credit
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |credit| {
-                Some(credit.saturating_add(returned).min(self.max_credit))
+                Some(credit.saturating_add(returned).min(max_credit))
             });
     }
 
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -245,3 +245,14 @@
     assert_eq!((0..9).filter(|_| budget.try_retry(at(100))).count(), 1);
     assert_eq!((0..9).filter(|_| budget.try_retry(at(20_000))).count(), 3);
 }
+
+/// Guards against fleets that do not lend yet whose shares and additional retries together
+/// exceed the slack of 150.
+#[test]
+fn additional_retries_of_all_vms_stay_within_the_slack() {
+    for vms in 1..=26 {
+        let budget = RetryBudget::with_loans(LIMITS, vms);
+        let taken = (0..200).filter(|_| budget.try_resume(at(1))).count();
+        assert!(taken * vms <= 150, "{taken} retries of each of {vms} VMs");
+    }
+}
