Divide the retry reserve by a settled list of VMs

Cause: a VM that had just started assumed 12 VMs, and one whose list named 3 of 8 VMs took a third of the reserve. Change: FleetSize gives no number until a list that contains the VM was unchanged for 2 s; then a longer list counts at once and a shorter one after 15 s. Meanwhile a VM has no share of the reserve and no additional retries, but one retry, what its requests earn, and loans if the listed VMs lend.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -22,9 +22,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
-/// The assumed number of VMs that share the retry budgets, until the actual number is
-/// known. The users' deployments have 8 and 9 VMs and can add 3.
-const ASSUMED_VMS: usize = 12;
+/// How often the number of VMs that share the retry budgets is updated, besides each change of
+/// the list of VMs.
+const DIVISION_INTERVAL: ClockTime = ClockTime::from_millis(500);
 
 /// The least time that a draining VM allows for a request. A request that would have
 /// ended sooner is served by another VM.
@@ -111,7 +111,7 @@
     /// Returns the traffic state of a service, which it creates at first use.
     pub(crate) fn traffic(&self, service: &ServiceName) -> Arc<ServiceTraffic> {
         let make = || ServiceTraffic {
-            budget: RetryBudget::with_loans(self.settings.retries, self.vm_count()),
+            budget: RetryBudget::with_loans(self.settings.retries, 1),
             latency: LatencyEstimator::default(),
             prefill: PrefillEstimator::default(),
             desk: RetryDesk::default(),
@@ -119,7 +119,12 @@
         };
         let mut services = self.lock_services();
         let traffic = services.entry(service.clone());
-        traffic.or_insert_with(|| Arc::new(make())).clone()
+        let traffic = traffic.or_insert_with(|| {
+            let traffic = make();
+            self.divide_budget(&traffic.budget);
+            Arc::new(traffic)
+        });
+        traffic.clone()
     }
 
     /// Returns the traffic state of a service that this VM knows.
@@ -133,10 +138,17 @@
 
     /// Divides the retry budgets' reserves among the known VMs.
     pub(crate) fn divide_budgets(&self) {
-        let vms = self.vm_count();
         self.lock_services()
             .values()
-            .for_each(|traffic| traffic.budget.set_vm_count(vms));
+            .for_each(|traffic| self.divide_budget(&traffic.budget));
+    }
+
+    /// Divides the reserves again when the number of VMs becomes known or changes.
+    pub(crate) async fn keep_budgets_divided(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(DIVISION_INTERVAL.to_duration()).await;
+            self.divide_budgets();
+        }
     }
 
     fn lock_services(&self) -> MutexGuard<'_, HashMap<ServiceName, Arc<ServiceTraffic>>> {
@@ -144,8 +156,14 @@
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn vm_count(&self) -> usize {
-        self.roster.count().unwrap_or(ASSUMED_VMS)
+    fn divide_budget(&self, budget: &RetryBudget) {
+        let known = self
+            .roster
+            .known_size(&self.settings.name, self.clock.now());
+        match known {
+            Some(vms) => budget.set_vm_count(vms),
+            None => budget.withhold_reserve(self.roster.count().unwrap_or(1)),
+        }
     }
 
     /// Records that a table was read.
--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -5,7 +5,7 @@
 use crate::platform_api::{RoutingStore, VmUpdate};
 use arc_swap::ArcSwap;
 use skylarkshed_core::{ClockTime, VmName};
-use skylarkshed_policy::VmEntry;
+use skylarkshed_policy::{FleetSize, VmEntry};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -32,6 +32,8 @@
     vms: ArcSwap<Vec<VmEntry>>,
     /// When a VM was last added or removed.
     members_changed_at: AtomicU64,
+    /// The number of VMs among which reserves are divided.
+    size: Mutex<FleetSize>,
     is_read: watch::Sender<bool>,
 }
 
@@ -41,6 +43,7 @@
             entries: Mutex::default(),
             vms: ArcSwap::default(),
             members_changed_at: AtomicU64::new(0),
+            size: Mutex::default(),
             is_read: watch::channel(false).0,
         }
     }
@@ -57,6 +60,18 @@
         (count > 0).then_some(count)
     }
 
+    /// Returns among how many VMs reserves are divided; none while that is unknown. A list
+    /// without the VM itself is not complete.
+    pub(crate) fn known_size(&self, own: &VmName, now: ClockTime) -> Option<usize> {
+        let vms = self.vms.load();
+        // The lengths are consistent between changes, so a poisoned lock is usable.
+        let mut size = self.size.lock().unwrap_or_else(PoisonError::into_inner);
+        if vms.iter().any(|vm| vm.name == *own) {
+            size.record(vms.len(), now);
+        }
+        size.get(now)
+    }
+
     /// Reports whether the list was read.
     pub(crate) fn is_read(&self) -> bool {
         *self.is_read.borrow()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -107,6 +107,7 @@
         tokio::spawn(serving);
     }
     tokio::spawn(announce_vm(state.clone(), store.clone()));
+    tokio::spawn(state.clone().keep_budgets_divided());
     tokio::spawn(keep_blocks(state.clone(), store.clone()));
     tokio::spawn(watch_vms(state.clone(), store.clone()));
     tokio::spawn(watch_control(state.clone(), store.clone()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,6 +60,7 @@
 mod evidence;
 mod feed_cache;
 mod feed_route;
+mod fleet_size;
 mod generation;
 mod generation_types;
 mod interval_estimator;
@@ -121,6 +122,7 @@
 pub use evidence::{compare_versions, RouteCounts, VersionCounts, VersionVerdict};
 pub use feed_cache::{FeedBatch, FeedCache, FeedError, FeedPosition, FeedRow};
 pub use feed_route::{FeedEndpoint, FeedRoute, VmEntry};
+pub use fleet_size::FleetSize;
 pub use generation::GenerationMachine;
 pub use generation_types::{
     AttemptFailure, AttemptPhase, FailReason, GenerationAction, GenerationEnvironment,
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -162,15 +162,25 @@
         }
     }
 
+    /// Withholds the reserve until [`Self::set_vm_count`] is called: the number of VMs that
+    /// share it is not certain. What the VM's own requests earn stays available, and VMs lend
+    /// if the `listed` ones are enough.
+    pub fn withhold_reserve(&self, listed: usize) {
+        self.divide(0, 0, listed);
+    }
+
     /// Sets the number of VMs that share the reserve.
     pub fn set_vm_count(&self, vms: usize) {
-        self.reserve_share
-            .store(reserve_share(self.limits, vms), Ordering::Relaxed);
-        let reserve = match self.can_borrow {
+        let resumes = match self.can_borrow {
             true => resume_reserve(self.limits, vms),
             false => RESUME_RESERVE,
         };
-        self.resumes.set_reserve(reserve);
+        self.divide(reserve_share(self.limits, vms), resumes, vms);
+    }
+
+    fn divide(&self, share: u64, resumes: u32, vms: usize) {
+        self.reserve_share.store(share, Ordering::Relaxed);
+        self.resumes.set_reserve(resumes);
         let uses_loans = self.can_borrow && uses_loans(self.limits, vms);
         self.uses_loans.store(uses_loans, Ordering::Relaxed);
     }
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod engine_replay;
 mod engines;
 mod feed;
+mod fleet_size;
 mod fleet_start;
 mod latency_estimator;
 mod ledger_owner;
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -256,3 +256,21 @@
         assert!(taken * vms <= 150, "{taken} retries of each of {vms} VMs");
     }
 }
+
+/// Guards against a VM that takes a share of the reserve before it knows among how many VMs
+/// the reserve is divided, and against one that gets it again when it learns the number.
+#[test]
+fn withheld_reserve_is_given_once() {
+    let budget = RetryBudget::with_loans(LIMITS, 8);
+    budget.withhold_reserve(3);
+    assert_eq!(
+        (0..99).filter(|_| budget.try_resume(at(1))).count(),
+        1,
+        "each VM has one retry"
+    );
+    budget.set_vm_count(8);
+    assert_eq!((0..99).filter(|_| budget.try_resume(at(2))).count(), 16);
+    budget.withhold_reserve(3);
+    budget.set_vm_count(8);
+    assert!(!budget.try_resume(at(3)));
+}
