Test that a VM of 64 resumes its streams by loans

Cause: a_vm_of_a_large_fleet_can_resume_all_its_streams pins four additional retries for each VM, which fleets above 26 VMs no longer have: VMs lend there. Change: the new test has two streams of one of 64 VMs lose their engines twice and requires all four to go on within 2 s, with a fifth of the replies lost. The old test stays, because it is the rule for budgets without loans (RetryBudget::new), where nothing else would continue such streams.

--- a/crates/policy/tests/gateway/loan_replay.rs
+++ b/crates/policy/tests/gateway/loan_replay.rs
@@ -303,6 +303,38 @@
     fleet.assert_bounded();
 }
 
+/// Guards against a VM of 64, whose share is a single retry, that can't resume its two streams
+/// when each loses its engine twice: both losses are continued within two seconds by loans,
+/// with a fifth of the replies lost.
+#[rstest]
+fn a_vm_of_a_large_fleet_resumes_all_its_streams_by_loans(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10)] seed: u64,
+) {
+    let mut fleet = Fleet::new(seed, 20);
+    fleet.vms.truncate(64);
+    fleet.entries.truncate(64);
+    for vm in &fleet.vms {
+        vm.budget.set_vm_count(64);
+    }
+    for step in 2_000..2_600 {
+        let time_ms = step * STEP_MS;
+        fleet.deliver(time_ms);
+        if [2_000, 2_300].contains(&step) {
+            (1..=2).for_each(|events| {
+                fleet.vms[0].queue.join(stream(events, time_ms));
+            });
+        }
+        fleet.serve(0, time_ms);
+    }
+    assert_eq!(fleet.waits_ms.len(), 4);
+    let is_in_time = |wait: &u64| *wait <= 2_000;
+    assert!(
+        fleet.waits_ms.iter().all(is_in_time),
+        "{:?}",
+        fleet.waits_ms
+    );
+}
+
 /// Guards against begun streams that wait for seconds: a zone is lost every 6.5 s, and with it
 /// a third of the begun streams, unevenly over the VMs. Nine in ten go on within two seconds,
 /// with a fifth of the replies lost.
