Refund a call's retry where it was counted

Cause: a call that ended after the tenth of the window in which it took its retry removed another retry, which then counted too briefly, or added a retry for resumed streams that was never taken. Change: the call keeps the time of its retry, and the refund uses it. Result: the new test failed before (the retry stayed counted and a stream got one in its place); it passes now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -55,8 +55,8 @@
     version_filter: VersionFilter,
     /// The permission to send it to the version under test.
     ticket: Option<CanaryTicket>,
-    /// Whether the next retry has already been taken from the budget.
-    is_retry_reserved: bool,
+    /// When the next retry was taken from the budget, if it was already.
+    reserved_at: Option<ClockTime>,
     /// The response if no further attempt is made.
     fallback: Option<CallerResponse>,
 }
@@ -81,7 +81,7 @@
         is_slow_alone: false,
         version_filter: VersionFilter::default(),
         ticket: None,
-        is_retry_reserved: false,
+        reserved_at: None,
         fallback: None,
     };
     let mut open = FuturesUnordered::new();
@@ -208,7 +208,7 @@
             return NextStep::Wait;
         }
         self.count_as_failed(FailureReason::Timeout);
-        self.is_retry_reserved = false;
+        self.reserved_at = None;
         counters::count_retry(FailureReason::Timeout.label());
         NextStep::Retry
     }
@@ -242,9 +242,11 @@
 
     /// Takes the next retry from the budget, unless that was already done.
     fn reserve_retry(&mut self) -> bool {
-        self.is_retry_reserved =
-            self.is_retry_reserved || self.traffic.budget.try_retry(self.state.clock.now());
-        self.is_retry_reserved
+        let now = self.state.clock.now();
+        if self.reserved_at.is_none() && self.traffic.budget.try_retry(now) {
+            self.reserved_at = Some(now);
+        }
+        self.reserved_at.is_some()
     }
 
     /// Handles the end of an attempt; `is_last` tells that no other one is open.
@@ -310,7 +312,7 @@
         };
         match reason {
             None => {
-                self.is_retry_reserved = false;
+                self.reserved_at = None;
                 counters::count_retry(label);
                 NextStep::Retry
             }
@@ -321,8 +323,9 @@
 
     /// Ends the call without a success.
     fn finish_unserved(&mut self, reason: NotRunReason) -> CallerResponse {
-        if std::mem::take(&mut self.is_retry_reserved) {
-            self.traffic.budget.refund(self.state.clock.now());
+        if let Some(taken_at) = self.reserved_at.take() {
+            let now = self.state.clock.now();
+            self.traffic.budget.refund(taken_at, now);
         }
         if let Some(response) = self.fallback.take() {
             return response;
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -306,12 +306,9 @@
         self.lock_book(now).drain_expired()
     }
 
-    /// Refunds a retry of [`Self::try_retry`] that was not made.
-    pub fn refund(&self, now: ClockTime) {
-        let _book = self.lock_book(now);
-        if !self.retries.remove(now) && !self.uses_loans() {
-            self.resumes.refund(1);
-        }
+    /// Refunds a retry of [`Self::try_retry`] that was taken at a time and not made.
+    pub fn refund(&self, taken_at: ClockTime, now: ClockTime) {
+        self.refund_grant(RetryGrant::Own(taken_at), now);
     }
 
     /// Refunds a retry of [`Self::try_spend`] that was not made. A borrowed one can be
--- a/crates/policy/tests/gateway/budgets.rs
+++ b/crates/policy/tests/gateway/budgets.rs
@@ -126,7 +126,7 @@
 fn a_refunded_retry_can_be_spent_again() {
     let budget = RetryBudget::new(LIMITS, 64);
     assert!(budget.try_retry(at(1)) && !budget.try_retry(at(1)));
-    budget.refund(at(1));
+    budget.refund(at(1), at(1));
     assert!(budget.try_retry(at(1)));
 }
 
@@ -137,3 +137,13 @@
     let retries = (0..10).filter(|_| budget.try_retry(at(1))).count();
     assert_eq!(retries, 3);
 }
+
+/// Guards against a refund that removes another retry, or adds one that was never taken.
+#[test]
+fn a_late_refund_removes_the_retry_that_was_taken() {
+    let budget = RetryBudget::new(LIMITS, 64);
+    assert!(budget.try_retry(at(1)));
+    assert!((0..4).all(|_| budget.try_resume(at(1))));
+    budget.refund(at(1), at(2_500));
+    assert!(budget.try_retry(at(2_500)) && !budget.try_resume(at(2_500)));
+}
