Let a stream remove only its own request for a loan

Cause: a stream at a silent engine that checked again removed the oldest request of all streams. Its own stayed and another stream's was no longer asked for. Change: each request has an id; a stream removes its own when it checks again, is continued or ends.

--- a/crates/gateway/src/retry_loans/mod.rs
+++ b/crates/gateway/src/retry_loans/mod.rs
@@ -127,22 +127,24 @@
     }
 
     /// Like [`Self::take_retry`], for a stream that stays with a silent engine; has a loan
-    /// requested if there is no retry.
+    /// requested if there is no retry. `earlier` is the request that this one replaces.
     pub(crate) fn take_or_wish(
         &self,
         stream: &WaitingStream,
-        is_wished: bool,
+        earlier: Option<WaiterId>,
         now: ClockTime,
-    ) -> Option<RetryGrant> {
+    ) -> Result<RetryGrant, WaiterId> {
         let grant = self.take_retry(stream, now);
         let mut table = self.desk.lock();
-        if is_wished {
-            table.queue.remove_wish();
-        }
-        if grant.is_none() {
-            table.queue.add_wish(stream, now);
+        if let Some(earlier) = earlier {
+            table.queue.remove_wish(earlier);
         }
-        grant
+        grant.ok_or_else(|| table.queue.add_wish(stream, now))
+    }
+
+    /// Requests no more loan for a stream that does not need it.
+    pub(crate) fn remove_wish(&self, id: WaiterId) {
+        self.desk.lock().queue.remove_wish(id);
     }
 
     /// Refunds a retry that was not made; a waiting stream may have it.
--- a/crates/gateway/src/stream/retry_wait.rs
+++ b/crates/gateway/src/stream/retry_wait.rs
@@ -6,7 +6,7 @@
 use crate::platform_api::WireProtocol;
 use crate::retry_loans::{start_asking, RetryWaiter};
 use skylarkshed_core::ClockTime;
-use skylarkshed_policy::{wait_limit, RemainingTime, RetryGrant, WaitingStream};
+use skylarkshed_policy::{wait_limit, RemainingTime, RetryGrant, WaiterId, WaitingStream};
 use std::sync::{MutexGuard, PoisonError};
 
 /// What a stream has of the retry budget.
@@ -18,8 +18,8 @@
     current: Option<RetryGrant>,
     /// The number of the loan that the stream needs to leave a silent upstream.
     wished_loan: Option<u64>,
-    /// Whether a loan has been requested for the stream.
-    is_wished: bool,
+    /// The request for a loan that was made for the stream.
+    wish: Option<WaiterId>,
     /// Since when the stream waits for an own retry, where VMs lend none.
     waiting_since: Option<ClockTime>,
 }
@@ -44,14 +44,16 @@
             retries.reserved = self.traffic.take_retry(&stream, now);
             return retries.reserved.is_some();
         }
-        let is_wished = std::mem::take(&mut retries.is_wished);
+        let earlier = retries.wish.take();
         // A loan that arrives from now on has this number.
         let next_loan = self.traffic.desk.next_loan();
-        retries.reserved = self.traffic.take_or_wish(&stream, is_wished, now);
-        if retries.reserved.is_none() {
-            retries.wished_loan = Some(next_loan);
-            retries.is_wished = true;
-            start_asking(&self.state, &self.traffic, &self.request.service);
+        match self.traffic.take_or_wish(&stream, earlier, now) {
+            Ok(grant) => retries.reserved = Some(grant),
+            Err(wish) => {
+                retries.wished_loan = Some(next_loan);
+                retries.wish = Some(wish);
+                start_asking(&self.state, &self.traffic, &self.request.service);
+            }
         }
         retries.reserved.is_some()
     }
@@ -71,6 +73,9 @@
         self.drop_expired(now);
         let mut retries = self.retries();
         retries.wished_loan = None;
+        if let Some(wish) = retries.wish.take() {
+            self.traffic.remove_wish(wish);
+        }
         let reserved = retries.reserved.take();
         if self.sends == 0 {
             retries.current = reserved;
@@ -256,7 +261,12 @@
 
 impl<P> Drop for StreamForwarder<P> {
     fn drop(&mut self) {
-        let reserved = self.retries().reserved.take();
+        let mut retries = self.retries();
+        let (reserved, wish) = (retries.reserved.take(), retries.wish.take());
+        drop(retries);
+        if let Some(wish) = wish {
+            self.traffic.remove_wish(wish);
+        }
         if let Some(grant) = reserved {
             self.traffic.refund_retry(grant, self.state.clock.now());
         }
--- a/crates/policy/src/retry_loans.rs
+++ b/crates/policy/src/retry_loans.rs
@@ -170,6 +170,7 @@
 /// A stream that stays with a silent engine until there is a retry.
 #[derive(Clone, Copy, Debug)]
 struct RetryWish {
+    id: WaiterId,
     is_begun: bool,
     priority: u8,
     /// Until when a loan is requested for it.
@@ -241,19 +242,20 @@
     }
 
     /// Records that a stream stays with a silent engine for lack of a retry.
-    pub fn add_wish(&mut self, stream: &WaitingStream, now: ClockTime) {
+    pub fn add_wish(&mut self, stream: &WaitingStream, now: ClockTime) -> WaiterId {
+        self.next_id += 1;
         self.wishes.push(RetryWish {
+            id: self.next_id,
             is_begun: stream.is_begun,
             priority: stream.priority,
             until: now + WISH_PERIOD,
         });
+        self.next_id
     }
 
-    /// Removes the oldest wish, as a stream got its retry.
-    pub fn remove_wish(&mut self) {
-        if !self.wishes.is_empty() {
-            self.wishes.remove(0);
-        }
+    /// Removes a wish, if a loan is still requested for it.
+    pub fn remove_wish(&mut self, id: WaiterId) {
+        self.wishes.retain(|wish| wish.id != id);
     }
 
     /// Returns what to ask other VMs for; none if no stream needs a retry. `borrowed` is the
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -274,3 +274,19 @@
     budget.set_vm_count(8);
     assert!(!budget.try_resume(at(3)));
 }
+
+/// Guards against a stream that takes away the request for a loan of another one, which then
+/// waits for a loan that nobody asks for.
+#[test]
+fn a_stream_removes_its_own_wish_only() {
+    let urgent = WaitingStream {
+        priority: 0,
+        ..stream(1, 1)
+    };
+    let mut queue = RetryQueue::default();
+    queue.add_wish(&urgent, at(1));
+    let own = queue.add_wish(&stream(2, 1), at(2));
+    queue.remove_wish(own);
+    let demand = queue.demand(0, at(3)).unwrap();
+    assert_eq!((demand.wanted, demand.priority), (1, 0));
+}
