--- a/tests/testsuite/tests/gateway/retry_loans.rs
+++ b/tests/testsuite/tests/gateway/retry_loans.rs
@@ -144,3 +144,20 @@
     let log = wait_for_log(&harness.log_path, "stream goes on after waiting").await;
     assert!(log.contains("\"from\":\"own\""));
 }
+
+/// Guards against a process that takes a share of the reserve before it knows among how many
+/// VMs the reserve is divided: five requests earn three retries, and one is free.
+#[tokio::test]
+async fn process_without_a_settled_list_has_no_share_of_the_reserve() {
+    const LOOKUPS: usize = 5;
+    let harness = HarnessBuilder::default().applications(6).start().await;
+    for application in &harness.applications {
+        application.set_default_response(ScriptedResponse::Reset);
+    }
+    for _ in 0..LOOKUPS {
+        let response = harness.send_request("GET", "/find/7", "").await;
+        assert!(response.status >= 500);
+    }
+    let retries = harness.application_request_count() - LOOKUPS;
+    assert!((1..=4).contains(&retries), "{retries} retries");
+}
