Count the longest list of VMs that another VM names

Cause: a VM whose list stays short, because others can't write their entries, still divided the reserve by its own list. Change: requests for loans and their answers name the length of the sender's list; a longer one counts for 15 s.

--- a/crates/gateway/src/peers/roster.rs
+++ b/crates/gateway/src/peers/roster.rs
@@ -8,7 +8,7 @@
 use skylarkshed_policy::{FleetSize, VmEntry};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::watch;
 
 /// How often a VM compares its entry with what it should be.
@@ -64,14 +64,28 @@
     /// without the VM itself is not complete.
     pub(crate) fn known_size(&self, own: &VmName, now: ClockTime) -> Option<usize> {
         let vms = self.vms.load();
-        // The lengths are consistent between changes, so a poisoned lock is usable.
-        let mut size = self.size.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut size = self.lock_size();
         if vms.iter().any(|vm| vm.name == *own) {
             size.record(vms.len(), now);
         }
         size.get(now)
     }
 
+    /// Returns the number of VMs in the list as other VMs are told it; 0 if it is unknown.
+    pub(crate) fn listed_vms(&self) -> u32 {
+        u32::try_from(self.count().unwrap_or(0)).unwrap_or(u32::MAX)
+    }
+
+    /// Records the number of VMs in the list of another VM.
+    pub(crate) fn record_other_list(&self, listed_vms: u32, now: ClockTime) {
+        self.lock_size().record_other(listed_vms as usize, now);
+    }
+
+    fn lock_size(&self) -> MutexGuard<'_, FleetSize> {
+        // The lengths are consistent between changes, so a poisoned lock is usable.
+        self.size.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reports whether the list was read.
     pub(crate) fn is_read(&self) -> bool {
         *self.is_read.borrow()
--- a/crates/gateway/src/retry_loans/exchange.rs
+++ b/crates/gateway/src/retry_loans/exchange.rs
@@ -129,6 +129,7 @@
         is_begun: demand.is_begun,
         priority: demand.priority.into(),
         returned: None,
+        listed_vms: state.roster.listed_vms(),
     });
     let clock = state.clock;
     let expires_at = clock.now() + LOAN_USE_TIME;
@@ -154,6 +155,7 @@
             return 0;
         }
     };
+    state.roster.record_other_list(loan.listed_vms, clock.now());
     // No VM lends more than it is asked for.
     let count = loan.count.min(demand.wanted);
     let accepted = traffic.accept_loan(count, expires_at, clock.now());
@@ -218,6 +220,7 @@
         }
         return PeerBody::Done(true);
     }
+    state.roster.record_other_list(request.listed_vms, now);
     let demand = LoanDemand {
         wanted: request.wanted,
         is_begun: request.is_begun,
@@ -230,5 +233,6 @@
         count,
         process,
         lent_at_ms: now.as_millis(),
+        listed_vms: state.roster.listed_vms(),
     })
 }
--- a/crates/peer/src/wire/retries.rs
+++ b/crates/peer/src/wire/retries.rs
@@ -21,6 +21,9 @@
     /// been made and will not be.
     #[prost(message, optional, tag = "5")]
     pub returned: Option<RetryLoan>,
+    /// The number of gateways in the list of the one that asks; 0 if it is unknown.
+    #[prost(uint32, tag = "6")]
+    pub listed_vms: u32,
 }
 
 /// Lent retries.
@@ -35,4 +38,7 @@
     /// When they were lent, in milliseconds since the lender's process started.
     #[prost(uint64, tag = "3")]
     pub lent_at_ms: u64,
+    /// The number of gateways in the list of the lender; 0 if it is unknown.
+    #[prost(uint32, tag = "4")]
+    pub listed_vms: u32,
 }
--- a/crates/policy/src/fleet_size.rs
+++ b/crates/policy/src/fleet_size.rs
@@ -31,7 +31,8 @@
 pub struct FleetSize {
     /// The length of the last list, and since when lists have had it.
     current: Option<(usize, ClockTime)>,
-    /// Earlier lengths, and until when lists had them.
+    /// Earlier lengths and those of other VMs' lists, longest first, and until when lists had
+    /// them.
     earlier: VecDeque<(usize, ClockTime)>,
     /// Whether a list was unchanged for [`STABLE_TIME`].
     is_settled: bool,
@@ -43,18 +44,18 @@
         self.update(now);
         match self.current {
             Some((current, _)) if current == vms => return,
-            // Lengths that a later one exceeds make no difference any more.
-            Some((current, _)) => {
-                while matches!(self.earlier.back(), Some((earlier, _)) if *earlier <= current) {
-                    self.earlier.pop_back();
-                }
-                self.earlier.push_back((current, now));
-            }
+            Some((current, _)) => self.hold(current, now),
             None => {}
         }
         self.current = Some((vms, now));
     }
 
+    /// Records the length of the list that another VM has. It counts for 15 s if it is longer.
+    pub fn record_other(&mut self, vms: usize, now: ClockTime) {
+        self.update(now);
+        self.hold(vms, now);
+    }
+
     /// Returns the number of VMs; none until the first list was unchanged for a while. A
     /// longer list counts at once, a shorter one after 15 s.
     pub fn get(&mut self, now: ClockTime) -> Option<usize> {
@@ -64,6 +65,14 @@
         earlier.chain([current]).max()
     }
 
+    fn hold(&mut self, vms: usize, now: ClockTime) {
+        // Lengths that a later one exceeds make no difference any more.
+        while matches!(self.earlier.back(), Some((earlier, _)) if *earlier <= vms) {
+            self.earlier.pop_back();
+        }
+        self.earlier.push_back((vms, now));
+    }
+
     fn update(&mut self, now: ClockTime) {
         let is_stable = |(_, since): (usize, ClockTime)| now.since(since) >= STABLE_TIME;
         self.is_settled |= self.current.is_some_and(is_stable);
--- a/crates/policy/tests/gateway/fleet_size.rs
+++ b/crates/policy/tests/gateway/fleet_size.rs
@@ -37,3 +37,18 @@
     assert_eq!(size.get(at(22_000)), Some(8));
     assert_eq!(size.get(at(90_000)), Some(8));
 }
+
+/// Guards against a VM whose own list is short for long while the lists of others are not.
+#[test]
+fn a_longer_list_of_another_vm_counts_for_a_while() {
+    let mut size = FleetSize::default();
+    size.record(3, at(0));
+    size.record_other(8, at(1_000));
+    assert_eq!(size.get(at(1_500)), None);
+    assert_eq!(size.get(at(2_000)), Some(8));
+    size.record_other(2, at(3_000));
+    size.record_other(6, at(4_000));
+    assert_eq!(size.get(at(15_999)), Some(8));
+    assert_eq!(size.get(at(16_000)), Some(6));
+    assert_eq!(size.get(at(19_000)), Some(3));
+}
