Leave a new process a small share of the reserve

Cause: without any share until its list of VMs was settled, a new VM of a small fleet could not replace eight requests that failed at the same moment: endless_responses failed, 6 of 51 and 6 of 10 cases. Change: once the list was read, and until it is settled, a VM has the share of one of at least 32 VMs and no additional retries. Before the list was read it has none. The division moves to reserve_share.rs. Fleets whose list is short while more than 45 VMs start at the same moment may still exceed the slack.

--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -162,7 +162,8 @@
             .known_size(&self.settings.name, self.clock.now());
         match known {
             Some(vms) => budget.set_vm_count(vms),
-            None => budget.withhold_reserve(self.roster.count().unwrap_or(1)),
+            None if !self.roster.is_read() => budget.withhold_reserve(),
+            None => budget.limit_reserve(self.roster.count().unwrap_or(1)),
         }
     }
 
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -300,7 +300,8 @@
 
     fn apply(&mut self, updates: Vec<VmUpdate>, is_complete: bool, _fresh_at: ClockTime) {
         let now = self.state.clock.now();
-        if self.state.roster.apply(updates, is_complete, now) {
+        let is_first = !self.state.roster.is_read();
+        if self.state.roster.apply(updates, is_complete, now) || is_first {
             self.state.divide_budgets();
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -79,6 +79,7 @@
 mod rejected_versions;
 mod rendezvous;
 mod request_urgency;
+mod reserve_share;
 mod retry_budget;
 mod retry_loans;
 mod rollout_allowance;
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -23,6 +23,7 @@
 //! - streams have no retry beyond the allowance; one of a VM without any borrows it.
 
 use crate::loan_book::LoanBook;
+use crate::reserve_share::{reserve_share, resume_reserve, HUNDREDTHS_PER_RETRY, RESUME_RESERVE};
 use crate::retry_loans::{lendable_retries, uses_loans, LenderState, LoanDemand, LOAN_LIFETIME};
 use crate::window_counter::WindowCounter;
 use crate::work_budget::WorkBudget;
@@ -30,16 +31,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Retries are counted in hundredths.
-const HUNDREDTHS_PER_RETRY: u64 = 100;
 /// The additional retries for streams that can resume, per hundred requests.
 const RESUME_PERCENT: u32 = 10;
-/// The additional retries that one VM starts with: a VM of a large fleet runs two
-/// long streams, and each may lose its engine twice in a short time.
-const RESUME_RESERVE: u32 = 4;
-/// The reserve is this part of the slack of the bound over all VMs, in percent. The additional
-/// retries of all VMs come from the rest.
-const RESERVE_PERCENT: u64 = 70;
+/// Among at least so many VMs the reserve is divided while the list of VMs is not settled: more
+/// of them lend, and a process that lends has no share at first.
+const UNSETTLED_VMS: usize = 32;
 /// The part of its allowance that a VM keeps from the least urgent new streams.
 const KEPT_PART: u64 = 4;
 
@@ -162,11 +158,17 @@
         }
     }
 
-    /// Withholds the reserve until [`Self::set_vm_count`] is called: the number of VMs that
-    /// share it is not certain. What the VM's own requests earn stays available, and VMs lend
-    /// if the `listed` ones are enough.
-    pub fn withhold_reserve(&self, listed: usize) {
-        self.divide(0, 0, listed);
+    /// Withholds the reserve until the number of VMs is known. What the VM's own requests earn
+    /// stays available.
+    pub fn withhold_reserve(&self) {
+        self.divide(0, 0, 1);
+    }
+
+    /// Limits the share of the reserve while the list of VMs is not settled. VMs lend if the
+    /// `listed` ones are enough.
+    pub fn limit_reserve(&self, listed: usize) {
+        let share = reserve_share(self.limits, listed.max(UNSETTLED_VMS));
+        self.divide(share, 0, listed);
     }
 
     /// Sets the number of VMs that share the reserve.
@@ -382,17 +384,3 @@
         self.loans.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn reserve_share(limits: RetryLimits, vms: usize) -> u64 {
-    u64::from(limits.reserve) * HUNDREDTHS_PER_RETRY / vms.max(1) as u64
-}
-
-/// Returns the additional retries of each VM; with the shares of the reserve, those of all VMs
-/// stay within the slack of the bound.
-fn resume_reserve(limits: RetryLimits, vms: usize) -> u32 {
-    let vms = vms.max(1) as u64;
-    let reserve = u64::from(limits.reserve);
-    let slack_share = reserve * 100 / RESERVE_PERCENT / vms;
-    let rest = slack_share.saturating_sub(reserve / vms);
-    RESUME_RESERVE.min(u32::try_from(rest).unwrap_or(RESUME_RESERVE))
-}
