--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -23,6 +23,7 @@
 //! - streams have no retry beyond the allowance; one of a VM without any borrows it.
 
 use crate::loan_book::LoanBook;
+use crate::reserve_share::{reserve_share, resume_reserve, HUNDREDTHS_PER_RETRY, RESUME_RESERVE};
 use crate::retry_loans::{lendable_retries, uses_loans, LenderState, LoanDemand, LOAN_LIFETIME};
 use crate::window_counter::WindowCounter;
 use crate::work_budget::WorkBudget;
@@ -30,13 +31,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Retries are counted in hundredths.
-const HUNDREDTHS_PER_RETRY: u64 = 100;
 /// The additional retries for streams that can resume, per hundred requests.
 const RESUME_PERCENT: u32 = 10;
-/// The additional retries that one VM starts with: a VM of a large fleet runs two
-/// long streams, and each may lose its engine twice in a short time.
-const RESUME_RESERVE: u32 = 4;
+/// Among at least so many VMs the reserve is divided while the list of VMs is not settled: more
+/// of them lend, and a process that lends has no share at first.
+const UNSETTLED_VMS: usize = 32;
 /// The part of its allowance that a VM keeps from the least urgent new streams.
 const KEPT_PART: u64 = 4;
 
@@ -154,14 +153,36 @@
         RetryBudget {
             can_borrow: true,
             uses_loans: AtomicBool::new(uses_loans(limits, vms)),
+            resumes: WorkBudget::new(RESUME_PERCENT, resume_reserve(limits, vms)),
             ..RetryBudget::new(limits, vms)
         }
     }
 
+    /// Withholds the reserve until the number of VMs is known. What the VM's own requests earn
+    /// stays available.
+    pub fn withhold_reserve(&self) {
+        self.divide(0, 0, 1);
+    }
+
+    /// Limits the share of the reserve while the list of VMs is not settled. VMs lend if the
+    /// `listed` ones are enough.
+    pub fn limit_reserve(&self, listed: usize) {
+        let share = reserve_share(self.limits, listed.max(UNSETTLED_VMS));
+        self.divide(share, 0, listed);
+    }
+
     /// Sets the number of VMs that share the reserve.
     pub fn set_vm_count(&self, vms: usize) {
-        self.reserve_share
-            .store(reserve_share(self.limits, vms), Ordering::Relaxed);
+        let resumes = match self.can_borrow {
+            true => resume_reserve(self.limits, vms),
+            false => RESUME_RESERVE,
+        };
+        self.divide(reserve_share(self.limits, vms), resumes, vms);
+    }
+
+    fn divide(&self, share: u64, resumes: u32, vms: usize) {
+        self.reserve_share.store(share, Ordering::Relaxed);
+        self.resumes.set_reserve(resumes);
         let uses_loans = self.can_borrow && uses_loans(self.limits, vms);
         self.uses_loans.store(uses_loans, Ordering::Relaxed);
     }
@@ -181,7 +202,11 @@
     /// are left to streams.
     pub fn try_retry(&self, now: ClockTime) -> bool {
         let book = self.lock_book(now);
-        self.try_own(&book, self.allowance(0, now).max(1), now)
+        let allowance = match self.uses_loans() {
+            true => self.lending_allowance(0, now),
+            false => self.allowance(0, now),
+        };
+        self.try_own(&book, allowance.max(1), now)
     }
 
     /// Spends a retry of a stream that can resume at another upstream.
@@ -222,8 +247,8 @@
             return is_own.then_some(RetryGrant::Own(now));
         }
         let mut allowance = match claim.is_resumable {
-            true => self.stream_allowance(RESUME_PERCENT, now),
-            false => self.stream_allowance(0, now),
+            true => self.lending_allowance(RESUME_PERCENT, now),
+            false => self.lending_allowance(0, now),
         };
         if claim.leaves_quarter {
             allowance -= allowance.div_ceil(KEPT_PART);
@@ -283,12 +308,9 @@
         self.lock_book(now).drain_expired()
     }
 
-    /// Refunds a retry of [`Self::try_retry`] that was not made.
-    pub fn refund(&self, now: ClockTime) {
-        let _book = self.lock_book(now);
-        if !self.retries.remove(now) && !self.uses_loans() {
-            self.resumes.refund(1);
-        }
+    /// Refunds a retry of [`Self::try_retry`] that was taken at a time and not made.
+    pub fn refund(&self, taken_at: ClockTime, now: ClockTime) {
+        self.refund_grant(RetryGrant::Own(taken_at), now);
     }
 
     /// Refunds a retry of [`Self::try_spend`] that was not made. A borrowed one can be
@@ -316,8 +338,8 @@
         )
     }
 
-    /// Like [`Self::allowance`], for streams where VMs lend retries.
-    fn stream_allowance(&self, additional_percent: u32, now: ClockTime) -> u64 {
+    /// Like [`Self::allowance`], where VMs lend retries: a young process has no share.
+    fn lending_allowance(&self, additional_percent: u32, now: ClockTime) -> u64 {
         let share = match now < self.limits.window + LOAN_LIFETIME {
             true => 0,
             false => self.reserve_share.load(Ordering::Relaxed),
@@ -340,7 +362,7 @@
     }
 
     fn spare_with(&self, book: &LoanBook, now: ClockTime) -> u32 {
-        let allowance = self.stream_allowance(RESUME_PERCENT, now);
+        let allowance = self.lending_allowance(RESUME_PERCENT, now);
         let spare = allowance.saturating_sub(self.spent(book, now));
         u32::try_from(spare).unwrap_or(u32::MAX)
     }
@@ -362,7 +384,3 @@
         self.loans.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn reserve_share(limits: RetryLimits, vms: usize) -> u64 {
-    u64::from(limits.reserve) * HUNDREDTHS_PER_RETRY / vms.max(1) as u64
-}
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -235,3 +235,57 @@
     };
     assert_eq!(wait_limit(false, late), None);
 }
+
+/// Guards against calls of a restarted VM that spend a share which its earlier process may have
+/// spent or lent.
+#[test]
+fn calls_of_a_young_process_have_no_share() {
+    let budget = RetryBudget::with_loans(LIMITS, 30);
+    // A call has one retry, whatever the share is.
+    assert_eq!((0..9).filter(|_| budget.try_retry(at(100))).count(), 1);
+    assert_eq!((0..9).filter(|_| budget.try_retry(at(20_000))).count(), 3);
+}
+
+/// Guards against fleets that do not lend yet whose shares and additional retries together
+/// exceed the slack of 150.
+#[test]
+fn additional_retries_of_all_vms_stay_within_the_slack() {
+    for vms in 1..=26 {
+        let budget = RetryBudget::with_loans(LIMITS, vms);
+        let taken = (0..200).filter(|_| budget.try_resume(at(1))).count();
+        assert!(taken * vms <= 150, "{taken} retries of each of {vms} VMs");
+    }
+}
+
+/// Guards against a VM that takes a share of the reserve before it knows among how many VMs
+/// the reserve is divided, and against one that gets it again when it learns the number.
+#[test]
+fn withheld_reserve_is_given_once() {
+    let budget = RetryBudget::with_loans(LIMITS, 8);
+    budget.withhold_reserve();
+    let resumed = |time_ms| (0..99).filter(|_| budget.try_resume(at(time_ms))).count();
+    assert_eq!(resumed(1), 1);
+    budget.limit_reserve(3);
+    assert_eq!(resumed(1), 2);
+    budget.set_vm_count(8);
+    assert_eq!(resumed(2), 14);
+    budget.withhold_reserve();
+    budget.set_vm_count(8);
+    assert!(!budget.try_resume(at(3)));
+}
+
+/// Guards against a stream that takes away the request for a loan of another one, which then
+/// waits for a loan that nobody asks for.
+#[test]
+fn a_stream_removes_its_own_wish_only() {
+    let urgent = WaitingStream {
+        priority: 0,
+        ..stream(1, 1)
+    };
+    let mut queue = RetryQueue::default();
+    queue.add_wish(&urgent, at(1));
+    let own = queue.add_wish(&stream(2, 1), at(2));
+    queue.remove_wish(own);
+    let demand = queue.demand(0, at(3)).unwrap();
+    assert_eq!((demand.wanted, demand.priority), (1, 0));
+}
