--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -5,7 +5,7 @@
 use crate::exchange::CallerRequest;
 use crate::peers::{FeedCaches, VmRoster};
 use crate::quarantine::QuarantineManager;
-use crate::retry_loans::{LoanPeers, RetryDesk};
+use crate::retry_loans::{LoanPeers, RetryDispatcher};
 use crate::rollouts::RolloutManager;
 use crate::settings::GatewaySettings;
 use crate::store_outage::StoreOutage;
@@ -44,7 +44,7 @@
     /// The rate of prefills.
     pub(crate) prefill: PrefillEstimator,
     /// The streams that wait for a retry.
-    pub(crate) desk: RetryDesk,
+    pub(crate) dispatcher: RetryDispatcher,
     /// How long streams last after their first event.
     pub(crate) pace: StreamPace,
 }
@@ -114,7 +114,7 @@
             budget: RetryBudget::with_loans(self.settings.retries, 1),
             latency: LatencyEstimator::default(),
             prefill: PrefillEstimator::default(),
-            desk: RetryDesk::default(),
+            dispatcher: RetryDispatcher::default(),
             pace: StreamPace::default(),
         };
         let mut services = self.lock_services();
--- a/crates/gateway/src/retry_loans/exchange.rs
+++ b/crates/gateway/src/retry_loans/exchange.rs
@@ -22,9 +22,9 @@
     traffic: &Arc<ServiceTraffic>,
     service: &ServiceName,
 ) {
-    let mut table = traffic.desk.lock();
+    let mut table = traffic.dispatcher.lock();
     if std::mem::replace(&mut table.is_asking, true) {
-        return traffic.desk.demand_added.notify_one();
+        return traffic.dispatcher.demand_added.notify_one();
     }
     let mut asker = LoanAsker {
         state: state.clone(),
@@ -54,7 +54,7 @@
                 self.wait(pause).await;
             }
             lenders = self.choose_lenders();
-            let mut table = self.traffic.desk.lock();
+            let mut table = self.traffic.dispatcher.lock();
             table.asked = lenders.iter().map(|vm| vm.name.clone()).collect();
         }
     }
@@ -93,7 +93,7 @@
         // The tasks of late answers go on.
         tokio::select! {
             _ = tokio::time::timeout(ROUND_TIMEOUT.to_duration(), answers) => Some(got),
-            () = self.traffic.desk.demand_added.notified() => None,
+            () = self.traffic.dispatcher.demand_added.notified() => None,
         }
     }
 
@@ -107,7 +107,7 @@
             let step = end.since(now);
             let step = step.min(self.traffic.budget.until_next_change(now));
             tokio::select! {
-                () = self.traffic.desk.demand_added.notified() => return,
+                () = self.traffic.dispatcher.demand_added.notified() => return,
                 () = tokio::time::sleep(step.to_duration()) => {}
             }
             self.traffic.hand_out_retries(clock.now());
@@ -226,7 +226,9 @@
         is_begun: request.is_begun,
         priority: u8::try_from(request.priority).unwrap_or(u8::MAX),
     };
-    let lender = traffic.desk.lender_state(state.leaving_for().is_some());
+    let lender = traffic
+        .dispatcher
+        .lender_state(state.leaving_for().is_some());
     let count = traffic.budget.lend(demand, lender, now);
     counters::count_retry_loans("lent", count);
     PeerBody::LendRetries(RetryLoan {
--- a/crates/gateway/src/retry_loans/mod.rs
+++ b/crates/gateway/src/retry_loans/mod.rs
@@ -41,8 +41,8 @@
 
 /// The streams of one service that wait for a retry.
 #[derive(Debug, Default)]
-pub(crate) struct RetryDesk {
-    table: Mutex<DeskTable>,
+pub(crate) struct RetryDispatcher {
+    table: Mutex<DispatcherTable>,
     begun_streams: AtomicU32,
     /// Wakes the task that asks other VMs, as there is a new demand.
     demand_added: Notify,
@@ -51,7 +51,7 @@
 }
 
 #[derive(Debug, Default)]
-struct DeskTable {
+struct DispatcherTable {
     queue: RetryQueue,
     grants: HashMap<WaiterId, oneshot::Sender<RetryGrant>>,
     /// Whether a task asks other VMs.
@@ -60,8 +60,8 @@
     asked: Vec<VmName>,
 }
 
-impl RetryDesk {
-    fn lock(&self) -> MutexGuard<'_, DeskTable> {
+impl RetryDispatcher {
+    fn lock(&self) -> MutexGuard<'_, DispatcherTable> {
         // The table is consistent between calls, so a poisoned lock is usable.
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -88,7 +88,7 @@
             return std::future::pending().await;
         };
         let mut loans = self.loans.subscribe();
-        // The sender lives as long as the desk.
+        // The sender lives as long as the dispatcher.
         let _ = loans.wait_for(|loans| *loans >= number).await;
     }
 
@@ -105,21 +105,27 @@
 
 impl BegunStream {
     pub(crate) fn start(traffic: &Arc<ServiceTraffic>) -> Self {
-        traffic.desk.begun_streams.fetch_add(1, Ordering::Relaxed);
+        traffic
+            .dispatcher
+            .begun_streams
+            .fetch_add(1, Ordering::Relaxed);
         BegunStream(traffic.clone())
     }
 }
 
 impl Drop for BegunStream {
     fn drop(&mut self) {
-        self.0.desk.begun_streams.fetch_sub(1, Ordering::Relaxed);
+        self.0
+            .dispatcher
+            .begun_streams
+            .fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 impl ServiceTraffic {
     /// Takes a retry for a stream, unless there is none or another stream goes first.
     pub(crate) fn take_retry(&self, stream: &WaitingStream, now: ClockTime) -> Option<RetryGrant> {
-        let table = self.desk.lock();
+        let table = self.dispatcher.lock();
         match table.queue.goes_before(stream) {
             true => None,
             false => self.spend(&table, stream, now),
@@ -128,23 +134,23 @@
 
     /// Like [`Self::take_retry`], for a stream that stays with a silent engine; has a loan
     /// requested if there is no retry. `earlier` is the request that this one replaces.
-    pub(crate) fn take_or_wish(
+    pub(crate) fn take_or_request(
         &self,
         stream: &WaitingStream,
         earlier: Option<WaiterId>,
         now: ClockTime,
     ) -> Result<RetryGrant, WaiterId> {
         let grant = self.take_retry(stream, now);
-        let mut table = self.desk.lock();
+        let mut table = self.dispatcher.lock();
         if let Some(earlier) = earlier {
-            table.queue.remove_wish(earlier);
+            table.queue.remove_loan_request(earlier);
         }
-        grant.ok_or_else(|| table.queue.add_wish(stream, now))
+        grant.ok_or_else(|| table.queue.add_loan_request(stream, now))
     }
 
     /// Requests no more loan for a stream that does not need it.
-    pub(crate) fn remove_wish(&self, id: WaiterId) {
-        self.desk.lock().queue.remove_wish(id);
+    pub(crate) fn remove_loan_request(&self, id: WaiterId) {
+        self.dispatcher.lock().queue.remove_loan_request(id);
     }
 
     /// Refunds a retry that was not made; a waiting stream may have it.
@@ -155,10 +161,10 @@
 
     /// Hands retries to the waiting streams, in their order, as long as there are some.
     pub(crate) fn hand_out_retries(&self, now: ClockTime) {
-        self.hand_out(&mut self.desk.lock(), now);
+        self.hand_out(&mut self.dispatcher.lock(), now);
     }
 
-    fn hand_out(&self, table: &mut DeskTable, now: ClockTime) {
+    fn hand_out(&self, table: &mut DispatcherTable, now: ClockTime) {
         while let Some((id, stream)) = table.queue.first() {
             let Some(grant) = self.spend(table, &stream, now) else {
                 break;
@@ -176,11 +182,11 @@
 
     fn spend(
         &self,
-        table: &DeskTable,
+        table: &DispatcherTable,
         stream: &WaitingStream,
         now: ClockTime,
     ) -> Option<RetryGrant> {
-        let has_begun_streams = self.desk.begun_streams.load(Ordering::Relaxed) > 0;
+        let has_begun_streams = self.dispatcher.begun_streams.load(Ordering::Relaxed) > 0;
         let is_least_urgent = !stream.is_begun && table.queue.is_least_urgent(stream.priority);
         let claim = RetryClaim {
             is_resumable: stream.is_resumable,
@@ -191,7 +197,7 @@
 
     /// Adds as much of a loan as the streams need, hands it out and returns its size.
     fn accept_loan(&self, count: u32, expires_at: ClockTime, now: ClockTime) -> u32 {
-        let mut table = self.desk.lock();
+        let mut table = self.dispatcher.lock();
         let borrowed = self.budget.borrowed(now);
         let needed = table.queue.demand(borrowed, now);
         let needed = needed.map_or(0, |demand| demand.wanted);
@@ -203,14 +209,14 @@
         self.hand_out(&mut table, now);
         drop(table);
         if accepted > 0 {
-            self.desk.loans.send_modify(|loans| *loans += 1);
+            self.dispatcher.loans.send_modify(|loans| *loans += 1);
         }
         accepted
     }
 
     /// Returns what to ask other VMs for; without a demand, the asking ends.
     fn next_demand(&self, now: ClockTime) -> Option<LoanDemand> {
-        let mut table = self.desk.lock();
+        let mut table = self.dispatcher.lock();
         self.hand_out(&mut table, now);
         let borrowed = self.budget.borrowed(now);
         let demand = table.queue.demand(borrowed, now);
@@ -234,7 +240,7 @@
         stream: WaitingStream,
     ) -> Self {
         let (sender, grant) = oneshot::channel();
-        let mut table = traffic.desk.lock();
+        let mut table = traffic.dispatcher.lock();
         let id = table.queue.join(stream);
         table.grants.insert(id, sender);
         drop(table);
@@ -250,7 +256,7 @@
     pub(crate) async fn wait(&mut self) -> RetryGrant {
         match (&mut self.grant).await {
             Ok(grant) => grant,
-            // The desk keeps the sender until the retry is there.
+            // The dispatcher keeps the sender until the retry is there.
             Err(_) => std::future::pending().await,
         }
     }
@@ -258,7 +264,7 @@
 
 impl Drop for RetryWaiter {
     fn drop(&mut self) {
-        let mut table = self.traffic.desk.lock();
+        let mut table = self.traffic.dispatcher.lock();
         table.queue.leave(self.id);
         table.grants.remove(&self.id);
         drop(table);
--- a/crates/gateway/src/stream/retry_wait.rs
+++ b/crates/gateway/src/stream/retry_wait.rs
@@ -17,9 +17,9 @@
     /// The retry of the current attempt, until the attempt is known to be sent.
     current: Option<RetryGrant>,
     /// The number of the loan that the stream needs to leave a silent upstream.
-    wished_loan: Option<u64>,
+    requested_loan: Option<u64>,
     /// The request for a loan that was made for the stream.
-    wish: Option<WaiterId>,
+    loan_request: Option<WaiterId>,
     /// Since when the stream waits for an own retry, where VMs lend none.
     waiting_since: Option<ClockTime>,
 }
@@ -44,14 +44,14 @@
             retries.reserved = self.traffic.take_retry(&stream, now);
             return retries.reserved.is_some();
         }
-        let earlier = retries.wish.take();
+        let earlier = retries.loan_request.take();
         // A loan that arrives from now on has this number.
-        let next_loan = self.traffic.desk.next_loan();
-        match self.traffic.take_or_wish(&stream, earlier, now) {
+        let next_loan = self.traffic.dispatcher.next_loan();
+        match self.traffic.take_or_request(&stream, earlier, now) {
             Ok(grant) => retries.reserved = Some(grant),
-            Err(wish) => {
-                retries.wished_loan = Some(next_loan);
-                retries.wish = Some(wish);
+            Err(loan_request) => {
+                retries.requested_loan = Some(next_loan);
+                retries.loan_request = Some(loan_request);
                 start_asking(&self.state, &self.traffic, &self.request.service);
             }
         }
@@ -61,9 +61,9 @@
     /// Waits for the loan that [`Self::reserve_send`] has requested; forever if it has not,
     /// or if the loan has arrived before.
     pub(super) async fn wait_for_loan(&self) {
-        let number = self.retries().wished_loan;
-        self.traffic.desk.wait_for_loan(number).await;
-        self.retries().wished_loan = None;
+        let number = self.retries().requested_loan;
+        self.traffic.dispatcher.wait_for_loan(number).await;
+        self.retries().requested_loan = None;
     }
 
     /// Reports whether an attempt may be made. Once the request has been sent, each
@@ -72,9 +72,9 @@
         let now = self.state.clock.now();
         self.drop_expired(now);
         let mut retries = self.retries();
-        retries.wished_loan = None;
-        if let Some(wish) = retries.wish.take() {
-            self.traffic.remove_wish(wish);
+        retries.requested_loan = None;
+        if let Some(loan_request) = retries.loan_request.take() {
+            self.traffic.remove_loan_request(loan_request);
         }
         let reserved = retries.reserved.take();
         if self.sends == 0 {
@@ -142,7 +142,7 @@
 
     /// Records a new stream of the service: it earns a part of a retry.
     pub(super) fn record_demand(&self) {
-        self.traffic.desk.record_priority(self.priority());
+        self.traffic.dispatcher.record_priority(self.priority());
         self.traffic.hand_out_retries(self.state.clock.now());
     }
 
@@ -188,7 +188,7 @@
     }
 
     fn log_wait(&self, stream: &WaitingStream) {
-        let (waiting, asked) = self.traffic.desk.describe();
+        let (waiting, asked) = self.traffic.dispatcher.describe();
         log::info!(
             request = self.request.id(),
             service:% = self.request.service,
@@ -262,10 +262,10 @@
 impl<P> Drop for StreamForwarder<P> {
     fn drop(&mut self) {
         let mut retries = self.retries();
-        let (reserved, wish) = (retries.reserved.take(), retries.wish.take());
+        let (reserved, loan_request) = (retries.reserved.take(), retries.loan_request.take());
         drop(retries);
-        if let Some(wish) = wish {
-            self.traffic.remove_wish(wish);
+        if let Some(loan_request) = loan_request {
+            self.traffic.remove_loan_request(loan_request);
         }
         if let Some(grant) = reserved {
             self.traffic.refund_retry(grant, self.state.clock.now());
--- a/crates/policy/src/retry_loans.rs
+++ b/crates/policy/src/retry_loans.rs
@@ -35,7 +35,7 @@
 /// come back at another VM.
 const NEW_STREAM_WAIT: ClockTime = ClockTime::from_millis(350);
 /// How long a loan is requested for a stream that stays with a silent engine meanwhile.
-const WISH_PERIOD: ClockTime = ClockTime::from_millis(600);
+const LOAN_REQUEST_PERIOD: ClockTime = ClockTime::from_millis(600);
 
 /// Reports whether VMs lend each other retries in a fleet of this size.
 ///
@@ -169,7 +169,7 @@
 
 /// A stream that stays with a silent engine until there is a retry.
 #[derive(Clone, Copy, Debug)]
-struct RetryWish {
+struct LoanRequest {
     id: WaiterId,
     is_begun: bool,
     priority: u8,
@@ -184,7 +184,7 @@
     ranks: HashMap<WaiterId, WaitRank>,
     next_id: WaiterId,
     /// The streams that stay with a silent engine for lack of a retry.
-    wishes: Vec<RetryWish>,
+    loan_requests: Vec<LoanRequest>,
     /// The lowest and the highest priority number of the service's streams.
     priorities: Option<(u8, u8)>,
 }
@@ -242,33 +242,36 @@
     }
 
     /// Records that a stream stays with a silent engine for lack of a retry.
-    pub fn add_wish(&mut self, stream: &WaitingStream, now: ClockTime) -> WaiterId {
+    pub fn add_loan_request(&mut self, stream: &WaitingStream, now: ClockTime) -> WaiterId {
         self.next_id += 1;
-        self.wishes.push(RetryWish {
+        self.loan_requests.push(LoanRequest {
             id: self.next_id,
             is_begun: stream.is_begun,
             priority: stream.priority,
-            until: now + WISH_PERIOD,
+            until: now + LOAN_REQUEST_PERIOD,
         });
         self.next_id
     }
 
-    /// Removes a wish, if a loan is still requested for it.
-    pub fn remove_wish(&mut self, id: WaiterId) {
-        self.wishes.retain(|wish| wish.id != id);
+    /// Removes the request for a loan of a stream, if there still is one.
+    pub fn remove_loan_request(&mut self, id: WaiterId) {
+        self.loan_requests
+            .retain(|loan_request| loan_request.id != id);
     }
 
     /// Returns what to ask other VMs for; none if no stream needs a retry. `borrowed` is the
     /// number of loans that are left.
     pub fn demand(&mut self, borrowed: u32, now: ClockTime) -> Option<LoanDemand> {
-        self.wishes.retain(|wish| now < wish.until);
-        let needed = self.waiting.len() + self.wishes.len();
+        self.loan_requests
+            .retain(|loan_request| now < loan_request.until);
+        let needed = self.waiting.len() + self.loan_requests.len();
         let wanted = needed.saturating_sub(borrowed as usize).min(MAX_WANTED);
         let waiting = self.waiting.values().next();
         let waiting = waiting.map(|stream| (!stream.is_begun, stream.priority));
-        let wishes = self.wishes.iter();
-        let wishes = wishes.map(|wish| (!wish.is_begun, wish.priority));
-        let (is_new, priority) = wishes.chain(waiting).min()?;
+        let loan_requests = self.loan_requests.iter();
+        let loan_requests =
+            loan_requests.map(|loan_request| (!loan_request.is_begun, loan_request.priority));
+        let (is_new, priority) = loan_requests.chain(waiting).min()?;
         (wanted > 0).then_some(LoanDemand {
             wanted: wanted as u32,
             is_begun: !is_new,
--- a/crates/policy/tests/gateway/retry_loans.rs
+++ b/crates/policy/tests/gateway/retry_loans.rs
@@ -143,7 +143,7 @@
     queue.record_priority(2);
     assert!(queue.is_least_urgent(2) && !queue.is_least_urgent(0));
     // A stream that stays with a silent engine is asked for, but not for ever.
-    queue.add_wish(&less_urgent, at(1));
+    queue.add_loan_request(&less_urgent, at(1));
     let demand = queue.demand(0, at(2)).unwrap();
     assert_eq!((demand.wanted, demand.priority), (1, 2));
     assert_eq!(queue.demand(1, at(2)), None);
@@ -277,15 +277,15 @@
 /// Guards against a stream that takes away the request for a loan of another one, which then
 /// waits for a loan that nobody asks for.
 #[test]
-fn a_stream_removes_its_own_wish_only() {
+fn a_stream_removes_its_own_loan_request_only() {
     let urgent = WaitingStream {
         priority: 0,
         ..stream(1, 1)
     };
     let mut queue = RetryQueue::default();
-    queue.add_wish(&urgent, at(1));
-    let own = queue.add_wish(&stream(2, 1), at(2));
-    queue.remove_wish(own);
+    queue.add_loan_request(&urgent, at(1));
+    let own = queue.add_loan_request(&stream(2, 1), at(2));
+    queue.remove_loan_request(own);
     let demand = queue.demand(0, at(3)).unwrap();
     assert_eq!((demand.wanted, demand.priority), (1, 0));
 }
