--- a/tests/testsuite/tests/gateway/retry_loans.rs
+++ b/tests/testsuite/tests/gateway/retry_loans.rs
@@ -149,7 +149,7 @@
 /// VMs the reserve is divided: 20 requests earn 12.8 retries, and 3.28 are the share of one of 32
 /// VMs.
 #[tokio::test]
-async fn process_without_a_settled_list_has_no_share_of_the_reserve() {
+async fn process_without_a_settled_list_has_the_share_of_a_large_fleet() {
     const LOOKUPS: usize = 20;
     let harness = HarnessBuilder::default().applications(6).start().await;
     for application in &harness.applications {
