--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -7,7 +7,7 @@
     echo "build with the command of deploy/system.toml and with review/build-2.sh" >&2
     exit 2
 fi
-"$program" last-tenant review/10
+"$program" header-limit review/10
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
