Add review case 7: cut streams without a length look complete

Cause: the end of a connection without a partial event is taken for the end of the stream, also if the engine's process was killed (crates/gateway/src/stream/attempt.rs).

Done: a case as a script; the stand-ins of the dropped cases are removed.

--- a/review/stand-ins-2/src/engine.rs
+++ b/review/stand-ins-2/src/engine.rs
@@ -9,13 +9,13 @@
 use crate::json::Value;
 use crate::record::unix_ms;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const EVENTS: u64 = 140;
+/// The events of a whole stream.
+pub const EVENTS: u64 = 140;
 const EVENT_INTERVAL: Duration = Duration::from_millis(60);
 /// The prompt has 8,200 tokens, of which 8 are read in a millisecond.
 const PREFILL_TIME: Duration = Duration::from_millis(1_025);
@@ -28,11 +28,7 @@
 const COPY_PATH: &str = "/-/stand-in-copy";
 /// Between engines: is there room for a copy?
 const ROOM_PATH: &str = "/-/stand-in-room";
-/// From the case: other prompts fill the memory.
-pub const FILL_PATH: &str = "/-/stand-in-fill";
 const MEMORY_TOKENS: u64 = 88_000;
-const USUAL_TOKENS: u64 = 60_000;
-const FULL_TOKENS: u64 = 84_000;
 /// The tokens of a run or of its copy.
 const RUN_TOKENS: u64 = 9_000;
 
@@ -42,8 +38,6 @@
     address: SocketAddr,
     /// The runs with the events that they have made.
     runs: Mutex<HashMap<String, u64>>,
-    /// The tokens of other requests.
-    other_tokens: AtomicU64,
     /// When the last part of a copy arrived, by its name: address and identifier.
     copies: Mutex<HashMap<String, Instant>>,
 }
@@ -65,7 +59,6 @@
         born: born.parse().unwrap_or(0),
         address,
         runs: Mutex::default(),
-        other_tokens: AtomicU64::new(USUAL_TOKENS),
         copies: Mutex::default(),
     });
     for stream in listener.incoming().flatten() {
@@ -120,10 +113,6 @@
                 false => connection.respond("503 Service Unavailable", "", b""),
             };
         }
-        if path == FILL_PATH {
-            self.other_tokens.store(FULL_TOKENS, Ordering::Relaxed);
-            return connection.respond("200 OK", "", b"");
-        }
         if path == COPY_PATH {
             let name = String::from_utf8_lossy(&request.body).into_owned();
             let mut copies = self.copies.lock().expect("no writer panics");
@@ -162,7 +151,7 @@
             .values()
             .filter(|at| at.elapsed() < COPY_TIME)
             .count();
-        self.other_tokens.load(Ordering::Relaxed) + RUN_TOKENS * (runs + copies) as u64
+        RUN_TOKENS * (runs + copies) as u64
     }
 
     /// Copies a run to another engine; none if that has no room, or the run has ended.
@@ -200,7 +189,7 @@
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: {}.{id}\r\n\
              X-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
+             Connection: close\r\n\r\n",
             self.id
         );
         std::thread::sleep(prepare);
@@ -229,7 +218,7 @@
         let mut backed_up = Instant::now() - BACKUP_INTERVAL;
         for event in last + 1..=EVENTS {
             let text = format!("id: {event}\ndata: {born}-{event:04} 8 tokens of the letter\n\n");
-            connection.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            connection.write(text.as_bytes())?;
             let mut runs = self.runs.lock().expect("no writer panics");
             runs.insert(id.to_owned(), event);
             drop(runs);
@@ -244,7 +233,8 @@
                 return Err(std::io::ErrorKind::ConnectionAborted.into());
             }
         }
-        connection.write(b"0\r\n\r\n")
+        // The stream ends with the connection, which is closed in order.
+        connection.stream.shutdown(Shutdown::Both)
     }
 
     fn has_copy(&self, name: &str) -> bool {
@@ -254,7 +244,7 @@
 }
 
 /// Sends a message to an engine; reports whether it is answered 200.
-pub fn send(target: SocketAddr, path: &str, body: &str) -> bool {
+fn send(target: SocketAddr, path: &str, body: &str) -> bool {
     let Ok(stream) = TcpStream::connect_timeout(&target, CONNECT_TIMEOUT) else {
         return false;
     };
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -86,6 +86,10 @@
             }
             std::thread::sleep(Duration::from_millis(100));
         }
+        // Another program's process may have answered in place of one that has ended.
+        if !fleet.is_running() {
+            return Err("a gateway has ended".to_owned());
+        }
         record.write("all gateways are ready");
         Ok(fleet)
     }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -16,6 +16,7 @@
 mod processes;
 mod record;
 mod store;
+mod stream;
 
 use cases::{CaseContext, Verdict};
 use record::Record;
