Build the review's cases under target/

Cause: the build folder lay in review/, where its dependency files named paths of the machine; it was never part of a commit.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,7 +2,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-program=review/stand-ins-2/target/release/review-cases
+program=target/review-2/release/review-cases
 if [ ! -x "$program" ] || [ ! -x target/release/skylarkshed ]; then
     echo "build with the command of deploy/system.toml and with review/build-2.sh" >&2
     exit 2
