Check the upstream when a response without a length closes

The engine's answers have neither a length nor chunks.

Cause: for such a response the end of the connection is its end, and the kernel closes the connections of a killed process in order. The stream was taken for complete whatever had closed the connection. Calls had the same fault: a part of an application's answer was passed on as the whole.

Change: when such a response ends, the upstream's process is checked. Its host must accept a connection, and an engine must report the start time that it is listed with. Otherwise the response is broken: it is resumed, repeated or failed like any other.

The six tests of `close_delimited` failed before (6 of 6) and pass now.

--- a/crates/gateway/src/call_guard.rs
+++ b/crates/gateway/src/call_guard.rs
@@ -5,8 +5,8 @@
 
 use crate::exchange::CallerRequest;
 use crate::gateway_state::GatewayState;
+use crate::process_check::has_ended;
 use crate::quarantine::{Admission, ProbeTicket};
-use crate::stream::has_ended;
 use crate::upstreams::UpstreamState;
 use faststr::FastStr;
 use skylarkshed_core::{ClockTime, CustomerName, ServiceName};
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -40,6 +40,11 @@
     counter!("gateway_bad_answers_total", "reason" => reason).increment(1);
 }
 
+/// Counts a response without a length by the state of its upstream's process at its end.
+pub(crate) fn count_close(process: &'static str) {
+    counter!("gateway_closed_responses_total", "process" => process).increment(1);
+}
+
 /// Counts a finished request by its kind and outcome, and records its duration.
 pub(crate) fn count_request(kind: &'static str, outcome: &'static str, duration: ClockTime) {
     counter!("gateway_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -8,6 +8,7 @@
 use skylarkshed_core::ClockTime;
 use skylarkshed_http_link::{BufferedRequest, HttpConnection};
 use skylarkshed_policy::{CopyKind, EngineLoad, UpstreamHealth};
+use thiserror::Error;
 
 /// A live engine reports within a round trip, and a request waits for the report.
 const REPORT_TIMEOUT: ClockTime = ClockTime::from_millis(40);
@@ -18,33 +19,51 @@
 /// A report of hundreds of requests and a list of thousands of cached parts fit in it.
 const MAX_REPLY_BYTES: usize = 1024 * 1024;
 
+/// Why there is no load report of an engine.
+#[derive(Debug, Error)]
+pub(crate) enum ReportError {
+    /// Another process has the engine's address.
+    #[error("the report is of another engine")]
+    OtherProcess,
+    /// The engine did not respond in time, or the report can't be read.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// Requests an engine's load report; none if it does not respond in time.
 pub(crate) async fn request_report<P: WireProtocol>(
     state: &GatewayState,
     engine: &UpstreamState,
 ) -> Option<EngineLoad> {
+    let report = fetch_report::<P>(state, engine).await;
+    report
+        .map_err(|error| {
+            log::debug!(upstream:% = engine.name(); "no load report: {error}");
+        })
+        .ok()
+}
+
+/// Requests an engine's load report, and retires an engine whose address has another
+/// process.
+pub(crate) async fn fetch_report<P: WireProtocol>(
+    state: &GatewayState,
+    engine: &UpstreamState,
+) -> Result<EngineLoad, ReportError> {
     let request = P::write_report_request(&engine.record);
     let body = call_engine::<P>(state, engine, request, REPORT_TIMEOUT).await;
     let report = body.and_then(|body| P::read_report(&body));
+    let report = report.map_err(ReportError::Failed)?;
+    if engine.record.is_other_start(report.started) {
+        engine.retire();
+        log::info!(upstream:% = engine.name(); "the address of an engine belongs to another one");
+        return Err(ReportError::OtherProcess);
+    }
     let now = state.clock.now();
-    let report = report.and_then(|report| match engine.record.is_other_start(report.started) {
-        true => {
-            engine.retire();
-            log::info!(upstream:% = engine.name(); "the address of an engine belongs to another one");
-            Err("the report is of another engine".to_owned())
-        }
-        false => Ok(report),
-    });
-    let report = report.map(|report| EngineLoad {
+    Ok(EngineLoad {
         unreported: engine.unreported_prompts(now),
         is_suspect: engine.health(now) == UpstreamHealth::Suspect,
         ..report
-    });
-    report
-        .map_err(|problem| {
-            log::debug!(upstream:% = engine.name(); "no load report: {problem}");
-        })
-        .ok()
+    })
 }
 
 /// Asks an engine whether its KV cache has a part of a prompt; false if it does not
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::deadline::RequestDeadline;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RequestHead, ResponseHead, SendOptions, WireProtocol};
+use crate::process_check::check_process;
 use crate::upstreams::{LoadGuard, UpstreamState};
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
@@ -16,9 +17,11 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
+use skylarkshed_http_link::{is_close_delimited, strip_connection_headers};
 use skylarkshed_http_link::{read_body_within, BodyBudget, BodyError, BodyLimits};
-use skylarkshed_http_link::{strip_connection_headers, ConnectionError, HttpConnection};
-use skylarkshed_policy::VersionFilter;
+use skylarkshed_http_link::{ConnectionError, HttpConnection};
+use skylarkshed_policy::{ProcessCheck, VersionFilter};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A connection takes 1 ms and a round trip of 3 ms between zones; a slow VM takes
@@ -78,6 +81,9 @@
     pub(crate) head: ResponseHead,
     pub(crate) parts: response::Parts,
     body: Incoming,
+    /// Whether the end of the connection is the end of the body.
+    pub(crate) is_close_delimited: bool,
+    address: SocketAddr,
     deadline: RequestDeadline,
     budget: BodyBudget,
     _connection: HttpConnection,
@@ -106,7 +112,8 @@
     }
 
     /// Returns the rest of the body; fails if it exceeds its limits or those of all bodies
-    /// together, is incomplete at the request's deadline, or is that of an error and stops.
+    /// together, is incomplete at the request's deadline, is that of an error and stops, or
+    /// may have been cut short by the end of the upstream's process.
     pub(crate) async fn collect(&mut self) -> Result<Bytes, SendError> {
         let limit = match self.parts.status.is_success() {
             true => ClockTime::NEVER,
@@ -115,7 +122,7 @@
         let limits = BodyLimits::response(MAX_BODY_BYTES);
         let reading = read_body_within(&mut self.body, limits, &self.budget);
         let body = self.deadline.run_within(limit, reading).await;
-        body.ok_or(SendError::Broken)?.map_err(|error| {
+        let body = body.ok_or(SendError::Broken)?.map_err(|error| {
             match error {
                 BodyError::TooLong(_) => counters::count_bad_response("long_body"),
                 BodyError::TooManyPieces(_) => counters::count_bad_response("many_pieces"),
@@ -123,7 +130,17 @@
                 BodyError::Broken(_) => {}
             }
             SendError::Broken
-        })
+        })?;
+        if self.is_close_delimited {
+            let checking = check_process(self.address);
+            let check = self.deadline.run_within(ClockTime::NEVER, checking).await;
+            let check = check.unwrap_or(ProcessCheck::Unreachable);
+            counters::count_close(check.label());
+            if !check.confirms_close() {
+                return Err(SendError::Broken);
+            }
+        }
+        Ok(body)
     }
 
     /// Reports whether this is a signed success without a content encoding.
@@ -162,6 +179,7 @@
         }
         record_failure(state, request, upstream, &error)
     })?;
+    let is_close_delimited = is_close_delimited(&response);
     let (mut parts, body) = response.into_parts();
     let head = P::read_response(&parts);
     strip_connection_headers(&mut parts.headers);
@@ -175,6 +193,8 @@
         head,
         parts,
         body,
+        is_close_delimited,
+        address: upstream.record.address,
         deadline: request.deadline,
         budget: state.body_budget.clone(),
         _connection: connection,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod log_writer;
 mod peers;
 mod platform_api;
+mod process_check;
 mod quarantine;
 mod refusal;
 mod retry_loans;
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -3,8 +3,10 @@
 use super::events::{EventParser, StreamEvent};
 use super::ledger_selection::AttemptWork;
 use super::prefill_watch::{watch_prefill, PrefillTimeout, PrefillWatch};
+use crate::counters;
 use crate::exchange::{SendError, UpstreamResponse};
 use crate::platform_api::{KvCacheCopy, WireProtocol};
+use crate::process_check::check_engine;
 use crate::rollouts::AttemptProbe;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
@@ -21,10 +23,6 @@
 const LIVENESS_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(250);
 /// A live host accepts a connection within a few milliseconds.
 const LIVENESS_CHECK_TIMEOUT: ClockTime = ClockTime::from_millis(100);
-/// How often a connection is tried before the end of an upstream remains unknown.
-const END_CHECKS: u32 = 3;
-/// The time in which a process that ends closes a connection that it accepted last.
-const CLOSE_TIME: ClockTime = ClockTime::from_millis(20);
 
 /// An upstream's response that is being received.
 pub(super) struct StreamAttempt {
@@ -114,13 +112,33 @@
                 Ok(Ok(None)) if self.parser.has_partial_event() => {
                     return AttemptStep::Lost(LossCause::Broken);
                 }
-                Ok(Ok(None)) => return AttemptStep::End,
+                Ok(Ok(None)) => return self.judge_end::<P>(watch).await,
                 Ok(Err(_)) => return AttemptStep::Lost(LossCause::Broken),
                 Err(cause) => return AttemptStep::Lost(cause),
             }
         }
     }
 
+    /// Tells the end of the response from a close by the end of its engine's process.
+    async fn judge_end<P: WireProtocol>(&self, watch: PrefillWatch<'_>) -> AttemptStep {
+        if !self.response.is_close_delimited {
+            return AttemptStep::End;
+        }
+        let check = check_engine::<P>(watch.state, &self.upstream).await;
+        log::info!(
+            request = watch.request.id(),
+            upstream:% = self.upstream.name(),
+            process = check.label(),
+            after_ms = watch.request.deadline.elapsed().as_millis();
+            "stream without a length closed"
+        );
+        counters::count_close(check.label());
+        match check.confirms_close() {
+            true => AttemptStep::End,
+            false => AttemptStep::Lost(LossCause::Broken),
+        }
+    }
+
     /// Grants a silent upstream its time again.
     pub(super) fn wait_on(&mut self, now: ClockTime) {
         self.waiting_since = now;
@@ -194,29 +212,6 @@
     }
 }
 
-/// Reports whether an upstream's process has ended: its host refuses connections. A process
-/// that ends may still accept one, which is then closed at once, and an answer may be lost
-/// on the way; both are tried again.
-pub(crate) async fn has_ended(address: SocketAddr) -> bool {
-    let limit = LIVENESS_CHECK_TIMEOUT.to_duration();
-    for _ in 0..END_CHECKS {
-        let connecting = TcpStream::connect(address);
-        match tokio::time::timeout(limit, connecting).await {
-            Ok(Ok(stream)) => {
-                let mut byte = [0; 1];
-                let closing = stream.peek(&mut byte);
-                let limit = CLOSE_TIME.to_duration();
-                if tokio::time::timeout(limit, closing).await.is_err() {
-                    return false;
-                }
-            }
-            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
-            Ok(Err(_)) | Err(_) => {}
-        }
-    }
-    false
-}
-
 /// Reports whether an upstream's host accepts a connection.
 pub(super) async fn accepts_connections(address: SocketAddr) -> bool {
     let connecting = TcpStream::connect(address);
--- a/crates/gateway/src/stream/mod.rs
+++ b/crates/gateway/src/stream/mod.rs
@@ -12,8 +12,6 @@
 mod replacement;
 mod retry_wait;
 
-pub(crate) use attempt::has_ended;
-
 use crate::caller_response::{BodyPart, CallerResponse, ResponseBody};
 use crate::counters;
 use crate::exchange::CallerRequest;
--- a/crates/gateway/src/stream/quarantine_check.rs
+++ b/crates/gateway/src/stream/quarantine_check.rs
@@ -1,9 +1,10 @@
 //! Keeps a stream whose prompt has a part that ends engines away from them.
 
-use super::attempt::{has_ended, StreamAttempt};
+use super::attempt::StreamAttempt;
 use super::StreamForwarder;
 use crate::caller_response::CallerResponse;
 use crate::platform_api::WireProtocol;
+use crate::process_check::has_ended;
 use crate::quarantine::Admission;
 use crate::refusal::{fail, refuse, FailureReason, NotRunProof, NotRunReason};
 use crate::upstreams::UpstreamState;
--- a/crates/http-link/src/headers.rs
+++ b/crates/http-link/src/headers.rs
@@ -1,10 +1,40 @@
-//! Hop-by-hop headers, which apply to a single connection.
+//! Hop-by-hop headers, which apply to a single connection, and what they tell of a body.
 
 use http::header::{
     HeaderName, CONNECTION, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use http::HeaderMap;
+use http::{HeaderMap, Response, Version};
+use hyper::body::Body;
+
+/// Reports whether the body of a received response ends with its connection: it has neither
+/// a length nor chunks.
+///
+/// # Examples
+///
+/// ```
+/// use http::Response;
+/// use http_body_util::{Full, StreamBody};
+/// use hyper::body::{Bytes, Frame};
+/// use skylarkshed_http_link::is_close_delimited;
+/// use std::convert::Infallible;
+///
+/// // Its length is unknown.
+/// let open = || StreamBody::new(futures::stream::empty::<Result<Frame<Bytes>, Infallible>>());
+/// assert!(is_close_delimited(&Response::new(open())));
+/// let chunked = Response::builder().header("transfer-encoding", "chunked");
+/// assert!(!is_close_delimited(&chunked.body(open()).unwrap()));
+/// assert!(!is_close_delimited(&Response::new(Full::<Bytes>::from("answer"))));
+/// ```
+pub fn is_close_delimited<B: Body>(response: &Response<B>) -> bool {
+    let has_length = response.body().size_hint().exact().is_some();
+    let encodings = response.headers().get_all(TRANSFER_ENCODING);
+    let last = encodings.into_iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    let is_chunked = response.version() >= Version::HTTP_11
+        && last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    !(has_length || is_chunked)
+}
 
 /// Removes the hop-by-hop headers, including those that `Connection` names.
 ///
--- a/crates/http-link/src/lib.rs
+++ b/crates/http-link/src/lib.rs
@@ -15,5 +15,5 @@
 pub use body::{read_body, read_body_within, BodyError, BodyLimits};
 pub use body_budget::BodyBudget;
 pub use connection::{BufferedRequest, ConnectionError, HttpConnection};
-pub use headers::strip_connection_headers;
+pub use headers::{is_close_delimited, strip_connection_headers};
 pub use options::set_options;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 //! - [`EngineLedger`] keeps what all VMs have placed at one engine since its last report,
 //!   and [`choose_by_time`] selects the engine of a prompt from a few ledgers.
 //!   [`decide_admission`] refuses streams that no engine can serve in time.
+//! - [`ProcessCheck`] tells whether a response without a length is complete.
 //! - [`PartQuarantine`] finds the parts of prompts that end engines, and keeps requests
 //!   with them away.
 //! - [`DurationEstimator`] tells which requests end before a draining VM is killed.
@@ -75,6 +76,7 @@
 mod placement;
 mod prefill_speed;
 mod prefill_timeout;
+mod process_check;
 mod rate_limiter;
 mod refusal_rate;
 mod rejected_versions;
@@ -145,6 +147,7 @@
 pub use prefill_timeout::{
     judge_prefill, PrefillEstimator, PrefillStatus, PrefillVerdict, WaitingPrefill,
 };
+pub use process_check::ProcessCheck;
 pub use rate_limiter::RateLimiter;
 pub use refusal_rate::RefusalRate;
 pub use rejected_versions::{RejectedVersions, RejectionReason, VersionFilter, VersionRejection};
--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -65,6 +65,11 @@
             return wait_unless_closed(stream, Duration::from_secs(600)).await;
         }
         ScriptedResponse::NoContentLength => format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer"),
+        ScriptedResponse::OpenBody => {
+            let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\nhalf");
+            stream.write_all(text.as_bytes()).await?;
+            return wait_unless_closed(stream, Duration::from_secs(600)).await;
+        }
         ScriptedResponse::Duplicated => respond(200, &signed, "answer").repeat(2),
         ScriptedResponse::Unparsable => "\0\0 no response\r\n\r\n".to_owned(),
         ScriptedResponse::Reset => return reset(stream),
--- a/crates/stand-ins/src/routing/event_stream.rs
+++ b/crates/stand-ins/src/routing/event_stream.rs
@@ -79,6 +79,9 @@
         wait_unless_closed(stream, Duration::from_millis(50)).await?;
         return reset(stream);
     }
+    if end == UnframedEnd::Open {
+        return wait_unless_closed(stream, Duration::from_secs(600)).await;
+    }
     Ok(())
 }
 
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -40,6 +40,8 @@
     ClosedMidEvent,
     /// The connection is reset after the last event.
     Reset,
+    /// The connection stays open after the last event.
+    Open,
 }
 
 /// The last part of a response that is sent before its connection ends.
@@ -132,6 +134,8 @@
     },
     /// Responds without a content length; the body ends with the connection.
     NoContentLength,
+    /// Sends a part of a body without a content length, and leaves the connection open.
+    OpenBody,
     /// Sends the response twice.
     Duplicated,
     /// Responds before it has read the body, then records the part that arrives.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -25,6 +25,8 @@
     fault: FaultState,
     closes_connections: bool,
     crash_fault: Option<CrashFault>,
+    /// How long it refuses connections after a crash.
+    downtime: Duration,
     end_times: Vec<Instant>,
 }
 
@@ -88,6 +90,7 @@
             fault: FaultState::default(),
             closes_connections: false,
             crash_fault: None,
+            downtime: DOWNTIME,
             end_times: Vec::new(),
         }));
         let (received_count, _) = watch::channel(0);
@@ -146,6 +149,16 @@
         self.crash_count.send_modify(|count| *count += 1);
     }
 
+    /// Ends all connections without refusing new ones, as a process that is killed and
+    /// replaced at once. The report of the new process has this start time.
+    pub fn replace_process(&self, started_ms: u64) {
+        let mut state = self.lock();
+        state.downtime = Duration::ZERO;
+        state.control.report = Some(format!("{{\"born\":{started_ms}}}"));
+        drop(state);
+        self.crash();
+    }
+
     /// Returns when it has crashed.
     pub fn end_times(&self) -> Vec<Instant> {
         self.lock().end_times.clone()
@@ -225,9 +238,16 @@
             // `shared` owns the sender, so this can't fail.
             _ = crash_count.changed() => {}
         }
-        shared.lock().end_times.push(Instant::now());
+        let downtime = {
+            let mut state = shared.lock();
+            state.end_times.push(Instant::now());
+            state.downtime
+        };
+        if downtime.is_zero() {
+            continue;
+        }
         drop(listener);
-        tokio::time::sleep(DOWNTIME).await;
+        tokio::time::sleep(downtime).await;
         crash_count.mark_unchanged();
         listener = TcpListener::bind(address).await.expect("its port is free");
     }
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod caller_connections;
 mod caller_disconnects;
+mod close_delimited;
 mod configuration;
 mod crashing_calls;
 mod crashing_parts;
