Keep connections whose peer does not read for a while

While the rest of a response can't be written, its connection stays open until the caller's time limit.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -98,7 +98,7 @@
                 activity.mark_close_delimited();
             }
             let has_body = !request.body().is_end_stream();
-            let handling = handle::<P>(state.clone(), request);
+            let handling = handle::<P>(state.clone(), activity.clone(), request);
             async move {
                 let response = handling.await?;
                 if has_body && !response.status().is_success() {
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -11,7 +11,8 @@
 
 /// How often the timeouts of a busy connection are checked.
 const BUSY_CHECK_INTERVAL: ClockTime = ClockTime::from_millis(5_000);
-/// How long the rest of the last response may make no progress.
+/// How long the rest of the last response may make no progress, unless its caller waits
+/// longer for it.
 const CLOSE_TIMEOUT: ClockTime = ClockTime::from_millis(2_000);
 
 const IDLE: u8 = 0;
@@ -42,6 +43,10 @@
     /// later than this VM that they have become shorter.
     head_timeout_ms: AtomicU64,
     idle_timeout_ms: AtomicU64,
+    /// Until when callers of the requests wait for their responses, as far as they say.
+    awaited_until_ms: AtomicU64,
+    /// Whether the rest of a response waits until its caller reads on.
+    is_write_blocked: AtomicBool,
     /// Whether the end of the connection is the end of a response.
     is_close_delimited: AtomicBool,
 }
@@ -57,6 +62,8 @@
             discarded_bytes: AtomicU64::new(0),
             head_timeout_ms: AtomicU64::new(0),
             idle_timeout_ms: AtomicU64::new(0),
+            awaited_until_ms: AtomicU64::new(0),
+            is_write_blocked: AtomicBool::new(false),
             is_close_delimited: AtomicBool::new(false),
         })
     }
@@ -147,11 +154,32 @@
     /// Records that bytes were written, which may be the rest of a response whose body
     /// has ended.
     pub(crate) fn record_write(&self) {
+        self.is_write_blocked.store(false, Ordering::Relaxed);
         if self.is_idle() {
             self.enter(IDLE);
         }
     }
 
+    /// Records that the caller has to read before more bytes can be written.
+    pub(crate) fn record_blocked_write(&self) {
+        self.is_write_blocked.store(true, Ordering::Relaxed);
+    }
+
+    /// Records until when the caller of a request waits for its response.
+    pub(crate) fn extend_wait(&self, until: ClockTime) {
+        self.awaited_until_ms
+            .fetch_max(until.as_millis(), Ordering::Relaxed);
+    }
+
+    /// Returns how long the caller may still read the rest of a response that is ready.
+    fn unread_time_left(&self) -> ClockTime {
+        if !self.is_write_blocked.load(Ordering::Relaxed) {
+            return ClockTime::ZERO;
+        }
+        let until = self.awaited_until_ms.load(Ordering::Relaxed);
+        ClockTime::from_millis(until).since(self.clock.now())
+    }
+
     /// Returns the time until the next check, or none if the phase has timed out.
     pub(crate) fn time_left(&self, mode: ConnectionMode) -> Option<ClockTime> {
         let limit = match self.phase.load(Ordering::Relaxed) {
@@ -159,7 +187,11 @@
             READING_HEAD => self.head_timeout(),
             _ => return Some(BUSY_CHECK_INTERVAL),
         };
-        let remaining = limit.since(self.phase_age());
+        let mut remaining = limit.since(self.phase_age());
+        // A leaving connection is closed gracefully first, which cuts off nothing.
+        if self.is_idle() && mode != ConnectionMode::Leaving {
+            remaining = remaining.max(self.unread_time_left());
+        }
         (remaining > ClockTime::ZERO).then_some(remaining)
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crate::call::serve_call;
 use crate::caller_response::CallerResponse;
+use crate::connection_activity::ConnectionActivity;
 use crate::counters;
 use crate::deadline::RequestDeadline;
 use crate::exchange::CallerRequest;
@@ -63,12 +64,13 @@
 /// Serves one request of a caller.
 pub(crate) async fn handle<P: WireProtocol>(
     state: Arc<GatewayState>,
+    activity: Arc<ConnectionActivity>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
     let received = state.clock.now();
     let unsent = UnsentCall::for_new_request();
     let mut unanswered = UnansweredRequest::new(state.clock, received);
-    let mut response = match admit::<P>(&state, request, &mut unanswered).await {
+    let mut response = match admit::<P>(&state, &activity, request, &mut unanswered).await {
         Ok(request) => serve_until_ending::<P>(&state, request).await,
         Err((id, refusal)) => {
             log::info!(
@@ -159,6 +161,7 @@
 /// Authorizes a request, reads its body and chooses its service.
 async fn admit<P: WireProtocol>(
     state: &GatewayState,
+    activity: &ConnectionActivity,
     request: Request<Incoming>,
     unanswered: &mut UnansweredRequest,
 ) -> Result<CallerRequest, RefusedRequest> {
@@ -168,6 +171,9 @@
         (None, RequestRefusal::Bad(BadRequestReason::Malformed))
     })?;
     unanswered.id = head.request.clone();
+    if let Some(time_left) = head.time_left {
+        activity.extend_wait(unanswered.received + time_left);
+    }
     let id = Some(head.request.to_string());
     let refuse_with = |refusal| (id.clone(), refusal);
     state.wait_until_started().await;
--- a/crates/gateway/src/tracked_stream.rs
+++ b/crates/gateway/src/tracked_stream.rs
@@ -80,7 +80,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        let Poll::Ready(written) = Pin::new(&mut self.stream).poll_write(context, bytes) else {
+            self.activity.record_blocked_write();
+            return Poll::Pending;
+        };
+        let count = written?;
         self.activity.record_write();
         Poll::Ready(Ok(count))
     }
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod rollouts;
 mod routing;
 mod silent_engines;
+mod slow_peers;
 mod store_restore;
 mod stream_ends;
 mod streams;
