Apply a raised limit on heads to open connections

Cause: the limit is given to hyper when a connection is accepted. That the configuration was not in force yet is ruled out: new connections to the same VM were served.

Change: between two requests a connection that reads with a lower limit gets a new parser, with what it has read of the next head. During a request less is read at once than a head may have; otherwise a pipelined head fills the buffer and is refused by the old limit.

Evidence: of the five cases of `raised_limits`, four failed before; the fifth (no request before the change) passed, as its connection was not accepted yet, and now waits for that.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -13,12 +13,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use skylarkshed_core::{CallerLimits, ClockTime};
+use skylarkshed_core::ClockTime;
 use skylarkshed_http_link::set_options;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::task::Poll;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -87,12 +88,10 @@
         return;
     }
     let activity = ConnectionActivity::start(state.clock);
-    let limits = current_limits(&state);
-    let io = TokioIo::new(TrackedStream::new(stream, activity.clone()));
-    let service = {
+    let mut service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request: Request<Incoming>| {
-            activity.extend_timeouts(current_limits(&state));
+            activity.extend_timeouts(state.caller_limits());
             let guard = activity.begin_request();
             if request.version() < Version::HTTP_11 {
                 activity.mark_close_delimited();
@@ -112,15 +111,30 @@
             }
         })
     };
-    let connection = http1::Builder::new()
-        .max_headers(MAX_HEADERS)
-        .max_header_size(limits.max_head_bytes)
-        .max_buf_size(limits.max_head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(io, service);
-    let connection = pin!(connection);
-    // It is dropped before the connection, whose requests it reports.
-    let mut outcome = ConnectionOutcome::new(activity.clone());
-    outcome.end = drive(connection, &state, &activity, closing).await;
+    let mut stream = TrackedStream::new(stream, activity.clone(), state.clone());
+    loop {
+        let max_head_bytes = activity.raise_head_limit(state.caller_limits());
+        let mut connection = http1::Builder::new()
+            .max_headers(MAX_HEADERS)
+            .max_header_size(max_head_bytes)
+            .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        // It is dropped before the connection, whose requests it reports.
+        let mut outcome = ConnectionOutcome::new(activity.clone());
+        outcome.end = drive(
+            Pin::new(&mut connection),
+            &state,
+            &activity,
+            closing.clone(),
+        )
+        .await;
+        if !matches!(outcome.end, ConnectionEnd::Outgrown) {
+            return;
+        }
+        let parts = connection.into_parts();
+        stream = parts.io.into_inner().with_unparsed(parts.read_buf);
+        service = parts.service;
+    }
 }
 
 /// Why a caller's connection ended.
@@ -135,6 +149,8 @@
     TimedOut,
     /// The process ended first.
     Exited,
+    /// The limit on heads was raised; the connection goes on with another parser.
+    Outgrown,
 }
 
 /// Why a connection without a request is closed.
@@ -153,6 +169,7 @@
             ConnectionEnd::Failed(_) => "failed",
             ConnectionEnd::TimedOut => "timed_out",
             ConnectionEnd::Exited => "exited",
+            ConnectionEnd::Outgrown => "outgrown",
         }
     }
 }
@@ -178,6 +195,7 @@
             ConnectionEnd::ClosedIdle(_) => self.activity.discarded_bytes() > 0,
             ConnectionEnd::Failed(_) | ConnectionEnd::TimedOut => true,
             ConnectionEnd::Exited => !self.activity.is_idle(),
+            ConnectionEnd::Outgrown => false,
         }
     }
 }
@@ -220,7 +238,7 @@
     let mut idle_close = None;
     let mut has_timed_out = false;
     loop {
-        activity.extend_timeouts(current_limits(state));
+        activity.extend_timeouts(state.caller_limits());
         let remaining = match activity.time_left(mode) {
             Some(remaining) => {
                 has_timed_out = false;
@@ -232,7 +250,7 @@
             }
             // A connection that is slow to send its head is dropped below.
             None if activity.is_idle() && mode != ConnectionMode::Closing => {
-                connection.as_mut().close_gracefully();
+                close_gracefully(connection.as_mut(), activity);
                 activity.record_write();
                 idle_close = Some(match mode {
                     ConnectionMode::Leaving => IdleClose::Draining,
@@ -252,11 +270,12 @@
                     Err(error) => ConnectionEnd::Failed(error),
                 };
             }
+            () = wait_until_outgrown(state, activity) => return ConnectionEnd::Outgrown,
             changed = closing.wait_for(|closing| *closing), if mode == ConnectionMode::Open => {
                 // Without a sender the process is about to exit.
                 mode = match changed.is_ok() && activity.is_busy() {
                     true => {
-                        connection.as_mut().close_gracefully();
+                        close_gracefully(connection.as_mut(), activity);
                         ConnectionMode::Closing
                     }
                     false => ConnectionMode::Leaving,
@@ -267,9 +286,24 @@
     }
 }
 
-fn current_limits(state: &GatewayState) -> CallerLimits {
-    let table = state.config.table();
-    table.map_or_else(CallerLimits::default, |table| table.limits())
+/// Waits until the limit on heads is higher than the one that a connection reads with, and
+/// no request or response is under way. It is polled after the connection, which stops
+/// reading for the same reason.
+async fn wait_until_outgrown(state: &GatewayState, activity: &ConnectionActivity) {
+    poll_fn(|_| {
+        let is_outgrown = activity.has_outgrown_head_limit(state.caller_limits());
+        match is_outgrown && !activity.is_write_blocked() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    })
+    .await;
+}
+
+/// Lets a connection end after its current response; it reads no other head.
+fn close_gracefully<C: GracefulConnection>(connection: Pin<&mut C>, activity: &ConnectionActivity) {
+    activity.keep_head_limit();
+    connection.close_gracefully();
 }
 
 /// A connection that can be closed after its current response.
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -5,7 +5,7 @@
 use http_body::{Body, Frame, SizeHint};
 use skylarkshed_core::{CallerLimits, ClockTime, MonotonicClock};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
@@ -43,6 +43,8 @@
     /// later than this VM that they have become shorter.
     head_timeout_ms: AtomicU64,
     idle_timeout_ms: AtomicU64,
+    /// The limit on heads that the connection reads with.
+    max_head_bytes: AtomicUsize,
     /// Until when callers of the requests wait for their responses, as far as they say.
     awaited_until_ms: AtomicU64,
     /// Whether the rest of a response waits until its caller reads on.
@@ -62,6 +64,7 @@
             discarded_bytes: AtomicU64::new(0),
             head_timeout_ms: AtomicU64::new(0),
             idle_timeout_ms: AtomicU64::new(0),
+            max_head_bytes: AtomicUsize::new(0),
             awaited_until_ms: AtomicU64::new(0),
             is_write_blocked: AtomicBool::new(false),
             is_close_delimited: AtomicBool::new(false),
@@ -86,6 +89,29 @@
             .fetch_max(limits.idle_timeout.as_millis(), Ordering::Relaxed);
     }
 
+    /// Raises the limit on heads to the one in force, and returns it.
+    pub(crate) fn raise_head_limit(&self, limits: CallerLimits) -> usize {
+        let limit = limits.max_head_bytes;
+        self.max_head_bytes
+            .fetch_max(limit, Ordering::Relaxed)
+            .max(limit)
+    }
+
+    /// Keeps the limit that the connection reads with until its end.
+    pub(crate) fn keep_head_limit(&self) {
+        self.max_head_bytes.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Reports whether the next head may exceed the limit that the connection reads with.
+    pub(crate) fn has_outgrown_head_limit(&self, limits: CallerLimits) -> bool {
+        !self.is_busy() && limits.max_head_bytes > self.max_head_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Reports whether the rest of a response waits until its caller reads on.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
     fn head_timeout(&self) -> ClockTime {
         ClockTime::from_millis(self.head_timeout_ms.load(Ordering::Relaxed))
     }
@@ -101,6 +127,16 @@
         BusyGuard(self.clone())
     }
 
+    /// Returns how much may be read at once. During a request this is less than a head may
+    /// have: a part of the next head that fills the buffer is refused before the limit can
+    /// be raised.
+    pub(crate) fn max_read_bytes(&self) -> usize {
+        match self.is_busy() {
+            true => self.max_head_bytes.load(Ordering::Relaxed) / 2,
+            false => usize::MAX,
+        }
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.phase.load(Ordering::Relaxed) == IDLE
     }
@@ -173,7 +209,7 @@
 
     /// Returns how long the caller may still read the rest of a response that is ready.
     fn unread_time_left(&self) -> ClockTime {
-        if !self.is_write_blocked.load(Ordering::Relaxed) {
+        if !self.is_write_blocked() {
             return ClockTime::ZERO;
         }
         let until = self.awaited_until_ms.load(Ordering::Relaxed);
--- a/crates/gateway/src/gateway_state.rs
+++ b/crates/gateway/src/gateway_state.rs
@@ -10,7 +10,7 @@
 use crate::settings::GatewaySettings;
 use crate::store_outage::StoreOutage;
 use crate::upstreams::UpstreamDirectory;
-use skylarkshed_core::{BootTimeClock, ClockTime, MonotonicClock, ServiceName};
+use skylarkshed_core::{BootTimeClock, CallerLimits, ClockTime, MonotonicClock, ServiceName};
 use skylarkshed_http_link::BodyBudget;
 use skylarkshed_peer::{PeerClient, PeerKey};
 use skylarkshed_policy::{
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Returns the limits in force on what callers may send.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let table = self.config.table();
+        table.map_or_else(CallerLimits::default, |table| table.limits())
+    }
+
     /// Returns the traffic state of a service, which it creates at first use.
     pub(crate) fn traffic(&self, service: &ServiceName) -> Arc<ServiceTraffic> {
         let make = || ServiceTraffic {
--- a/crates/gateway/src/tracked_stream.rs
+++ b/crates/gateway/src/tracked_stream.rs
@@ -2,6 +2,8 @@
 //! without a reset.
 
 use crate::connection_activity::ConnectionActivity;
+use crate::gateway_state::GatewayState;
+use bytes::Bytes;
 use skylarkshed_core::ClockTime;
 use std::future::Future;
 use std::io;
@@ -21,19 +23,37 @@
 pub(crate) struct TrackedStream {
     stream: TcpStream,
     activity: Arc<ConnectionActivity>,
+    state: Arc<GatewayState>,
+    /// Bytes that were read already, before the connection got another limit.
+    unparsed: Bytes,
     /// Runs since the writing side was closed.
     linger: Option<Pin<Box<Sleep>>>,
 }
 
 impl TrackedStream {
-    pub(crate) fn new(stream: TcpStream, activity: Arc<ConnectionActivity>) -> Self {
+    pub(crate) fn new(
+        stream: TcpStream,
+        activity: Arc<ConnectionActivity>,
+        state: Arc<GatewayState>,
+    ) -> Self {
         TrackedStream {
             stream,
             activity,
+            state,
+            unparsed: Bytes::new(),
             linger: None,
         }
     }
 
+    /// Returns the stream with bytes that are read again first.
+    pub(crate) fn with_unparsed(mut self, bytes: Bytes) -> Self {
+        self.unparsed = match self.unparsed.is_empty() {
+            true => bytes,
+            false => Bytes::from([bytes, self.unparsed.clone()].concat()),
+        };
+        self
+    }
+
     /// Discards bytes until the caller closes the connection.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut bytes = [0; DISCARD_BYTES];
@@ -65,9 +85,24 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let filled = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > filled {
+        if !self.unparsed.is_empty() {
+            let count = buffer.remaining().min(self.unparsed.len());
+            buffer.put_slice(&self.unparsed.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
+        if self
+            .activity
+            .has_outgrown_head_limit(self.state.caller_limits())
+        {
+            // The task that drives the connection checks the same after this poll.
+            return Poll::Pending;
+        }
+        let limit = buffer.remaining().min(self.activity.max_read_bytes());
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut part))?;
+        let count = part.filled().len();
+        buffer.advance(count);
+        if count > 0 {
             self.activity.record_read();
         }
         Poll::Ready(Ok(()))
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod open_files;
 mod partial_responses;
 mod peers;
+mod raised_limits;
 mod responses;
 mod retries;
 mod retry_loans;
