Ask for keys if the list of customers is empty

Cause: an empty list of customers was decoded like a missing one, and meant that no route needs a key. That the VMs had not read the configuration is ruled out: they had its version.

Change: the configuration says whether requests need keys, which they do if it lists customers, also none. `skylarkshed check` warns of an empty list. The test of the route table that an empty default needs no key became two cases, with and without keys needed.

Evidence: `no_key_works_without_customers` failed before in both cases and passes now; a configuration without the list is still served without keys.

--- a/crates/core/src/traffic.rs
+++ b/crates/core/src/traffic.rs
@@ -145,7 +145,10 @@
     pub routes: Vec<RouteConfig>,
     /// All services.
     pub services: Vec<ServiceConfig>,
-    /// All customers; without any, no request needs a key.
+    /// Whether requests need a customer's key, unless their route is public. If there are
+    /// no customers, nobody has one.
+    pub needs_keys: bool,
+    /// All customers.
     pub customers: Vec<CustomerConfig>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
--- a/crates/policy/src/config_check.rs
+++ b/crates/policy/src/config_check.rs
@@ -38,6 +38,16 @@
     }
     find_shadowed_routes(&config.routes, &mut findings);
     find_unused_services(config, &mut findings);
+    if config.needs_keys && config.customers.is_empty() {
+        let message = "there are none, so only requests on public routes are served";
+        let kind = EntryKind::Configuration;
+        findings.push(ConfigFinding::new(
+            FindingLabel::NoCustomers,
+            kind,
+            "customers",
+            message,
+        ));
+    }
     for customer in &config.customers {
         check_customer(customer, &mut findings);
     }
--- a/crates/policy/src/config_finding.rs
+++ b/crates/policy/src/config_finding.rs
@@ -88,6 +88,8 @@
     ShadowedRoute,
     /// A customer has no keys.
     CustomerWithoutKeys,
+    /// Requests need keys, and there are no customers.
+    NoCustomers,
     /// No route uses a service.
     UnusedService,
     /// A later customer has the same key.
@@ -127,6 +129,7 @@
             FindingLabel::PrefixWithoutSlash => "prefix_without_slash",
             FindingLabel::ShadowedRoute => "shadowed_route",
             FindingLabel::CustomerWithoutKeys => "customer_without_keys",
+            FindingLabel::NoCustomers => "no_customers",
             FindingLabel::UnusedService => "unused_service",
             FindingLabel::SharedKey => "shared_key",
             FindingLabel::SeveralAttempts => "several_attempts",
@@ -156,6 +159,7 @@
             | FindingLabel::PrefixWithoutSlash => FindingKind::Error,
             FindingLabel::ShadowedRoute
             | FindingLabel::CustomerWithoutKeys
+            | FindingLabel::NoCustomers
             | FindingLabel::UnusedService
             | FindingLabel::SharedKey => FindingKind::Unreachable,
             FindingLabel::SeveralAttempts
--- a/crates/policy/src/route_table.rs
+++ b/crates/policy/src/route_table.rs
@@ -30,7 +30,7 @@
     customers: HashMap<KeyHash, Arc<CustomerConfig>>,
     engines: HashMap<ServiceName, EngineCapabilities>,
     urgency: UrgencyRanks,
-    has_customers: bool,
+    needs_keys: bool,
 }
 
 impl RouteTable {
@@ -45,7 +45,6 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| Reverse(route.prefix.len()));
         }
-        let has_customers = !config.customers.is_empty();
         let mut customers = HashMap::new();
         for customer in config.customers.into_iter().map(Arc::new) {
             let entries = customer.keys.iter().map(|key| (*key, customer.clone()));
@@ -62,7 +61,7 @@
             customers,
             engines: engines.collect(),
             urgency,
-            has_customers,
+            needs_keys: config.needs_keys,
         }
     }
 
@@ -84,7 +83,7 @@
 
     /// Reports whether requests on a route need a customer's key.
     pub fn needs_key(&self, route: &RouteConfig) -> bool {
-        self.has_customers && !route.is_public
+        self.needs_keys && !route.is_public
     }
 
     /// Returns the customer that holds a key.
--- a/crates/policy/tests/gateway/config_check.rs
+++ b/crates/policy/tests/gateway/config_check.rs
@@ -64,6 +64,7 @@
             route("write", "/find/special/", STREAM),
         ],
         services: vec![service("stores")],
+        needs_keys: true,
         customers: vec![customer("depot", "depot-key"), customer("vendor", "other")],
         limits: CallerLimits {
             max_head_bytes: 8_192,
@@ -137,6 +138,9 @@
 #[case::customer_without_keys(
     |config: &mut RoutingConfig| config.customers[1].keys.clear(),
     FindingLabel::CustomerWithoutKeys, EntryKind::Customer, "vendor")]
+#[case::no_customers(
+    |config: &mut RoutingConfig| config.customers.clear(),
+    FindingLabel::NoCustomers, EntryKind::Configuration, "customers")]
 #[case::unused_service(
     |config: &mut RoutingConfig| config.services.push(service("shops")),
     FindingLabel::UnusedService, EntryKind::Service, "shops")]
--- a/crates/policy/tests/gateway/routes.rs
+++ b/crates/policy/tests/gateway/routes.rs
@@ -38,6 +38,7 @@
             keys: vec![KeyHash::of("one"), KeyHash::of("two")],
             priority: None,
         }],
+        needs_keys: true,
         ..RoutingConfig::default()
     })
 }
@@ -70,10 +71,19 @@
     assert!(table.customer(&KeyHash::of("three")).is_none());
 }
 
-#[test]
-fn without_customers_no_route_needs_a_key() {
-    let table = RouteTable::new(RoutingConfig::default());
-    assert!(!table.needs_key(&route("r", "a.example", "/")));
+/// Guards against routes that are open to everybody once the last customer is removed.
+#[rstest]
+#[case::without_keys(false, true)]
+#[case::without_customers(true, false)]
+fn routes_are_open_only_if_the_configuration_needs_no_keys(
+    #[case] needs_keys: bool,
+    #[case] is_open: bool,
+) {
+    let table = RouteTable::new(RoutingConfig {
+        needs_keys,
+        ..RoutingConfig::default()
+    });
+    assert_eq!(table.needs_key(&route("r", "a.example", "/")), !is_open);
 }
 
 #[test]
--- a/tests/testsuite/tests/gateway/configuration.rs
+++ b/tests/testsuite/tests/gateway/configuration.rs
@@ -1,5 +1,6 @@
 //! The active configuration, revoked keys and upstreams that drain.
 
+use rstest::rstest;
 use serde_json::json;
 use skylarkshed_stand_ins::{ScriptedResponse, StoreMode};
 use skylarkshed_testsuite::{GatewayHarness, HarnessBuilder, DEPOT_KEY, VENDOR_KEY};
@@ -85,6 +86,41 @@
     assert_eq!(harness.send_raw(&other).await.unwrap().status, 200);
 }
 
+/// Guards against routes that are open to everybody once the last customer is removed.
+#[rstest]
+#[case::revoked(DEPOT_KEY)]
+#[case::unknown("no-customer-has-this")]
+#[tokio::test]
+async fn no_key_works_without_customers(#[case] key: &str) {
+    let harness = HarnessBuilder::default().start().await;
+    let mut config = harness.next_config();
+    config["tenants"] = json!([]);
+    config["routes"][1]["public_access"] = json!(true);
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    for path in ["/book/7", "/write/7"] {
+        let request = GatewayHarness::build_request("POST", path, key, "x");
+        assert_eq!(harness.send_raw(&request).await.unwrap().status, 401);
+    }
+    assert_eq!(harness.application_request_count(), 0);
+    let public = GatewayHarness::build_request("GET", "/find/7", key, "");
+    assert_eq!(harness.send_raw(&public).await.unwrap().status, 200);
+}
+
+/// Guards against keys that are asked for although the configuration knows no customers.
+#[tokio::test]
+async fn no_key_is_needed_if_the_configuration_does_not_list_customers() {
+    let harness = HarnessBuilder::default().start().await;
+    let mut config = harness.next_config();
+    config.as_object_mut().unwrap().remove("tenants");
+    let version = config["version"].as_u64().unwrap();
+    harness.put_config(&config);
+    harness.wait_for_config_version(version).await;
+    let request = GatewayHarness::build_request("POST", "/book/7", "unknown", "x");
+    assert_eq!(harness.send_raw(&request).await.unwrap().status, 200);
+}
+
 #[tokio::test]
 async fn keys_stop_working_while_the_store_is_unresponsive() {
     let harness = HarnessBuilder::default().revoke_ms(2_500).start().await;
