Don't pass on responses with a status above 599

Here 000, 0, 099, 20, 2000 and a text were answered 502, but 600 and 999 were passed on to callers of bookings and lookups, with the upstream's signature (MIXED).

Cause: hyper accepts codes up to 999, and every signed response but a server error was taken for an answer. Streams were not affected, nor are reports, copies and the store, where only 200 and named codes are read.

Change: such a response is broken before anything of it is read.

Also tested: a 200 without a length, a part of its body and a reset while the upload is still being written.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -37,6 +37,9 @@
 /// The maximum size of a response that is buffered, as those to calls are.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// The last status code of HTTP. Hyper refuses codes below 100, but not those above.
+const MAX_STATUS: u16 = 599;
+
 /// How long the body of an error may take. Sound upstreams are silent for a second or so.
 const ERROR_BODY_TIMEOUT: ClockTime = ClockTime::from_millis(3_000);
 
@@ -181,6 +184,16 @@
     })?;
     let is_close_delimited = is_close_delimited(&response);
     let (mut parts, body) = response.into_parts();
+    if parts.status.as_u16() > MAX_STATUS {
+        counters::count_bad_response("status");
+        log::info!(
+            request = request.id(),
+            upstream:% = upstream.name(),
+            status = parts.status.as_u16();
+            "response has an invalid status"
+        );
+        return Err(SendError::Broken);
+    }
     let head = P::read_response(&parts);
     strip_connection_headers(&mut parts.headers);
     upstream.record_head(&head, state.config.now());
--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -28,6 +28,16 @@
             respond(*status, &signed, "answer")
         }
         ScriptedResponse::BeforeBody => respond(200, &signed, "answer"),
+        ScriptedResponse::ResetBeforeBody { delay } => {
+            let part = "id: 1\ndata: half\n\n";
+            let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\n{part}");
+            stream.write_all(text.as_bytes()).await?;
+            tokio::time::sleep(*delay).await;
+            return reset(stream);
+        }
+        ScriptedResponse::StatusText(status) => {
+            format!("HTTP/1.1 {status} Status\r\n{signed}Content-Length: 6\r\n\r\nanswer")
+        }
         ScriptedResponse::LongBody { bytes } => respond(200, &signed, &"x".repeat(*bytes)),
         ScriptedResponse::Unsigned => respond(200, &format!("X-Attempt-Id: {id}\r\n"), "answer"),
         ScriptedResponse::WrongAttemptId => respond(
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -140,6 +140,14 @@
     Duplicated,
     /// Responds before it has read the body, then records the part that arrives.
     BeforeBody,
+    /// Sends a part of a body without a content length before it has read the request's
+    /// body, and resets the connection.
+    ResetBeforeBody {
+        /// The time between the part and the reset.
+        delay: Duration,
+    },
+    /// Responds with this text in place of a status code.
+    StatusText(&'static str),
     /// Sends bytes that are not an HTTP response.
     Unparsable,
     /// Never responds.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -60,15 +60,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Removes the next scripted response if it is [`ScriptedResponse::BeforeBody`], and
-    /// reports whether it did.
-    fn take_before_body(&self) -> bool {
+    /// Removes the next scripted response if it is sent before the body is read.
+    fn take_before_body(&self) -> Option<ScriptedResponse> {
         let mut state = self.lock();
-        let is_before_body = matches!(state.script.front(), Some(ScriptedResponse::BeforeBody));
-        if is_before_body {
-            state.script.pop_front();
+        match state.script.front()? {
+            ScriptedResponse::BeforeBody | ScriptedResponse::ResetBeforeBody { .. } => {
+                state.script.pop_front()
+            }
+            _ => None,
         }
-        is_before_body
     }
 }
 
@@ -275,8 +275,8 @@
     let Some((mut request, length)) = read_head(&mut stream).await else {
         return;
     };
-    if shared.take_before_body() {
-        return respond_before_body(&mut stream, request, length, &shared).await;
+    if let Some(response) = shared.take_before_body() {
+        return respond_before_body(&mut stream, request, length, &response, &shared).await;
     }
     if read_body(&mut stream, &mut request.body, length)
         .await
@@ -342,12 +342,11 @@
     stream: &mut TcpStream,
     mut request: ReceivedRequest,
     length: usize,
+    response: &ScriptedResponse,
     shared: &UpstreamShared,
 ) {
-    if send_response(stream, &request, &ScriptedResponse::BeforeBody)
-        .await
-        .is_err()
-    {
+    let sent = send_response(stream, &request, response).await;
+    if sent.is_err() || matches!(response, ScriptedResponse::ResetBeforeBody { .. }) {
         return;
     }
     // The client may close the connection instead of sending the rest.
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -34,4 +34,5 @@
 mod store_restore;
 mod stream_ends;
 mod streams;
+mod troubled_upstreams;
 mod upstream_notices;
