Merge the samples of histograms while nobody fetches the metrics

Cause: the recorder keeps each sample until the metrics are rendered or its upkeep runs.

Change: the gateway and the product's own daemon run the upkeep every 5 s.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
 use crate::platform_api::{RoutingStore, WireProtocol};
 use crate::quarantine::keep_blocks;
 use crate::settings::GatewaySettings;
-use crate::status_endpoints::{serve_metrics, serve_readiness};
+use crate::status_endpoints::{merge_samples, serve_metrics, serve_readiness};
 use crate::store_watch::{watch_control, watch_upstreams, watch_vms};
 use metrics_exporter_prometheus::PrometheusBuilder;
 use skylarkshed_core::ClockTime;
@@ -119,6 +119,7 @@
         task: tokio::spawn(accepting),
     };
     tokio::spawn(serve_readiness(readiness, P::READINESS_PATH, state.clone()));
+    tokio::spawn(merge_samples(metrics.clone()));
     tokio::spawn(serve_metrics(metrics_listener, metrics, state.clone()));
     tokio::spawn(reload_on_signal(hang_up, state.clone(), reload));
     wait_for_signal(terminate).await;
--- a/crates/gateway/src/status_endpoints.rs
+++ b/crates/gateway/src/status_endpoints.rs
@@ -22,6 +22,10 @@
 /// the two checks.
 const MAX_READY_CONFIG_AGE: ClockTime = ClockTime::from_millis(2_000);
 
+/// How long the samples of histograms are kept one by one. Each takes 16 bytes until it is
+/// merged into its histogram, which rendering the metrics does as well.
+const SAMPLE_RETENTION: ClockTime = ClockTime::from_millis(5_000);
+
 /// Reports whether the VM is ready for new connections.
 pub(crate) fn is_ready(state: &GatewayState) -> bool {
     state.leaving_for().is_none()
@@ -46,6 +50,14 @@
     .await;
 }
 
+/// Merges the samples of histograms, also while nobody fetches the metrics.
+pub(crate) async fn merge_samples(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(SAMPLE_RETENTION.to_duration()).await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Serves the metrics, on any path.
 pub(crate) async fn serve_metrics(
     listener: TcpListener,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,7 +15,7 @@
     UpstreamRegistry,
 };
 use arc_swap::ArcSwap;
-use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use skylarkshed_core::{ClockTime, IncarnationId, MonotonicClock, NodeSettings};
 use skylarkshed_operator::schema::OperatorServer;
 use skylarkshed_peer::{serve_peers, PeerClient, PeerError, PeerKey};
@@ -67,6 +67,9 @@
     gossip_socket: Arc<UdpSocket>,
 }
 
+/// How long the samples of histograms are kept one by one.
+const SAMPLE_RETENTION: ClockTime = ClockTime::from_millis(5_000);
+
 /// Serves with these settings until the process gets a termination signal.
 ///
 /// Prints one JSON line with the bound addresses once all sockets listen.
@@ -79,6 +82,7 @@
     let metrics = PrometheusBuilder::new()
         .install_recorder()
         .map_err(|error| NodeError::Metrics(error.to_string()))?;
+    tokio::spawn(merge_samples(metrics.clone()));
     let listeners = NodeListeners::bind(&settings).await?;
     let addresses = listeners.addresses()?;
     let shared = make_shared(settings, addresses.peers)?;
@@ -120,6 +124,14 @@
     result.map_err(|error| NodeError::Serve(error.to_string()))
 }
 
+/// Merges the samples of histograms, also while nobody fetches the metrics.
+async fn merge_samples(metrics: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(SAMPLE_RETENTION.to_duration()).await;
+        metrics.run_upkeep();
+    }
+}
+
 fn make_shared(
     settings: NodeSettings,
     listen_address: SocketAddr,
--- a/tests/testsuite/src/gateway_harness.rs
+++ b/tests/testsuite/src/gateway_harness.rs
@@ -1,8 +1,8 @@
 //! A gateway process with fakes of its store and its upstreams.
 
 use crate::gateway_process::{
-    config_metric, copy_output, get, peak_memory_kib, processor_ticks, start_process,
-    wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
+    config_metric, copy_output, get, peak_memory_kib, processor_ticks, resident_memory_kib,
+    start_process, wait_for_metric, POLL_INTERVAL, STATE_TIMEOUT,
 };
 use crate::harness_builder::HarnessBuilder;
 use crate::raw_client::{RawClient, RawResponse};
@@ -206,6 +206,11 @@
         peak_memory_kib(self.process.id().expect("the process runs"))
     }
 
+    /// Returns the process's resident memory.
+    pub fn resident_memory_kib(&self) -> u64 {
+        resident_memory_kib(self.process.id().expect("the process runs"))
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let id = self.process.id().expect("the process runs");
--- a/tests/testsuite/src/gateway_process.rs
+++ b/tests/testsuite/src/gateway_process.rs
@@ -97,12 +97,21 @@
 
 /// Returns the peak of a process's resident memory.
 pub(crate) fn peak_memory_kib(process: u32) -> u64 {
+    read_memory_kib(process, "VmHWM:")
+}
+
+/// Returns a process's resident memory.
+pub(crate) fn resident_memory_kib(process: u32) -> u64 {
+    read_memory_kib(process, "VmRSS:")
+}
+
+fn read_memory_kib(process: u32, field: &str) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let line = status.lines().find_map(|line| line.strip_prefix(field));
     let value = line.and_then(|line| line.trim().strip_suffix(" kB"));
     let value = value.and_then(|value| value.parse().ok());
-    value.expect("the kernel reports the peak in kB")
+    value.expect("the kernel reports it in kB")
 }
 
 /// Returns the processor time that a process has used, in clock ticks.
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod framing;
 mod leaving;
 mod lost_store;
+mod metrics_memory;
 mod mistaken_blocks;
 mod odd_entries;
 mod open_files;
