Keep the parser of a connection that is being closed

Found by a test of the raised limit on heads before it was released: a connection whose last response has announced its end, and that still discards what its caller sends, got a new parser when the limit was raised. That ran a request which could not be answered there.

Change: a connection keeps its limit once its writing side is closed. The check of an upstream's process and the idle time of a closing connection are easier to read.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -251,7 +251,7 @@
             // A connection that is slow to send its head is dropped below.
             None if activity.is_idle() && mode != ConnectionMode::Closing => {
                 close_gracefully(connection.as_mut(), activity);
-                activity.record_write();
+                activity.restart_idle_time();
                 idle_close = Some(match mode {
                     ConnectionMode::Leaving => IdleClose::Draining,
                     ConnectionMode::Open | ConnectionMode::Closing => IdleClose::TimedOut,
--- a/crates/gateway/src/connection_activity.rs
+++ b/crates/gateway/src/connection_activity.rs
@@ -97,7 +97,8 @@
             .max(limit)
     }
 
-    /// Keeps the limit that the connection reads with until its end.
+    /// Keeps the limit that the connection reads with until its end, because it reads no
+    /// other head.
     pub(crate) fn keep_head_limit(&self) {
         self.max_head_bytes.store(usize::MAX, Ordering::Relaxed);
     }
@@ -191,6 +192,11 @@
     /// has ended.
     pub(crate) fn record_write(&self) {
         self.is_write_blocked.store(false, Ordering::Relaxed);
+        self.restart_idle_time();
+    }
+
+    /// Counts the idle time of an idle connection from now on.
+    pub(crate) fn restart_idle_time(&self) {
         if self.is_idle() {
             self.enter(IDLE);
         }
--- a/crates/gateway/src/process_check.rs
+++ b/crates/gateway/src/process_check.rs
@@ -21,27 +21,27 @@
 /// which is then closed at once, and an answer may be lost on the way; both are tried again.
 pub(crate) async fn check_process(address: SocketAddr) -> ProcessCheck {
     let limit = CONNECT_TIMEOUT.to_duration();
-    let mut last = ProcessCheck::Unreachable;
+    let mut check = ProcessCheck::Unreachable;
     for _ in 0..CONNECT_ATTEMPTS {
         let connecting = TcpStream::connect(address);
-        last = match tokio::time::timeout(limit, connecting).await {
-            Ok(Ok(stream)) => {
-                let mut byte = [0; 1];
-                let closing = stream.peek(&mut byte);
-                let limit = CLOSE_TIME.to_duration();
-                if tokio::time::timeout(limit, closing).await.is_err() {
-                    return ProcessCheck::Running;
-                }
-                // It may have too many connections.
-                ProcessCheck::Running
-            }
+        check = match tokio::time::timeout(limit, connecting).await {
+            Ok(Ok(stream)) if !is_closed_at_once(&stream).await => return ProcessCheck::Running,
+            // One that closes all of them has too many.
+            Ok(Ok(_)) => ProcessCheck::Running,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return ProcessCheck::Ended;
             }
             Ok(Err(_)) | Err(_) => ProcessCheck::Unreachable,
         };
     }
-    last
+    check
+}
+
+async fn is_closed_at_once(stream: &TcpStream) -> bool {
+    let mut byte = [0; 1];
+    let closing = stream.peek(&mut byte);
+    let closed = tokio::time::timeout(CLOSE_TIME.to_duration(), closing).await;
+    closed.is_ok()
 }
 
 /// Reports whether an upstream's process has ended: its host refuses connections.
--- a/crates/gateway/src/tracked_stream.rs
+++ b/crates/gateway/src/tracked_stream.rs
@@ -131,6 +131,7 @@
     /// Closes the writing side, then waits for the caller to close the connection.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
+            self.activity.keep_head_limit();
             ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
             self.linger = Some(Box::pin(sleep(LINGER_TIMEOUT.to_duration())));
         }
--- a/tests/testsuite/tests/gateway/raised_limits.rs
+++ b/tests/testsuite/tests/gateway/raised_limits.rs
@@ -126,3 +126,23 @@
         assert_eq!((response.status, response.body.len()), (200, bytes));
     }
 }
+
+/// Guards against a request that is run on a connection whose last response has announced
+/// its end, and that can't be answered there.
+#[tokio::test]
+async fn connection_that_is_being_closed_takes_no_request_with_the_raised_limit() {
+    let harness = start().await;
+    let mut client = harness.connect().await;
+    let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
+    let last = request.replacen("Content-Length", "Connection: close\r\nContent-Length", 1);
+    client.send(last.as_bytes()).await;
+    assert_eq!(client.read_response().await.unwrap().status, 200);
+    raise_limit(&harness).await;
+    for _ in 0..2 {
+        let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
+        assert!(client.try_send(request.as_bytes()).await);
+        tokio::time::sleep(ACCEPT_TIME).await;
+    }
+    client.wait_for_close().await;
+    assert_eq!(harness.application_request_count(), 1);
+}
