Make the test of a leaving process guard its part of the fix

The test of a caller that pauses while its process leaves passed without the part of that is for it: the kernel's buffers held all answers, so that it only showed the socket option. It now sends more requests than the buffers hold answers for, and checks that some are left.

No code of the product changed.

--- a/tests/testsuite/tests/gateway/slow_peers.rs
+++ b/tests/testsuite/tests/gateway/slow_peers.rs
@@ -14,6 +14,10 @@
 /// More than a closed window lets through.
 const BODY_BYTES: usize = 200_000;
 const EVENTS: u64 = 4_000;
+/// More than the buffers of the kernel hold answers for.
+const PIPELINED_REQUESTS: usize = 12;
+/// The time in which the buffers of the kernel are filled.
+const FILL_TIME: Duration = Duration::from_millis(700);
 
 /// Guards against an answer that is lost because its caller pauses before it reads on.
 #[tokio::test]
@@ -50,21 +54,26 @@
 }
 
 /// Guards against an answer that a leaving process cuts off because its caller pauses. The
-/// first answer fills the buffers of the kernel, so the second one stays in the process.
+/// first answers fill the buffers of the kernel, so the last one stays in the process.
 #[tokio::test]
 async fn answer_to_a_caller_that_pauses_is_complete_while_the_process_leaves() {
     let harness = HarnessBuilder::default().start().await;
     let bytes = 1_000_000;
     harness.applications[0].set_default_response(ScriptedResponse::LongBody { bytes });
     let mut client = RawClient::connect_with_small_buffer(harness.caller_address).await;
-    for _ in 0..3 {
+    for _ in 0..PIPELINED_REQUESTS {
         let request = GatewayHarness::build_request("POST", "/book/7", DEPOT_KEY, "x");
         client.send(request.as_bytes()).await;
     }
-    harness.applications[0].wait_for_requests(2).await;
+    tokio::time::sleep(FILL_TIME).await;
+    let answered = harness.application_request_count();
+    assert!(
+        answered < PIPELINED_REQUESTS,
+        "the buffers hold all answers"
+    );
     harness.signal(Signal::SIGTERM);
     tokio::time::sleep(PAUSE).await;
-    for _ in 0..2 {
+    for _ in 0..answered {
         let response = client.read_response().await.expect("the VM responds");
         assert!(response.is_complete, "{} bytes", response.body.len());
         assert_eq!(response.body.len(), bytes);
