Add a review case: a stream that a crash cuts short ends as complete

Cause: when a stream without a length closes, an engine whose report doesn't arrive within 40 ms counts as the process that sent the stream. An engine that was killed behind a cut and has just started again, cold, answers later.

What was done: a script case (review/15); the engine stand-in can send streams without a length and answer late for its state.

--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns how often the rule was broken, or none if it did not come about.
 
 mod cut_answer;
+mod cut_stream;
 mod foreign_entry;
 mod leaving_holder;
 mod odd_key;
@@ -12,6 +13,7 @@
 pub fn play(name: &str, bench: &Bench, has_trouble: bool) -> Option<u32> {
     match name {
         "cut-answer" => cut_answer::play(bench, has_trouble),
+        "cut-stream" => cut_stream::play(bench, has_trouble),
         "foreign-entry" => foreign_entry::play(bench, has_trouble),
         "leaving-holder" => leaving_holder::play(bench, has_trouble),
         "odd-key" => odd_key::play(bench, has_trouble),
--- a/review/stand-ins-3/src/replica.rs
+++ b/review/stand-ins-3/src/replica.rs
@@ -25,6 +25,10 @@
     /// The time that passes within an answer without a length.
     unframed_pause: Duration,
     requests: AtomicU64,
+    /// How long it takes to answer a question for its state.
+    report: Duration,
+    /// Whether its streams have no length.
+    has_unframed_streams: bool,
     /// The events of a stream and the time between two of them; no events for an application.
     events: u64,
     interval: Duration,
@@ -54,6 +58,8 @@
         unframed_every: options.number("unframed-every"),
         unframed_pause: Duration::from_millis(options.number("unframed-ms")),
         requests: AtomicU64::new(0),
+        report: Duration::from_millis(options.number("report-ms")),
+        has_unframed_streams: options.number("unframed-streams") > 0,
         events: options.number("events"),
         interval: Duration::from_millis(options.number("interval-ms")),
     });
@@ -106,6 +112,7 @@
     fn answer(&self, stream: &mut TcpStream, request: &Message) -> std::io::Result<()> {
         let path = request.target();
         if path == "/-/report" {
+            std::thread::sleep(self.report);
             let report = format!(
                 "{{\"born\":{},\"stage\":\"both\",\"busy\":false,\"sequence\":1,\"waiting\":0,\
                  \"running\":0,\"cache_used\":0,\"cache_total\":88000,\"handles\":0}}",
@@ -165,9 +172,12 @@
         id: &str,
         request: &Message,
     ) -> std::io::Result<()> {
+        let framing = match self.has_unframed_streams {
+            true => "Connection: close",
+            false => "Transfer-Encoding: chunked",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\n{framing}\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
         let last = request
@@ -176,12 +186,20 @@
         for number in last.unwrap_or(0u64) + 1..=self.events {
             std::thread::sleep(self.interval);
             let event = event(id, number);
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            stream.write_all(chunk.as_bytes())?;
+            match self.has_unframed_streams {
+                true => stream.write_all(event.as_bytes())?,
+                false => {
+                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                    stream.write_all(chunk.as_bytes())?;
+                }
+            }
         }
-        stream.write_all(b"0\r\n\r\n")?;
         self.note("answered", request);
-        Ok(())
+        match self.has_unframed_streams {
+            // The end of the connection is the end of the answer.
+            true => Err(std::io::ErrorKind::ConnectionAborted.into()),
+            false => stream.write_all(b"0\r\n\r\n"),
+        }
     }
 }
 
