--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../play-3.sh" 14 other-part
+exec "$(dirname "$0")/../play-3.sh" 14 odd-key
