--- a/review/stand-ins-3/src/cases/cut_answer.rs
+++ b/review/stand-ins-3/src/cases/cut_answer.rs
@@ -55,10 +55,10 @@
         signal(&replica.process.0, "KILL");
         drop(replica);
         record.note(&format!("{id} is killed behind the cut"));
-        pause(100);
+        pause(700);
         let replica = bench.start_replica(&id, "counter", address, &[]);
         record.note(&format!("{id} has started again"));
-        pause(400);
+        pause(200);
         path.set_cut(false);
         record.note(&format!("{id} is no longer cut off"));
         let entry = replica.entry(path.address, ZONES[0], "ready", 1);
--- a/review/stand-ins-3/src/fleet.rs
+++ b/review/stand-ins-3/src/fleet.rs
@@ -3,27 +3,41 @@
 use crate::http::wait_for_status;
 use crate::record::{unix_ms, Record};
 use crate::store::Store;
+use std::collections::hash_map::RandomState;
 use std::fs::File;
+use std::hash::BuildHasher;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::time::Duration;
 
-/// Returns a loopback address with a free port.
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("it is bound")
+/// The ports that are tried: those below the ones that systems give to outgoing connections.
+const FIRST_PORT: u64 = 12_000;
+const LAST_PORT: u64 = 32_000;
+
+/// Reports whether a port of the loopback address is free.
+fn is_free(port: u16) -> bool {
+    TcpListener::bind(("127.0.0.1", port)).is_ok()
 }
 
-/// Returns the first of two neighbouring free ports.
-fn free_port_pair() -> u16 {
-    loop {
-        let first = free_address().port();
-        if first < 65_000 && TcpListener::bind(("127.0.0.1", first + 1)).is_ok() {
-            return first;
+/// Returns the first of so many neighbouring free ports. Cases that run at the same time try
+/// different ones.
+fn free_ports(count: u16) -> u16 {
+    let hasher = RandomState::new();
+    for number in 0u64.. {
+        let range = LAST_PORT - FIRST_PORT - u64::from(count);
+        let port = (FIRST_PORT + hasher.hash_one(number) % range) as u16;
+        if (port..port + count).all(is_free) {
+            return port;
         }
     }
+    unreachable!("the numbers do not end")
+}
+
+/// Returns a loopback address with a free port.
+pub fn free_address() -> SocketAddr {
+    ([127, 0, 0, 1], free_ports(1)).into()
 }
 
 /// Sends a signal to a process that this one has started.
@@ -74,9 +88,13 @@
     });
 }
 
+/// How often a gateway is started, and when one that can't listen has ended.
+const LAUNCHES: u32 = 4;
+const LAUNCH_TIME: Duration = Duration::from_millis(100);
+
 /// A gateway process.
 pub struct Gateway {
-    _process: Process,
+    process: Process,
     pub callers: SocketAddr,
     ready: SocketAddr,
 }
@@ -108,10 +126,21 @@
         gateway
     }
 
-    /// Starts a gateway.
+    /// Starts a gateway, with other ports if another process has taken one of its own.
     pub fn launch_gateway(&self, name: &str, zone: &str) -> Gateway {
+        for _ in 0..LAUNCHES {
+            let mut gateway = self.try_launch(name, zone);
+            std::thread::sleep(LAUNCH_TIME);
+            if matches!(gateway.process.0.try_wait(), Ok(None)) {
+                return gateway;
+            }
+        }
+        panic!("{name} does not start");
+    }
+
+    fn try_launch(&self, name: &str, zone: &str) -> Gateway {
         let (callers, ready, control) = (free_address(), free_address(), free_address());
-        let first = free_port_pair();
+        let first = free_ports(2);
         let store = self.store.address;
         let settings = format!(
             r#"node_name = "{name}"
@@ -198,7 +227,7 @@
                 .stdout(log),
         );
         Gateway {
-            _process: process,
+            process,
             callers,
             ready,
         }
--- a/review/stand-ins-3/src/store.rs
+++ b/review/stand-ins-3/src/store.rs
@@ -141,10 +141,7 @@
     /// Reads a range of one part of a table.
     fn read(&self, request: &Message) -> String {
         let (table, part) = (request.query("table"), request.query("part"));
-        let from = request
-            .query("from")
-            .replace("%00", "\0")
-            .replace("%2F", "/");
+        let from = decode_percent(&request.query("from"));
         let limit = request.query("limit").parse().unwrap_or(500usize).min(500);
         let rows = self.rows.0.lock().expect("no panic");
         let is_wanted =
@@ -203,3 +200,20 @@
         (200, self.reply(&[], false, revision))
     }
 }
+
+/// Decodes a parameter of a query.
+fn decode_percent(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, others)) = rest.split_first() {
+        let code = others.get(..2).filter(|_| *first == b'%');
+        let code = code.and_then(|code| std::str::from_utf8(code).ok());
+        let code = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        bytes.push(code.unwrap_or(*first));
+        rest = match code {
+            Some(_) => &others[2..],
+            None => others,
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
