Add a review case: an old entry brings a replica back that has left

UpstreamTable compares the starts of two entries of one replica only for equality, so an entry of an earlier start counts as one of a new start, and that the replica has left is forgotten.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../play-3.sh" 15 other-part
+exec "$(dirname "$0")/../play-3.sh" 15 old-entry
--- a/review/stand-ins-3/src/cases/mod.rs
+++ b/review/stand-ins-3/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod cut_stream;
 mod foreign_entry;
 mod odd_key;
+mod old_entry;
 mod other_part;
 
 use crate::fleet::Bench;
@@ -15,6 +16,7 @@
         "cut-stream" => cut_stream::play(bench, has_trouble),
         "foreign-entry" => foreign_entry::play(bench, has_trouble),
         "odd-key" => odd_key::play(bench, has_trouble),
+        "old-entry" => old_entry::play(bench, has_trouble),
         "other-part" => other_part::play(bench, has_trouble),
         _ => None,
     }
