Make the old entry of review case 15 arrive while the store is sound

In the case the store performed a check-in 5.8 s late.

Now the check-in is held up by a cut between the replica and the store (srv_cut reborn), behind which the replica crashes and starts again; the store and the gateway are undisturbed. The fault is the same: the starts of two entries are compared for equality only.

--- a/review/stand-ins-3/src/cases/old_entry.rs
+++ b/review/stand-ins-3/src/cases/old_entry.rs
@@ -1,5 +1,6 @@
-//! A replica's check-in gets no answer and is performed seconds later. By then the replica has
-//! crashed, has started again under its id, and has left without a notice.
+//! A replica's check-in is held up by a cut between the replica and the store. Behind the cut
+//! the replica crashes and starts again under its id; after the cut it checks in and then leaves
+//! without a notice. Only now the check-in of its first start reaches the store.
 
 use super::{pause, ZONES};
 use crate::callers::Callers;
@@ -9,14 +10,26 @@
 const DRAIN_MS: u64 = 2_000;
 /// The time between two check-ins.
 const HEARTBEAT_MS: u64 = 1_200;
-/// How long the replica is down.
-const DOWN_MS: u64 = 1_000;
-/// How long after its sending the check-in is performed; at most 6 s.
-const LATE_MS: u64 = 5_800;
-/// How long after its sending the replica's entry is removed: the store is stable again.
-const LEAVES_MS: u64 = 3_400;
+
+// All times from here on count from the start of the cut.
+
+/// When the check-in that the cut holds up is sent; the one before came 1 s before the cut.
+const SENT_MS: u64 = 100;
+const CRASHES_MS: u64 = 300;
+/// When the replica starts again.
+const STARTS_MS: u64 = 1_300;
+/// When the store removes the replica's entry, after three check-in intervals of silence.
+const EXPIRES_MS: u64 = 3 * HEARTBEAT_MS - 1_000;
+/// When the cut heals.
+const HEALS_MS: u64 = 3_200;
+/// When the entry of the second start is removed, as the replica is taken away.
+const LEAVES_MS: u64 = 4_400;
+/// When TCP sends the check-in that was held up again, with success: it repeats a segment
+/// after 200 ms and then after twice as long each time, so 200, 600, 1,400, 3,000 and 6,200 ms
+/// after it was sent first.
+const ARRIVES_MS: u64 = SENT_MS + 6_200;
 /// How long the replica serves after its entry was removed.
-const SERVES_MS: u64 = 5_500;
+const SERVES_MS: u64 = 5_300;
 
 pub fn play(bench: &Bench, has_trouble: bool) -> Option<u32> {
     let (record, store) = (&bench.record, &bench.store);
@@ -34,36 +47,43 @@
     // Until the machine is in touch.
     pause(4_000);
     let mut replica = replicas.remove(0);
-    let id = replica.id.clone();
+    let (id, address, zone) = (replica.id.clone(), replica.address, ZONES[0]);
+    let entry = replica.entry(address, zone, "ready", 2);
+    store.put("servers", "", &id, Some(&entry));
+    pause(1_000);
     let begun_at = unix_ms();
     let pause_until = |after_ms: u64| pause((begun_at + after_ms).saturating_sub(unix_ms()));
-    let late_entry = replica.entry(replica.address, ZONES[0], "ready", 2);
+    let held_entry = replica.entry(address, zone, "ready", 3);
     if has_trouble {
-        record.note(&format!("{id} checks in and gets no answer: {late_entry}"));
-        pause(100);
+        record.note(&format!("{id} is cut off from the store"));
+        pause_until(SENT_MS);
+        record.note(&format!(
+            "{id} checks in; the cut holds it up: {held_entry}"
+        ));
+        pause_until(CRASHES_MS);
         signal(&replica.process.0, "KILL");
-        let address = replica.address;
         drop(replica);
-        record.note(&format!("{id} crashes"));
-        pause(DOWN_MS);
+        record.note(&format!("{id} crashes behind the cut"));
+        pause_until(STARTS_MS);
         replica = bench.start_replica(&id, "counter", address, &["--work-ms", "60"]);
         record.note(&format!("{id} has started again"));
-        let entry = replica.entry(address, ZONES[0], "ready", 1);
-        store.put("servers", "", &id, Some(&entry));
-        record.note(&format!("{id} checks in: {entry}"));
-        pause(HEARTBEAT_MS);
-        let entry = replica.entry(address, ZONES[0], "ready", 2);
+        pause_until(EXPIRES_MS);
+        store.put("servers", "", &id, None);
+        record.note(&format!("the entry of {id} expires"));
+        pause_until(HEALS_MS);
+        let entry = replica.entry(address, zone, "ready", 1);
         store.put("servers", "", &id, Some(&entry));
+        record.note(&format!("the cut heals, {id} checks in: {entry}"));
     }
     pause_until(LEAVES_MS);
     store.put("servers", "", &id, None);
     let removed_at = unix_ms();
     record.note(&format!("the entry of {id} is removed; it serves on"));
-    pause_until(LATE_MS);
+    pause_until(ARRIVES_MS);
     if has_trouble {
-        store.put("servers", "", &id, Some(&late_entry));
+        store.put("servers", "", &id, Some(&held_entry));
         record.note(&format!(
-            "the store performs the check-in that it has not answered: {late_entry}"
+            "the check-in that was held up arrives: {held_entry}"
         ));
     }
     pause_until(LEAVES_MS + SERVES_MS);
