Keep texts of others from changing the meaning of messages

Cause: the last key of a page, names, and handles of copies became parts of paths and headers without encoding, and a path or header that can't be written became '/' or was left out, so that another message was sent.

Entries of upstreams under such names can't be read.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -76,6 +76,11 @@
     counter!("gateway_unreadable_rows_total").increment(1);
 }
 
+/// Counts a request that was not sent because it can't be written.
+pub(crate) fn count_unwritable_request() {
+    counter!("gateway_unwritable_requests_total").increment(1);
+}
+
 /// Counts an upstream's entry that is missing right after an outage of the store and
 /// is kept for the grace period.
 pub(crate) fn count_missing_entry() {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -34,6 +34,9 @@
 /// VM has access, [`outage_delay`] is used.
 const RETRY_AFTER_STALE: ClockTime = ClockTime::from_millis(100);
 
+/// Only another configuration helps a customer whose name upstreams can't be told.
+const RETRY_AFTER_UNWRITABLE: ClockTime = ClockTime::from_millis(5_000);
+
 /// Bodies are read within about this time; a caller that comes back reaches another VM.
 const RETRY_AFTER_NO_MEMORY: ClockTime = ClockTime::from_millis(200);
 
@@ -185,6 +188,9 @@
         ))
     })?;
     let (route, customer) = authorize(state, &table, &head, &parts).map_err(refuse_with)?;
+    if let Some(customer) = &customer {
+        check_customer::<P>(customer).map_err(refuse_with)?;
+    }
     let deadline = RequestDeadline::new(state.clock, unanswered.received, &route, head.time_left);
     let deadline = limit_to_grace(state, route.kind, deadline).map_err(refuse_with)?;
     let limit = table.limits().max_body_bytes;
@@ -253,6 +259,13 @@
     }
 }
 
+fn check_customer<P: WireProtocol>(customer: &CustomerName) -> Result<(), RequestRefusal> {
+    P::check_customer(customer).map_err(|error| {
+        log::warn!("requests of a customer can't be written: {error}");
+        RequestRefusal::NotRun(NotRunReason::Unwritable, RETRY_AFTER_UNWRITABLE)
+    })
+}
+
 /// Returns the deadline of a request that a process accepts, which is not later than its
 /// exit; refuses the request if the process leaves and the request needs longer.
 fn limit_to_grace(
--- a/crates/gateway/src/engine_calls.rs
+++ b/crates/gateway/src/engine_calls.rs
@@ -1,6 +1,7 @@
 //! Control calls to engines: load reports and KV cache copies.
 
 use crate::gateway_state::GatewayState;
+use crate::message_error::MessageError;
 use crate::platform_api::{KvCacheCopy, WireProtocol};
 use crate::upstreams::UpstreamState;
 use bytes::Bytes;
@@ -130,9 +131,10 @@
 async fn call_engine<P: WireProtocol>(
     state: &GatewayState,
     engine: &UpstreamState,
-    request: BufferedRequest,
+    request: Result<BufferedRequest, MessageError>,
     timeout: ClockTime,
 ) -> Result<Bytes, String> {
+    let request = request.map_err(|error| error.to_string())?;
     if engine.is_deferred(state.config.now()) {
         return Err("the engine asked for no requests for a while".to_owned());
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -174,6 +174,15 @@
         ..*options
     };
     let message = P::write_request(&request.parts, request.body.clone(), &options);
+    let message = message.map_err(|error| {
+        counters::count_unwritable_request();
+        log::warn!(
+            request = request.id(),
+            upstream:% = upstream.name();
+            "request can't be written: {error}"
+        );
+        SendError::Unsent
+    })?;
     let sent = connection.send(message).await;
     let response = sent.map_err(|error| {
         let now = state.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod gateway_state;
 mod jitter;
 mod log_writer;
+mod message_error;
 mod peers;
 mod platform_api;
 mod process_check;
@@ -50,6 +51,7 @@
 mod upstreams;
 
 pub use log_writer::{start_logging, LogError};
+pub use message_error::MessageError;
 pub use platform_api::{
     ControlUpdate, FeedSource, HeadError, KvCacheCopy, RequestHead, ResponseHead, RolloutSnapshot,
     RolloutStatus, RoutingStore, SendOptions, StoreError, UpstreamUpdate, VmUpdate, WireProtocol,
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -1,5 +1,6 @@
 //! The traits that a platform implements for the gateway, with their types.
 
+use crate::message_error::MessageError;
 use bytes::Bytes;
 use faststr::FastStr;
 use http::{request, response};
@@ -117,18 +118,33 @@
     /// Fails if a required header is missing, repeated or malformed.
     fn read_request(parts: &request::Parts) -> Result<RequestHead, HeadError>;
 
+    /// Checks that requests of a customer can be written.
+    ///
+    /// # Errors
+    ///
+    /// Fails if upstreams can't be told the customer's name.
+    fn check_customer(customer: &CustomerName) -> Result<(), MessageError>;
+
     /// Writes a caller's request in the form that upstreams expect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part of it would mean something else to the upstream.
     fn write_request(
         parts: &request::Parts,
         body: Bytes,
         options: &SendOptions<'_>,
-    ) -> BufferedRequest;
+    ) -> Result<BufferedRequest, MessageError>;
 
     /// Parses the head of an upstream's response.
     fn read_response(parts: &response::Parts) -> ResponseHead;
 
     /// Writes a request for an engine's load report.
-    fn write_report_request(engine: &UpstreamRecord) -> BufferedRequest;
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be written, as do the other calls to engines.
+    fn write_report_request(engine: &UpstreamRecord) -> Result<BufferedRequest, MessageError>;
 
     /// Parses an engine's load report.
     ///
@@ -138,7 +154,7 @@
     fn read_report(body: &[u8]) -> Result<EngineLoad, String>;
 
     /// Writes a request for the list of the parts of prompts in an engine's KV cache.
-    fn write_cache_request(engine: &UpstreamRecord) -> BufferedRequest;
+    fn write_cache_request(engine: &UpstreamRecord) -> Result<BufferedRequest, MessageError>;
 
     /// Parses the identifiers of the parts in an engine's KV cache.
     ///
@@ -152,10 +168,13 @@
         engine: &UpstreamRecord,
         request: &str,
         to: SocketAddr,
-    ) -> BufferedRequest;
+    ) -> Result<BufferedRequest, MessageError>;
 
     /// Writes the command to drop a copy, for the engine that made it.
-    fn write_drop_request(engine: &UpstreamRecord, handle: &str) -> BufferedRequest;
+    fn write_drop_request(
+        engine: &UpstreamRecord,
+        handle: &str,
+    ) -> Result<BufferedRequest, MessageError>;
 
     /// Parses the handle of the copy that an engine made.
     ///
@@ -195,6 +214,12 @@
     /// The response can't be parsed.
     #[error("the store's response can't be parsed: {0}")]
     Unreadable(String),
+    /// The response is longer than any that the store returns for such a call.
+    #[error("the store's response is longer than {0} bytes")]
+    LongReply(usize),
+    /// The call can't be written, so it was not made.
+    #[error("the call was not made: {0}")]
+    Unwritable(#[from] MessageError),
 }
 
 impl StoreError {
@@ -210,6 +235,8 @@
             StoreError::Outdated(_) => "outdated",
             StoreError::Busy(_) => "busy",
             StoreError::Unreadable(_) => "unreadable",
+            StoreError::LongReply(_) => "long_reply",
+            StoreError::Unwritable(_) => "unwritable",
         }
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -61,6 +61,8 @@
     NoMemory,
     /// Its prompt has a part that ends engines.
     PromptBlocked,
+    /// Upstreams can't be told what the request needs.
+    Unwritable,
 }
 
 impl NotRunReason {
@@ -77,6 +79,7 @@
             NotRunReason::SlowRequest => "slow_request",
             NotRunReason::NoMemory => "no_memory",
             NotRunReason::PromptBlocked => "prompt_blocked",
+            NotRunReason::Unwritable => "unwritable",
         }
     }
 
--- a/crates/gateway/src/rollouts/exchange.rs
+++ b/crates/gateway/src/rollouts/exchange.rs
@@ -141,7 +141,7 @@
         earlier,
         ..progress.word.clone()
     };
-    PeerBody::RolloutWord(serde_json::to_string(&word).unwrap_or_default())
+    PeerBody::RolloutWord(serde_json::to_string(&word).expect("the word is serialisable"))
 }
 
 /// Records this VM's samples, as a hub.
--- a/crates/gateway/src/rollouts/task.rs
+++ b/crates/gateway/src/rollouts/task.rs
@@ -78,7 +78,7 @@
     ) -> Option<JudgedSamples> {
         let hubs = find_hubs(state, record);
         let samples = record.snapshot();
-        let encoded = serde_json::to_string(&samples).unwrap_or_default();
+        let encoded = serde_json::to_string(&samples).expect("samples are serialisable");
         let reports = hubs
             .others
             .iter()
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -24,7 +24,9 @@
 pub fn make_client() -> Client {
     let mut builder = ClientBuilder::new();
     builder.set_connect_timeout(CONNECT_TIMEOUT.to_duration());
-    builder.build().unwrap_or_default()
+    builder
+        .build()
+        .expect("a client without TLS needs nothing that can be missing")
 }
 
 /// Reports whether an error proves that nothing of the request was sent.
--- a/crates/policy/src/config_finding.rs
+++ b/crates/policy/src/config_finding.rs
@@ -80,6 +80,8 @@
     ZeroAttempts,
     /// A time is below zero.
     NegativeTime,
+    /// Upstreams can't be told a name.
+    UnwritableName,
     /// The target latency is above the timeout.
     TargetAboveTimeout,
     /// A prefix doesn't begin and end with a slash.
@@ -125,6 +127,7 @@
             FindingLabel::ZeroTimeout => "zero_timeout",
             FindingLabel::ZeroAttempts => "zero_attempts",
             FindingLabel::NegativeTime => "negative_time",
+            FindingLabel::UnwritableName => "unwritable_name",
             FindingLabel::TargetAboveTimeout => "target_above_timeout",
             FindingLabel::PrefixWithoutSlash => "prefix_without_slash",
             FindingLabel::ShadowedRoute => "shadowed_route",
@@ -155,6 +158,7 @@
             | FindingLabel::ZeroTimeout
             | FindingLabel::ZeroAttempts
             | FindingLabel::NegativeTime
+            | FindingLabel::UnwritableName
             | FindingLabel::TargetAboveTimeout
             | FindingLabel::PrefixWithoutSlash => FindingKind::Error,
             FindingLabel::ShadowedRoute
--- a/src/cmd/describe.rs
+++ b/src/cmd/describe.rs
@@ -1,7 +1,7 @@
 //! `describe`: prints the configuration and the revision of each VM.
 
 use super::operator::{print, run, with_operator_args};
-use crate::exit::CommandResult;
+use crate::exit::{CommandError, CommandResult};
 use clap::{ArgMatches, Command};
 use serde::Serialize;
 use skylarkshed_operator::schema::{DescribeReply, DescribeRequest};
@@ -33,22 +33,23 @@
         matches,
         |client| async move { client.describe(request).await },
     )?;
-    let description = to_description(reply);
+    let description = to_description(reply)?;
     print(matches, &description, || to_text(&description));
     Ok(())
 }
 
-fn to_description(reply: DescribeReply) -> Description {
+fn to_description(reply: DescribeReply) -> Result<Description, CommandError> {
     let vms = reply.vms.into_iter().map(|vm| VmLine {
         vm: vm.vm.to_string(),
         zone: vm.zone.to_string(),
         revision: vm.revision,
     });
-    Description {
+    let configuration = serde_json::from_str(&reply.configuration);
+    Ok(Description {
         revision: reply.revision,
         vms: vms.collect(),
-        configuration: serde_json::from_str(&reply.configuration).unwrap_or_default(),
-    }
+        configuration: configuration.map_err(CommandError::Description)?,
+    })
 }
 
 fn to_text(description: &Description) -> String {
--- a/src/exit.rs
+++ b/src/exit.rs
@@ -55,6 +55,9 @@
         "pass the logs of all VMs in the caller's zone that cover the time of the request"
     ))]
     NotFound(String),
+    /// The configuration in a VM's reply can't be read.
+    #[error("the VM's configuration can't be read: {0}")]
+    Description(#[source] serde_json::Error),
     /// The VM rejected an operator's command.
     #[error("the VM rejected the command ({:?}): {}", .0.code(), .0.message())]
     Refused(Box<Status>),
@@ -83,7 +86,8 @@
         | CommandError::Node(_)
         | CommandError::Start(_)
         | CommandError::Log { .. }
-        | CommandError::NotFound(_) => ExitCode::FAILURE,
+        | CommandError::NotFound(_)
+        | CommandError::Description(_) => ExitCode::FAILURE,
     };
     eprintln!("{:?}", Report::new(error));
     code
