Don't take late news of an upstream for its return

Cause: the table of upstreams compared the starts of two entries for equality only, so that a heartbeat of an earlier start, held up by a cut, counted as a new start; and it let any entry of the start that was removed last return.

Change: an entry of an earlier start waits for three times the silence after which the store removes entries; one of the removed start waits for the silence, unless its number of heartbeats shows that it was sent after the removal.

--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -76,6 +76,11 @@
     counter!("gateway_unreadable_rows_total").increment(1);
 }
 
+/// Counts an upstream's entry that is not used yet because it may be old.
+pub(crate) fn count_doubted_entry(doubt: &'static str) {
+    counter!("gateway_entries_doubted_total", "doubt" => doubt).increment(1);
+}
+
 /// Counts a request that was not sent because it can't be written.
 pub(crate) fn count_unwritable_request() {
     counter!("gateway_unwritable_requests_total").increment(1);
--- a/crates/gateway/src/platform_api.rs
+++ b/crates/gateway/src/platform_api.rs
@@ -10,7 +10,7 @@
 };
 use skylarkshed_http_link::BufferedRequest;
 use skylarkshed_policy::{
-    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, PartBlock, RolloutState,
+    CopyKind, EngineLoad, FeedBatch, FeedPosition, FeedRow, PartBlock, RolloutState, UpstreamEntry,
     VersionRejection, VmEntry,
 };
 use std::future::Future;
@@ -265,7 +265,7 @@
 #[derive(Clone, Debug)]
 pub enum UpstreamUpdate {
     /// An upstream is listed.
-    Updated(UpstreamRecord),
+    Updated(UpstreamEntry),
     /// An upstream's entry was removed.
     Removed(UpstreamName),
     /// An entry that can't be parsed.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::run::{FINAL_RESPONSE_TIME, KILL_MARGIN};
 use skylarkshed_core::{ClockTime, VmName, ZoneName};
-use skylarkshed_policy::{ExposureLimits, RetryLimits};
+use skylarkshed_policy::{EntryTimes, ExposureLimits, RetryLimits};
 use std::net::SocketAddr;
 
 /// The addresses that a gateway listens on.
@@ -37,6 +37,8 @@
     pub outage: ClockTime,
     /// How long the store takes to remove the entry of an upstream that no longer exists.
     pub silence: ClockTime,
+    /// The time between two heartbeats of an upstream.
+    pub heartbeat: ClockTime,
     /// How long requests may be sent to a version after it was seen to be bad.
     pub rollback: ClockTime,
 }
@@ -53,13 +55,22 @@
     /// let time = ClockTime::from_millis(8_000);
     /// let times = GatewayTimes {
     ///     revocation: time, grace: time, drain: time, lapse: time, outage: time,
-    ///     silence: time, rollback: time,
+    ///     silence: time, heartbeat: time, rollback: time,
     /// };
     /// assert_eq!(times.longest_response().as_millis(), 7_550);
     /// ```
     pub fn longest_response(&self) -> ClockTime {
         self.grace.since(KILL_MARGIN + FINAL_RESPONSE_TIME)
     }
+
+    /// Returns the times by which the entries of upstreams are judged.
+    pub(crate) const fn entry_times(&self) -> EntryTimes {
+        EntryTimes {
+            grace: self.lapse,
+            silence: self.silence,
+            heartbeat: self.heartbeat,
+        }
+    }
 }
 
 /// The settings of a gateway process. The `check` command prints the field names.
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -7,8 +7,8 @@
     ControlUpdate, FeedSource, RoutingStore, StoreError, UpstreamUpdate, VmUpdate,
 };
 use crate::store_outage::resolve_missing_upstreams;
-use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
-use skylarkshed_policy::{FeedPosition, UpstreamChange, UpstreamTable};
+use skylarkshed_core::{ClockTime, UpstreamName};
+use skylarkshed_policy::{FeedPosition, UpstreamChange, UpstreamEntry, UpstreamTable};
 use std::sync::Arc;
 
 /// A watch without changes returns after this time, which limits the age of the
@@ -253,7 +253,7 @@
             let mut changes = table.record_store_return(returned_at, now);
             match is_complete {
                 true => {
-                    let present = updates.into_iter().filter_map(present_record);
+                    let present = updates.into_iter().filter_map(present_entry);
                     changes.extend(table.replace(present.collect(), now));
                 }
                 false => apply_changes(table, updates, now, &mut changes),
@@ -320,19 +320,19 @@
 ) {
     for update in updates {
         match update {
-            UpstreamUpdate::Updated(record) => table.put(record, now, changes),
+            UpstreamUpdate::Updated(entry) => table.put(entry, now, changes),
             UpstreamUpdate::Removed(name) => table.remove(&name, now, changes),
             UpstreamUpdate::Unreadable { name, problem } => {
                 log_unreadable(&name, &problem);
-                table.remove(&name, now, changes);
+                table.remove_unreadable(&name, now, changes);
             }
         }
     }
 }
 
-fn present_record(update: UpstreamUpdate) -> Option<UpstreamRecord> {
+fn present_entry(update: UpstreamUpdate) -> Option<UpstreamEntry> {
     match update {
-        UpstreamUpdate::Updated(record) => Some(record),
+        UpstreamUpdate::Updated(entry) => Some(entry),
         UpstreamUpdate::Removed(_) => None,
         UpstreamUpdate::Unreadable { name, problem } => {
             log_unreadable(&name, &problem);
@@ -376,6 +376,14 @@
                 log::info!(upstream:% = name; "upstream entry missing, kept for the grace period");
             }
             UpstreamChange::Removed(name) => log::info!(upstream:% = name; "upstream removed"),
+            UpstreamChange::Doubted(name, doubt) => {
+                counters::count_doubted_entry(doubt.label());
+                log::info!(
+                    upstream:% = name,
+                    doubt = doubt.label();
+                    "upstream entry may be old, not used yet"
+                );
+            }
         }
     }
 }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -236,7 +236,7 @@
             clock,
             boot_clock,
             table: Mutex::new(DirectoryTable {
-                table: UpstreamTable::new(times.lapse, times.silence),
+                table: UpstreamTable::new(times.entry_times()),
                 usages: HashMap::new(),
             }),
             services: ArcSwap::default(),
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -1,28 +1,56 @@
 //! Tracks the upstreams that can receive work.
 //!
-//! The entries in the store may expire, arrive late and reappear.
+//! The entries in the store may expire, arrive late and reappear. An entry of an earlier
+//! start, or one of an upstream that was removed, is not used until it is clear that a
+//! living upstream renews it: the store removes the others after a few heartbeats.
 
+use crate::departed_upstreams::{DepartedUpstream, DepartedUpstreams};
+use crate::heartbeat_estimate::HeartbeatEstimate;
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// How many times as long as the entry of a removed upstream one of an earlier start has to
+/// be listed. Only an upstream whose wall clock was set back is affected.
+const EARLIER_START_FACTOR: u64 = 3;
+
+/// An upstream's entry in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UpstreamEntry {
+    /// What the upstream reports about itself.
+    pub record: UpstreamRecord,
+    /// The number of heartbeats of this start until the one that wrote the entry.
+    pub heartbeats: u64,
+}
+
+/// The times by which entries are judged.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryTimes {
+    /// How long entries may take to reappear after an outage of the store.
+    pub grace: ClockTime,
+    /// How long the store takes to remove entries of upstreams that no longer exist.
+    pub silence: ClockTime,
+    /// The time between two heartbeats of an upstream.
+    pub heartbeat: ClockTime,
+}
+
 #[derive(Clone, Debug)]
 struct TableEntry {
     record: Arc<UpstreamRecord>,
     /// When the entry is dropped, if it expired during an outage of the store.
     drop_at: Option<ClockTime>,
+    /// Unknown if the entry was only read with the whole table, which may be much later
+    /// than its heartbeat.
+    heartbeats: Option<HeartbeatEstimate>,
 }
 
-/// An upstream whose entry was removed.
-#[derive(Clone, Copy, Debug)]
-struct DepartedUpstream {
-    started: ClockTime,
-    was_leaving: bool,
+/// An entry that is not used yet.
+#[derive(Clone, Debug)]
+struct DoubtedEntry {
+    record: UpstreamRecord,
+    use_at: ClockTime,
 }
 
-/// The number of removed upstreams that are remembered.
-const MAX_DEPARTED: usize = 4_096;
-
 /// The known upstreams by name.
 ///
 /// An entry that is missing right after an outage of the store may have expired
@@ -32,27 +60,25 @@
 ///
 /// ```
 /// use skylarkshed_core::ClockTime;
-/// use skylarkshed_policy::UpstreamTable;
+/// use skylarkshed_policy::{EntryTimes, UpstreamTable};
 ///
-/// let grace = ClockTime::from_millis(2_000);
-/// let mut table = UpstreamTable::new(grace, ClockTime::from_millis(5_000));
+/// let mut table = UpstreamTable::new(EntryTimes {
+///     grace: ClockTime::from_millis(2_000),
+///     silence: ClockTime::from_millis(5_000),
+///     heartbeat: ClockTime::from_millis(1_200),
+/// });
 /// assert!(table.replace(Vec::new(), ClockTime::ZERO).is_empty());
 /// assert_eq!(table.records().count(), 0);
 /// ```
 #[derive(Clone, Debug)]
 pub struct UpstreamTable {
     entries: BTreeMap<UpstreamName, TableEntry>,
-    /// How long entries may take to reappear after an outage.
-    grace: ClockTime,
+    times: EntryTimes,
     grace_ends_at: ClockTime,
     /// The end of the grace period after the store has returned from an older copy.
     restore_grace_ends_at: ClockTime,
-    departed: HashMap<UpstreamName, DepartedUpstream>,
-    /// How long entries that came back with an older copy of the store are not used.
-    quarantine: ClockTime,
-    quarantine_ends_at: ClockTime,
-    /// Upstreams that had gone and are listed again in the older copy.
-    quarantined: BTreeMap<UpstreamName, UpstreamRecord>,
+    departed: DepartedUpstreams,
+    doubted: BTreeMap<UpstreamName, DoubtedEntry>,
 }
 
 /// A change of an upstream's entry.
@@ -66,33 +92,47 @@
     Missing(UpstreamName),
     /// The upstream was removed.
     Removed(UpstreamName),
+    /// The entry may be old, so it is not used yet.
+    Doubted(UpstreamName, EntryDoubt),
+}
+
+/// Why an entry may be old.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EntryDoubt {
+    /// The upstream has started again since then.
+    EarlierStart,
+    /// The entry was removed, and its heartbeat may have been sent before.
+    Removed,
+}
+
+impl EntryDoubt {
+    /// Returns the label of the reason in logs.
+    pub const fn label(self) -> &'static str {
+        match self {
+            EntryDoubt::EarlierStart => "earlier_start",
+            EntryDoubt::Removed => "removed",
+        }
+    }
 }
 
 impl UpstreamTable {
-    /// Creates an empty table; `grace` is how long entries may take to reappear after
-    /// an outage of the store, and `quarantine` how long the store takes to remove
-    /// entries of upstreams that no longer exist.
-    pub fn new(grace: ClockTime, quarantine: ClockTime) -> Self {
+    /// Creates an empty table.
+    pub fn new(times: EntryTimes) -> Self {
         UpstreamTable {
             entries: BTreeMap::new(),
-            grace,
+            times,
             grace_ends_at: ClockTime::ZERO,
             restore_grace_ends_at: ClockTime::ZERO,
-            departed: HashMap::new(),
-            quarantine,
-            quarantine_ends_at: ClockTime::ZERO,
-            quarantined: BTreeMap::new(),
+            departed: DepartedUpstreams::default(),
+            doubted: BTreeMap::new(),
         }
     }
 
-    /// Records that the store has returned from an older copy.
-    ///
-    /// Entries that the copy lacks have the grace period to reappear. Entries of
-    /// upstreams that had gone are not used until it is clear that they are renewed.
+    /// Records that the store has returned from an older copy, whose missing entries have
+    /// the grace period to reappear.
     pub fn mark_store_restored(&mut self, now: ClockTime) {
-        self.restore_grace_ends_at = now + self.grace;
+        self.restore_grace_ends_at = now + self.times.grace;
         self.grace_ends_at = self.restore_grace_ends_at;
-        self.quarantine_ends_at = now + self.quarantine;
     }
 
     /// Records when the store returned from its last outage; `None` if it was not away.
@@ -102,7 +142,7 @@
         returned_at: Option<ClockTime>,
         now: ClockTime,
     ) -> Vec<UpstreamChange> {
-        let outage_grace_ends_at = returned_at.map_or(ClockTime::ZERO, |at| at + self.grace);
+        let outage_grace_ends_at = returned_at.map_or(ClockTime::ZERO, |at| at + self.times.grace);
         self.grace_ends_at = outage_grace_ends_at.max(self.restore_grace_ends_at);
         let missing = self.entries.values_mut();
         for entry in missing.filter(|entry| entry.drop_at.is_some()) {
@@ -111,42 +151,96 @@
         self.expire(now)
     }
 
-    /// Inserts or updates an upstream's entry.
-    pub fn put(
+    /// Inserts or updates an upstream's entry after a change in the store.
+    pub fn put(&mut self, entry: UpstreamEntry, now: ClockTime, changes: &mut Vec<UpstreamChange>) {
+        let heartbeats = HeartbeatEstimate::new(entry.heartbeats, now);
+        self.review(entry, Some(heartbeats), now, changes);
+    }
+
+    /// Inserts an entry unless it may be old.
+    fn review(
         &mut self,
-        record: UpstreamRecord,
+        entry: UpstreamEntry,
+        heartbeats: Option<HeartbeatEstimate>,
         now: ClockTime,
         changes: &mut Vec<UpstreamChange>,
     ) {
-        let departed = self.departed.get(&record.name);
-        let departed = departed.filter(|departed| departed.started == record.started);
-        if departed.is_some() && now < self.quarantine_ends_at {
-            self.quarantined.insert(record.name.clone(), record);
-            return;
+        let previous = self.doubted.remove(&entry.record.name);
+        let Some(doubt) = self.doubt(&entry) else {
+            return self.insert(entry.record, heartbeats, now, changes);
+        };
+        let factor = match doubt {
+            EntryDoubt::EarlierStart => EARLIER_START_FACTOR,
+            EntryDoubt::Removed => 1,
+        };
+        let delay = ClockTime::from_millis(self.times.silence.as_millis() * factor);
+        let name = entry.record.name.clone();
+        let previous = previous.filter(|previous| previous.record.started == entry.record.started);
+        if previous.is_none() {
+            changes.push(UpstreamChange::Doubted(name.clone(), doubt));
         }
-        let was_leaving = departed.is_some_and(|departed| departed.was_leaving);
-        let is_leaving = record.is_leaving || was_leaving;
-        let record = UpstreamRecord {
-            is_leaving,
-            ..record
+        let doubted = DoubtedEntry {
+            record: entry.record,
+            use_at: previous.map_or(now + delay, |previous| previous.use_at),
         };
-        self.insert(record, changes);
+        self.doubted.insert(name, doubted);
     }
 
-    fn insert(&mut self, mut record: UpstreamRecord, changes: &mut Vec<UpstreamChange>) {
+    fn doubt(&self, entry: &UpstreamEntry) -> Option<EntryDoubt> {
+        let record = &entry.record;
+        let known = self.entries.get(&record.name);
+        let departed = self.departed.get(&record.name);
+        let starts = known.map(|known| known.record.started);
+        let starts = starts
+            .into_iter()
+            .chain(departed.map(|departed| departed.started));
+        if starts.max().is_some_and(|latest| record.started < latest) {
+            return Some(EntryDoubt::EarlierStart);
+        }
+        let departed = departed.filter(|departed| departed.started == record.started)?;
+        let interval = self.times.heartbeat;
+        let is_renewed = departed.heartbeats.is_some_and(|heartbeats| {
+            heartbeats.is_sent_after(entry.heartbeats, departed.departed_at, interval)
+        });
+        let is_trusted = departed.is_overwritten || record.is_leaving || is_renewed;
+        (!is_trusted).then_some(EntryDoubt::Removed)
+    }
+
+    fn insert(
+        &mut self,
+        mut record: UpstreamRecord,
+        heartbeats: Option<HeartbeatEstimate>,
+        now: ClockTime,
+        changes: &mut Vec<UpstreamChange>,
+    ) {
+        let departed = self.departed.take(&record.name);
+        let departed = departed.filter(|departed| departed.started == record.started);
         let known = self.entries.get(&record.name);
+        let known = known.filter(|known| known.record.started == record.started);
         // Leaving is final for one incarnation of an upstream.
-        let was_leaving = known
-            .is_some_and(|entry| entry.record.is_leaving && entry.record.started == record.started);
-        record.is_leaving |= was_leaving;
-        if known.is_some_and(|entry| *entry.record == record && entry.drop_at.is_none()) {
+        record.is_leaving |= departed.is_some_and(|departed| departed.was_leaving)
+            || known.is_some_and(|known| known.record.is_leaving);
+        let estimates = [
+            heartbeats,
+            departed.and_then(|departed| departed.heartbeats),
+            known.and_then(|known| known.heartbeats),
+        ];
+        let interval = self.times.heartbeat;
+        let estimates = estimates.into_iter().flatten();
+        let heartbeats = estimates.reduce(|first, second| first.earlier(second, interval));
+        let is_same = known.is_some_and(|known| *known.record == record && known.drop_at.is_none());
+        if is_same {
+            if let Some(known) = self.entries.get_mut(&record.name) {
+                known.heartbeats = heartbeats;
+            }
             return;
         }
-        self.remove_replaced(&record, changes);
+        self.remove_replaced(&record, now, changes);
         let record = Arc::new(record);
         let entry = TableEntry {
             record: record.clone(),
             drop_at: None,
+            heartbeats,
         };
         self.entries.insert(record.name.clone(), entry);
         changes.push(match record.is_leaving {
@@ -157,16 +251,22 @@
 
     /// Removes upstreams that previously had the address of a new one. Their entries
     /// outlive them by a few heartbeats.
-    fn remove_replaced(&mut self, record: &UpstreamRecord, changes: &mut Vec<UpstreamChange>) {
-        self.entries.retain(|name, entry| {
-            let is_replaced = entry.record.address == record.address
-                && *name != record.name
-                && entry.record.started < record.started;
-            if is_replaced {
-                changes.push(UpstreamChange::Removed(name.clone()));
-            }
-            !is_replaced
-        });
+    fn remove_replaced(
+        &mut self,
+        record: &UpstreamRecord,
+        now: ClockTime,
+        changes: &mut Vec<UpstreamChange>,
+    ) {
+        let is_replaced = |entry: &&TableEntry| {
+            entry.record.address == record.address
+                && entry.record.name != record.name
+                && entry.record.started < record.started
+        };
+        let replaced = self.entries.values().filter(is_replaced);
+        let replaced: Vec<UpstreamName> = replaced.map(|entry| entry.record.name.clone()).collect();
+        for name in replaced {
+            self.drop_entry(&name, now, false, changes);
+        }
     }
 
     /// Removes an upstream's entry. Within the grace period, the entry of an upstream that
@@ -177,7 +277,8 @@
         now: ClockTime,
         changes: &mut Vec<UpstreamChange>,
     ) {
-        self.quarantined.remove(name);
+        self.doubted.remove(name);
+        self.departed.confirm(name, now);
         let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
@@ -188,55 +289,83 @@
             }
             return;
         }
-        let record = entry.record.clone();
-        self.entries.remove(name);
-        self.remember_departed(&record);
-        changes.push(UpstreamChange::Removed(name.clone()));
+        self.drop_entry(name, now, false, changes);
     }
 
-    fn remember_departed(&mut self, record: &UpstreamRecord) {
-        if self.departed.len() >= MAX_DEPARTED {
-            self.departed.clear();
-        }
+    /// Removes an upstream whose entry was replaced by one that can't be read. Its next
+    /// heartbeat brings it back.
+    pub fn remove_unreadable(
+        &mut self,
+        name: &UpstreamName,
+        now: ClockTime,
+        changes: &mut Vec<UpstreamChange>,
+    ) {
+        self.doubted.remove(name);
+        self.drop_entry(name, now, true, changes);
+    }
+
+    fn drop_entry(
+        &mut self,
+        name: &UpstreamName,
+        now: ClockTime,
+        is_overwritten: bool,
+        changes: &mut Vec<UpstreamChange>,
+    ) {
+        let Some(entry) = self.entries.remove(name) else {
+            return;
+        };
         let departed = DepartedUpstream {
-            started: record.started,
-            was_leaving: record.is_leaving,
+            started: entry.record.started,
+            was_leaving: entry.record.is_leaving,
+            departed_at: now,
+            is_overwritten,
+            heartbeats: entry.heartbeats,
         };
-        self.departed.insert(record.name.clone(), departed);
+        self.departed.remember(name.clone(), departed);
+        changes.push(UpstreamChange::Removed(name.clone()));
     }
 
-    /// Replaces the whole table; upstreams without a record are removed.
-    pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: ClockTime) -> Vec<UpstreamChange> {
+    /// Replaces the whole table; upstreams without an entry, or with one of an earlier
+    /// start, are removed.
+    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, now: ClockTime) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
-        self.quarantined.clear();
-        let is_listed = |name: &UpstreamName| records.iter().any(|record| record.name == *name);
-        let missing = self.entries.keys().filter(|name| !is_listed(name));
-        let missing: Vec<UpstreamName> = missing.cloned().collect();
+        let listed: BTreeMap<&UpstreamName, ClockTime> = entries
+            .iter()
+            .map(|entry| (&entry.record.name, entry.record.started))
+            .collect();
+        let is_missing = |known: &&TableEntry| {
+            let started = listed.get(&known.record.name);
+            started.is_none_or(|started| *started < known.record.started)
+        };
+        let missing = self.entries.values().filter(is_missing);
+        let mut missing: Vec<UpstreamName> =
+            missing.map(|known| known.record.name.clone()).collect();
+        let doubted = self.doubted.keys();
+        missing.extend(doubted.filter(|name| !listed.contains_key(name)).cloned());
         for name in &missing {
             self.remove(name, now, &mut changes);
         }
-        for record in records {
-            self.put(record, now, &mut changes);
+        for entry in entries {
+            self.review(entry, None, now, &mut changes);
         }
         changes
     }
 
     /// Drops the entries that did not reappear within the grace period, and uses those
-    /// whose quarantine has ended.
+    /// that are no longer in doubt.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
         let is_expired = |entry: &&TableEntry| entry.drop_at.is_some_and(|at| now >= at);
         let expired = self.entries.values().filter(is_expired);
-        let expired: Vec<Arc<UpstreamRecord>> = expired.map(|entry| entry.record.clone()).collect();
-        for record in expired {
-            self.entries.remove(&record.name);
-            self.remember_departed(&record);
-            changes.push(UpstreamChange::Removed(record.name.clone()));
+        let expired: Vec<UpstreamName> = expired.map(|entry| entry.record.name.clone()).collect();
+        for name in &expired {
+            self.drop_entry(name, now, false, &mut changes);
         }
-        if now >= self.quarantine_ends_at {
-            for record in std::mem::take(&mut self.quarantined).into_values() {
-                self.put(record, now, &mut changes);
-            }
+        let settled = self.doubted.values().filter(|entry| now >= entry.use_at);
+        let settled: Vec<UpstreamRecord> = settled.map(|entry| entry.record.clone()).collect();
+        for record in settled {
+            self.doubted.remove(&record.name);
+            self.insert(record, None, now, &mut changes);
         }
         changes
     }
--- a/crates/policy/tests/gateway/main.rs
+++ b/crates/policy/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod feed;
 mod fleet_size;
 mod fleet_start;
+mod late_entries;
 mod latency_estimator;
 mod ledger_owner;
 mod loan_replay;
