--- a/crates/policy/src/departed_upstreams.rs
+++ b/crates/policy/src/departed_upstreams.rs
@@ -1,15 +1,16 @@
 //! Remembers upstreams whose entries were removed.
 
 use crate::heartbeat_estimate::HeartbeatEstimate;
-use skylarkshed_core::{ClockTime, UpstreamName};
+use skylarkshed_core::{ClockTime, ServiceName, UpstreamName};
 use std::collections::HashMap;
 
 /// The number of removed upstreams that are remembered; a fleet replaces fewer in an hour.
 const MAX_DEPARTED: usize = 4_096;
 
 /// An upstream whose entry was removed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct DepartedUpstream {
+    pub(crate) service: ServiceName,
     pub(crate) started: ClockTime,
     pub(crate) was_leaving: bool,
     pub(crate) departed_at: ClockTime,
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -188,8 +188,11 @@
 
     fn doubt(&self, entry: &UpstreamEntry) -> Option<EntryDoubt> {
         let record = &entry.record;
+        // An entry of another service under the name is another writer's.
         let known = self.entries.get(&record.name);
+        let known = known.filter(|known| known.record.service == record.service);
         let departed = self.departed.get(&record.name);
+        let departed = departed.filter(|departed| departed.service == record.service);
         let starts = known.map(|known| known.record.started);
         let starts = starts
             .into_iter()
@@ -214,6 +217,7 @@
         changes: &mut Vec<UpstreamChange>,
     ) {
         let departed = self.departed.take(&record.name);
+        let departed = departed.as_ref();
         let departed = departed.filter(|departed| departed.started == record.started);
         let known = self.entries.get(&record.name);
         let known = known.filter(|known| known.record.started == record.started);
@@ -315,6 +319,7 @@
             return;
         };
         let departed = DepartedUpstream {
+            service: entry.record.service.clone(),
             started: entry.record.started,
             was_leaving: entry.record.is_leaving,
             departed_at: now,
--- a/crates/policy/tests/gateway/late_entries.rs
+++ b/crates/policy/tests/gateway/late_entries.rs
@@ -278,6 +278,20 @@
     assert_eq!(vm.used_start(20_800), Some(SECOND));
 }
 
+/// Guards against the same after an entry of another service with a later start.
+#[test]
+fn an_entry_of_another_service_does_not_make_heartbeats_old() {
+    let mut vm = Vm::new();
+    vm.put_on_time(record(SECOND), START_MS);
+    let other = UpstreamRecord {
+        service: "archive".into(),
+        ..record(SECOND * 1_000)
+    };
+    vm.put(other, 1, 20_000);
+    vm.put_on_time(record(SECOND), 20_800);
+    assert_eq!(vm.used_start(20_800), Some(SECOND));
+}
+
 /// Guards against requests to an upstream that has left while its entry was overwritten.
 #[test]
 fn an_overwritten_entry_that_is_removed_is_not_brought_back() {
--- a/crates/stand-ins/src/routing/config.rs
+++ b/crates/stand-ins/src/routing/config.rs
@@ -172,6 +172,9 @@
     }
 }
 
+/// When upstreams started, in Unix milliseconds, unless a test says otherwise.
+pub(super) const UPSTREAM_START_MS: u64 = 1_000;
+
 /// Returns the entry that an upstream writes to the store.
 pub fn upstream_row(
     service: &str,
@@ -187,7 +190,8 @@
         "version": version,
         "slots": 6,
         "state": state,
-        "born": 1_000,
+        "cold_remaining_ms": 0,
+        "born": UPSTREAM_START_MS,
         "sequence": 1,
     })
 }
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -1,5 +1,6 @@
 //! The responses of a fake upstream to the gateway's own requests.
 
+use super::config::UPSTREAM_START_MS;
 use super::endless_response::EndlessResponse;
 use super::engine_report::EngineReport;
 use super::received_request::ReceivedRequest;
@@ -41,7 +42,7 @@
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
                 return Some(format!("{head}{report}"));
             }
-            json!({"waiting": 0, "running": 0, "runs": []})
+            json!({"born": UPSTREAM_START_MS, "waiting": 0, "running": 0, "runs": []})
         } else if line.starts_with("GET /-/kv-list") {
             let parts = self.cached_parts.iter();
             let held: Vec<_> = parts.map(|part| json!(["", part, 8_000, "m"])).collect();
