Confirm the end of a response without a length by the process that sent it

Cause: for calls any process that accepts a connection counted as the one that had sent the response; for streams silence for 40 ms, and any answer that is no report, counted as well.

Change: a second connection, made as soon as the head of such a response arrives, shows that one process has run all the while; if it was made later than 250 ms after the request, nothing is confirmed. The check of a stream is a task, as it was begun again whenever the forwarding loop had another event.

--- a/crates/gateway/src/config_state.rs
+++ b/crates/gateway/src/config_state.rs
@@ -26,7 +26,12 @@
         }
     }
 
-    /// Returns the time on a clock that also counts while the VM is suspended.
+    /// Returns the clock that also counts while the VM is suspended.
+    pub(crate) fn clock(&self) -> BootTimeClock {
+        self.clock
+    }
+
+    /// Returns the time on that clock.
     pub(crate) fn now(&self) -> ClockTime {
         self.clock.now()
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,19 +9,18 @@
 use crate::deadline::RequestDeadline;
 use crate::gateway_state::GatewayState;
 use crate::platform_api::{RequestHead, ResponseHead, SendOptions, WireProtocol};
-use crate::process_check::check_process;
+use crate::process_witness::ProcessWitness;
 use crate::upstreams::{LoadGuard, UpstreamState};
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{request, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use skylarkshed_core::{ClockTime, CustomerName, RouteConfig, ServiceName};
+use skylarkshed_core::{ClockTime, CustomerName, RequestKind, RouteConfig, ServiceName};
 use skylarkshed_http_link::{is_close_delimited, strip_connection_headers};
 use skylarkshed_http_link::{read_body_within, BodyBudget, BodyError, BodyLimits};
 use skylarkshed_http_link::{ConnectionError, HttpConnection};
 use skylarkshed_policy::{ProcessCheck, VersionFilter};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// A connection takes 1 ms and a round trip of 3 ms between zones; a slow VM takes
@@ -86,7 +85,8 @@
     body: Incoming,
     /// Whether the end of the connection is the end of the body.
     pub(crate) is_close_delimited: bool,
-    address: SocketAddr,
+    /// Checks the process that sends such a body, if it is buffered.
+    witness: Option<ProcessWitness>,
     deadline: RequestDeadline,
     budget: BodyBudget,
     _connection: HttpConnection,
@@ -134,9 +134,9 @@
             }
             SendError::Broken
         })?;
-        if self.is_close_delimited {
-            let checking = check_process(self.address);
-            let check = self.deadline.run_within(ClockTime::NEVER, checking).await;
+        if let Some(witness) = self.witness.take() {
+            let check = self.deadline.run_within(ClockTime::NEVER, witness.check());
+            let check = check.await;
             let check = check.unwrap_or(ProcessCheck::Unreachable);
             counters::count_close(check.label());
             if !check.confirms_close() {
@@ -183,6 +183,7 @@
         );
         SendError::Unsent
     })?;
+    let sent_at = state.config.now();
     let sent = connection.send(message).await;
     let response = sent.map_err(|error| {
         let now = state.clock.now();
@@ -192,6 +193,10 @@
         record_failure(state, request, upstream, &error)
     })?;
     let is_close_delimited = is_close_delimited(&response);
+    let is_stream = matches!(request.route.kind, RequestKind::EventStream { .. });
+    let is_streamed = is_stream && response.status().is_success();
+    let witness = (is_close_delimited && !is_streamed)
+        .then(|| ProcessWitness::open::<P>(state.config.clock(), &upstream.record, sent_at));
     let (mut parts, body) = response.into_parts();
     if parts.status.as_u16() > MAX_STATUS {
         counters::count_bad_response("status");
@@ -216,7 +221,7 @@
         parts,
         body,
         is_close_delimited,
-        address: upstream.record.address,
+        witness,
         deadline: request.deadline,
         budget: state.body_budget.clone(),
         _connection: connection,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod peers;
 mod platform_api;
 mod process_check;
+mod process_witness;
 mod quarantine;
 mod refusal;
 mod retry_loans;
--- a/crates/gateway/src/stream/attempt.rs
+++ b/crates/gateway/src/stream/attempt.rs
@@ -10,13 +10,14 @@
 use crate::rollouts::AttemptProbe;
 use crate::upstreams::UpstreamState;
 use skylarkshed_core::{ClockTime, MonotonicClock};
-use skylarkshed_policy::{silence_limit, AttemptProgress, LossCause, StreamPhase};
+use skylarkshed_policy::{silence_limit, AttemptProgress, LossCause, ProcessCheck, StreamPhase};
 use std::future::Future;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 
 /// After this time without data the upstream's liveness is checked. It is longer than
 /// the gaps between events of an engine that is not prefilling another prompt.
@@ -43,6 +44,9 @@
     pub(super) work: AttemptWork,
     timeout: PrefillTimeout,
     parser: EventParser,
+    /// Checks the engine's process after the end of its connection. It goes on while the
+    /// attempt isn't polled.
+    end_check: Option<AbortOnDropHandle<ProcessCheck>>,
 }
 
 /// The next step of a response.
@@ -74,6 +78,7 @@
             work: AttemptWork::default(),
             timeout: PrefillTimeout::start(now, silence_limit(phase, true)),
             parser: EventParser::default(),
+            end_check: None,
         }
     }
 
@@ -120,11 +125,19 @@
     }
 
     /// Tells the end of the response from a close by the end of its engine's process.
-    async fn judge_end<P: WireProtocol>(&self, watch: PrefillWatch<'_>) -> AttemptStep {
+    async fn judge_end<P: WireProtocol>(&mut self, watch: PrefillWatch<'_>) -> AttemptStep {
         if !self.response.is_close_delimited {
             return AttemptStep::End;
         }
-        let check = check_engine::<P>(watch.state, &self.upstream).await;
+        let checking = self.end_check.get_or_insert_with(|| {
+            let (state, engine) = (watch.state.clone(), self.upstream.clone());
+            let checking = async move { check_engine::<P>(&state, &engine).await };
+            AbortOnDropHandle::new(tokio::spawn(checking))
+        });
+        let check = checking.await.unwrap_or_else(|error| {
+            log::error!("the check of an engine's process failed: {error}");
+            ProcessCheck::Unknown
+        });
         log::info!(
             request = watch.request.id(),
             upstream:% = self.upstream.name(),
--- a/crates/gateway/src/stream/prefill_watch.rs
+++ b/crates/gateway/src/stream/prefill_watch.rs
@@ -11,11 +11,12 @@
 use skylarkshed_policy::{judge_prefill, LossCause, PrefillVerdict, WaitingPrefill};
 use std::future::Future;
 use std::pin::pin;
+use std::sync::Arc;
 
 /// What is needed to judge the prefill of a stream's request.
 #[derive(Clone, Copy)]
 pub(super) struct PrefillWatch<'a> {
-    pub(super) state: &'a GatewayState,
+    pub(super) state: &'a Arc<GatewayState>,
     pub(super) traffic: &'a ServiceTraffic,
     pub(super) request: &'a CallerRequest,
 }
--- a/crates/policy/src/process_check.rs
+++ b/crates/policy/src/process_check.rs
@@ -2,7 +2,13 @@
 //!
 //! Failure: an upstream's process is killed while it sends such responses. Its kernel
 //! closes the connections in the same way as after a whole response, so that only the
-//! process itself can tell the two apart.
+//! process itself can tell the two apart. By the time the close is seen, another process
+//! may listen at the address.
+
+use skylarkshed_core::ClockTime;
+
+/// The shortest time in which a process ends and another one listens at its address.
+const MIN_RESTART_TIME: ClockTime = ClockTime::from_millis(250);
 
 /// What a check of an upstream's process shows after it has closed a connection.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -13,6 +19,8 @@
     Ended,
     /// Its host does not respond.
     Unreachable,
+    /// A process accepts connections, but it may be another one.
+    Unknown,
 }
 
 impl ProcessCheck {
@@ -22,6 +30,7 @@
             ProcessCheck::Running => "running",
             ProcessCheck::Ended => "ended",
             ProcessCheck::Unreachable => "unreachable",
+            ProcessCheck::Unknown => "unknown",
         }
     }
 
@@ -36,8 +45,31 @@
     /// assert!(ProcessCheck::Running.confirms_close());
     /// assert!(!ProcessCheck::Ended.confirms_close());
     /// assert!(!ProcessCheck::Unreachable.confirms_close());
+    /// assert!(!ProcessCheck::Unknown.confirms_close());
     /// ```
     pub const fn confirms_close(self) -> bool {
         matches!(self, ProcessCheck::Running)
     }
+
+    /// Returns the result for the process that a request was sent to, if it was found for
+    /// the one that accepts connections `since_sent` later.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use skylarkshed_core::ClockTime;
+    /// use skylarkshed_policy::ProcessCheck;
+    ///
+    /// let soon = ClockTime::from_millis(60);
+    /// assert_eq!(ProcessCheck::Running.after(soon), ProcessCheck::Running);
+    /// let later = ClockTime::from_millis(700);
+    /// assert_eq!(ProcessCheck::Running.after(later), ProcessCheck::Unknown);
+    /// assert_eq!(ProcessCheck::Ended.after(later), ProcessCheck::Ended);
+    /// ```
+    pub fn after(self, since_sent: ClockTime) -> Self {
+        match self {
+            ProcessCheck::Running if since_sent >= MIN_RESTART_TIME => ProcessCheck::Unknown,
+            check => check,
+        }
+    }
 }
--- a/crates/stand-ins/src/routing/connection.rs
+++ b/crates/stand-ins/src/routing/connection.rs
@@ -80,6 +80,17 @@
             stream.write_all(text.as_bytes()).await?;
             return wait_unless_closed(stream, Duration::from_secs(600)).await;
         }
+        ScriptedResponse::LatePart { delay } => {
+            wait_unless_closed(stream, *delay).await?;
+            return send_part(stream, &signed, ResponsePart::UnframedBody, false).await;
+        }
+        ScriptedResponse::SlowBody { pause } => {
+            let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\nans");
+            stream.write_all(text.as_bytes()).await?;
+            wait_unless_closed(stream, *pause).await?;
+            stream.write_all(b"wer").await?;
+            return stream.shutdown().await;
+        }
         ScriptedResponse::Duplicated => respond(200, &signed, "answer").repeat(2),
         ScriptedResponse::Unparsable => "\0\0 no response\r\n\r\n".to_owned(),
         ScriptedResponse::Reset => return reset(stream),
--- a/crates/stand-ins/src/routing/control_calls.rs
+++ b/crates/stand-ins/src/routing/control_calls.rs
@@ -5,6 +5,7 @@
 use super::engine_report::EngineReport;
 use super::received_request::ReceivedRequest;
 use serde_json::json;
+use std::time::Duration;
 
 /// What a fake upstream knows for the gateway's own requests.
 #[derive(Debug, Default)]
@@ -18,6 +19,10 @@
     pub(super) cached_parts: Vec<String>,
     /// The load report instead of that of an idle engine.
     pub(super) report: Option<String>,
+    /// The status line's rest of load reports; a success by default.
+    pub(super) report_status: Option<String>,
+    /// The time before a load report is sent.
+    pub(super) report_delay: Duration,
     /// The response to all of these requests instead of the regular one.
     pub(super) endless: Option<EndlessResponse>,
 }
@@ -31,6 +36,14 @@
         }
     }
 
+    /// Returns how long to wait before the response to a request.
+    pub fn delay(&self, request: &ReceivedRequest) -> Duration {
+        match request.request_line.starts_with("GET /-/report") {
+            true => self.report_delay,
+            false => Duration::ZERO,
+        }
+    }
+
     /// Returns the response to a request that the gateway itself makes of an engine (load
     /// report, list or copy of the KV cache, release of a copy); `None` for a request
     /// forwarded for a caller.
@@ -39,7 +52,8 @@
         let body = if line.starts_with("GET /-/report") {
             if let Some(report) = &self.report {
                 let length = report.len();
-                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+                let status = self.report_status.as_deref().unwrap_or("200 OK");
+                let head = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n");
                 return Some(format!("{head}{report}"));
             }
             json!({"born": UPSTREAM_START_MS, "waiting": 0, "running": 0, "runs": []})
--- a/crates/stand-ins/src/routing/scripted_response.rs
+++ b/crates/stand-ins/src/routing/scripted_response.rs
@@ -136,6 +136,17 @@
     NoContentLength,
     /// Sends a part of a body without a content length, and leaves the connection open.
     OpenBody,
+    /// Sends a part of a body without a content length after a delay, and closes the
+    /// connection.
+    LatePart {
+        /// The time before the response.
+        delay: Duration,
+    },
+    /// Sends a body without a content length in two parts.
+    SlowBody {
+        /// The time between the parts.
+        pause: Duration,
+    },
     /// Sends the response twice.
     Duplicated,
     /// Responds before it has read the body, then records the part that arrives.
--- a/crates/stand-ins/src/routing/upstream.rs
+++ b/crates/stand-ins/src/routing/upstream.rs
@@ -159,6 +159,22 @@
         self.crash();
     }
 
+    /// Ends all connections like [`FakeUpstream::replace_process`]. The new process answers
+    /// requests for reports with this status and body.
+    pub fn replace_process_by(&self, status: &str, body: &str) {
+        let mut state = self.lock();
+        state.downtime = Duration::ZERO;
+        state.control.report = Some(body.to_owned());
+        state.control.report_status = Some(status.to_owned());
+        drop(state);
+        self.crash();
+    }
+
+    /// Sets the time before load reports are sent.
+    pub fn delay_reports(&self, delay: Duration) {
+        self.lock().control.report_delay = delay;
+    }
+
     /// Returns when it has crashed.
     pub fn end_times(&self) -> Vec<Instant> {
         self.lock().end_times.clone()
@@ -284,6 +300,8 @@
     {
         return;
     }
+    let delay = shared.lock().control.delay(&request);
+    tokio::time::sleep(delay).await;
     let reply = shared.lock().control.respond(&request);
     if let Some(reply) = reply {
         let endless = shared.lock().control.endless;
