--- a/crates/policy/src/config_diff.rs
+++ b/crates/policy/src/config_diff.rs
@@ -75,6 +75,9 @@
     pub customers: EntryChanges,
     /// The limits that differ.
     pub limits: Vec<FieldChange>,
+    /// Whether requests need keys in the configuration in force alone.
+    #[serde(skip)]
+    drops_keys: bool,
 }
 
 impl ConfigDiff {
@@ -103,9 +106,27 @@
             services: compare_entries(&old.services, &new.services),
             customers: compare_entries(&old.customers, &new.customers),
             limits: compare_fields(limit_fields(&old.limits), limit_fields(&new.limits)),
+            drops_keys: old.needs_keys && !new.needs_keys,
         }
     }
 
+    /// Returns what the change of the whole configuration means for VMs and callers.
+    pub fn findings(&self) -> impl Iterator<Item = ConfigFinding> {
+        self.check_version().into_iter().chain(self.check_keys())
+    }
+
+    /// Returns a finding if requests no longer need keys.
+    fn check_keys(&self) -> Option<ConfigFinding> {
+        self.drops_keys.then(|| {
+            ConfigFinding::new(
+                FindingLabel::KeysNotNeeded,
+                EntryKind::Configuration,
+                "customers",
+                "all routes are open to everybody, as there is no list of customers any more",
+            )
+        })
+    }
+
     /// Returns a finding if the new version is not above the one in force.
     pub fn check_version(&self) -> Option<ConfigFinding> {
         let VersionChange { old, new } = self.version;
--- a/crates/policy/src/config_finding.rs
+++ b/crates/policy/src/config_finding.rs
@@ -110,6 +110,8 @@
     IgnoredService,
     /// This version doesn't know the kind of a route.
     UnknownKind,
+    /// Requests need keys in the configuration in force, but not in this one.
+    KeysNotNeeded,
     /// VMs ignore the configuration because its version is not above the one in force.
     VersionNotHigher,
 }
@@ -142,6 +144,7 @@
             FindingLabel::TimeoutAboveGrace => "timeout_above_grace",
             FindingLabel::IgnoredService => "ignored_service",
             FindingLabel::UnknownKind => "unknown_kind",
+            FindingLabel::KeysNotNeeded => "keys_not_needed",
             FindingLabel::VersionNotHigher => "version_not_higher",
         }
     }
@@ -173,6 +176,7 @@
             | FindingLabel::TimeoutAboveGrace
             | FindingLabel::IgnoredService
             | FindingLabel::UnknownKind
+            | FindingLabel::KeysNotNeeded
             | FindingLabel::VersionNotHigher => FindingKind::Contradiction,
         }
     }
--- a/crates/policy/tests/gateway/config_diff.rs
+++ b/crates/policy/tests/gateway/config_diff.rs
@@ -132,3 +132,24 @@
     let label = finding.map(|finding| finding.label);
     assert_eq!(label, is_found.then_some(FindingLabel::VersionNotHigher));
 }
+
+/// Guards against a list of customers that is left out by mistake, which opens all routes.
+#[rstest]
+#[case::dropped(true, false, true)]
+#[case::kept(true, true, false)]
+#[case::added(false, true, false)]
+#[case::absent(false, false, false)]
+fn keys_that_are_no_longer_needed_are_found(
+    #[case] was_needed: bool,
+    #[case] is_needed: bool,
+    #[case] is_found: bool,
+) {
+    let (mut old, mut new) = (sound_config(), sound_config());
+    old.needs_keys = was_needed;
+    new.needs_keys = is_needed;
+    new.version = old.version + 1;
+    let findings: Vec<_> = ConfigDiff::between(&old, &new).findings().collect();
+    let labels: Vec<FindingLabel> = findings.iter().map(|finding| finding.label).collect();
+    let expected = is_found.then_some(FindingLabel::KeysNotNeeded);
+    assert_eq!(labels, expected.into_iter().collect::<Vec<_>>());
+}
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -90,7 +90,7 @@
         (Some(Err(finding)), _) => report.findings.push(finding),
         (Some(Ok(old)), Some(new)) => {
             let diff = ConfigDiff::between(&old.config, &new);
-            report.findings.extend(diff.check_version());
+            report.findings.extend(diff.findings());
             report.differences = Some(diff);
         }
         (Some(Ok(_)), None) | (None, _) => {}
