Test late entries and odd keys with processes, and in the soak

Two gateways, one of which reads from the other, get a late heartbeat of an earlier and of the same start; a process starts beside 600 rows with odd keys. The fake store decodes its queries and returns at most 500 rows in a reply, as the platform does. In the soak, upstreams that leave without a notice have a heartbeat that arrives after the removal of their entry.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod checks;
 mod configs;
+mod entry;
 mod exchange;
 mod faults;
 mod heartbeat;
--- a/crates/soak/src/registry.rs
+++ b/crates/soak/src/registry.rs
@@ -1,5 +1,6 @@
 //! The upstreams and their entries in the store.
 
+use crate::entry::{unix_millis, write_entry, TABLE};
 use crate::links::{LinkFaults, UpstreamLink};
 use crate::load_plan::LoadPlan;
 use crate::observer::Observer;
@@ -9,22 +10,21 @@
 use crate::upstreams::{SoakUpstream, UpstreamFaults, UpstreamIdentity};
 use crate::versions::UpstreamVersion;
 use crate::vms::zone;
-use serde_json::json;
-use skylarkshed_core::ClockTime;
-use skylarkshed_stand_ins::{upstream_row, FakeStore, APP_SERVICE, MODEL_SERVICE};
+use skylarkshed_stand_ins::{FakeStore, APP_SERVICE, MODEL_SERVICE};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 /// The upstreams of each service; one in each zone at least.
 const SERVICES: [(&str, usize); 3] = [(APP_SERVICE, 6), (SPARE_SERVICE, 3), (MODEL_SERVICE, 6)];
-const TABLE: &str = "servers";
 /// The longest silence of a sound upstream.
 const MAX_SILENCE: Duration = Duration::from_millis(1_200);
 /// How long an upstream serves after the store accepted that it leaves, and how long it
 /// lives on after its entry is gone.
 const SERVES_LEAVING: Duration = Duration::from_millis(3_500);
 const ENTRY_LAG: Duration = Duration::from_millis(500);
+/// How long after the removal of an entry a heartbeat arrives that was sent before.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(700);
 /// The time after which an address may be given to another upstream.
 const ADDRESS_REUSE: Duration = Duration::from_millis(2_000);
 /// How much longer the store lists an upstream that has crashed: three heartbeats in all.
@@ -262,7 +262,8 @@
     }
 
     /// Starts a replacement, lets an upstream leave as announced and ends it. One in three
-    /// leaves without a notice: its entry is removed, and it serves on.
+    /// leaves without a notice: its entry is removed, and it serves on. Of every other one of
+    /// these a heartbeat was held up and arrives after that.
     pub(crate) async fn replace(&self, choice: u64) {
         let identity = {
             let index = self.index(choice);
@@ -275,10 +276,25 @@
         };
         let name = identity.name.clone();
         self.add_or_report(identity, None).await;
-        self.announce(&name, choice.is_multiple_of(3));
+        let is_silent = choice.is_multiple_of(3);
+        self.announce(&name, is_silent);
+        if is_silent && choice.is_multiple_of(2) {
+            tokio::time::sleep(HEARTBEAT_DELAY).await;
+            self.write_late(&name);
+        }
         self.end_drained(&[name]).await;
     }
 
+    /// Writes the entry that an upstream had before it left.
+    fn write_late(&self, name: &str) {
+        let upstreams = self.lock();
+        let mut upstreams = upstreams.iter();
+        let found = upstreams.find(|other| other.upstream.identity.name == name);
+        if let Some(found) = found {
+            write_entry(&found.upstream, "ready", &self.store);
+        }
+    }
+
     /// Ends upstreams that have announced that they leave.
     async fn end_drained(&self, names: &[String]) {
         tokio::time::sleep(SERVES_LEAVING).await;
@@ -373,19 +389,3 @@
         self.add_or_report(identity, Some(link)).await;
     }
 }
-
-fn unix_millis() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| ClockTime::from(elapsed).as_millis())
-}
-
-fn write_entry(upstream: &SoakUpstream, state: &str, store: &FakeStore) {
-    let identity = &upstream.identity;
-    let (service, zone) = (identity.service, &identity.zone);
-    let version = &identity.version.name;
-    let mut entry = upstream_row(service, upstream.link.address, zone, version, state);
-    if let Some(born) = identity.born {
-        entry["born"] = json!(born);
-    }
-    store.put(TABLE, &identity.name, &entry);
-}
--- a/crates/stand-ins/src/routing/store.rs
+++ b/crates/stand-ins/src/routing/store.rs
@@ -20,6 +20,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// The maximum number of rows in one reply.
+const MAX_PAGE_ROWS: usize = 500;
+
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreMode {
@@ -333,14 +336,15 @@
 ) -> Response<Full<Bytes>> {
     let from = fields.get("from").map_or("", String::as_str);
     let limit = fields.get("limit").and_then(|text| text.parse().ok());
-    let rows = state.rows.iter().filter(|((name, _), _)| name == table);
-    let rows = rows.filter(|((_, key), _)| key.as_str() >= from);
-    let rows = rows.take(limit.unwrap_or(usize::MAX));
+    let limit = limit.unwrap_or(MAX_PAGE_ROWS).min(MAX_PAGE_ROWS);
+    let later = state.rows.iter().filter(|((name, _), _)| name == table);
+    let mut later = later.filter(|((_, key), _)| key.as_str() >= from);
+    let rows = later.by_ref().take(limit);
     let rows = rows.map(|((_, key), (revision, value))| row(table, key, *revision, Some(value)));
     let rows: Vec<Value> = rows.collect();
     let body = json!({
         "rows": rows,
-        "more_pages": false,
+        "more_pages": later.next().is_some(),
         "schema_version": state.revision,
         "now_ms": now_ms(state),
     });
--- a/crates/stand-ins/src/routing/store_messages.rs
+++ b/crates/stand-ins/src/routing/store_messages.rs
@@ -5,6 +5,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{json, Value};
 use std::collections::HashMap;
 
@@ -41,10 +42,16 @@
     let query = request.uri().query().unwrap_or("");
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .map(|(name, value)| (name.to_owned(), decode(value)))
         .collect()
 }
 
+/// Decodes a value of a query.
+fn decode(value: &str) -> String {
+    let value = value.replace('+', " ");
+    percent_decode_str(&value).decode_utf8_lossy().into_owned()
+}
+
 pub(super) fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
--- a/tests/testsuite/tests/gateway/main.rs
+++ b/tests/testsuite/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod explain_command;
 mod fleet_start;
 mod framing;
+mod late_entries;
 mod leaving;
 mod lost_store;
 mod metrics_memory;
