Judge a returned upstream by when its entry was missed

A VM whose entries are missing after a cut asks others whether the store was away, and drops the entries if it was not. The time at which the entry was missed counts now, and a heartbeat may take a quarter of an interval to arrive, not a half. Late heartbeats that arrive one after the other are each waited for. The types of entries have a file of their own.

--- a/crates/policy/src/heartbeat_estimate.rs
+++ b/crates/policy/src/heartbeat_estimate.rs
@@ -8,6 +8,10 @@
 /// The part of a time that the upstream's clock or its timers may be off, as a divisor.
 const MAX_DRIFT_DIVISOR: u64 = 50;
 
+/// The part of the time between two heartbeats that a heartbeat may take to arrive, as a
+/// divisor.
+const MAX_DELAY_DIVISOR: u64 = 4;
+
 /// A heartbeat of one start of an upstream, by which the times of later ones are estimated.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct HeartbeatEstimate {
@@ -44,7 +48,8 @@
         }
         let sent_at = self.sent_at(count, interval);
         let drift_ms = sent_at.since(self.received_at).as_millis() / MAX_DRIFT_DIVISOR;
-        let margin = ClockTime::from_millis(interval.as_millis() / 2 + drift_ms);
+        let delay_ms = interval.as_millis() / MAX_DELAY_DIVISOR;
+        let margin = ClockTime::from_millis(delay_ms + drift_ms);
         sent_at >= time + margin
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -102,6 +102,7 @@
 mod stream_recovery;
 mod table_server;
 mod token_ledger;
+mod upstream_entry;
 mod upstream_table;
 mod window_counter;
 mod work_budget;
@@ -186,5 +187,6 @@
 };
 pub use table_server::TableServer;
 pub use token_ledger::{LedgerVerdict, TokenLedger};
-pub use upstream_table::{EntryDoubt, EntryTimes, UpstreamChange, UpstreamEntry, UpstreamTable};
+pub use upstream_entry::{EntryDoubt, EntryTimes, UpstreamChange, UpstreamEntry};
+pub use upstream_table::UpstreamTable;
 pub use work_budget::WorkBudget;
--- a/crates/policy/src/upstream_table.rs
+++ b/crates/policy/src/upstream_table.rs
@@ -6,6 +6,7 @@
 
 use crate::departed_upstreams::{DepartedUpstream, DepartedUpstreams};
 use crate::heartbeat_estimate::HeartbeatEstimate;
+use crate::upstream_entry::{EntryDoubt, EntryTimes, UpstreamChange, UpstreamEntry};
 use skylarkshed_core::{ClockTime, UpstreamName, UpstreamRecord};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,36 +15,23 @@
 /// be listed. Only an upstream whose wall clock was set back is affected.
 const EARLIER_START_FACTOR: u64 = 3;
 
-/// An upstream's entry in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct UpstreamEntry {
-    /// What the upstream reports about itself.
-    pub record: UpstreamRecord,
-    /// The number of heartbeats of this start until the one that wrote the entry.
-    pub heartbeats: u64,
-}
-
-/// The times by which entries are judged.
-#[derive(Clone, Copy, Debug)]
-pub struct EntryTimes {
-    /// How long entries may take to reappear after an outage of the store.
-    pub grace: ClockTime,
-    /// How long the store takes to remove entries of upstreams that no longer exist.
-    pub silence: ClockTime,
-    /// The time between two heartbeats of an upstream.
-    pub heartbeat: ClockTime,
-}
-
 #[derive(Clone, Debug)]
 struct TableEntry {
     record: Arc<UpstreamRecord>,
-    /// When the entry is dropped, if it expired during an outage of the store.
-    drop_at: Option<ClockTime>,
+    /// Set if the entry may have expired during an outage of the store.
+    missing: Option<MissingEntry>,
     /// Unknown if the entry was only read with the whole table, which may be much later
     /// than its heartbeat.
     heartbeats: Option<HeartbeatEstimate>,
 }
 
+/// An entry that the store no longer has, and that is still used.
+#[derive(Clone, Copy, Debug)]
+struct MissingEntry {
+    since: ClockTime,
+    drop_at: ClockTime,
+}
+
 /// An entry that is not used yet.
 #[derive(Clone, Debug)]
 struct DoubtedEntry {
@@ -81,40 +69,6 @@
     doubted: BTreeMap<UpstreamName, DoubtedEntry>,
 }
 
-/// A change of an upstream's entry.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum UpstreamChange {
-    /// The upstream is new or its entry changed.
-    Updated(Arc<UpstreamRecord>),
-    /// The upstream is leaving and gets no new work.
-    Leaving(Arc<UpstreamRecord>),
-    /// The entry is missing, but may reappear within the grace period.
-    Missing(UpstreamName),
-    /// The upstream was removed.
-    Removed(UpstreamName),
-    /// The entry may be old, so it is not used yet.
-    Doubted(UpstreamName, EntryDoubt),
-}
-
-/// Why an entry may be old.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EntryDoubt {
-    /// The upstream has started again since then.
-    EarlierStart,
-    /// The entry was removed, and its heartbeat may have been sent before.
-    Removed,
-}
-
-impl EntryDoubt {
-    /// Returns the label of the reason in logs.
-    pub const fn label(self) -> &'static str {
-        match self {
-            EntryDoubt::EarlierStart => "earlier_start",
-            EntryDoubt::Removed => "removed",
-        }
-    }
-}
-
 impl UpstreamTable {
     /// Creates an empty table.
     pub fn new(times: EntryTimes) -> Self {
@@ -144,9 +98,9 @@
     ) -> Vec<UpstreamChange> {
         let outage_grace_ends_at = returned_at.map_or(ClockTime::ZERO, |at| at + self.times.grace);
         self.grace_ends_at = outage_grace_ends_at.max(self.restore_grace_ends_at);
-        let missing = self.entries.values_mut();
-        for entry in missing.filter(|entry| entry.drop_at.is_some()) {
-            entry.drop_at = Some(self.grace_ends_at);
+        let entries = self.entries.values_mut();
+        for missing in entries.filter_map(|entry| entry.missing.as_mut()) {
+            missing.drop_at = self.grace_ends_at;
         }
         self.expire(now)
     }
@@ -179,6 +133,8 @@
         if previous.is_none() {
             changes.push(UpstreamChange::Doubted(name.clone(), doubt));
         }
+        // Another read of the table tells nothing new.
+        let previous = previous.filter(|_| heartbeats.is_none());
         let doubted = DoubtedEntry {
             record: entry.record,
             use_at: previous.map_or(now + delay, |previous| previous.use_at),
@@ -232,7 +188,7 @@
         let interval = self.times.heartbeat;
         let estimates = estimates.into_iter().flatten();
         let heartbeats = estimates.reduce(|first, second| first.earlier(second, interval));
-        let is_same = known.is_some_and(|known| *known.record == record && known.drop_at.is_none());
+        let is_same = known.is_some_and(|known| *known.record == record && known.missing.is_none());
         if is_same {
             if let Some(known) = self.entries.get_mut(&record.name) {
                 known.heartbeats = heartbeats;
@@ -243,7 +199,7 @@
         let record = Arc::new(record);
         let entry = TableEntry {
             record: record.clone(),
-            drop_at: None,
+            missing: None,
             heartbeats,
         };
         self.entries.insert(record.name.clone(), entry);
@@ -287,8 +243,11 @@
             return;
         };
         if now < self.grace_ends_at && !entry.record.is_leaving {
-            if entry.drop_at.is_none() {
-                entry.drop_at = Some(self.grace_ends_at);
+            if entry.missing.is_none() {
+                entry.missing = Some(MissingEntry {
+                    since: now,
+                    drop_at: self.grace_ends_at,
+                });
                 changes.push(UpstreamChange::Missing(name.clone()));
             }
             return;
@@ -322,7 +281,7 @@
             service: entry.record.service.clone(),
             started: entry.record.started,
             was_leaving: entry.record.is_leaving,
-            departed_at: now,
+            departed_at: entry.missing.map_or(now, |missing| missing.since),
             is_overwritten,
             heartbeats: entry.heartbeats,
         };
@@ -360,7 +319,10 @@
     /// that are no longer in doubt.
     pub fn expire(&mut self, now: ClockTime) -> Vec<UpstreamChange> {
         let mut changes = Vec::new();
-        let is_expired = |entry: &&TableEntry| entry.drop_at.is_some_and(|at| now >= at);
+        let is_expired = |entry: &&TableEntry| {
+            let missing = entry.missing;
+            missing.is_some_and(|missing| now >= missing.drop_at)
+        };
         let expired = self.entries.values().filter(is_expired);
         let expired: Vec<UpstreamName> = expired.map(|entry| entry.record.name.clone()).collect();
         for name in &expired {
@@ -379,7 +341,7 @@
     pub fn next_expiry(&self) -> Option<ClockTime> {
         self.entries
             .values()
-            .filter_map(|entry| entry.drop_at)
+            .filter_map(|entry| entry.missing.map(|missing| missing.drop_at))
             .min()
     }
 
--- a/crates/policy/tests/gateway/late_entries.rs
+++ b/crates/policy/tests/gateway/late_entries.rs
@@ -239,6 +239,36 @@
     assert_eq!(vm.used_start(23_000 + SILENCE_MS), Some(SECOND));
 }
 
+/// Guards against an upstream that isn't used for seconds because its entry was dropped just
+/// before its heartbeat arrived, when a cut of a zone has ended.
+#[test]
+fn a_heartbeat_from_after_the_entry_was_missing_is_used_at_once() {
+    let mut vm = Vm::new();
+    vm.put_on_time(record(SECOND), START_MS);
+    vm.0.record_store_return(Some(at(21_000)), at(21_000));
+    vm.remove(21_100);
+    assert_eq!(vm.used_start(21_100), Some(SECOND));
+    // Another VM tells that the store was not away.
+    vm.0.record_store_return(None, at(22_100));
+    assert_eq!(vm.used_start(22_100), None);
+    vm.put(record(SECOND), heartbeats_until(22_000), 22_200);
+    assert_eq!(vm.used_start(22_200), Some(SECOND));
+}
+
+/// Guards against an upstream that has left and of which several heartbeats arrive late, one
+/// after the other.
+#[test]
+fn each_late_heartbeat_is_waited_for() {
+    let mut vm = Vm::new();
+    vm.put_on_time(record(SECOND), START_MS);
+    vm.remove(20_000);
+    vm.put(record(SECOND), 3, 21_000);
+    vm.put(record(SECOND), 4, 21_000 + EXPIRY_MS - 100);
+    assert_eq!(vm.used_start(21_000 + 2 * EXPIRY_MS - 200), None);
+    vm.remove(21_000 + 2 * EXPIRY_MS - 100);
+    assert_eq!(vm.used_start(60_000), None);
+}
+
 /// Guards against requests to an upstream that has left, because the whole table is read
 /// from a VM that doesn't know that yet.
 #[rstest]
